Reload the configuration on SIGHUP instead of ending

Cause: nothing took SIGHUP, whose default action ends a process; net::run registered SIGTERM and SIGINT only. Ruled out: the director's side. It is told of the new address by nobody, and the connections that broke are the crashed process's own. Change: SIGHUP is a signal of the loop. The file is read and checked whole by config.rs, then applied in one turn (net/reload.rs); a wrong one gives one line and changes nothing. A changed discovery address ends the watch and starts another at once, from the version held. Settings reach the module, which keeps what it has learned. Names in force must keep their places, as reqs refer to them by place. Tests: four in tests/sockets/reload.rs and one in config.rs; the four fail without the change.

--- a/src/config.rs
+++ b/src/config.rs
@@ -239,6 +239,31 @@
             give_up,
         })
     }
+
+    /// Whether `next` can take this one's place while the program runs. Reqs and servers that are here
+    /// already name their class, tenant and zone by its place, so the names in force must keep theirs.
+    pub fn may_become(&self, next: &Config) -> Result<(), ConfigError> {
+        let stay = |key: &str, old: &HashMap<String, usize>, new: &HashMap<String, usize>| {
+            let moved = old.iter().filter(|(name, at)| new.get(*name) != Some(at)).min_by_key(|(_, at)| **at);
+            moved.map_or(Ok(()), |(name, _)| {
+                Err(form(
+                    key,
+                    format!("'{name}' must stay in its place until a restart; add new names behind"),
+                ))
+            })
+        };
+        stay("settings.classes", &self.names.classes, &next.names.classes)?;
+        stay("settings.tenants", &self.names.tenants, &next.names.tenants)?;
+        let wide =
+            |zones: &HashMap<String, u32>| zones.iter().map(|(n, i)| (n.clone(), *i as usize)).collect();
+        stay("settings.zones", &wide(&self.names.zones), &wide(&next.names.zones))
+    }
+
+    /// Keys that a running program can't follow and that `next` has changed.
+    pub fn needs_restart(&self, next: &Config) -> Vec<&'static str> {
+        let changed = [("name", self.name != next.name), ("listen", self.listen != next.listen)].into_iter();
+        changed.filter(|c| c.1).map(|c| c.0).collect()
+    }
 }
 
 #[cfg(test)]
@@ -275,6 +300,27 @@
         assert_eq!(c.listen, "127.0.0.9:1".parse().unwrap());
     }
 
+    #[test]
+    fn names_in_force_keep_their_places() {
+        let parse = |v: &Value| Config::parse(v.to_string().as_bytes(), |_| None).expect("good");
+        let (old, mut next) = (parse(&good()), good());
+        next["settings"]["classes"] = json!([{"name": "chat"}, {"name": "feed"}]);
+        next["listen"] = json!("127.0.0.1:8001");
+        let next = parse(&next);
+        assert!(old.may_become(&next).is_ok());
+        assert_eq!((old.needs_restart(&next), old.needs_restart(&old)), (vec!["listen"], vec![]));
+        for (key, names) in [
+            ("classes", json!([{"name": "feed"}, {"name": "chat"}])),
+            ("tenants", json!([{"name": "other"}])),
+            ("zones", json!(["b", "a"])),
+        ] {
+            let mut next = good();
+            next["settings"][key] = names;
+            let fault = old.may_become(&parse(&next)).expect_err("a fault").to_string();
+            assert!(fault.starts_with(&format!("settings.{key}: ")), "{fault}");
+        }
+    }
+
     #[test]
     fn messages_name_the_key() {
         for (key, message) in [
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,14 +8,15 @@
 const BAD_CONFIG: u8 = 2;
 
 fn main() -> ExitCode {
-    let config = match Config::read(|var| std::env::var(var).ok()) {
+    let read = || Config::read(|var| std::env::var(var).ok());
+    let config = match read() {
         Ok(config) => config,
         Err(e) => {
             eprintln!("shorewharf: bad-config {e}");
             return ExitCode::from(BAD_CONFIG);
         }
     };
-    match net::run(config) {
+    match net::run(config, read) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("shorewharf: cannot-run error=\"{e}\"");
--- a/src/net/director.rs
+++ b/src/net/director.rs
@@ -132,12 +132,15 @@
     /// When something came last, or the call began.
     heard: Micros,
     failing: bool,
+    /// The module has asked for the list; without that nobody watches.
+    wanted: bool,
 }
 
 impl Director {
     /// A director that has not been asked yet.
     pub fn new(at: SocketAddr) -> Self {
-        Director { at, link: None, asked: false, answer: Answer::new(), index: 0, heard: 0, failing: false }
+        let (answer, heard) = (Answer::new(), 0);
+        Director { at, link: None, asked: false, answer, index: 0, heard, failing: false, wanted: false }
     }
 
     /// The list of this version is known from before.
@@ -147,7 +150,23 @@
 }
 
 impl Net {
+    /// Discovery is at another address from now on. Guards against an old list: the watch at the address
+    /// before may live on for seconds and tell nothing, so a new one starts at once. It goes on from the
+    /// version that is held; the list stays in force meanwhile.
+    pub(super) fn director_moves(&mut self, at: SocketAddr) {
+        if std::mem::replace(&mut self.director.at, at) == at {
+            return;
+        }
+        if let Some(link) = self.director.link.take() {
+            self.close(link);
+        }
+        if self.director.wanted {
+            self.director_watch();
+        }
+    }
+
     pub(super) fn director_watch(&mut self) {
+        self.director.wanted = true;
         if self.director.link.is_some() {
             return;
         }
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -131,6 +131,12 @@
         driver
     }
 
+    /// Puts new settings in force; what the module has learned stays.
+    pub fn take_settings(&mut self, set: Settings) {
+        self.max_attempts = set.max_attempts;
+        self.balancer.take_settings(set);
+    }
+
     /// Tells the module all that has happened, and what comes of its wishes, until nothing is left.
     pub fn settle(&mut self, peers: &mut impl Peers) {
         while let Some(happening) = peers.next() {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,6 +7,7 @@
 pub mod line;
 pub mod link;
 pub mod pool;
+mod reload;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
@@ -19,7 +20,7 @@
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, Readiness};
 use socket2::{Domain, Socket, Type};
 
-use crate::config::{Config, Names};
+use crate::config::{Config, ConfigError, Names};
 use crate::interface::{Outcome, RequestId, ServerId};
 use backends::{Backend, Fetch, Probe};
 use clients::ClientSession;
@@ -125,11 +126,16 @@
     done: bool,
 }
 
+/// Reads the configuration again, whole.
+type Reread = Box<dyn Fn() -> Result<Config, ConfigError>>;
+
 /// The loop's data: the peers, and the driver that stands between them and the decisions.
-#[derive(Debug)]
 pub struct Balancing {
     net: Net,
     driver: Driver,
+    /// The configuration in force.
+    config: Config,
+    reread: Reread,
 }
 
 impl Balancing {
@@ -353,12 +359,25 @@
     Ok(socket.into())
 }
 
-/// Runs the balancer until it is told to end.
-pub fn run(config: Config) -> io::Result<()> {
+/// The shortest message aim, in microseconds.
+fn message_aim(config: &Config) -> Micros {
+    micros(config.settings.classes.iter().map(|c| c.message_aim).fold(f64::INFINITY, f64::min))
+}
+
+/// Runs the balancer until it is told to end. On SIGHUP it takes what `reread` brings.
+pub fn run(config: Config, reread: impl Fn() -> Result<Config, ConfigError> + 'static) -> io::Result<()> {
     let mut events: EventLoop<Balancing> = EventLoop::try_new()?;
     let handle = events.handle();
-    let listener = listen(&config)?;
     let other = |e: calloop::Error| io::Error::other(e.to_string());
+    // Before anything is opened: a SIGHUP that nobody waits for ends the program.
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]).map_err(other)?;
+    handle
+        .insert_source(signals, |event, _, b| match event.signal() {
+            Signal::SIGHUP => b.reload(),
+            _ => b.act(Net::stop_soon),
+        })
+        .map_err(|e| other(e.error))?;
+    let listener = listen(&config)?;
     let ears = Generic::new(listener.try_clone()?, Interest::READ, Mode::Edge);
     handle
         .insert_source(ears, |_, _, b| {
@@ -369,13 +388,7 @@
             Ok(PostAction::Continue)
         })
         .map_err(|e| other(e.error))?;
-    handle
-        .insert_source(Signals::new(&[Signal::SIGTERM, Signal::SIGINT]).map_err(other)?, |_, _, b| {
-            b.act(Net::stop_soon)
-        })
-        .map_err(|e| other(e.error))?;
     let clock = Clock::new();
-    let aim = config.settings.classes.iter().map(|c| c.message_aim).fold(f64::INFINITY, f64::min);
     let mut net = Net {
         handle,
         now: clock.read(),
@@ -394,10 +407,10 @@
         probes: HashMap::new(),
         backends: BTreeMap::new(),
         director: Director::new(config.discovery),
-        names: config.names,
-        give_up: config.give_up,
+        names: config.names.clone(),
+        give_up: config.give_up.clone(),
         connect_timeout: micros(config.settings.connect_timeout),
-        message_aim: micros(aim),
+        message_aim: message_aim(&config),
         next_id: 0,
         again: Vec::new(),
         leaving: None,
@@ -407,11 +420,11 @@
     net.at(net.now, Due::Sweep);
     net.at(net.now + DELAY_PERIOD, Due::Delays);
     let servers = known.len();
-    let driver = Driver::start(config.settings, config.seed, known, &mut net);
-    let mut balancing = Balancing { net, driver };
+    let driver = Driver::start(config.settings.clone(), config.seed, known, &mut net);
+    let mut balancing = Balancing { net, driver, config, reread: Box::new(reread) };
     // The address that is bound: the port may have been left to the system.
     let listen = balancing.net.listener.local_addr()?;
-    log!("serving name={} listen={listen} servers={servers}", config.name);
+    log!("serving name={} listen={listen} servers={servers}", balancing.config.name);
     balancing.turn_over();
     while !balancing.net.done {
         let next = balancing.net.timers.peek().map_or(SWEEP, |t| t.0.0);
--- a/src/state.rs
+++ b/src/state.rs
@@ -130,6 +130,12 @@
         }
     }
 
+    /// Puts new settings in force; all that was learned stays. Classes that are known keep their places.
+    pub fn take_settings(&mut self, set: Settings) {
+        self.class_load.resize(set.classes.len(), 0.0);
+        self.set = set;
+    }
+
     pub(crate) fn draw(&mut self) -> f64 {
         unit(self.rng.next_u64())
     }
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -1,6 +1,7 @@
 //! The built program on real sockets: what clients, servers, the director and operators see of it.
 
 mod model;
+mod reload;
 mod rig;
 
 use std::io::{ErrorKind, Write};
--- a/tests/sockets/rig.rs
+++ b/tests/sockets/rig.rs
@@ -3,6 +3,7 @@
 
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::mpsc::{Receiver, channel};
 use std::thread;
@@ -158,36 +159,35 @@
 /// The program, ended with the test.
 pub struct Program {
     child: Child,
+    file: PathBuf,
     log: Receiver<String>,
     pub address: SocketAddr,
 }
 
-fn spawn(config: &Value) -> Child {
+fn spawn(config: &Value) -> (Child, PathBuf) {
     let dir =
         std::env::temp_dir().join(format!("shorewharf-{}-{:?}", std::process::id(), thread::current().id()));
     std::fs::create_dir_all(&dir).expect("a folder");
     let file = dir.join("config.json");
     std::fs::write(&file, config.to_string()).expect("a file");
-    Command::new(env!("CARGO_BIN_EXE_shorewharf"))
-        .env("ROUTER_CONFIG", &file)
-        .stderr(Stdio::piped())
-        .spawn()
-        .expect("the program starts")
+    let mut command = Command::new(env!("CARGO_BIN_EXE_shorewharf"));
+    let child = command.env("ROUTER_CONFIG", &file).stderr(Stdio::piped()).spawn();
+    (child.expect("the program starts"), file)
 }
 
 /// A start that must fail: the exit code and the log.
 pub fn refused_start(config: &Value) -> (Option<i32>, String) {
-    let out = spawn(config).wait_with_output().expect("it ends");
+    let out = spawn(config).0.wait_with_output().expect("it ends");
     (out.status.code(), String::from_utf8(out.stderr).expect("text"))
 }
 
 impl Program {
     pub fn start(config: &Value) -> Self {
-        let mut child = spawn(config);
+        let (mut child, file) = spawn(config);
         let stderr = BufReader::new(child.stderr.take().expect("piped"));
         let (sender, log) = channel();
         thread::spawn(move || stderr.lines().map_while(Result::ok).try_for_each(|line| sender.send(line)));
-        let mut program = Program { child, log, address: ([127, 0, 0, 1], 0).into() };
+        let mut program = Program { child, file, log, address: ([127, 0, 0, 1], 0).into() };
         let line = program.logged("serving");
         let address = line.split("listen=").nth(1).and_then(|t| t.split(' ').next());
         program.address = address.and_then(|t| t.parse().ok()).expect("an address");
@@ -226,8 +226,20 @@
     }
 
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Replaces the configuration file and sends SIGHUP.
+    pub fn reconfigure(&self, text: &str) {
+        let next = self.file.with_extension("next");
+        std::fs::write(&next, text).expect("a file");
+        std::fs::rename(&next, &self.file).expect("the same folder");
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("kill runs").success());
+        assert!(Command::new("kill").args([signal, &pid]).status().expect("kill runs").success());
     }
 
     pub fn wait(&mut self) -> ExitStatus {
