Blame a server for an error only when another serves the request; slow down only if many fail

The module's belief, logged once a second in a probe: the pace fell from 50 to 1.2 a second at the first two errors and stayed under 3, while every server but one was sound (health 1.00, no lock). The errors against bad clients were answers to their own requests (ids of others' open requests, d of 23 digits). Wrong: judge() called slow_down() for any error of any server; place() let permits run below zero while the pace was free (-51 after the standing connections had come), so the first slow-down held everybody for that long; lower() blamed the server for errors that follow the request wherever it goes. Ruled out: descriptors (short for 0.1 s in all), locks, message delays (none reported). Change: errors are kept with the client and count once another server takes the request. The pace falls only when set-ups are turned away or time out at more than half of the servers. A client that leaves less time than the aim blames nobody, and a connect cut short by the client's patience no longer locks the server.

--- a/src/net/backends.rs
+++ b/src/net/backends.rs
@@ -238,7 +238,10 @@
         let (number, until) = (self.serial(), self.now + patience);
         let (stage, last) = (FetchStage::Connecting, LastWord::Other);
         self.fetches.insert(id, Fetch { link, server, number, stage, until, last });
-        self.at(self.now + self.connect_timeout.min(patience), Due::Connect(id, number));
+        // A client that leaves less time than a connect may take must not get its server locked.
+        if self.connect_timeout <= patience {
+            self.at(self.now + self.connect_timeout, Due::Connect(id, number));
+        }
         self.at(until, Due::Patience(id, number));
         self.fetch_goes_on(id);
     }
@@ -267,9 +270,11 @@
     }
 
     pub(super) fn patience_due(&mut self, id: RequestId, number: u64) {
-        let late = |f: &Fetch| f.number == number && f.stage != FetchStage::Up;
-        if self.fetches.get(&id).is_some_and(late) {
-            self.fetch_over(id, Outcome::TimedOut);
+        let Some(fetch) = self.fetches.get(&id).filter(|f| f.number == number) else { return };
+        match fetch.stage {
+            FetchStage::Connecting => self.fetch_over(id, Outcome::NotSent),
+            FetchStage::Asked => self.fetch_over(id, Outcome::TimedOut),
+            FetchStage::Up => {}
         }
     }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -51,6 +51,9 @@
 const PACE_GROW: f64 = 1.15;
 const PACE_LEAST: f64 = 0.2;
 pub(crate) const PACE_FREE: f64 = 50.0;
+/// The pace falls when set-ups failed within so many periods at more than this share of the servers.
+const FAILING: f64 = 2.0;
+const WIDE: f64 = 0.5;
 /// Latency time of a reservation in honoured waits, drawn between 1 and 2 times this.
 const LATENCY: f64 = 1.5;
 /// Failed registry calls double the pause up to so many times, to 0.3 of `ask_within` at most: what the
@@ -74,7 +77,7 @@
             Event::RegistryFailed => self.ask_later(out),
             Event::Arrived(request) => self.arrived(now, request, out),
             Event::Open(request, server) => self.opened(now, request, server),
-            Event::Established { request, .. } => self.established(request),
+            Event::Established { request, .. } => self.established(now, request),
             Event::LoadChanged { request, load } => self.load_changed(request, load),
             Event::MessageDelay { server, delay } => self.message_delay(now, server, delay, out),
             Event::Ended { request, server, attempt, outcome, complete, .. } => {
@@ -362,7 +365,9 @@
             let spent = self.servers.values().any(|s| self.in_service(s, now));
             return if spent { self.answer(id, out) } else { self.hold(now, &c, out) };
         };
-        self.permits -= 1.0;
+        if self.pace < PACE_FREE {
+            self.permits -= 1.0;
+        }
         self.sends += 1.0;
         self.drop_reservation(c.request.key);
         let saved = self.entry_share(&self.servers[&server], now) - 1.0;
@@ -375,6 +380,7 @@
         s.retry_at = s.retry_at.max(now + left);
         let c = self.clients.get_mut(&id).expect("looked up above");
         c.out = Some(server);
+        c.sent = now;
         c.attempts += 1;
         c.tried.push(server);
         c.ran.get_or_insert((server, now, c.attempts - 1));
@@ -390,6 +396,21 @@
         self.pace >= PACE_FREE || self.permits >= 1.0
     }
 
+    /// Only failures at many servers speak of what they share. One that is ill has its own `have` lowered;
+    /// clients must not be kept from the sound ones for it.
+    fn set_up_failed(&mut self, now: f64, server: ServerId) {
+        if let Some(s) = self.servers.get_mut(&server) {
+            s.failed_at = now;
+        }
+        let ready = self.servers.values().filter(|s| self.in_service(s, now));
+        let (failing, all) = ready.fold((0.0, 0.0), |t, s| {
+            (t.0 + f64::from(u8::from(now < s.failed_at + FAILING * PERIOD)), t.1 + 1.0)
+        });
+        if failing > WIDE * all {
+            self.slow_down(now);
+        }
+    }
+
     fn slow_down(&mut self, now: f64) {
         if now < self.fell_at + PERIOD * 0.5 {
             return;
@@ -466,15 +487,18 @@
         self.clients.insert(request.id, c);
     }
 
-    fn established(&mut self, id: RequestId) {
+    fn established(&mut self, now: f64, id: RequestId) {
         let Some(c) = self.clients.get_mut(&id) else { return };
         let Some(server) = c.out.take() else { return };
         c.on = Some(server);
+        let errors = std::mem::take(&mut c.errors);
         self.groups.entry(c.group.unwrap_or(0)).and_modify(|g| g.1 = Some(server));
         self.pace = (self.pace * PACE_GROW).min(PACE_FREE);
         if let Some(s) = self.servers.get_mut(&server) {
             s.locked = false;
+            s.failed_at = f64::NEG_INFINITY;
         }
+        errors.into_iter().filter(|s| *s != server).for_each(|s| self.lower(now, s, 0.0));
     }
 
     fn load_changed(&mut self, id: RequestId, load: f64) {
@@ -563,7 +587,16 @@
             s.open = s.open.saturating_sub(1);
             s.used = (s.used - c.load).max(0.0);
         }
-        self.judge(now, server, outcome, stood);
+        let aim = self.set.classes.get(c.request.class).map_or(0.0, |k| k.aim);
+        match outcome {
+            // It may be the request that is at fault: its servers are blamed once another one takes it.
+            Outcome::Error if !stood => {
+                self.clients.get_mut(&id).into_iter().for_each(|c| c.errors.push(server));
+            }
+            // A client that leaves a server no time says nothing of it.
+            Outcome::Full | Outcome::TimedOut if c.request.deadline < c.sent + aim => {}
+            _ => self.judge(now, server, outcome, stood),
+        }
         if stood && !moved {
             self.reserve(now, &c, server);
         }
@@ -581,9 +614,8 @@
             Outcome::ConnectFailed => self.lock(now, server),
             Outcome::Full | Outcome::TimedOut => {
                 self.lower(now, server, PERIOD);
-                self.slow_down(now);
+                self.set_up_failed(now, server);
             }
-            Outcome::Error if !stood => self.slow_down(now),
             // The last connection broke: the server may be down. A trial will tell.
             Outcome::Reset if stood && left == 0 => self.lock(now, server),
             // A server that sheds a client while others stay has no room, as if it had said so.
--- a/src/state.rs
+++ b/src/state.rs
@@ -20,6 +20,8 @@
     pub retry_at: f64,
     pub backoff: f64,
     pub entries: f64,
+    /// When a set-up failed there that no good one has followed.
+    pub failed_at: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -32,6 +34,10 @@
     pub on: Option<ServerId>,
     pub ran: Option<(ServerId, f64, u32)>,
     pub tried: Vec<ServerId>,
+    /// Servers that answered with an error.
+    pub errors: Vec<ServerId>,
+    /// When its last attempt went out.
+    pub sent: f64,
     pub arrived: f64,
     pub answered: bool,
 }
@@ -56,6 +62,7 @@
             retry_at: 0.0,
             backoff: 0.0,
             entries: 0.0,
+            failed_at: f64::NEG_INFINITY,
         }
     }
 }
@@ -176,6 +183,8 @@
             on: None,
             ran: None,
             tried: Vec::new(),
+            errors: Vec::new(),
+            sent: now,
             arrived: now,
             answered: false,
         }
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -101,6 +101,20 @@
     let _stands: Vec<_> = (0..4).map(|_| program.stand(&server)).collect();
 }
 
+#[test]
+fn a_client_in_a_hurry_does_not_get_its_server_locked() {
+    let (host, queue) = full_host();
+    let program = Program::start(&config(&[("s-1", host.address())]));
+    let mut hasty = program.client();
+    hasty.say("OPEN 1 2 c=chat,t=acme,d=300");
+    assert!(hasty.line().starts_with("BUSY"));
+    queue.iter().for_each(|_| drop(host.accept()));
+    let _client = program.open("");
+    // What the hasty one began may still come up, without a word. A locked server would get a probe next.
+    let first = std::iter::repeat_with(|| host.accept().hear()).find(|heard| *heard != Heard::Fin);
+    assert!(matches!(first, Some(Heard::Line(line)) if line.starts_with("OPEN 9b1f ")));
+}
+
 #[test]
 fn a_server_that_begins_to_leave_while_the_connection_comes_up_is_sent_nothing() {
     let ((leaving, queue), server, director) = (full_host(), Host::new(), Host::new());
