Spend a server for resets only when a fifth of its connections broke within seconds

Wrong: judge() read any reset beside standing connections as shedding (slow_until 12 s on, health times 0.6). Ruled out: overload (pressure 0.00 throughout, p50 of set-ups 11 ms), delays, locks. Change: a server counts the connections that broke lately (70 % of them a second later) and is spent from two on, if they are a fifth of what stood there.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -31,6 +31,11 @@
 const FALL: f64 = 0.6;
 const REGAIN: f64 = 0.03;
 const LEAST: f64 = 0.05;
+/// Connections that broke lately (this share of them counts on a period later) speak of their server from so
+/// many on, if they are this share of what stood there.
+const DROPS_KEEP: f64 = 0.7;
+const DROPS: f64 = 1.8;
+const DROPPED: f64 = 0.2;
 /// Entries to a cold server, in even shares of the clients for each multiple that would push it over.
 const ENTRY: f64 = 2.5;
 /// Lock after a failed connect, in connect time-outs; doubles up to the cap, in warm-up times.
@@ -153,6 +158,7 @@
     fn housekeeping(&mut self, now: f64, out: &mut Vec<Action>) {
         out.push(Action::SetTimer { after: PERIOD, token: HOUSEKEEPING });
         for s in self.servers.values_mut() {
+            s.drops *= DROPS_KEEP;
             if now >= s.slow_until {
                 s.health += (1.0 - s.health) * REGAIN;
             }
@@ -607,6 +613,16 @@
         }
     }
 
+    /// A server that sheds a good part of its clients while others stay has no room, as if it had said so.
+    /// Connections break one by one on a bad network too, and that is no fault of their server.
+    fn dropped(&mut self, now: f64, server: ServerId) {
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        s.drops += 1.0;
+        if s.drops >= DROPS && s.drops >= DROPPED * (s.drops + f64::from(s.open)) {
+            self.lower(now, server, SLOW_HOLD * PERIOD);
+        }
+    }
+
     /// What an attempt's end says of its server.
     fn judge(&mut self, now: f64, server: ServerId, outcome: Outcome, stood: bool) {
         let left = self.servers.get(&server).map_or(0, |s| s.open);
@@ -618,8 +634,7 @@
             }
             // The last connection broke: the server may be down. A trial will tell.
             Outcome::Reset if stood && left == 0 => self.lock(now, server),
-            // A server that sheds a client while others stay has no room, as if it had said so.
-            Outcome::Reset => self.lower(now, server, SLOW_HOLD * PERIOD),
+            Outcome::Reset => self.dropped(now, server),
             Outcome::Error => self.lower(now, server, 0.0),
             Outcome::Ok | Outcome::Cancelled | Outcome::NotSent => {}
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -22,6 +22,8 @@
     pub entries: f64,
     /// When a set-up failed there that no good one has followed.
     pub failed_at: f64,
+    /// Connections that broke there lately.
+    pub drops: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -63,6 +65,7 @@
             backoff: 0.0,
             entries: 0.0,
             failed_at: f64::NEG_INFINITY,
+            drops: 0.0,
         }
     }
 }
