Read first lines strictly and give connections that ask for nothing a part of the descriptors

A probe of what servers answered ERR: first lines with d of 23 digits and ids of other clients' open requests, which went to up to four servers each. Wrong: session_opens() gave every silent connection 10 s (2 s once short) with no bound on how many; accept() took in the whole backlog in one turn; parse_open() dropped the id and took +1, inf and any d; a client's lines before its answer were kept and passed on later, for the server to close on. Ruled out: memory (1 of 48 MB), CPU (0.02 of 0.2 cores). Change: net/budget.rs bounds those who ask for nothing to a quarter, the oldest goes first; 64 accepts a turn; 50 log lines a second that clients cause. net/open.rs reads strictly. An id in use, an early word, hundreds of commands or an unlisted at= get ERR; half a line is ended after 2.5 s.

--- a/src/net/backends.rs
+++ b/src/net/backends.rs
@@ -215,6 +215,11 @@
         Some(ListEntry { server, zone, cell: e.group, stage, weight: e.weight, born })
     }
 
+    /// Whether a server is listed. A client that stood on it before the start can have stood on no other.
+    pub(super) fn is_listed(&self, server: ServerId) -> bool {
+        self.backends.contains_key(&server)
+    }
+
     fn ready_address(&self, server: ServerId) -> Option<SocketAddr> {
         self.backends.get(&server).filter(|b| b.stage == Stage::Ready).map(|b| b.address)
     }
@@ -232,7 +237,7 @@
         if self.fetches.contains_key(&id) || !self.sessions.get(&id).is_some_and(|s| s.waits()) {
             return;
         }
-        let address = self.address_for(id, server).filter(|_| self.has_descriptor());
+        let address = self.address_for(id, server).filter(|_| self.make_room());
         let Some(address) = address else {
             return self.fetch_ended(id, Outcome::NotSent);
         };
--- a/src/net/director.rs
+++ b/src/net/director.rs
@@ -139,8 +139,16 @@
 impl Director {
     /// A director that has not been asked yet.
     pub fn new(at: SocketAddr) -> Self {
-        let (answer, heard) = (Answer::new(), 0);
-        Director { at, link: None, asked: false, answer, index: 0, heard, failing: false, wanted: false }
+        Director {
+            at,
+            link: None,
+            asked: false,
+            answer: Answer::new(),
+            index: 0,
+            heard: 0,
+            failing: false,
+            wanted: false,
+        }
     }
 
     /// The list of this version is known from before.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,12 +1,14 @@
 //! The real balancer's loop: one thread, one clock, and peers that are objects with callbacks.
 
 pub mod backends;
+mod budget;
 pub mod clients;
 mod delays;
 pub mod director;
 pub mod driver;
 pub mod line;
 pub mod link;
+mod open;
 pub mod pool;
 mod reload;
 
@@ -24,6 +26,7 @@
 use crate::config::{Config, ConfigError, Names};
 use crate::interface::{Outcome, RequestId, ServerId};
 use backends::{Backend, Fetch, Probe};
+use budget::{Complaints, Unserved};
 use clients::ClientSession;
 use director::Director;
 use driver::{Driver, Happening, Micros, Peers, micros};
@@ -34,12 +37,10 @@
 const SWEEP: Micros = 100_000;
 /// How often servers' message delays are reported, as on the simulator's wire.
 const DELAY_PERIOD: Micros = 1_000_000;
-/// Descriptors that aren't connections: the loop's own, the listener, the log, and some to spare.
-const OWN_DESCRIPTORS: usize = 16;
-/// Descriptors kept for clients that are only told to come again.
-const SPARE: usize = 16;
 /// Connections that the system holds until they are accepted.
 const BACKLOG: i32 = 4096;
+/// Clients accepted in one turn; connections that stand get theirs in between.
+const ACCEPTS: usize = 64;
 /// After SIGTERM the front still sends clients for 0.4 s; moved any sooner, they would come back here.
 const LEAVE_AFTER: Micros = 450_000;
 /// The moves are spread over so long: all at once would be a reconnect storm.
@@ -108,8 +109,14 @@
     serial: u64,
     listener: TcpListener,
     can_accept: bool,
+    /// More clients wait to be accepted than one turn takes.
+    more_clients: bool,
     short: bool,
     sockets: usize,
+    unserved: Unserved,
+    complaints: Complaints,
+    /// The ids that clients opened with and that are waiting or standing.
+    open_ids: HashMap<u64, RequestId>,
     sessions: HashMap<RequestId, ClientSession>,
     fetches: HashMap<RequestId, Fetch>,
     probes: HashMap<u64, Probe>,
@@ -178,6 +185,9 @@
 
     fn due(&mut self) {
         std::mem::take(&mut self.again).into_iter().for_each(|id| self.relay(id));
+        if std::mem::take(&mut self.more_clients) {
+            self.accept();
+        }
         while let Some(&Reverse((when, _, due))) = self.timers.peek() {
             if when > self.now {
                 break;
@@ -200,6 +210,7 @@
     fn sweep(&mut self) {
         self.accept();
         self.sweep_sessions();
+        self.complaints_due();
         self.director_sweep();
         if let Some(since) = self.leaving {
             self.leave(self.now - since);
@@ -207,27 +218,6 @@
         self.at(self.now + SWEEP, Due::Sweep);
     }
 
-    fn descriptors(&self) -> usize {
-        OWN_DESCRIPTORS + self.sessions.len() + self.fetches.len() + self.probes.len()
-    }
-
-    /// Whether a connection to a server can be had and enough is left to answer clients.
-    fn has_descriptor(&self) -> bool {
-        self.descriptors() + SPARE < self.sockets
-    }
-
-    /// Says once that descriptors have run out, and once that there are some again.
-    fn note_short(&mut self, short: bool) {
-        if std::mem::replace(&mut self.short, short) != short {
-            let (held, limit) = (self.descriptors(), self.sockets);
-            if short {
-                log!("descriptors-short held={held} limit={limit}: new clients are refused or wait");
-            } else {
-                log!("descriptors-enough held={held} limit={limit}");
-            }
-        }
-    }
-
     /// Has the loop watch a connection. Edge-triggered: the link remembers what it is ready for.
     fn watch_link(&self, link: &mut Link, owner: Owner) -> bool {
         let source = Generic::new(link.stream(), Interest::BOTH, Mode::Edge);
@@ -253,9 +243,12 @@
     }
 
     fn accept(&mut self) {
-        while self.can_accept {
+        for _ in 0..ACCEPTS {
+            if !self.can_accept {
+                break;
+            }
             // Out of descriptors, clients wait in the backlog; the sweep looks again.
-            if self.descriptors() >= self.sockets {
+            if !self.may_accept() {
                 return self.note_short(true);
             }
             match self.listener.accept() {
@@ -270,6 +263,7 @@
         }
         if self.has_descriptor() {
             self.note_short(false);
+            self.more_clients = self.can_accept;
         }
     }
 
@@ -402,8 +396,12 @@
         serial: 0,
         listener,
         can_accept: true,
+        more_clients: false,
         short: false,
         sockets: config.limits.sockets,
+        unserved: Unserved::default(),
+        complaints: Complaints::default(),
+        open_ids: HashMap::new(),
         sessions: HashMap::new(),
         fetches: HashMap::new(),
         probes: HashMap::new(),
@@ -431,7 +429,7 @@
     balancing.turn_over();
     while !balancing.net.done {
         let next = balancing.net.timers.peek().map_or(SWEEP, |t| t.0.0);
-        let busy = !balancing.net.again.is_empty();
+        let busy = !balancing.net.again.is_empty() || balancing.net.more_clients;
         let wait = if busy { 0 } else { next.saturating_sub(balancing.net.clock.read()) };
         events.dispatch(Some(Duration::from_micros(wait)), &mut balancing).map_err(other)?;
         balancing.turn_over();
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -1,5 +1,6 @@
 //! The built program on real sockets: what clients, servers, the director and operators see of it.
 
+mod bad;
 mod model;
 mod reload;
 mod rig;
