Let a group go past its reach where most of the fleet has room

Wrong: choose() cut the pool to its size plus one rank before it looked at which of them can take anybody, so a group whose two ranks were slow or cold was refused whatever else had room. Change: while servers with 60 % of the ready weight take clients and are not slow, the next ranks take the group, in rank order, so that it stays together. Under that share the old reach holds. Test: a small group's two servers turn slow while eight have room (fails without the change).

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -43,6 +43,8 @@
 const LOCK_MOST: f64 = 0.5;
 /// A pool whose members are spent reaches so many ranks further down before clients are refused.
 const REACH: usize = 1;
+/// Unless this share of the ready weight takes clients and is not slow.
+const ROOMY: f64 = 0.6;
 /// A pool member is passed over above this multiple of the mean usage plus this many mean clients.
 const BOUND: f64 = 1.25;
 const BOUND_CLIENTS: f64 = 3.0;
@@ -313,7 +315,8 @@
             return None;
         }
         // Past its reach a group is refused rather than scattered: each server that holds it pays for it.
-        let reach = (k + REACH).min(pool.len());
+        // Where most of the fleet has room the next ranks take it: a few ill servers must not shut it out.
+        let reach = if self.roomy(now) { pool.len() } else { (k + REACH).min(pool.len()) };
         if reach < pool.len() {
             pool.select_nth_unstable_by(reach - 1, |a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
             pool.truncate(reach);
@@ -324,6 +327,16 @@
         self.lowest(now, c, pool[..k].iter().map(|p| p.2))
     }
 
+    /// Whether servers with this much of the ready weight take clients and are not slow.
+    fn roomy(&self, now: f64) -> bool {
+        let ready = self.servers.values().filter(|s| s.entry.stage == Stage::Ready);
+        let (room, all) = ready.fold((0.0, 0.0), |t, s| {
+            let takes = self.in_service(s, now) && now >= s.slow_until;
+            (t.0 + if takes { s.entry.weight } else { 0.0 }, t.1 + s.entry.weight)
+        });
+        room >= ROOMY * all
+    }
+
     /// Looky's weighted seed: the lowest usage; ties, most cases on a large fleet, by lots.
     fn lowest<'a>(&self, now: f64, c: &Client, of: impl Iterator<Item = &'a Server>) -> Option<ServerId> {
         let salt = hash(c.request.key, self.set.me);
--- a/tests/placing.rs
+++ b/tests/placing.rs
@@ -113,6 +113,20 @@
     assert!(placed.len() < 30, "a fifth of the traffic shed everywhere went to {} of 40", placed.len());
 }
 
+#[test]
+fn a_few_slow_servers_do_not_shut_their_groups_out() {
+    let mut p = Proxy::new(settings(), 10);
+    // The two servers that a small group may go to turn slow for a moment, while eight have room.
+    (100..160).for_each(|id| assert!(p.connect(request(id, 100.0)).is_some()));
+    for id in 1..3 {
+        let at = p.connect(grouped(id, 77)).expect("placed");
+        slow(&mut p, at, 0.05);
+        slow(&mut p, at, 0.001);
+    }
+    let third = p.connect(grouped(3, 77)).expect("the next rank takes it");
+    assert_eq!(p.connect(grouped(4, 77)), Some(third), "and the group stays together there");
+}
+
 #[test]
 fn a_shed_client_does_not_go_back_to_a_server_that_sheds() {
     let mut p = Proxy::new(settings(), 3);
