Keep standing clients until near the end of a planned restart's grace

From the logs: the first balancer gets SIGTERM at 13.04 s and serves again at 17.4 s; the second gets it at 16.04 s and moved its clients from 16.5 to 17.5 s, when nobody was there to take them. Wrong: LEAVE_AFTER and LEAVE_OVER in net/mod.rs moved everybody from 0.45 s on, though SIGKILL comes no sooner than 3.7 s. Ruled out: decisions (no refusals in that span but those of the leaving balancer), the list. Change: the steps of a planned end come from the clients' longest wait: moves from 2.0 to 2.9 s, the end at 3.4 s at the latest, 0.3 s before SIGKILL. Shorter waits shorten them.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -43,12 +43,9 @@
 const ACCEPTS: usize = 64;
 /// After SIGTERM the front still sends clients for 0.4 s; moved any sooner, they would come back here.
 const LEAVE_AFTER: Micros = 450_000;
-/// The moves are spread over so long: all at once would be a reconnect storm.
-const LEAVE_OVER: Micros = 1_000_000;
-/// From here on waiting clients are refused, and a little later the program ends: SIGKILL comes no sooner
-/// than 3.7 s after SIGTERM.
-const LEAVE_ANSWERS: Micros = 2_400_000;
-const LEAVE_LAST: Micros = 3_000_000;
+/// SIGKILL comes no sooner than this after the longest wait of a client, which counts as 3 s where it is longer.
+const GRACE: Micros = 700_000;
+const GRACE_WAIT: Micros = 3_000_000;
 
 /// Writes a line to the log.
 macro_rules! log {
@@ -75,6 +72,34 @@
     }
 }
 
+/// The steps of a planned end, in time since SIGTERM. Standing clients stay until near its end: in a rolling
+/// restart the balancer before this one may not be back yet, and clients moved early would find nobody.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Farewell {
+    /// The moves begin; they are spread, as all at once would be a reconnect storm.
+    move_from: Micros,
+    /// Everybody has been moved.
+    move_until: Micros,
+    /// Who still waits is refused.
+    answers: Micros,
+    /// The program ends.
+    last: Micros,
+}
+
+impl Farewell {
+    fn new(give_up: &[Micros]) -> Self {
+        let kill = give_up.iter().copied().max().unwrap_or(0).min(GRACE_WAIT) + GRACE;
+        // Clients have 0.5 s for their last words after the last move, and 0.3 s are left for a busy machine.
+        let move_until = kill.saturating_sub(800_000);
+        Farewell {
+            move_from: move_until.saturating_sub(900_000).max(LEAVE_AFTER),
+            move_until: move_until.max(LEAVE_AFTER + SWEEP),
+            answers: move_until.saturating_sub(500_000),
+            last: kill - 300_000,
+        }
+    }
+}
+
 /// What a timer is for. Those of a fetch carry its number: it may be over when they come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
@@ -276,14 +301,14 @@
 
     /// The steps of a planned end: accept and answer, move everybody, refuse who still waits, go.
     fn leave(&mut self, since: Micros) {
-        if since >= LEAVE_AFTER {
-            let left = (LEAVE_AFTER + LEAVE_OVER).saturating_sub(since);
-            self.move_some(left / SWEEP);
-        }
-        if since >= LEAVE_ANSWERS {
+        let farewell = Farewell::new(&self.give_up);
+        if since >= farewell.answers {
             self.refuse_all();
         }
-        if since >= LEAVE_LAST || (since >= LEAVE_AFTER + SWEEP && self.sessions.is_empty()) {
+        if since >= farewell.move_from {
+            self.move_some(farewell.move_until.saturating_sub(since) / SWEEP);
+        }
+        if since >= farewell.last || (since >= LEAVE_AFTER + SWEEP && self.sessions.is_empty()) {
             log!("left sessions={}", self.sessions.len());
             self.done = true;
         }
@@ -436,3 +461,16 @@
     }
     Ok(())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_planned_end_fits_before_sigkill() {
+        let usual = Farewell::new(&[3_200_000]);
+        assert_eq!((usual.move_from, usual.move_until, usual.last), (2_000_000, 2_900_000, 3_400_000));
+        let short = Farewell::new(&[1_000_000]);
+        assert!(short.move_from >= LEAVE_AFTER && short.move_until < short.last && short.last < 1_700_000);
+    }
+}
