Split the package into a workspace by concern: protocol, decisions, driver, wire, balancer

Need: an emulator, a lab and other fronts must use the protocol and the decisions without linking the balancer, and arrows between modules must run one way. The protocol's text stood in four files, the settings' parser in the simulator's codec, and policy and state used each other. Change: files moved with their history into crates/; line, first line, answers and list are read and written in crates/protocol; policy and state no longer use each other. No decision is changed.

--- a/src/config.rs
+++ b/crates/balancer/src/config.rs
@@ -8,8 +8,9 @@
 use serde_json::Value;
 use thiserror::Error;
 
-use crate::interface::Settings;
-use crate::wire;
+use shorewharf_decisions::Settings;
+use shorewharf_protocol::list::Listing;
+use shorewharf_protocol::names::Names;
 
 /// What is wrong with the configuration; the text names the key at fault.
 #[derive(Debug, Error)]
@@ -43,58 +44,6 @@
     }
 }
 
-/// One server as discovery writes it.
-#[derive(Clone, Debug, Deserialize, PartialEq)]
-pub struct Endpoint {
-    /// The same at every balancer.
-    pub name: String,
-    /// Where this balancer reaches it.
-    pub address: String,
-    /// The name of its zone.
-    #[serde(default)]
-    pub zone: String,
-    /// Its cell.
-    #[serde(default)]
-    pub group: u32,
-    /// `Ready`, `Terminating` or `Gone`.
-    pub status: String,
-    /// Its registered size.
-    #[serde(default = "one")]
-    pub weight: f64,
-    /// When its process last started, Unix time in milliseconds; 0 for long ago.
-    #[serde(default)]
-    pub since_ms: f64,
-}
-
-fn one() -> f64 {
-    1.0
-}
-
-/// A list as discovery writes it.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
-pub struct Listing {
-    /// Its version.
-    #[serde(default)]
-    pub index: u64,
-    /// It is the whole list rather than changes.
-    #[serde(default)]
-    pub snapshot: bool,
-    /// The servers.
-    #[serde(default)]
-    pub endpoints: Vec<Endpoint>,
-}
-
-/// What requests name, and at which place the settings have it.
-#[derive(Clone, Debug, Default)]
-pub struct Names {
-    /// Classes.
-    pub classes: HashMap<String, usize>,
-    /// Tenants; empty where there are none.
-    pub tenants: HashMap<String, usize>,
-    /// Zones.
-    pub zones: HashMap<String, u32>,
-}
-
 /// All that the program is told at its start.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -217,7 +166,8 @@
             s => Err(form(format!("settings.classes[{i}].give_up_s"), format!("{s} is no length of time"))),
         });
         let give_up = give_up.collect::<Result<_, _>>()?;
-        let (set, _) = wire::settings(settings.to_string().as_bytes()).map_err(|e| at("settings", e.0))?;
+        let (set, _) = shorewharf_settings::settings(settings.to_string().as_bytes())
+            .map_err(|e| at("settings", e.0))?;
         for (key, value) in [
             ("settings.tick_s", set.tick),
             ("settings.limits.connect_timeout_s", set.connect_timeout),
--- /dev/null
+++ b/crates/balancer/src/lib.rs
@@ -0,0 +1,4 @@
+#![doc = include_str!("../../../README.md")]
+
+pub mod config;
+pub mod net;
--- a/src/net/backends.rs
+++ b/crates/balancer/src/net/backends.rs
@@ -3,12 +3,15 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
+use shorewharf_decisions::interface::{ListEntry, Outcome, RequestId, ServerId, Stage};
+use shorewharf_driver::{Happening, Micros};
+use shorewharf_protocol::list::{Endpoint, Listing};
+use shorewharf_protocol::open::with_patience;
+use shorewharf_protocol::words::{Word, word};
+
 use super::delays::Figures;
-use super::driver::{Happening, Micros};
 use super::link::{End, Link};
 use super::{Due, Net, Owner, is_shortage, log};
-use crate::config::{Endpoint, Listing};
-use crate::interface::{ListEntry, Outcome, RequestId, ServerId, Stage};
 
 /// How long a probe may take.
 const PROBE: Micros = 500_000;
@@ -97,16 +100,13 @@
     ) -> Result<(), super::link::TooLong> {
         while let Some(line) = self.link.look()? {
             self.heard = now;
-            self.last = match line {
-                b"BYE" => LastWord::Bye,
-                b"MOVE" => LastWord::Move,
-                _ => LastWord::Other,
-            };
-            if let Some(load) = line.strip_prefix(b"LOAD ") {
-                told.extend(figure(load));
-            } else if self.last == LastWord::Other {
+            self.last = LastWord::Other;
+            match word(line) {
+                Word::Bye => self.last = LastWord::Bye,
+                Word::Move => self.last = LastWord::Move,
+                Word::Load(load) => told.extend(load),
                 // The time from a client's line to the server's answer is what a message takes there.
-                self.answered = asked.take().map(|at| (now, now - at)).or(self.answered);
+                _ => self.answered = asked.take().map(|at| (now, now - at)).or(self.answered),
             }
         }
         Ok(())
@@ -134,30 +134,6 @@
     }
 }
 
-/// The figure of a `LOAD` line; none if it is no number.
-fn figure(text: &[u8]) -> Option<f64> {
-    let figure = std::str::from_utf8(text).ok()?.trim().parse::<f64>().ok()?;
-    (figure.is_finite() && figure > 0.0).then_some(figure)
-}
-
-/// The first line with what is left for this fetch as its `d`; all else is passed on unchanged.
-fn with_patience(line: &[u8], left: Micros) -> Vec<u8> {
-    let (head, list) = line.split_at(line.iter().rposition(|b| *b == b' ').map_or(0, |at| at + 1));
-    let ms = (left / 1000).max(1).to_string();
-    let mut out = head.to_vec();
-    for (i, item) in list.split(|b| *b == b',').enumerate() {
-        if i > 0 {
-            out.push(b',');
-        }
-        match item.strip_prefix(b"d=") {
-            Some(_) => out.extend([b"d=", ms.as_bytes()].concat()),
-            None => out.extend(item),
-        }
-    }
-    out.extend(b"\r\n");
-    out
-}
-
 impl Net {
     /// Takes in a list from discovery: what the module is told of it.
     pub(super) fn take_list(&mut self, listing: &Listing) -> Vec<ListEntry> {
@@ -328,15 +304,15 @@
         let sent = fetch.link.flush();
         fetch.link.fill(&self.pool);
         let ended = fetch.link.ended;
-        let outcome = match fetch.link.look() {
-            Ok(Some(b"UP")) => return self.fetch_up(id),
-            Ok(Some(line)) if line.starts_with(b"UP ") => return self.fetch_up(id),
-            Ok(Some(b"BUSY")) => Outcome::Full,
-            Ok(Some(line)) if line.starts_with(b"BUSY ") => Outcome::Full,
-            Ok(Some(b"MOVE")) => Outcome::Cancelled,
-            Ok(Some(b"BYE")) => Outcome::Ok,
-            Ok(Some(b"ERR")) => Outcome::Error,
-            Ok(Some(line)) => {
+        let outcome = match fetch.link.look().map(|line| line.map(word)) {
+            Ok(Some(Word::Up(_))) => return self.fetch_up(id),
+            Ok(Some(Word::Busy(_))) => Outcome::Full,
+            Ok(Some(Word::Move)) => Outcome::Cancelled,
+            Ok(Some(Word::Bye)) => Outcome::Ok,
+            Ok(Some(Word::Err)) => Outcome::Error,
+            Ok(Some(other)) => {
+                let line = other.to_string();
+                let line = line.trim_end().as_bytes();
                 let line = String::from_utf8_lossy(&line[..line.len().min(80)]).into_owned();
                 log!("odd-answer server={} line={line:?}", self.server_name(id));
                 Outcome::Error
@@ -440,21 +416,4 @@
         assert_eq!(born(1_796_115_693_678.0), 1_796_115_693.678);
         assert_eq!([born(0.0), born(-1.0), born(f64::INFINITY)], [0.0; 3]);
     }
-
-    #[test]
-    fn a_load_line_tells_a_number_or_nothing() {
-        assert_eq!(figure(b"255465.125"), Some(255_465.125));
-        for odd in [&b"0"[..], b"-5", b"NaN", b"inf", b"", b"x", b"\xff"] {
-            assert_eq!(figure(odd), None, "{odd:?}");
-        }
-    }
-
-    #[test]
-    fn only_d_is_changed_in_the_first_line() {
-        let line = b"OPEN 9b1f 7f3a c=chat,t=acme,d=2000,g=5c0f,again=1";
-        let out = with_patience(line, 1_234_567);
-        assert_eq!(out, b"OPEN 9b1f 7f3a c=chat,t=acme,d=1234,g=5c0f,again=1\r\n");
-        assert_eq!(with_patience(b"OPEN 1 2 d=5", 10), b"OPEN 1 2 d=1\r\n");
-        assert_eq!(with_patience(b"OPEN 1 2 c=chat,id=7", 10), b"OPEN 1 2 c=chat,id=7\r\n");
-    }
 }
--- a/src/net/budget.rs
+++ b/crates/balancer/src/net/budget.rs
@@ -4,9 +4,9 @@
 use std::fmt::Arguments;
 
 use super::clients::Stage;
-use super::driver::Micros;
 use super::{Net, log};
-use crate::interface::RequestId;
+use shorewharf_decisions::interface::RequestId;
+use shorewharf_driver::Micros;
 
 /// Descriptors that aren't connections: the loop's own, the listener, the log, and some to spare.
 const OWN_DESCRIPTORS: usize = 16;
--- a/src/net/clients.rs
+++ b/crates/balancer/src/net/clients.rs
@@ -2,12 +2,15 @@
 
 use std::net::{SocketAddr, TcpStream};
 
-use super::driver::{Happening, Micros, Req};
+use shorewharf_decisions::interface::{Outcome, RequestId, ServerId};
+use shorewharf_driver::{Happening, Micros, Req};
+use shorewharf_protocol::open::parse_open;
+use shorewharf_protocol::words::busy;
+
+use super::backends::server_id;
 use super::link::{End, Link};
-use super::open::{Open, parse_open};
 use super::pool::Buffer;
 use super::{Net, Owner, log};
-use crate::interface::{Outcome, RequestId, ServerId};
 
 /// A client that connects has this long for its first line.
 const FIRST_LINE: Micros = 10_000_000;
@@ -208,11 +211,12 @@
     }
 
     fn req_comes(&mut self, id: RequestId, line: &[u8]) {
-        let Open { mut req, open_id, patience, home } = match parse_open(line, &self.names) {
+        let open = match parse_open(line, &self.names) {
             Ok(open) => open,
             Err(why) => return self.malformed(id, why),
         };
-        if self.open_ids.contains_key(&open_id) {
+        let home = open.home.as_deref().map(server_id);
+        if self.open_ids.contains_key(&open.id) {
             // The id of another client's request. Whoever retries or was moved comes under a new one, and the
             // one from before was let go with its answer or its MOVE.
             return self.malformed(id, "the id is in use");
@@ -222,14 +226,23 @@
         }
         self.unserved_ends(id);
         let Some(s) = self.sessions.get_mut(&id) else { return };
-        let wait = patience.or(self.give_up.get(req.class).copied()).unwrap_or(0);
-        (req.id, req.deadline) = (id, self.now + wait);
+        let wait = open.patience.or(self.give_up.get(open.class).copied()).unwrap_or(0);
+        let req = Req {
+            id,
+            class: open.class,
+            tenant: open.tenant,
+            key: open.key,
+            deadline: self.now + wait,
+            load: open.load,
+            group: open.group,
+            returning: open.returning,
+        };
         let mut first = self.pool.take();
         first.append(line);
         (s.first, s.req, s.home, s.stage) = (Some(first), Some(req), home, Stage::Waiting);
-        (s.since, s.open_id) = (self.now, Some(open_id));
+        (s.since, s.open_id) = (self.now, Some(open.id));
         s.until = if home.is_some() { self.now + CARRY } else { req.deadline };
-        self.open_ids.insert(open_id, id);
+        self.open_ids.insert(open.id, id);
         if self.leaving.is_some() {
             // What is taken now would only have to move: the front stops sending here in a moment.
             return self.answer_busy(id, super::LEAVE_AFTER);
@@ -297,10 +310,7 @@
     }
 
     pub(super) fn answer_busy(&mut self, id: RequestId, after: Micros) {
-        match after.div_ceil(1000) {
-            0 => self.answer(id, b"BUSY\r\n"),
-            ms => self.answer(id, format!("BUSY {ms}\r\n").as_bytes()),
-        }
+        self.answer(id, busy(after).to_string().as_bytes());
     }
 
     pub(super) fn answer_failed(&mut self, id: RequestId) {
--- a/src/net/delays.rs
+++ b/crates/balancer/src/net/delays.rs
@@ -5,8 +5,8 @@
 
 use super::Net;
 use super::clients::Stage;
-use super::driver::{Happening, Micros};
-use crate::interface::{RequestId, ServerId};
+use shorewharf_decisions::interface::{RequestId, ServerId};
+use shorewharf_driver::{Happening, Micros};
 
 /// An answer says something of its server for so long: clients send a line every 2 s.
 const FRESH: Micros = 2_500_000;
--- a/src/net/director.rs
+++ b/crates/balancer/src/net/director.rs
@@ -2,10 +2,10 @@
 
 use std::net::SocketAddr;
 
-use super::driver::{Happening, Micros};
 use super::link::Link;
 use super::{Net, Owner, log};
-use crate::config::Listing;
+use shorewharf_driver::{Happening, Micros};
+use shorewharf_protocol::list::Listing;
 
 /// A call that has not begun to answer by then has failed: discovery itself gives up after about a second. After a
 /// reload its news counts as told within 4 s, and there must be time for another call by then.
--- a/src/net/link.rs
+++ b/crates/balancer/src/net/link.rs
@@ -8,8 +8,8 @@
 use calloop::RegistrationToken;
 use socket2::{Domain, SockRef, Socket, Type};
 
-use super::line::{Front, front};
 use super::pool::{Buffer, Pool};
+use shorewharf_protocol::line::{Front, front};
 
 /// How a peer ended its side.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/net/mod.rs
+++ b/crates/balancer/src/net/mod.rs
@@ -5,10 +5,7 @@
 pub mod clients;
 mod delays;
 pub mod director;
-pub mod driver;
-pub mod line;
 pub mod link;
-mod open;
 pub mod pool;
 mod reload;
 
@@ -23,15 +20,16 @@
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, Readiness};
 use socket2::{Domain, Socket, Type};
 
-use crate::config::{Config, ConfigError, Names};
-use crate::interface::{Outcome, RequestId, ServerId};
+use crate::config::{Config, ConfigError};
 use backends::{Backend, Fetch, Probe};
 use budget::{Complaints, Unserved};
 use clients::ClientSession;
 use director::Director;
-use driver::{Driver, Happening, Micros, Peers, micros};
 use link::Link;
 use pool::Pool;
+use shorewharf_decisions::interface::{Outcome, RequestId, ServerId};
+use shorewharf_driver::{Driver, Happening, Micros, Peers, micros};
+use shorewharf_protocol::names::Names;
 
 /// How often connections are looked over for ends that are due, silence and a full descriptor table.
 const SWEEP: Micros = 100_000;
--- a/src/net/reload.rs
+++ b/crates/balancer/src/net/reload.rs
@@ -1,8 +1,8 @@
 //! A new configuration while the program runs: taken whole or not at all.
 
-use super::driver::micros;
 use super::{Balancing, log, message_aim};
 use crate::config::{Config, ConfigError};
+use shorewharf_driver::micros;
 
 impl Balancing {
     /// SIGHUP has come. Several close together may come as one: the file is read as it is now.
--- /dev/null
+++ b/crates/decisions/src/lib.rs
@@ -0,0 +1,9 @@
+//! Every decision about a request: which server it goes to, whether it is tried again, what is turned away.
+//! Events in, actions out, with the time as an argument: no I/O, no clock, no text.
+
+pub mod interface;
+pub mod policy;
+mod state;
+
+pub use interface::{Action, Event, Outcome, RequestId, ServerId, Settings};
+pub use policy::Balancer;
--- a/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -57,7 +57,7 @@
 const PACE_FALL: f64 = 0.6;
 const PACE_GROW: f64 = 1.15;
 const PACE_LEAST: f64 = 0.2;
-pub(crate) const PACE_FREE: f64 = 50.0;
+const PACE_FREE: f64 = 50.0;
 /// The pace falls when set-ups failed within so many periods at more than this share of the servers.
 const FAILING: f64 = 2.0;
 const WIDE: f64 = 0.5;
@@ -66,9 +66,8 @@
 /// Failed registry calls double the pause up to so many times, to 0.3 of `ask_within` at most: what the
 /// registry has to say soon counts as told, and a server that drained meanwhile must not be sent to.
 const ASKS_MOST: u32 = 2;
-/// Bounds on remembered clients and groups.
+/// Bound on remembered clients.
 const KEYS_MOST: usize = 8192;
-pub(crate) const GROUPS_MOST: usize = 2048;
 
 const HOUSEKEEPING: u64 = 1 << 40;
 const SUBSCRIBE: u64 = 2 << 40;
@@ -76,6 +75,11 @@
 const DEADLINE: u64 = 4 << 40;
 
 impl Balancer {
+    /// A module for one proxy; all its randomness comes from `seed`.
+    pub fn new(set: Settings, seed: u64) -> Self {
+        Balancer::fresh(set, seed, PACE_FREE)
+    }
+
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: f64, event: Event, out: &mut Vec<Action>) {
         match event {
@@ -240,12 +244,6 @@
         s.entry.weight * s.health * self.ramp(s, now)
     }
 
-    /// What the ranks go by: the group, or where packets pass through the key, for the next proxy to find.
-    pub(crate) fn group_of(&self, r: &Request) -> Option<u64> {
-        let of = if self.set.pass_through { r.key } else { r.group };
-        ((self.set.pass_through || self.set.groups) && of != 0).then_some(of)
-    }
-
     /// How many of `fleet` servers make up a group's pool.
     fn pool_size(&self, group: Option<u64>, fleet: usize) -> usize {
         let Some(group) = group else { return fleet };
--- a/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -6,7 +6,9 @@
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 
 use crate::interface::*;
-use crate::policy::{GROUPS_MOST, PACE_FREE};
+
+/// Bound on remembered groups: what the table may grow to.
+const GROUPS_MOST: usize = 2048;
 
 #[derive(Clone, Debug)]
 pub(crate) struct Server {
@@ -114,8 +116,8 @@
 }
 
 impl Balancer {
-    /// A module for one proxy; all its randomness comes from `seed`.
-    pub fn new(set: Settings, seed: u64) -> Self {
+    /// A fresh one whose set-ups have this pace.
+    pub(crate) fn fresh(set: Settings, seed: u64, pace: f64) -> Self {
         let class_load = vec![0.0; set.classes.len()];
         Balancer {
             set,
@@ -130,7 +132,7 @@
             steady: 0.0,
             class_load,
             moves: 0.0,
-            pace: PACE_FREE,
+            pace,
             permits: 1.0,
             paced_at: 0.0,
             fell_at: 0.0,
@@ -146,6 +148,12 @@
         self.set = set;
     }
 
+    /// What the ranks go by: the group, or where packets pass through the key, for the next proxy to find.
+    pub(crate) fn group_of(&self, r: &Request) -> Option<u64> {
+        let of = if self.set.pass_through { r.key } else { r.group };
+        ((self.set.pass_through || self.set.groups) && of != 0).then_some(of)
+    }
+
     pub(crate) fn draw(&mut self) -> f64 {
         unit(self.rng.next_u64())
     }
--- a/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! Small builders for driving the module through its public interface.
 #![allow(dead_code)]
 
-use shorewharf::interface::*;
-use shorewharf::{Balancer, wire};
+use shorewharf_decisions::Balancer;
+use shorewharf_decisions::interface::*;
 
 /// Settings with two zones, one safe class, ten proxies; tests change what they need.
 pub fn settings() -> Settings {
@@ -11,7 +11,7 @@
         "specifics":{"groups":true,"message_aim_s":[0.1],"mode":"proxy"},
         "limits":{"cancel":true,"connect_timeout_s":0.25,"max_attempts":4,"max_retry_after_s":1.0,"retry_after":true},
         "rules":{"ask_within_s":10,"start_capacity":0.3,"warm_within_s":10,"fall_multiple":3,"drain_grace_s":0.5}}"#;
-    wire::settings(text).expect("valid settings").0
+    shorewharf_settings::settings(text).expect("valid settings").0
 }
 
 pub fn entry(id: u64) -> ListEntry {
--- a/tests/placing.rs
+++ b/crates/decisions/tests/placing.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use common::*;
-use shorewharf::interface::*;
+use shorewharf_decisions::interface::*;
 
 fn proxies(n: u64, servers: u64, set: impl Fn() -> Settings) -> Vec<Proxy> {
     (0..n).map(|me| Proxy::new(Settings { me, proxies: n as f64, ..set() }, servers)).collect()
@@ -380,7 +380,7 @@
     let mut at = BTreeSet::new();
     for seed in 0..20 {
         let set = Settings { ask_registry: true, ..settings() };
-        let mut p = Proxy { module: shorewharf::Balancer::new(set, seed), now: 100.0 };
+        let mut p = Proxy { module: shorewharf_decisions::Balancer::new(set, seed), now: 100.0 };
         let mut timers = Vec::new();
         let out = p.give(Event::Start);
         assert!(!out.contains(&Action::Subscribe), "not in step with every other proxy");
--- a/tests/random.rs
+++ b/crates/decisions/tests/random.rs
@@ -5,8 +5,8 @@
 
 use common::*;
 use proptest::prelude::*;
-use shorewharf::interface::*;
-use shorewharf::{Balancer, wire};
+use shorewharf_decisions::Balancer;
+use shorewharf_decisions::interface::*;
 
 #[derive(Clone, Debug)]
 enum Step {
@@ -331,7 +331,7 @@
             "zones":["{zone}","{zone}2"],"group_size":9,"tick_s":0.005,"specifics":{{"groups":true}},
             "limits":{{"max_attempts":3,"connect_timeout_s":0.2}}}}"#
         );
-        let mut p = Proxy::new(wire::settings(text.as_bytes()).unwrap().0, 20);
+        let mut p = Proxy::new(shorewharf_settings::settings(text.as_bytes()).unwrap().0, 20);
         (0..50)
             .flat_map(|id| p.arrive(Request { group: u64::from(id % 5), ..request(id, 100.0) }))
             .collect::<Vec<_>>()
--- a/tests/rules.rs
+++ b/crates/decisions/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use shorewharf::interface::*;
+use shorewharf_decisions::interface::*;
 
 fn with(semantics: Semantics) -> Settings {
     let mut set = settings();
--- a/src/net/driver.rs
+++ b/crates/driver/src/lib.rs
@@ -4,8 +4,8 @@
 
 use std::collections::HashMap;
 
-use crate::interface::*;
-use crate::policy::Balancer;
+use shorewharf_decisions::Balancer;
+use shorewharf_decisions::interface::*;
 
 /// Whole microseconds.
 pub type Micros = u64;
--- a/tests/driver.rs
+++ b/crates/driver/tests/driver.rs
@@ -2,9 +2,8 @@
 
 use std::collections::VecDeque;
 
-use shorewharf::interface::*;
-use shorewharf::net::driver::{Driver, Happening, Micros, Peers, Req};
-use shorewharf::wire;
+use shorewharf_decisions::interface::*;
+use shorewharf_driver::{Driver, Happening, Micros, Peers, Req};
 
 #[derive(Clone, Debug, PartialEq)]
 enum Call {
@@ -76,7 +75,7 @@
             "registry_mode":"ask","weights":"nominal","specifics":{"mode":"proxy","message_aim_s":[0.05]},
             "limits":{"cancel":true,"connect_timeout_s":0.15,"max_attempts":5,"max_retry_after_s":1.5,"retry_after":true},
             "rules":{"ask_within_s":10}}"#;
-        let set = wire::settings(text).expect("settings").0;
+        let set = shorewharf_settings::settings(text).expect("settings").0;
         let mut peers = Notes { now: 1_700_000_000_000_000, ..Notes::default() };
         let known = (1..=servers).map(|s| entry(s, Stage::Ready)).collect();
         Rig { driver: Driver::start(set, 3, known, &mut peers), peers }
--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,11 @@
+//! The platform's words: lines, first lines, answers and the form of the server list, each read strictly and
+//! written in one place. No I/O, no decisions.
+
+pub mod line;
+pub mod list;
+pub mod names;
+pub mod open;
+pub mod words;
+
+/// Whole microseconds, on whatever clock the caller keeps.
+pub type Micros = u64;
--- /dev/null
+++ b/crates/protocol/src/open.rs
@@ -0,0 +1,250 @@
+//! First lines: what an `OPEN` asks for. Read strictly: servers turn away what they can't use, and an answer
+//! from a balancer costs them nothing.
+
+use std::fmt;
+
+use crate::Micros;
+use crate::names::Names;
+
+/// The longest wait that a line may name, in milliseconds; connections from before the start name 4294967, for
+/// all that fits 32 bits of microseconds.
+const WAIT_MOST: f64 = u32::MAX as f64;
+/// An hour is more than any client waits, and keeps sums of times far from their end.
+const WAIT_USED: f64 = 3.6e6;
+/// The greatest load that a line may guess.
+const LOAD_MOST: f64 = 1e12;
+
+/// A first line, read.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Open {
+    /// The id that the client gave this connection.
+    pub id: u64,
+    /// The flow's key; 0 for none.
+    pub key: u64,
+    /// Place of its class.
+    pub class: usize,
+    /// Place of its tenant; 0 where none is named.
+    pub tenant: usize,
+    /// The client or the group it belongs to; 0 for none.
+    pub group: u64,
+    /// Expected load in work a second.
+    pub load: Option<f64>,
+    /// It says that it comes again.
+    pub returning: bool,
+    /// How long it will wait, if it says so.
+    pub patience: Option<Micros>,
+    /// The server that it stood on before the balancer started.
+    pub home: Option<String>,
+}
+
+/// A first line to be written, with its end.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct OpenLine<'a> {
+    /// The connection's id.
+    pub id: u64,
+    /// The flow's key.
+    pub key: u64,
+    /// The class by name.
+    pub class: &'a str,
+    /// The tenant by name; none is written where empty.
+    pub tenant: &'a str,
+    /// How long the client will wait, in milliseconds.
+    pub patience_ms: u64,
+    /// The group; 0 for none.
+    pub group: u64,
+    /// A guess at the load.
+    pub load: Option<f64>,
+    /// `r=1`: a retry, where clients mark them.
+    pub retry: bool,
+    /// `again=1`: the connection before was moved or broke.
+    pub again: bool,
+    /// `at=`: the server where this connection stood before.
+    pub home: Option<&'a str>,
+}
+
+impl fmt::Display for OpenLine<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "OPEN {:x} {:x} c={}", self.id, self.key, self.class)?;
+        if !self.tenant.is_empty() {
+            write!(f, ",t={}", self.tenant)?;
+        }
+        write!(f, ",d={}", self.patience_ms)?;
+        if self.group != 0 {
+            write!(f, ",g={:x}", self.group)?;
+        }
+        self.load.map_or(Ok(()), |h| write!(f, ",h={h}"))?;
+        f.write_str(if self.retry { ",r=1" } else { "" })?;
+        f.write_str(if self.again { ",again=1" } else { "" })?;
+        self.home.map_or(Ok(()), |at| write!(f, ",at={at}"))?;
+        f.write_str("\r\n")
+    }
+}
+
+/// A first line with what is left for this attempt as its `d`, and its end; all else is passed on unchanged.
+pub fn with_patience(line: &[u8], left: Micros) -> Vec<u8> {
+    let (head, list) = line.split_at(line.iter().rposition(|b| *b == b' ').map_or(0, |at| at + 1));
+    let ms = (left / 1000).max(1).to_string();
+    let mut out = head.to_vec();
+    for (i, item) in list.split(|b| *b == b',').enumerate() {
+        if i > 0 {
+            out.push(b',');
+        }
+        match item.strip_prefix(b"d=") {
+            Some(_) => out.extend([b"d=", ms.as_bytes()].concat()),
+            None => out.extend(item),
+        }
+    }
+    out.extend(b"\r\n");
+    out
+}
+
+/// Up to 16 hexadecimal digits and nothing else: the standard parser takes a sign too.
+fn hex(text: &str) -> Option<u64> {
+    let digits = text.len() <= 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
+    u64::from_str_radix(text, 16).ok().filter(|_| digits)
+}
+
+/// A plain decimal number of at most `most`: no sign, exponent, infinity or NaN.
+fn number(text: &str, most: f64) -> Option<f64> {
+    let plain = text.len() <= 24 && text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+    text.parse::<f64>().ok().filter(|n| plain && *n <= most)
+}
+
+/// Reads a first line; the error says what is wrong with it.
+pub fn parse_open(line: &[u8], names: &Names) -> Result<Open, &'static str> {
+    let text = std::str::from_utf8(line).map_err(|_| "no text")?;
+    if text.chars().any(char::is_control) {
+        return Err("no text");
+    }
+    let mut words = text.split(' ');
+    let (Some("OPEN"), Some(id), Some(key), Some(list), None) =
+        (words.next(), words.next(), words.next(), words.next(), words.next())
+    else {
+        return Err("not OPEN ID KEY LIST");
+    };
+    let mut open = Open {
+        id: hex(id).ok_or("bad id")?,
+        key: hex(key).ok_or("bad key")?,
+        class: 0,
+        tenant: 0,
+        group: 0,
+        load: None,
+        returning: false,
+        patience: None,
+        home: None,
+    };
+    let (mut class, mut tenant, mut wait, mut group) = (None, None, None, None);
+    let once = |twice: bool| if twice { Err("an item twice") } else { Ok(()) };
+    for item in list.split(',') {
+        let (name, value) = item.split_once('=').ok_or("an item without a value")?;
+        match name {
+            "c" => once(class.replace(*names.classes.get(value).ok_or("unknown class")?).is_some())?,
+            "t" => once(tenant.replace(*names.tenants.get(value).ok_or("unknown tenant")?).is_some())?,
+            "d" => once(wait.replace(number(value, WAIT_MOST).ok_or("bad d")?).is_some())?,
+            "g" => once(group.replace(hex(value).ok_or("bad g")?).is_some())?,
+            "h" => once(open.load.replace(number(value, LOAD_MOST).ok_or("bad h")?).is_some())?,
+            "at" => once(open.home.replace(value.to_owned()).is_some())?,
+            "r" | "again" => open.returning |= value == "1",
+            _ => {}
+        }
+    }
+    open.class = class.ok_or("no class")?;
+    (open.tenant, open.group) = (tenant.unwrap_or(0), group.unwrap_or(0));
+    open.patience = wait.map(|ms: f64| (ms.min(WAIT_USED) * 1e3) as Micros);
+    Ok(open)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn names() -> Names {
+        Names {
+            classes: [("chat".to_owned(), 0), ("feed".to_owned(), 1)].into(),
+            tenants: [("acme".to_owned(), 2)].into(),
+            zones: Default::default(),
+        }
+    }
+
+    #[test]
+    fn an_open_line_is_read() {
+        let line = b"OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=feed,t=acme,d=2000,g=5c0f,r=1,h=0.25,new=7";
+        let open = parse_open(line, &names()).expect("good");
+        assert_eq!((open.class, open.tenant, open.key, open.group), (1, 2, 0x7f3a_9c21_e0b4_d655, 0x5c0f));
+        assert_eq!((open.load, open.returning, open.home), (Some(0.25), true, None));
+        assert_eq!((open.id, open.patience), (0x9b1f_03aa_5c7e_2d41, Some(2_000_000)));
+        let open = parse_open(b"OPEN 1 2 c=chat,again=1,at=s-1", &names()).expect("good");
+        assert_eq!((open.returning, open.home.as_deref(), open.patience), (true, Some("s-1"), None));
+        let longest = parse_open(b"OPEN 1 2 c=chat,d=4294967", &names()).expect("good");
+        assert_eq!(longest.patience, Some(3_600_000_000));
+    }
+
+    #[test]
+    fn a_line_is_read_as_it_is_written() {
+        let words =
+            OpenLine { id: 7, key: 9, class: "feed", tenant: "acme", patience_ms: 5, ..OpenLine::default() };
+        let full =
+            OpenLine { group: 3, load: Some(0.5), retry: true, again: true, home: Some("s-1"), ..words };
+        for (words, again) in [(words, false), (full, true)] {
+            let line = words.to_string();
+            let open = parse_open(line.trim_end().as_bytes(), &names()).expect("good");
+            assert_eq!((open.id, open.key, open.class, open.tenant, open.group), (7, 9, 1, 2, words.group));
+            assert_eq!((open.returning, open.load, open.home.as_deref()), (again, words.load, words.home));
+        }
+    }
+
+    #[test]
+    fn only_d_is_changed_in_the_first_line() {
+        let line = b"OPEN 9b1f 7f3a c=chat,t=acme,d=2000,g=5c0f,again=1";
+        let out = with_patience(line, 1_234_567);
+        assert_eq!(out, b"OPEN 9b1f 7f3a c=chat,t=acme,d=1234,g=5c0f,again=1\r\n");
+        assert_eq!(with_patience(b"OPEN 1 2 d=5", 10), b"OPEN 1 2 d=1\r\n");
+        assert_eq!(with_patience(b"OPEN 1 2 c=chat,id=7", 10), b"OPEN 1 2 c=chat,id=7\r\n");
+    }
+
+    #[test]
+    fn malformed_lines_are_told_apart() {
+        for (line, why) in [
+            (&b""[..], "not OPEN ID KEY LIST"),
+            (b"OPEN", "not OPEN ID KEY LIST"),
+            (b"OPEN 1 2", "not OPEN ID KEY LIST"),
+            (b"OPEN 2 c=chat", "not OPEN ID KEY LIST"),
+            (b"HELLO 1 2 c=chat", "not OPEN ID KEY LIST"),
+            (b"open 1 2 c=chat", "not OPEN ID KEY LIST"),
+            (b"OPEN 1 2 c=chat x", "not OPEN ID KEY LIST"),
+            (b"OPEN  2 c=chat", "bad id"),
+            (b"OPEN x 2 c=chat", "bad id"),
+            (b"OPEN +1 2 c=chat", "bad id"),
+            (b"OPEN -1 2 c=chat", "bad id"),
+            (b"OPEN 00000000000000001 2 c=chat", "bad id"),
+            (b"OPEN 1 x c=chat", "bad key"),
+            (b"OPEN 1 +2 c=chat", "bad key"),
+            (b"OPEN 1 2 ", "an item without a value"),
+            (b"OPEN 1 2 c=none", "unknown class"),
+            (b"OPEN 1 2 c=", "unknown class"),
+            (b"OPEN 1 2 t=acme", "no class"),
+            (b"OPEN 1 2 c=chat,c=feed", "an item twice"),
+            (b"OPEN 1 2 c=chat,t=none", "unknown tenant"),
+            (b"OPEN 1 2 c=chat,d=", "bad d"),
+            (b"OPEN 1 2 c=chat,d=-1", "bad d"),
+            (b"OPEN 1 2 c=chat,d=+1", "bad d"),
+            (b"OPEN 1 2 c=chat,d=NaN", "bad d"),
+            (b"OPEN 1 2 c=chat,d=inf", "bad d"),
+            (b"OPEN 1 2 c=chat,d=1e3", "bad d"),
+            (b"OPEN 1 2 c=chat,d=soon", "bad d"),
+            (b"OPEN 1 2 c=chat,d=4294967296", "bad d"),
+            (b"OPEN 1 2 c=chat,d=99999999999999999999999", "bad d"),
+            (b"OPEN 1 2 c=chat,d=5,d=6", "an item twice"),
+            (b"OPEN 1 2 c=chat,g=-1", "bad g"),
+            (b"OPEN 1 2 c=chat,h=-0.5", "bad h"),
+            (b"OPEN 1 2 c=chat,h=NaN", "bad h"),
+            (b"OPEN 1 2 c=chat,g", "an item without a value"),
+            (b"OPEN 1 2 c=chat\nOPEN 3 4 c=chat", "no text"),
+            (b"OPEN 1 2 c=chat\0", "no text"),
+            (b"OPEN 1 2 c=\xff", "no text"),
+        ] {
+            let found = parse_open(line, &names()).map(|open| open.class);
+            assert_eq!(found, Err(why), "{}", String::from_utf8_lossy(line));
+        }
+    }
+}
--- a/src/bin/shorewharf-adapter.rs
+++ b/crates/wire/src/bin/shorewharf-adapter.rs
@@ -5,8 +5,9 @@
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::process::ExitCode;
 
-use shorewharf::wire::{Decoder, Encoder, MAX_FRAME, Record, WireError, settings};
-use shorewharf::{Balancer, Event};
+use shorewharf_decisions::{Action, Balancer, Event};
+use shorewharf_settings::settings;
+use shorewharf_wire::{Decoder, Encoder, MAX_FRAME, Record, WireError};
 
 #[derive(Default)]
 struct Host {
@@ -36,13 +37,7 @@
         Ok(out.finish())
     }
 
-    fn apply(
-        &mut self,
-        now: f64,
-        i: u16,
-        record: Record,
-        out: &mut Vec<shorewharf::Action>,
-    ) -> Result<(), String> {
+    fn apply(&mut self, now: f64, i: u16, record: Record, out: &mut Vec<Action>) -> Result<(), String> {
         let event = match record {
             Record::Shutdown => {
                 self.balancers.remove(&i);
--- a/tests/adapter.rs
+++ b/crates/wire/tests/adapter.rs
@@ -3,8 +3,9 @@
 use std::io::{Read, Write};
 use std::process::{Command, Output, Stdio};
 
-use shorewharf::interface::*;
-use shorewharf::wire::{Batch, Decoder, Encoder, Record, WireError, settings};
+use shorewharf_decisions::interface::*;
+use shorewharf_settings::settings;
+use shorewharf_wire::{Batch, Decoder, Encoder, Record, WireError};
 
 const SETTINGS: &str = r#"{"classes":[{"promise_s":0.5,"semantics":"read_like"}],"group_size":2,
     "limits":{"max_attempts":3,"connect_timeout_s":0.25},"tick_s":0.005}"#;
