--- a/crates/emulator/src/day.rs
+++ b/crates/emulator/src/day.rs
@@ -321,7 +321,7 @@
     pub bursty: f64,
     /// Work piled up, in seconds, at which a node begins to drop.
     pub buffer_s: f64,
-    /// Share of a node's capacity that set-ups at the usual rate take.
+    /// Of the swing of the day's shape, the part (as an exponent) that comes by numbers of clients; the rest by their loads.
     pub by_joins: f64,
     /// Whom it drops.
     pub sheds: Sheds,
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -7,6 +7,8 @@
 
 pub mod day;
 pub mod edge;
+pub mod people;
+pub mod score;
 
 /// Whole microseconds since the day's start.
 pub type Micros = shorewharf_protocol::Micros;
--- /dev/null
+++ b/crates/emulator/src/people/start.rs
@@ -0,0 +1,56 @@
+//! Who stands when the day starts, and where.
+//!
+//! A group's connections are together on one node until that holds as many as it can carry; then, and for a new
+//! group, the emptier of two nodes drawn at random takes over. So a start is neither even nor absurd.
+
+use rand::Rng;
+
+use super::groups::Groups;
+use super::traffic::Traffic;
+use crate::Micros;
+use crate::day::Day;
+use crate::edge::NodeId;
+use crate::people::capacity;
+
+/// Nobody's rest of a life is shorter at the start.
+pub(super) const LEAST_REST: Micros = 500_000;
+
+/// A connection from before the day.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Stood {
+    pub tenant: u32,
+    /// Rank of its group.
+    pub group: u32,
+    /// Where it stands.
+    pub home: NodeId,
+}
+
+/// Draws all of them. Their number is not drawn: so many of each tenant as the load at the start says, rounded down.
+pub(super) fn standing(day: &Day, traffic: &Traffic, groups: &Groups, rng: &mut impl Rng) -> Vec<Stood> {
+    let capacity = capacity(day);
+    let number = traffic.standing_at_start();
+    let up: Vec<usize> = (0..day.nodes.len()).filter(|i| day.nodes[*i].up).collect();
+    if up.is_empty() {
+        return Vec::new();
+    }
+    // How balancers misjudged the nodes before the day.
+    let skew = day.streams.start_skew.clamp(0.0, 0.95);
+    let room: Vec<f64> = capacity.of.iter().map(|c| c * rng.random_range(1.0 - skew..=1.0 + skew)).collect();
+    let mut held = vec![0.0; day.nodes.len()];
+    let mut home_of: Vec<Option<usize>> = vec![None; groups.len().max(1)];
+    let mut all = Vec::new();
+    for (tenant, share) in traffic.tenant_shares().iter().enumerate() {
+        for _ in 0..(number * share).floor() as u64 {
+            let group = groups.draw(rng);
+            let fits = |node: &usize| groups.len() > 0 && held[*node] + 1.0 <= capacity.of[*node];
+            let home = home_of[group as usize].filter(fits).unwrap_or_else(|| {
+                let [a, b] = [(); 2].map(|()| up[rng.random_range(0..up.len())]);
+                if held[b] / room[b] < held[a] / room[a] { b } else { a }
+            });
+            home_of[group as usize] = Some(home);
+            held[home] += 1.0;
+            all.push(Stood { tenant: tenant as u32, group, home: NodeId(home as u32) });
+        }
+    }
+    all
+}
