--- a/crates/emulator/src/people/client.rs
+++ b/crates/emulator/src/people/client.rs
@@ -100,7 +100,9 @@
                     Backoff::None => first,
                     Backoff::Fixed => FIXED * first,
                     // 2^20 first waits are longer than any day.
-                    Backoff::Exp => first * f64::from(1 << (failures - 1).min(20)) * rng.random_range(1.0..3.0),
+                    Backoff::Exp => {
+                        first * f64::from(1 << (failures - 1).min(20)) * rng.random_range(1.0..3.0)
+                    }
                 };
                 let base = match wait.filter(|w| *w > 0) {
                     Some(wait) => wait.min(clients.max_retry_after) as f64,
--- a/crates/emulator/src/people/mod.rs
+++ b/crates/emulator/src/people/mod.rs
@@ -226,7 +226,13 @@
         self.wakes.push(Reverse((at, self.sequence, next, place)));
     }
 
-    fn connect(&mut self, now: Micros, place: Place, home: Option<crate::edge::NodeId>, out: &mut Vec<PeopleOut>) {
+    fn connect(
+        &mut self,
+        now: Micros,
+        place: Place,
+        home: Option<crate::edge::NodeId>,
+        out: &mut Vec<PeopleOut>,
+    ) {
         let Some(client) = self.crowd.get_mut(place) else { return };
         let conn = ConnId(self.conns.len() as u64);
         let class = &self.day.classes[client.class as usize];
@@ -413,4 +419,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/crates/emulator/src/score/outcome.rs
+++ b/crates/emulator/src/score/outcome.rs
@@ -70,7 +70,10 @@
 impl Prices {
     /// What they took together.
     pub fn total(&self) -> f64 {
-        [self.cross_zone, self.handshake, self.connection, self.probe, self.moves].iter().map(|p| p.cost).sum()
+        [self.cross_zone, self.handshake, self.connection, self.probe, self.moves]
+            .iter()
+            .map(|p| p.cost)
+            .sum()
     }
 }
 
@@ -136,7 +139,10 @@
             second.earned += e * part;
             wanted_s += asked;
             if within {
-                for of in [by_class.get_mut(class as usize), by_tenant.get_mut(tenant as usize)].into_iter().flatten() {
+                for of in [by_class.get_mut(class as usize), by_tenant.get_mut(tenant as usize)]
+                    .into_iter()
+                    .flatten()
+                {
                     of.asked += a;
                     of.earned += e;
                 }
