--- a/crates/emulator/src/score/outcome.rs
+++ b/crates/emulator/src/score/outcome.rs
@@ -153,7 +153,8 @@
         seconds.push(second);
     }
     let whole = all.share();
-    let worst_window = worst_window(&seconds, whole);
+    let full = (day.length / super::SECOND) as usize;
+    let worst_window = worst_window(&seconds[..full.min(seconds.len())], whole);
     let (worst_tenant, worst_class) = (worst(&by_tenant), worst(&by_class));
     let prices = prices(score, wanted_s);
     let goal = &day.goal;
@@ -182,7 +183,7 @@
     }
 }
 
-/// The window moves on by whole seconds; a day that is shorter has one.
+/// The window moves on by whole seconds and holds only whole ones; on a shorter day it is the day.
 fn worst_window(seconds: &[Second], whole: f64) -> WorstWindow {
     let mut worst = WorstWindow { share: whole, from_s: 0 };
     let windows = seconds.windows(WINDOW).enumerate().filter_map(|(from, w)| {
