--- a/crates/emulator/src/score/mod.rs
+++ b/crates/emulator/src/score/mod.rs
@@ -117,7 +117,7 @@
 
     /// Takes the sums up to now, which is [`Self::next_due`]. `served` tells the seconds that a node has served well
     /// so far, by class.
-    pub fn tick(&mut self, now: Micros, served: &dyn Fn(NodeId, u32) -> f64) {
+    pub fn tick(&mut self, now: Micros, served: &mut dyn FnMut(NodeId, u32) -> f64) {
         if self.next_due().is_none_or(|due| now < due) {
             return;
         }
--- a/crates/emulator/src/score/tests.rs
+++ b/crates/emulator/src/score/tests.rs
@@ -42,7 +42,7 @@
             score.probe(10 * S);
             score.moved(29 * S);
         }
-        score.tick(due, &|node, _| served(due, node));
+        score.tick(due, &mut |node, _| served(due, node));
     }
     score.moved(31 * S);
     score.wants(31 * S, cell(X, true), true);
@@ -86,7 +86,7 @@
     }
     score.wants(0, cell(X, true), true);
     while let Some(due) = score.next_due() {
-        score.tick(due, &|_, _| share * due as f64 / 1e6);
+        score.tick(due, &mut |_, _| share * due as f64 / 1e6);
     }
     let found = score.finish().all.earned;
     assert!((found - earned).abs() < 1e-6, "{found}, not {earned}");
