--- a/crates/emulator/src/people/capacity.rs
+++ b/crates/emulator/src/people/capacity.rs
@@ -13,6 +13,8 @@
     pub life_s: f64,
     /// The part of `connections` that each node carries.
     pub of: Vec<f64>,
+    /// Usual connections that fill each node's cores, at no other cost.
+    pub bare: Vec<f64>,
 }
 
 /// A connection costs a tenth of the mean load however idle it is.
@@ -34,6 +36,7 @@
     let set_up = mean(&|c| c.set_up as f64 / 1e6) / life_s;
     let cost = usual * (1.0 + STANDING + group) + set_up;
     let of: Vec<f64> = day.nodes.iter().map(|n| cores(n) / cost).collect();
+    let bare = day.nodes.iter().map(|n| cores(n) / usual).collect();
     let connections: f64 = of.iter().sum();
-    Capacity { connections, per_s: connections / life_s, life_s, of }
+    Capacity { connections, per_s: connections / life_s, life_s, of, bare }
 }
--- a/crates/emulator/src/people/start.rs
+++ b/crates/emulator/src/people/start.rs
@@ -1,6 +1,6 @@
 //! Who stands when the day starts, and where.
 //!
-//! A group's connections are together on one node until that holds as many as it can carry; then, and for a new
+//! A group's connections are together on one node until that is two thirds full; then, and for a new
 //! group, the emptier of two nodes drawn at random takes over. So a start is neither even nor absurd.
 
 use rand::Rng;
@@ -15,6 +15,9 @@
 /// Nobody's rest of a life is shorter at the start.
 pub(super) const LEAST_REST: Micros = 500_000;
 
+/// A group stays together until its node holds this share of the usual connections that fill its cores: fitted.
+const FULL: f64 = 0.65;
+
 /// A connection from before the day.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Stood {
@@ -42,7 +45,7 @@
     for (tenant, share) in traffic.tenant_shares().iter().enumerate() {
         for _ in 0..(number * share).floor() as u64 {
             let group = groups.draw(rng);
-            let fits = |node: &usize| groups.len() > 0 && held[*node] + 1.0 <= capacity.of[*node];
+            let fits = |node: &usize| groups.len() > 0 && held[*node] < FULL * capacity.bare[*node];
             let home = home_of[group as usize].filter(fits).unwrap_or_else(|| {
                 let [a, b] = [(); 2].map(|()| up[rng.random_range(0..up.len())]);
                 if held[b] / room[b] < held[a] / room[a] { b } else { a }
