--- a/crates/emulator/src/people/mod.rs
+++ b/crates/emulator/src/people/mod.rs
@@ -133,7 +133,7 @@
     /// Lets those who stand when the day starts connect, at time 0. Called once, first.
     pub fn standing(&mut self, out: &mut Vec<PeopleOut>) {
         for stood in start::standing(&self.day, &self.traffic, &self.groups, &mut self.rng) {
-            let client = self.draw(0, stood.tenant, Some(stood.group));
+            let client = self.draw(0, stood.tenant, Some(&stood));
             let rest = self.traffic.rest(client.class, &mut self.rng).max(start::LEAST_REST);
             let place = self.enter(client, rest, out);
             self.connect(0, place, Some(stood.home), out);
@@ -185,19 +185,21 @@
         }
     }
 
-    /// Draws a client that comes now, or one that has stood in this group before the day.
-    fn draw(&mut self, now: Micros, tenant: u32, group: Option<u32>) -> Client {
+    /// Draws a client that comes now, or one that has stood before the day.
+    fn draw(&mut self, now: Micros, tenant: u32, stood: Option<&start::Stood>) -> Client {
         let day = &self.day;
         let rng = &mut self.rng;
-        let class = match group {
-            Some(_) => self.traffic.class_standing(rng),
-            None => self.traffic.class(rng),
+        let (class, mean, group) = match stood {
+            Some(s) => (s.class, s.load, s.group),
+            None => {
+                let class = self.traffic.class(rng);
+                (class, self.traffic.load(class, rng), self.groups.draw(rng))
+            }
         };
         let within = rng.random_bool(self.traffic.within(now, tenant));
-        let mean = self.traffic.load(class, rng);
         Client {
             key: rng.random_range(1..=u64::MAX),
-            group: self.groups.id(group.unwrap_or_else(|| self.groups.draw(rng))),
+            group: self.groups.id(group),
             class,
             tenant,
             zone: self.traffic.zone(rng),
--- a/crates/emulator/src/people/start.rs
+++ b/crates/emulator/src/people/start.rs
@@ -1,7 +1,7 @@
 //! Who stands when the day starts, and where.
 //!
-//! A group's connections are together on one node until that is two thirds full; then, and for a new
-//! group, the emptier of two nodes drawn at random takes over. So a start is neither even nor absurd.
+//! A group's connections are together on one node until that is well loaded; then, and for a new
+//! group, the less loaded of two nodes drawn at random takes over. So a start is neither even nor absurd.
 
 use rand::Rng;
 
@@ -15,8 +15,8 @@
 /// Nobody's rest of a life is shorter at the start.
 pub(super) const LEAST_REST: Micros = 500_000;
 
-/// A group stays together until its node holds this share of the usual connections that fill its cores: fitted.
-const FULL: f64 = 0.65;
+/// A group stays together until its node's usual load is this share of its cores: fitted.
+const FULL: f64 = 0.58;
 
 /// A connection from before the day.
 #[derive(Clone, Copy, Debug)]
@@ -26,6 +26,10 @@
     pub group: u32,
     /// Where it stands.
     pub home: NodeId,
+    /// Its class.
+    pub class: u32,
+    /// Its mean load, in usual loads.
+    pub load: f64,
 }
 
 /// Draws all of them. Their number is not drawn: so many of each tenant as the load at the start says, rounded down.
@@ -38,21 +42,23 @@
     }
     // How the nodes' rooms were misjudged before the day; at a skew of 0.26 it changes 6 % of the homes, as measured.
     let skew = day.streams.start_skew.max(0.0);
-    let room: Vec<f64> = capacity.of.iter().map(|c| c * (1.0 + skew * rng.random::<f64>())).collect();
+    let room: Vec<f64> = capacity.bare.iter().map(|c| c * (1.0 + skew * rng.random::<f64>())).collect();
     let mut held = vec![0.0; day.nodes.len()];
     let mut home_of: Vec<Option<usize>> = vec![None; groups.len().max(1)];
     let mut all = Vec::new();
     for (tenant, share) in traffic.tenant_shares().iter().enumerate() {
         for _ in 0..(number * share).floor() as u64 {
             let group = groups.draw(rng);
+            let class = traffic.class_standing(rng);
+            let load = traffic.load(class, rng);
             let fits = |node: &usize| groups.len() > 0 && held[*node] < FULL * capacity.bare[*node];
             let home = home_of[group as usize].filter(fits).unwrap_or_else(|| {
                 let [a, b] = [(); 2].map(|()| up[rng.random_range(0..up.len())]);
                 if held[b] / room[b] < held[a] / room[a] { b } else { a }
             });
             home_of[group as usize] = Some(home);
-            held[home] += 1.0;
-            all.push(Stood { tenant: tenant as u32, group, home: NodeId(home as u32) });
+            held[home] += load;
+            all.push(Stood { tenant: tenant as u32, group, home: NodeId(home as u32), class, load });
         }
     }
     all
