--- a/crates/emulator/src/people/capacity.rs
+++ b/crates/emulator/src/people/capacity.rs
@@ -11,8 +11,8 @@
     pub per_s: f64,
     /// Mean life of a connection over the classes, seconds.
     pub life_s: f64,
-    /// Usual loads that fill each node's cores, at no other cost.
-    pub bare: Vec<f64>,
+    /// The part of `connections` that each node carries.
+    pub of: Vec<f64>,
 }
 
 /// A connection costs a tenth of the mean load however idle it is.
@@ -33,7 +33,7 @@
     let group = GROUP_SPREAD * day.streams.group_cost / day.streams.group_size.max(1.0);
     let set_up = mean(&|c| c.set_up as f64 / 1e6) / life_s;
     let cost = usual * (1.0 + STANDING + group) + set_up;
-    let bare = day.nodes.iter().map(|n| cores(n) * day.streams.per_core).collect();
-    let connections = day.nodes.iter().map(cores).sum::<f64>() / cost;
-    Capacity { connections, per_s: connections / life_s, life_s, bare }
+    let of: Vec<f64> = day.nodes.iter().map(|n| cores(n) / cost).collect();
+    let connections: f64 = of.iter().sum();
+    Capacity { connections, per_s: connections / life_s, life_s, of }
 }
--- a/crates/emulator/src/people/mod.rs
+++ b/crates/emulator/src/people/mod.rs
@@ -185,18 +185,14 @@
         }
     }
 
-    /// Draws a client that comes now, or one that has stood before the day.
+    /// Draws a client that comes now, or one that has stood in this group before the day.
     fn draw(&mut self, now: Micros, tenant: u32, stood: Option<&start::Stood>) -> Client {
         let day = &self.day;
         let rng = &mut self.rng;
-        let (class, mean, group) = match stood {
-            Some(s) => (s.class, s.load, s.group),
-            None => {
-                let class = self.traffic.class(rng);
-                (class, self.traffic.load(class, rng), self.groups.draw(rng))
-            }
-        };
+        let class = stood.map_or_else(|| self.traffic.class(rng), |s| s.class);
         let within = rng.random_bool(self.traffic.within(now, tenant));
+        let mean = stood.map_or_else(|| self.traffic.load(class, rng), |s| s.mean);
+        let group = stood.map_or_else(|| self.groups.draw(rng), |s| s.group);
         Client {
             key: rng.random_range(1..=u64::MAX),
             group: self.groups.id(group),
