--- /dev/null
+++ b/crates/emulator/src/virtual_time/instance.rs
@@ -0,0 +1,49 @@
+//! What is hosted in place of a balancer, and who makes it.
+
+use crate::Micros;
+use crate::day::Day;
+use crate::edge::{BalancerId, FromBalancer, ToBalancer};
+
+/// One emulated balancer. It lives through kills and starts of its process: [`ToBalancer::Kill`] makes it forget all
+/// but how it numbers links, [`ToBalancer::Start`] begins a new life. Instances share nothing, as each stands for a
+/// machine of its own.
+pub trait Instance: Send {
+    /// Takes in what has come since its last turn, in order of arrival, and does what is due by now. What it does
+    /// is appended to `out` in its order and takes effect at `now`.
+    fn turn(&mut self, now: Micros, came: &[ToBalancer], out: &mut Vec<FromBalancer>);
+
+    /// When it wants its next turn though nothing comes.
+    fn next_due(&self) -> Option<Micros>;
+}
+
+/// What a node truly is at some moment: for reports, and for hosts whose policies may see it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Truth {
+    /// It runs and takes connections.
+    pub takes: bool,
+    /// Load asked of it, in standard cores.
+    pub load: f64,
+    /// What it can do, in standard cores.
+    pub capacity: f64,
+    /// Standing connections.
+    pub connections: u32,
+    /// Set-ups in work and waiting.
+    pub set_ups: u32,
+    /// Work piled up, in seconds.
+    pub pile_s: f64,
+}
+
+/// Makes the instances of a run.
+pub trait Host: Sync {
+    /// The balancer at this place, told nothing but its settings and what is publicly listed of the nodes.
+    fn instance(&self, day: &Day, id: BalancerId, settings: &str) -> Box<dyn Instance>;
+
+    /// Whether [`Host::truth`] is to be called. A host that says no sees the platform as a real balancer does.
+    fn wants_truth(&self) -> bool {
+        false
+    }
+
+    /// The true state of all nodes, told before the turns of each tick. It lies outside the edge on purpose: what
+    /// real balancers are made of never gets a host with this door.
+    fn truth(&self, _now: Micros, _nodes: &[Truth]) {}
+}
--- /dev/null
+++ b/crates/emulator/src/world/balancers.rs
@@ -0,0 +1,246 @@
+//! What balancers do, and what happens to them.
+
+use super::conns::Stage;
+use super::links::{At, Link};
+use super::*;
+use crate::node::NodeIn;
+use crate::places::BalancerTurn;
+
+impl World {
+    /// A balancer does something, now.
+    pub fn did(&mut self, now: Micros, balancer: BalancerId, what: FromBalancer, ear: &mut impl Ear) {
+        self.now = self.now.max(now);
+        self.events += 1;
+        if !self.balancers[balancer.0 as usize].up {
+            return;
+        }
+        match what {
+            FromBalancer::Answer(conn, answer) => self.answers(balancer, conn, answer),
+            FromBalancer::EndClient(conn, end) => {
+                if self.last_word(balancer, conn) {
+                    self.to_client(conn, Word::Ended(end));
+                }
+            }
+            FromBalancer::Link { link, node, conn } => self.links_to(balancer, link, node, conn, ear),
+            FromBalancer::EndLink(link, end) => {
+                if let Some(id) = self.links.of(balancer, link) {
+                    self.balancer_ends(id, end);
+                }
+            }
+            FromBalancer::Watch => self.discovery.watch(self.now, balancer),
+            // In virtual time these follow from the link; on sockets they come with it.
+            FromBalancer::Forward { .. } | FromBalancer::Probe(_) | FromBalancer::Pass(_) => {}
+            FromBalancer::Exited => self.balancer_gone(balancer, ear),
+        }
+    }
+
+    /// Whether this balancer still owes this client something; from now on it does not.
+    fn last_word(&mut self, balancer: BalancerId, conn: ConnId) -> bool {
+        let owed = |c: &&mut conns::Conn| c.balancer == balancer && !c.done;
+        self.conns.get_mut(conn).filter(owed).map(|c| c.done = true).is_some()
+    }
+
+    fn answers(&mut self, balancer: BalancerId, conn: ConnId, answer: Answer) {
+        let word = match answer {
+            Answer::Up(theirs) => {
+                let stands = self.links.of(balancer, theirs).filter(|id| {
+                    self.links.get(*id).is_some_and(|l| l.conn == Some(conn) && l.at == At::Up)
+                });
+                let Some(id) = stands else { return };
+                self.series.answered("up");
+                if self.now == 0 {
+                    // From before the day: no time passes.
+                    return self.at_client(conn, Word::Up(id));
+                }
+                return self.to_client(conn, Word::Up(id));
+            }
+            Answer::Busy(after) => Word::Busy(after),
+            Answer::Err => Word::Err,
+            Answer::Move => Word::Move,
+        };
+        let stood = self.conns.get(conn).is_some_and(|c| c.stage == Stage::Standing);
+        if self.last_word(balancer, conn) {
+            self.series.answered(match answer {
+                Answer::Busy(_) => "busy",
+                Answer::Err => "err",
+                _ if stood => "moved",
+                _ => "move unasked",
+            });
+            if matches!(answer, Answer::Move) && stood {
+                self.score.moved();
+            }
+            self.to_client(conn, word);
+        }
+    }
+
+    fn links_to(&mut self, b: BalancerId, theirs: LinkId, node: NodeId, conn: Option<ConnId>, ear: &mut impl Ear) {
+        let now = self.now;
+        let link = Link {
+            balancer: b,
+            theirs,
+            node,
+            conn,
+            at: At::Coming,
+            left: false,
+            ended: false,
+            last: None,
+            last_at_node: 0,
+            last_at_balancer: 0,
+            asked: false,
+        };
+        let id = self.links.add(link);
+        let home = conn.and_then(|c| self.conns.get_mut(c)).and_then(|c| {
+            c.link = Some(id);
+            c.ask.home
+        });
+        if home == Some(node) && now == 0 {
+            return self.carries(id, ear);
+        }
+        let leg = self.leg(b, node);
+        let handshake = match self.mode {
+            Mode::Virtual => (self.day.limits.handshake_rtts * 2.0 * leg as f64) as Micros,
+            Mode::Sockets => 0,
+        };
+        let up = self.pairs.used(now, b, node, handshake);
+        let crosses = self.balancers[b.0 as usize].zone != self.nodes[node.0 as usize].zone;
+        match conn {
+            Some(_) => self.score.attempt(now, crosses),
+            None => self.score.probe(now),
+        }
+        self.series.attempt(now, node);
+        self.to_node(id, up + leg, if conn.is_some() { AtNode::First } else { AtNode::Probe });
+    }
+
+    /// A connection from before the day is up at once.
+    fn carries(&mut self, id: LinkId, ear: &mut impl Ear) {
+        let Some(l) = self.links.get_mut(id) else { return };
+        l.at = At::Up;
+        let (b, theirs, node, conn) = (l.balancer, l.theirs, l.node, l.conn);
+        self.pairs.stood(self.now, b, node);
+        if let Some(ask) = conn.and_then(|c| self.conns.get(c)).map(|c| c.ask) {
+            self.node_hears(node, NodeIn::Carry { link: id, ask });
+        }
+        ear.to(self.now, b, ToBalancer::LinkUp(theirs));
+        ear.to(self.now, b, ToBalancer::NodeSays(theirs, NodeWord::Up));
+    }
+
+    fn to_node(&mut self, id: LinkId, at: Micros, what: AtNode) {
+        let Some(l) = self.links.get_mut(id) else { return };
+        l.last_at_node = l.last_at_node.max(at);
+        self.queue.push(l.last_at_node, Event::Node(id, what));
+    }
+
+    fn balancer_ends(&mut self, id: LinkId, end: End) {
+        let Some(l) = self.links.get_mut(id) else { return };
+        if std::mem::replace(&mut l.left, true) {
+            return;
+        }
+        let (b, node, over) = (l.balancer, l.node, l.ended);
+        if over {
+            self.link_over(id);
+            return;
+        }
+        let leg = self.leg(b, node);
+        self.to_node(id, self.now + leg, AtNode::Ended(end));
+    }
+
+    /// A link is over at both ends.
+    pub(super) fn link_over(&mut self, id: LinkId) {
+        if let Some(l) = self.links.remove(id) {
+            self.pairs.left(self.now, l.balancer, l.node);
+        }
+    }
+
+    /// Something on a link has come at its balancer.
+    pub(super) fn at_balancer(&mut self, id: LinkId, what: OnLink, ear: &mut impl Ear) {
+        let now = self.now;
+        let Some(l) = self.links.get_mut(id) else { return };
+        if l.left {
+            return;
+        }
+        let (b, theirs, conn, was_up) = (l.balancer, l.theirs, l.conn, l.at == At::Up);
+        match what {
+            OnLink::Up => ear.to(now, b, ToBalancer::LinkUp(theirs)),
+            OnLink::Failed => {
+                ear.to(now, b, ToBalancer::LinkFailed(theirs));
+                self.link_over(id);
+            }
+            OnLink::Says(word) => {
+                if word == NodeWord::Up {
+                    l.at = At::Up;
+                }
+                if matches!(word, NodeWord::Bye | NodeWord::Move) {
+                    l.last = Some(word);
+                }
+                if word == NodeWord::Reply {
+                    l.asked = false;
+                }
+                ear.to(now, b, ToBalancer::NodeSays(theirs, word));
+                if let (NodeWord::Bye | NodeWord::Move, true, Some(conn)) = (word, was_up, conn) {
+                    // Lines on a standing connection pass through.
+                    self.to_client(conn, if word == NodeWord::Bye { Word::Bye } else { Word::Move });
+                }
+            }
+            OnLink::Ended(end) => {
+                ear.to(now, b, ToBalancer::NodeEnded(theirs, end));
+                self.link_over(id);
+            }
+        }
+    }
+
+    pub(super) fn balancer_turns(&mut self, b: BalancerId, turn: BalancerTurn, ear: &mut impl Ear) {
+        match turn {
+            BalancerTurn::Start => self.balancer_starts(b, ear),
+            BalancerTurn::Kill => {
+                if self.balancers[b.0 as usize].up {
+                    ear.to(self.now, b, ToBalancer::Kill);
+                    self.balancer_gone(b, ear);
+                }
+            }
+            BalancerTurn::Terminate => {
+                let at = &mut self.balancers[b.0 as usize];
+                if at.up && !std::mem::replace(&mut at.terminating, true) {
+                    self.front.terminates(self.now, b);
+                    ear.to(self.now, b, ToBalancer::Terminate);
+                }
+            }
+            BalancerTurn::Reload { .. } => {}
+        }
+    }
+
+    fn balancer_starts(&mut self, b: BalancerId, ear: &mut impl Ear) {
+        let at = &mut self.balancers[b.0 as usize];
+        if at.up {
+            return;
+        }
+        at.up = true;
+        at.terminating = false;
+        at.lives += 1;
+        let lives = at.lives;
+        let seed = rand::Rng::random(&mut rng(self.day.seed, "balancer", u64::from(b.0) << 32 | lives));
+        let known = self.discovery.known(b);
+        ear.to(self.now, b, ToBalancer::Start { seed, known });
+        if self.mode == Mode::Virtual {
+            self.front.answered(self.now, b);
+        }
+    }
+
+    /// A balancer's process is no more: what it held breaks.
+    fn balancer_gone(&mut self, b: BalancerId, _ear: &mut impl Ear) {
+        let at = &mut self.balancers[b.0 as usize];
+        if !std::mem::replace(&mut at.up, false) {
+            return;
+        }
+        self.front.died(self.now, b);
+        self.discovery.ended(b);
+        let held: Vec<ConnId> =
+            self.conns.iter().filter(|c| c.balancer == b && c.come && !c.done).map(|c| c.ask.conn).collect();
+        for conn in held {
+            self.last_word(b, conn);
+            self.to_client(conn, Word::Ended(End::Reset));
+        }
+        let links: Vec<LinkId> = self.links.iter().filter(|(_, l)| l.balancer == b).map(|(id, _)| id).collect();
+        links.into_iter().for_each(|id| self.balancer_ends(id, End::Reset));
+        self.pairs.broke(self.now, Some(b), None);
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/world/queue.rs
@@ -0,0 +1,72 @@
+//! The queue of what is still to happen: by time, and in the order of being put in where times are the same.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use crate::Micros;
+
+#[derive(Debug)]
+struct Entry<E> {
+    at: Micros,
+    serial: u64,
+    what: E,
+}
+
+impl<E> PartialEq for Entry<E> {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.serial) == (other.at, other.serial)
+    }
+}
+
+impl<E> Eq for Entry<E> {}
+
+impl<E> PartialOrd for Entry<E> {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<E> Ord for Entry<E> {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.serial).cmp(&(other.at, other.serial))
+    }
+}
+
+/// Events by time. Nothing is allocated for an event but the queue's own growth.
+#[derive(Debug)]
+pub struct Queue<E> {
+    heap: BinaryHeap<Reverse<Entry<E>>>,
+    serial: u64,
+}
+
+impl<E> Default for Queue<E> {
+    fn default() -> Self {
+        Queue { heap: BinaryHeap::new(), serial: 0 }
+    }
+}
+
+impl<E> Queue<E> {
+    /// Has something happen at a time.
+    pub fn push(&mut self, at: Micros, what: E) {
+        self.serial += 1;
+        self.heap.push(Reverse(Entry { at, serial: self.serial, what }));
+    }
+
+    /// The time of what comes next.
+    pub fn next_due(&self) -> Option<Micros> {
+        self.heap.peek().map(|e| e.0.at)
+    }
+
+    /// What comes next, if it is due by then.
+    pub fn pop(&mut self, by: Micros) -> Option<(Micros, E)> {
+        if self.next_due()? > by {
+            return None;
+        }
+        self.heap.pop().map(|Reverse(e)| (e.at, e.what))
+    }
+
+    /// Events put in since the start.
+    pub fn count(&self) -> u64 {
+        self.serial
+    }
+}
--- /dev/null
+++ b/crates/lab/src/instances/mod.rs
@@ -0,0 +1,174 @@
+//! What is hosted in place of balancers: the real driver and decision module, and policies to compare them with. All
+//! stand on the same emulated peers, so that a difference between two of them is one of decisions.
+
+mod peers;
+mod places;
+mod policies;
+
+use std::sync::{Arc, RwLock};
+
+use shorewharf_decisions::interface::{ListEntry, Settings};
+use shorewharf_driver::{Driver, micros};
+use shorewharf_emulator::Micros;
+use shorewharf_emulator::day::Day;
+use shorewharf_emulator::edge::{BalancerId, FromBalancer, ToBalancer};
+use shorewharf_emulator::virtual_time::{Host, Instance, Truth};
+use thiserror::Error;
+
+pub use peers::Emulated;
+pub use places::Places;
+use policies::{Pick, Policy};
+
+/// Who decides.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Who {
+    /// The project's driver and decision module.
+    Module,
+    /// Any server that is listed as ready.
+    Random,
+    /// One server after the other.
+    RoundRobin,
+    /// Whatever has most room, by the nodes' true state, which no balancer can see: what could be reached.
+    Oracle,
+}
+
+/// No such policy.
+#[derive(Debug, Error)]
+#[error("no policy is named {0:?}; there are module, random, round-robin and oracle")]
+pub struct UnknownPolicy(String);
+
+impl std::str::FromStr for Who {
+    type Err = UnknownPolicy;
+    fn from_str(name: &str) -> Result<Self, UnknownPolicy> {
+        Ok(match name {
+            "module" => Who::Module,
+            "random" => Who::Random,
+            "round-robin" => Who::RoundRobin,
+            "oracle" => Who::Oracle,
+            _ => return Err(UnknownPolicy(name.to_owned())),
+        })
+    }
+}
+
+/// Hosts one kind of balancer.
+#[derive(Debug)]
+pub struct Hosts {
+    who: Who,
+    truth: Arc<RwLock<Vec<Truth>>>,
+}
+
+impl Hosts {
+    /// Hosts balancers that are run by `who`.
+    pub fn new(who: Who) -> Self {
+        Hosts { who, truth: Arc::default() }
+    }
+}
+
+impl Host for Hosts {
+    fn instance(&self, day: &Day, _id: BalancerId, settings: &str) -> Box<dyn Instance> {
+        let settings = shorewharf_settings::settings(settings.as_bytes()).map(|s| s.0);
+        // The text was written by the emulator for this very reader.
+        let settings = settings.expect("settings that the emulator wrote are read");
+        let first_link = u64::from(_id.0) << 40;
+        let make = Make { who: self.who, truth: Arc::clone(&self.truth) };
+        Box::new(Hosted { places: Places::new(day), settings, make, next_link: first_link, life: None })
+    }
+
+    fn wants_truth(&self) -> bool {
+        self.who == Who::Oracle
+    }
+
+    fn truth(&self, _now: Micros, nodes: &[Truth]) {
+        let mut held = self.truth.write().unwrap_or_else(std::sync::PoisonError::into_inner);
+        held.clear();
+        held.extend_from_slice(nodes);
+    }
+}
+
+struct Make {
+    who: Who,
+    truth: Arc<RwLock<Vec<Truth>>>,
+}
+
+enum Brain {
+    Module(Box<Driver>),
+    Policy(Policy),
+}
+
+impl Brain {
+    fn settle(&mut self, peers: &mut Emulated) {
+        match self {
+            Brain::Module(driver) => driver.settle(peers),
+            Brain::Policy(policy) => policy.settle(peers),
+        }
+    }
+}
+
+impl Make {
+    fn brain(&self, set: &Settings, seed: u64, known: Vec<ListEntry>, peers: &mut Emulated) -> Brain {
+        let pick = match self.who {
+            Who::Module => {
+                return Brain::Module(Box::new(Driver::start(set.clone(), seed, known, peers)));
+            }
+            Who::Random => Pick::Random,
+            Who::RoundRobin => Pick::Next,
+            Who::Oracle => Pick::Roomiest(Arc::clone(&self.truth)),
+        };
+        Brain::Policy(Policy::start(pick, set, seed, known, peers))
+    }
+}
+
+/// A balancer through all its lives.
+struct Hosted {
+    places: Places,
+    settings: Settings,
+    make: Make,
+    next_link: u64,
+    life: Option<(Emulated, Brain)>,
+}
+
+impl Instance for Hosted {
+    fn turn(&mut self, now: Micros, came: &[ToBalancer], out: &mut Vec<FromBalancer>) {
+        if let Some((peers, brain)) = &mut self.life {
+            peers.begin(now);
+            brain.settle(peers);
+        }
+        for what in came {
+            match what {
+                ToBalancer::Start { seed, known } => {
+                    let mut peers = Emulated::new(
+                        self.places.clone(),
+                        micros(self.settings.connect_timeout),
+                        now,
+                        self.next_link,
+                    );
+                    let known = peers.listed(true, known);
+                    let mut brain = self.make.brain(&self.settings, *seed, known, &mut peers);
+                    brain.settle(&mut peers);
+                    self.life = Some((peers, brain));
+                }
+                ToBalancer::Kill => {
+                    if let Some((mut peers, _)) = self.life.take() {
+                        self.next_link = peers.next_link();
+                        // What it did before it died, in this turn, was done.
+                        peers.hand_over(out);
+                    }
+                }
+                what => {
+                    if let Some((peers, brain)) = &mut self.life {
+                        peers.take(what);
+                        brain.settle(peers);
+                    }
+                }
+            }
+        }
+        if let Some((peers, _)) = &mut self.life {
+            self.next_link = peers.next_link();
+            peers.hand_over(out);
+        }
+    }
+
+    fn next_due(&self) -> Option<Micros> {
+        self.life.as_ref().and_then(|(peers, _)| peers.next_due())
+    }
+}
--- /dev/null
+++ b/crates/lab/src/instances/places.rs
@@ -0,0 +1,85 @@
+//! What is publicly known of the nodes, and how the emulator's numbers become the module's.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use shorewharf_decisions::interface::{ListEntry, ServerId, Stage};
+use shorewharf_emulator::Micros;
+use shorewharf_emulator::day::Day;
+use shorewharf_emulator::edge::{self, Listed, NodeId};
+
+/// The module's clock at the day's start: a time of 0 means long ago in its list.
+const EPOCH: Micros = 1_000_000_000_000;
+
+#[derive(Debug)]
+struct Table {
+    servers: Vec<(ServerId, u32, u32, f64)>,
+    nodes: HashMap<ServerId, NodeId>,
+    longest_wait: Micros,
+}
+
+/// The nodes as a list names them. Cheap to clone.
+#[derive(Clone, Debug)]
+pub struct Places(Arc<Table>);
+
+/// A server's id: fixed by the node's place, and telling nothing of it, as names do.
+fn server_id(node: usize) -> ServerId {
+    // One round of splitmix64, which maps different places to different ids.
+    let mut x = (node as u64).wrapping_add(0x9e37_79b9_7f4a_7c15);
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    ServerId(x ^ (x >> 31))
+}
+
+impl Places {
+    /// The nodes of a day.
+    pub fn new(day: &Day) -> Self {
+        let server = |(i, n): (usize, &shorewharf_emulator::day::Node)| (server_id(i), n.zone, n.cell, n.weight);
+        let servers: Vec<_> = day.nodes.iter().enumerate().map(server).collect();
+        let nodes = servers.iter().enumerate().map(|(i, s)| (s.0, NodeId(i as u32))).collect();
+        let longest_wait = day.classes.iter().map(|c| c.give_up).max().unwrap_or(0);
+        Places(Arc::new(Table { servers, nodes, longest_wait }))
+    }
+
+    /// How many nodes there are.
+    pub fn len(&self) -> usize {
+        self.0.servers.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.0.servers.is_empty()
+    }
+
+    /// The node's id for the module.
+    pub fn server(&self, node: NodeId) -> ServerId {
+        self.0.servers[node.0 as usize].0
+    }
+
+    /// The node of an id, if the id is one.
+    pub fn node(&self, server: ServerId) -> Option<NodeId> {
+        self.0.nodes.get(&server).copied()
+    }
+
+    /// The longest that a client waits for a set-up.
+    pub fn longest_wait(&self) -> Micros {
+        self.0.longest_wait
+    }
+
+    /// A time of the day on the module's clock.
+    pub fn clock(&self, t: Micros) -> Micros {
+        EPOCH + t
+    }
+
+    /// A line of the list as the module gets it.
+    pub fn entry(&self, listed: &Listed) -> ListEntry {
+        let (server, zone, cell, weight) = self.0.servers[listed.node.0 as usize];
+        let stage = match listed.stage {
+            edge::Stage::Ready => Stage::Ready,
+            edge::Stage::Draining => Stage::Draining,
+            edge::Stage::Gone => Stage::Gone,
+        };
+        let born = listed.born.map_or(0.0, |t| self.clock(t) as f64 / 1e6);
+        ListEntry { server, zone, cell, stage, weight, born }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/instances/policies.rs
@@ -0,0 +1,176 @@
+//! Plain policies to compare the module with. They keep to what any balancer must do (one attempt at a time, an
+//! answer in time, nothing new to what is not ready) and learn nothing.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, RwLock};
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use shorewharf_decisions::interface::{ListEntry, Outcome, RequestId, ServerId, Settings, Stage};
+use shorewharf_driver::{Happening, Micros, Peers};
+use shorewharf_emulator::virtual_time::Truth;
+
+use super::Emulated;
+
+/// The watch on the list is opened again so long after it broke.
+const WATCH_AGAIN: Micros = 1_000_000;
+/// With less of its client's time left a request is not tried again.
+const LEAST: Micros = 20_000;
+const WATCH: u64 = 1;
+
+/// How a server is picked.
+pub(super) enum Pick {
+    Random,
+    Next,
+    /// By the true state of the nodes.
+    Roomiest(Arc<RwLock<Vec<Truth>>>),
+}
+
+struct Waiting {
+    deadline: Micros,
+    attempts: u32,
+    last: Option<ServerId>,
+    stands: bool,
+}
+
+/// A policy with what it must remember of requests.
+pub(super) struct Policy {
+    pick: Pick,
+    rng: Pcg64Mcg,
+    max_attempts: u32,
+    per_connection: f64,
+    ready: BTreeMap<ServerId, Stage>,
+    next: usize,
+    reqs: HashMap<RequestId, Waiting>,
+    /// What it has placed since it saw the nodes' state last.
+    placed: (Micros, HashMap<ServerId, u32>),
+}
+
+impl Policy {
+    pub(super) fn start(
+        pick: Pick,
+        set: &Settings,
+        seed: u64,
+        known: Vec<ListEntry>,
+        peers: &mut Emulated,
+    ) -> Policy {
+        let mut policy = Policy {
+            pick,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            max_attempts: set.max_attempts,
+            per_connection: 0.1,
+            ready: BTreeMap::new(),
+            next: 0,
+            reqs: HashMap::new(),
+            placed: (0, HashMap::new()),
+        };
+        policy.listed(true, &known);
+        // Balancers that start together don't go round in step.
+        policy.next = policy.rng.random_range(0..policy.ready.len().max(1));
+        peers.watch();
+        policy
+    }
+
+    pub(super) fn settle(&mut self, peers: &mut Emulated) {
+        while let Some(happening) = peers.next() {
+            self.happened(happening, peers);
+        }
+    }
+
+    fn listed(&mut self, full: bool, entries: &[ListEntry]) {
+        if full {
+            self.ready.clear();
+        }
+        for e in entries {
+            match e.stage {
+                Stage::Ready => self.ready.insert(e.server, e.stage),
+                _ => self.ready.remove(&e.server),
+            };
+        }
+    }
+
+    fn happened(&mut self, happening: Happening, peers: &mut Emulated) {
+        match happening {
+            Happening::Listed { full, entries, .. } => self.listed(full, &entries),
+            Happening::DirectorFailed => peers.wake(WATCH_AGAIN, WATCH),
+            Happening::Woken(_) => peers.watch(),
+            Happening::Asked(req) => {
+                let waiting = Waiting { deadline: req.deadline, attempts: 0, last: None, stands: false };
+                self.reqs.insert(req.id, waiting);
+                self.try_it(req.id, peers);
+            }
+            Happening::Carried(req, server) => {
+                let waiting = Waiting { deadline: 0, attempts: 1, last: Some(server), stands: true };
+                self.reqs.insert(req.id, waiting);
+            }
+            Happening::Up(id) => {
+                self.reqs.entry(id).and_modify(|w| w.stands = true);
+            }
+            Happening::ClientLeft(id) => {
+                self.reqs.remove(&id);
+            }
+            Happening::FetchEnded(id, outcome) => {
+                let again = self.reqs.get(&id).is_some_and(|w| !w.stands && outcome != Outcome::Cancelled);
+                if again {
+                    self.try_it(id, peers);
+                } else {
+                    self.reqs.remove(&id);
+                }
+            }
+            Happening::Load(..) | Happening::Delay(..) | Happening::Probed(..) => {}
+        }
+    }
+
+    fn try_it(&mut self, id: RequestId, peers: &mut Emulated) {
+        let now = peers.now();
+        let Some(w) = self.reqs.get(&id) else { return };
+        let (left, last) = (w.deadline.saturating_sub(now), w.last);
+        let may = w.attempts < self.max_attempts && left > LEAST;
+        let Some(server) = may.then(|| self.choose(now, last, peers)).flatten() else {
+            self.reqs.remove(&id);
+            return peers.refuse(id, 0);
+        };
+        if let Some(w) = self.reqs.get_mut(&id) {
+            w.attempts += 1;
+            w.last = Some(server);
+        }
+        peers.fetch(id, server, left);
+    }
+
+    fn choose(&mut self, now: Micros, not: Option<ServerId>, peers: &Emulated) -> Option<ServerId> {
+        let n = self.ready.len();
+        let mut others = self.ready.keys().copied().filter(|s| n == 1 || Some(*s) != not);
+        match &self.pick {
+            Pick::Random => {
+                let k = n - usize::from(n > 1 && not.is_some_and(|s| self.ready.contains_key(&s)));
+                if k == 0 { None } else { others.nth(self.rng.random_range(0..k)) }
+            }
+            Pick::Next => {
+                self.next = (self.next + 1) % n.max(1);
+                let at = self.ready.keys().copied().nth(self.next);
+                if at.is_some() && at == not { others.next() } else { at }
+            }
+            Pick::Roomiest(truth) => {
+                let truth = truth.read().unwrap_or_else(std::sync::PoisonError::into_inner);
+                if self.placed.0 != now {
+                    self.placed.0 = now;
+                    self.placed.1.clear();
+                }
+                let room = |s: &ServerId| {
+                    let t = peers.truth(*s, &truth)?;
+                    let mine = f64::from(self.placed.1.get(s).copied().unwrap_or(0));
+                    let set_ups = mine + f64::from(t.set_ups);
+                    let load = t.load + self.per_connection * set_ups;
+                    // An empty node of any size is at 0; what is piled up counts as load of one second.
+                    t.takes.then(|| (load + t.pile_s * t.capacity) / t.capacity.max(1e-9))
+                };
+                let best = others.filter_map(|s| Some((room(&s)?, s))).min_by(|a, b| a.0.total_cmp(&b.0));
+                let best = best.map(|b| b.1);
+                if let Some(s) = best {
+                    *self.placed.1.entry(s).or_default() += 1;
+                }
+                best
+            }
+        }
+    }
+}
