--- /dev/null
+++ b/crates/emulator/src/places/faults.rs
@@ -0,0 +1,339 @@
+//! What goes wrong, whom it strikes and when: the day's faults made out into single turns of nodes, balancers,
+//! clients and discovery. Faults may overlap; a node or balancer that two of them hold down is back when both are
+//! over, and it dies only once.
+
+use rand::Rng;
+use rand::seq::SliceRandom;
+use rand_pcg::Pcg64Mcg;
+
+use crate::day::{Day, Fault, FaultKind};
+use crate::edge::{BalancerId, NodeId};
+use crate::{Micros, day};
+
+/// Machines that come back together do so within this time (measured at the simulator: even over one second).
+const BACK_WITHIN: Micros = 1_000_000;
+/// A draining node is given so long where the fault names no time.
+const DRAIN: Micros = 5_000_000;
+/// A release takes at most one part in so many of the nodes at once.
+const WAVES: usize = 20;
+/// A planned end of a balancer lasts the longest wait of a client, or this where that is shorter ...
+const END_LEAST: Micros = 3_000_000;
+/// ... and so much more; then it is killed (the platform's figures).
+const END_MORE: Micros = 700_000;
+
+/// What happens to a node.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum NodeTurn {
+    /// It begins to drain.
+    Drain,
+    /// It has drained and ends.
+    Stop,
+    /// Its process dies.
+    Crash,
+    /// Its process starts, cold.
+    Start,
+    /// Something else is wrong with it, or no longer.
+    Fault {
+        /// What.
+        kind: FaultKind,
+        /// It begins, or it ends.
+        on: bool,
+        /// How much, as the kind says.
+        size: f64,
+    },
+}
+
+/// What happens to a balancer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BalancerTurn {
+    /// Its process starts.
+    Start,
+    /// It is killed outright. A balancer that ended by itself before is not there any more.
+    Kill,
+    /// A planned end begins.
+    Terminate,
+    /// It is told that its configuration has changed.
+    Reload {
+        /// Discovery has moved.
+        moved: bool,
+    },
+}
+
+/// One turn of the schedule.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Happens {
+    /// To a node.
+    Node(NodeId, NodeTurn),
+    /// To a balancer.
+    Balancer(BalancerId, BalancerTurn),
+    /// The day's fault at this place strikes the clients.
+    People(usize),
+    /// The day's fault at this place begins or ends at discovery.
+    Discovery(usize, bool),
+}
+
+/// A fault as reports show it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Band {
+    /// What happened.
+    pub kind: FaultKind,
+    /// From then ...
+    pub from: Micros,
+    /// ... until then.
+    pub to: Micros,
+    /// Nodes or balancers struck, by place; empty where it strikes clients or discovery.
+    pub on: Vec<u32>,
+}
+
+/// All turns of a day, in order.
+#[derive(Clone, Debug)]
+pub struct Schedule {
+    turns: Vec<(Micros, Happens)>,
+    next: usize,
+    bands: Vec<Band>,
+}
+
+/// Whom a kind of fault strikes.
+enum Strikes {
+    Nodes,
+    Balancers,
+    Else,
+}
+
+fn strikes(kind: FaultKind) -> Strikes {
+    use FaultKind::*;
+    match kind {
+        Crash | Hang | CutOff | HalfDead | Slow | Failing | Resetting | Full | WrongAnswers | Release
+        | Drain => Strikes::Nodes,
+        BalancerKill | BalancerRestart | BalancerReload => Strikes::Balancers,
+        ListStale | ListDown | ListMoved | Reconnect | Surge | TenantFlood => Strikes::Else,
+    }
+}
+
+/// Who of these is struck: those named, or a part drawn from the zone or from all.
+fn struck(fault: &Fault, zones: &[u32], rng: &mut Pcg64Mcg) -> Vec<u32> {
+    if !fault.on.is_empty() {
+        return fault.on.iter().copied().filter(|&i| (i as usize) < zones.len()).collect();
+    }
+    let in_zone = |&i: &u32| fault.zone.is_none_or(|z| zones[i as usize] == z);
+    let mut all: Vec<u32> = (0..zones.len() as u32).filter(in_zone).collect();
+    if let Some(part) = fault.part {
+        let count = (part * all.len() as f64).round().max(1.0) as usize;
+        all.shuffle(rng);
+        all.truncate(count);
+    }
+    all
+}
+
+/// A time for which a machine is away.
+#[derive(Clone, Copy, Debug)]
+struct Outage {
+    from: Micros,
+    to: Micros,
+    /// A draining or planned end begins then.
+    warned: Option<Micros>,
+}
+
+/// Joins what overlaps, so that a machine goes and comes once for each time that it is away.
+fn joined(mut outages: Vec<Outage>) -> Vec<Outage> {
+    outages.sort_by_key(|o| o.from);
+    let mut joined: Vec<Outage> = Vec::new();
+    for o in outages {
+        match joined.last_mut().filter(|last| o.from <= last.to) {
+            Some(last) => last.to = last.to.max(o.to),
+            None => joined.push(o),
+        }
+    }
+    joined
+}
+
+/// Works the turns out.
+struct Plan<'a> {
+    day: &'a Day,
+    rng: Pcg64Mcg,
+    turns: Vec<(Micros, Happens)>,
+    nodes: Vec<Vec<Outage>>,
+    balancers: Vec<Vec<Outage>>,
+}
+
+impl Plan<'_> {
+    /// Strikes these nodes. Says when it is over.
+    fn nodes(&mut self, fault: &Fault, on: &[u32]) -> Micros {
+        let (from, mut to) = (fault.at, fault.at + fault.len);
+        let drain = if fault.size > 0.0 { day::seconds(fault.size) } else { DRAIN };
+        match fault.kind {
+            FaultKind::Crash => {
+                for &i in on {
+                    let back = to + self.rng.random_range(0..BACK_WITHIN);
+                    self.nodes[i as usize].push(Outage { from, to: back, warned: None });
+                }
+            }
+            FaultKind::Release => {
+                let wave = (self.day.nodes.len() / WAVES).max(1);
+                for (n, part) in on.chunks(wave).enumerate() {
+                    let begins = from + n as Micros * (drain + fault.len + BACK_WITHIN);
+                    for &i in part {
+                        let back = begins + drain + fault.len + self.rng.random_range(0..BACK_WITHIN);
+                        let outage = Outage { from: begins + drain, to: back, warned: Some(begins) };
+                        self.nodes[i as usize].push(outage);
+                        to = to.max(back);
+                    }
+                }
+            }
+            FaultKind::Drain => {
+                for &i in on {
+                    let outage = Outage { from: to.max(from + 1), to: Micros::MAX, warned: Some(from) };
+                    self.nodes[i as usize].push(outage);
+                }
+            }
+            kind => {
+                for &i in on {
+                    for (at, on) in [(from, true), (to, false)] {
+                        let turn = NodeTurn::Fault { kind, on, size: fault.size };
+                        self.turns.push((at, Happens::Node(NodeId(i), turn)));
+                    }
+                }
+            }
+        }
+        to
+    }
+
+    /// Strikes these balancers. Says when it is over.
+    fn balancers(&mut self, fault: &Fault, on: &[u32]) -> Micros {
+        let longest = self.day.classes.iter().map(|c| c.give_up).max().unwrap_or(0).max(END_LEAST);
+        let mut begins = fault.at;
+        for &i in on {
+            let balancer = BalancerId(i);
+            match fault.kind {
+                FaultKind::BalancerReload => {
+                    self.turns
+                        .push((fault.at, Happens::Balancer(balancer, BalancerTurn::Reload { moved: false })));
+                }
+                FaultKind::BalancerKill => {
+                    let to = fault.at + fault.len;
+                    self.balancers[i as usize].push(Outage { from: fault.at, to, warned: None });
+                }
+                // In turn: the next one's end begins when this one is back.
+                _ => {
+                    let from = begins + longest + END_MORE;
+                    let to = from + fault.len;
+                    self.balancers[i as usize].push(Outage { from, to, warned: Some(begins) });
+                    begins = to;
+                }
+            }
+        }
+        begins.max(fault.at + fault.len)
+    }
+
+    /// Strikes clients or discovery. Says when it is over.
+    fn elsewhere(&mut self, fault: &Fault, place: usize) -> Micros {
+        match fault.kind {
+            FaultKind::ListStale | FaultKind::ListDown => {
+                self.turns.push((fault.at, Happens::Discovery(place, true)));
+                self.turns.push((fault.at + fault.len, Happens::Discovery(place, false)));
+            }
+            FaultKind::ListMoved => {
+                self.turns.push((fault.at, Happens::Discovery(place, true)));
+                for i in 0..self.day.balancers.len() as u32 {
+                    let turn = BalancerTurn::Reload { moved: true };
+                    self.turns.push((fault.at, Happens::Balancer(BalancerId(i), turn)));
+                }
+            }
+            _ => self.turns.push((fault.at, Happens::People(place))),
+        }
+        fault.at + fault.len
+    }
+
+    /// Makes turns of all times away.
+    fn away(&mut self) {
+        for (i, outages) in std::mem::take(&mut self.nodes).into_iter().enumerate() {
+            let node = |turn| Happens::Node(NodeId(i as u32), turn);
+            let mut back = 0;
+            for o in joined(outages) {
+                let ends = match o.warned {
+                    Some(at) => {
+                        // Not while it is still away for another cause.
+                        self.turns.push((at.max(back), node(NodeTurn::Drain)));
+                        NodeTurn::Stop
+                    }
+                    None => NodeTurn::Crash,
+                };
+                back = o.to;
+                self.turns.push((o.from, node(ends)));
+                if o.to < Micros::MAX {
+                    self.turns.push((o.to, node(NodeTurn::Start)));
+                }
+            }
+        }
+        for (i, outages) in std::mem::take(&mut self.balancers).into_iter().enumerate() {
+            let balancer = |turn| Happens::Balancer(BalancerId(i as u32), turn);
+            let mut back = 0;
+            for o in joined(outages) {
+                if let Some(at) = o.warned {
+                    self.turns.push((at.max(back), balancer(BalancerTurn::Terminate)));
+                }
+                back = o.to;
+                self.turns.push((o.from, balancer(BalancerTurn::Kill)));
+                self.turns.push((o.to, balancer(BalancerTurn::Start)));
+            }
+        }
+    }
+}
+
+impl Schedule {
+    /// Works out all that the day's faults do. Balancers' first starts are among the turns, at the times that the day
+    /// names.
+    pub fn new(day: &Day, rng: Pcg64Mcg) -> Schedule {
+        let node_zones: Vec<u32> = day.nodes.iter().map(|n| n.zone).collect();
+        let balancer_zones: Vec<u32> = day.balancers.iter().map(|b| b.zone).collect();
+        let starts = day
+            .balancers
+            .iter()
+            .enumerate()
+            .map(|(i, b)| (b.start, Happens::Balancer(BalancerId(i as u32), BalancerTurn::Start)));
+        let mut plan = Plan {
+            day,
+            rng,
+            turns: starts.collect(),
+            nodes: vec![Vec::new(); day.nodes.len()],
+            balancers: vec![Vec::new(); day.balancers.len()],
+        };
+        let mut bands = Vec::new();
+        for (place, fault) in day.faults.iter().enumerate() {
+            let on = match strikes(fault.kind) {
+                Strikes::Nodes => struck(fault, &node_zones, &mut plan.rng),
+                Strikes::Balancers => struck(fault, &balancer_zones, &mut plan.rng),
+                Strikes::Else => Vec::new(),
+            };
+            let to = match strikes(fault.kind) {
+                Strikes::Nodes => plan.nodes(fault, &on),
+                Strikes::Balancers => plan.balancers(fault, &on),
+                Strikes::Else => plan.elsewhere(fault, place),
+            };
+            bands.push(Band { kind: fault.kind, from: fault.at, to, on });
+        }
+        plan.away();
+        let mut turns = plan.turns;
+        // The sort keeps the order of what falls on one time.
+        turns.sort_by_key(|t| t.0);
+        Schedule { turns, next: 0, bands }
+    }
+
+    /// When the next turn is due.
+    pub fn next_due(&self) -> Option<Micros> {
+        self.turns.get(self.next).map(|t| t.0)
+    }
+
+    /// Hands out the turns up to `now`, in order.
+    pub fn advance(&mut self, now: Micros, out: &mut Vec<Happens>) {
+        while let Some(&(_, turn)) = self.turns.get(self.next).filter(|t| t.0 <= now) {
+            self.next += 1;
+            out.push(turn);
+        }
+    }
+
+    /// The faults for reports, in the order of the day.
+    pub fn bands(&self) -> &[Band] {
+        &self.bands
+    }
+}
