--- /dev/null
+++ b/crates/emulator/src/audit/auditor.rs
@@ -0,0 +1,507 @@
+//! Composes the audit: each fact goes to the parts that it concerns, and what they find goes into the verdict.
+
+use super::judging::Judging;
+use super::lists::Told;
+use super::nodes::{Nodes, Pushed};
+use super::request::{Finding, Over, Request};
+use super::standing::Standing;
+use super::table::{Conn, Link, Look, Table};
+use super::trace::{What, secs, together};
+use super::verdict::{Case, Excuse, Reason, Verdict};
+use super::{Garble, Seen, Way};
+use crate::Micros;
+use crate::day::Day;
+use crate::edge::{Answer, Ask, BalancerId, ConnId, End, FromBalancer, LinkId, NodeId, NodeWord, ToBalancer};
+
+/// Judges a run as it goes. Feed it what happens in order of time, then ask for its verdict.
+#[derive(Debug)]
+pub struct Auditor {
+    judging: Judging,
+    told: Told,
+    nodes: Nodes,
+    table: Table,
+    /// By balancer: SIGTERM has gone to it.
+    leaving: Vec<bool>,
+    verdict: Verdict,
+}
+
+impl Auditor {
+    /// An auditor of one run of this day.
+    pub fn new(day: &Day, judging: Judging) -> Self {
+        let leaving = vec![false; day.balancers.len()];
+        let (told, nodes, table) = (Told::default(), Nodes::default(), Table::default());
+        Auditor { judging, told, nodes, table, leaving, verdict: Verdict::default() }
+    }
+
+    /// Takes a fact in. `now` never goes back.
+    pub fn see(&mut self, now: Micros, seen: Seen<'_>) {
+        self.looks(now);
+        match seen {
+            Seen::To(by, to) => self.comes(now, by, to),
+            Seen::From(by, from) => self.does(now, by, from),
+            Seen::Listed(entry) => {
+                self.told.listed(now, entry);
+                self.nodes.of(entry.node).ring.note(now, What::Listed(entry.stage));
+            }
+            Seen::Node(node, health) => self.nodes.is(now, node, health),
+            Seen::Reached { by, link, node, weight, cold } => {
+                let knew = self.knew(now, by, link, node);
+                if let Some(pushed) = self.nodes.reached(now, (node, by), (weight, cold), knew, &self.judging)
+                {
+                    self.pushed_over(now, node, pushed);
+                }
+            }
+            Seen::Sent { by, link, node, conn, first } => {
+                self.begins(now, first, by, link, node, conn);
+                self.goes_out(now, by, link);
+            }
+            Seen::Passed(conn, way) => self.passed(now, conn, way),
+            Seen::Garbled(conn, garble) => {
+                let reason = match garble {
+                    Garble::MoveInLine => Reason::MoveInLine,
+                    Garble::Changed => Reason::LineChanged,
+                };
+                self.found(conn, Finding::Break(reason, now, String::new()));
+            }
+            Seen::Bad(by, id) => {
+                self.table.open(id, Conn::new(by, Request::new(Micros::MAX / 2, false)));
+                if let Some(conn) = self.table.conn(id) {
+                    conn.bad = true;
+                }
+            }
+            Seen::Reload(by) => self.told.reloaded(now, by),
+        }
+    }
+
+    /// Breaks so far.
+    pub fn verdict(&self) -> &Verdict {
+        &self.verdict
+    }
+
+    /// Connections that are remembered now.
+    pub fn remembered(&self) -> usize {
+        self.table.len()
+    }
+
+    /// The run is over.
+    pub fn finish(mut self, now: Micros) -> Verdict {
+        self.looks(now);
+        for id in self.table.ids(None) {
+            self.unanswered(now, id, Over::End);
+        }
+        self.verdict.settle();
+        self.verdict
+    }
+
+    fn comes(&mut self, now: Micros, by: BalancerId, to: &ToBalancer) {
+        match to {
+            ToBalancer::Start { known, .. } => {
+                *self.leaving(by) = false;
+                self.told.started(now, by, known);
+            }
+            ToBalancer::Kill => self.killed(now, by),
+            ToBalancer::Terminate => *self.leaving(by) = true,
+            ToBalancer::Asked { ask, left } => self.asked(now, by, ask, *left),
+            ToBalancer::ClientLine(id) => self.client_line(now, *id),
+            ToBalancer::ClientEnded(id, end) => self.client_ended(now, *id, *end),
+            ToBalancer::LinkUp(link) => self.goes_out(now, by, *link),
+            ToBalancer::LinkFailed(id) => {
+                if let Some((link, conn)) = self.table.both(by, *id) {
+                    link.ended = Some(now);
+                    conn.ring.note(now, What::LinkFailed(link.node));
+                }
+            }
+            ToBalancer::NodeSays(link, word) => self.node_says(now, by, *link, *word),
+            ToBalancer::NodeEnded(link, end) => self.node_ended(now, by, *link, *end),
+            ToBalancer::List { full, entries } => self.told.told(now, by, *full, entries),
+            ToBalancer::ListFailed => self.told.failed(now, by),
+        }
+    }
+
+    fn does(&mut self, now: Micros, by: BalancerId, from: &FromBalancer) {
+        match *from {
+            FromBalancer::Answer(id, answer) => self.answers(now, by, id, answer),
+            FromBalancer::EndClient(id, end) => self.cuts(now, by, id, end),
+            FromBalancer::Link { link, node, conn: Some(conn) } => {
+                self.begins(now, now, by, link, node, conn)
+            }
+            FromBalancer::EndLink(link, end) => self.ends_link(now, by, link, end),
+            FromBalancer::Watch => self.told.asks(now, by),
+            FromBalancer::Exited => self.exited(now, by),
+            FromBalancer::Link { conn: None, .. }
+            | FromBalancer::Forward { .. }
+            | FromBalancer::Probe(_)
+            | FromBalancer::Pass(_) => {}
+        }
+    }
+
+    fn leaving(&mut self, by: BalancerId) -> &mut bool {
+        let place = by.0 as usize;
+        if self.leaving.len() <= place {
+            self.leaving.resize(place + 1, false);
+        }
+        &mut self.leaving[place]
+    }
+
+    // What is found.
+
+    fn found(&mut self, id: ConnId, finding: Finding) {
+        let Some(conn) = self.table.conn(id) else { return };
+        if conn.judged {
+            return;
+        }
+        match finding {
+            Finding::Let(why) => self.verdict.excuse(why),
+            Finding::Break(reason, at, detail) => {
+                conn.judged = true;
+                let node = conn.standing.as_ref().map(|s| s.node);
+                let case = Case { reason, at, by: conn.by, conn: Some(id), node };
+                let of_node = node.map(|n| &self.nodes.of(n).ring);
+                self.verdict.add(case, detail, || together([&conn.ring].into_iter().chain(of_node)));
+            }
+        }
+    }
+
+    fn unanswered(&mut self, now: Micros, id: ConnId, how: Over) {
+        let Some(conn) = self.table.conn(id).filter(|c| c.waits() && !c.bad) else { return };
+        if let Some(finding) = conn.request.over(now, how, &self.judging) {
+            self.found(id, finding);
+        }
+    }
+
+    fn pushed_over(&mut self, now: Micros, node: NodeId, pushed: Pushed) {
+        if !pushed.knowingly() {
+            return self.verdict.excuse(Excuse::PushedOverUnknowing);
+        }
+        let shares: Vec<String> =
+            pushed.shares.iter().map(|(b, sent)| format!("{}: {sent:.3}", b.0)).collect();
+        let detail = format!(
+            "sent {:.3} where {:.3} would have been borne, {:.3} of it knowingly; by balancer {}",
+            pushed.sent,
+            pushed.budget,
+            pushed.knew,
+            shares.join(", ")
+        );
+        let case = Case { reason: Reason::PushedOver, at: now, by: pushed.by, conn: None, node: Some(node) };
+        let ring = &self.nodes.of(node).ring;
+        self.verdict.add(case, detail, || together([ring]));
+    }
+
+    /// Looks at what has fallen due before `now`.
+    fn looks(&mut self, now: Micros) {
+        while let Some((at, id, look)) = self.table.due(now) {
+            let Some(conn) = self.table.conn(id) else { continue };
+            if look == Look::Forget {
+                self.table.forget(id);
+                continue;
+            }
+            let finding = match (look, conn.standing.as_ref()) {
+                (Look::Copy(link, sent), _) => conn.request.second_copy(link, sent),
+                (_, None) => None,
+                (Look::ToNode, Some(s)) if !self.nodes.of(s.node).sound_for(at, self.judging.held) => None,
+                (Look::ToNode, Some(s)) => s.held_back(at, conn.to_node.waiting(), &self.judging),
+                (Look::ToClient, Some(s)) => s.held_back(at, conn.to_client.waiting(), &self.judging),
+                (Look::Quiet, Some(s)) => s.silent(at, self.nodes.of(s.node), &self.judging),
+                (Look::NodeEnded, Some(s)) => s.outlives(at, &self.judging),
+                (Look::Severed, Some(s)) => s.hangs(at, &self.judging),
+                (Look::Forget, _) => None,
+            };
+            match finding {
+                Some(finding) => self.found(id, finding),
+                None => self.book_moving(at, id),
+            }
+        }
+    }
+
+    /// Books the looks at what may still move on.
+    fn book_moving(&mut self, now: Micros, id: ConnId) {
+        let Some(conn) = self.table.conn(id) else { return };
+        let Some(standing) = conn.standing.as_ref().filter(|s| s.carries()) else { return };
+        let held = self.judging.held;
+        let due = [
+            (Look::ToNode, conn.to_node.waiting().map(|t| t + held)),
+            (Look::ToClient, conn.to_client.waiting().map(|t| t + held)),
+            (Look::Quiet, standing.quiet.map(|t| t + self.judging.silent)),
+        ];
+        for (look, at) in due {
+            // What is past was looked at and let pass; it comes again when it moves on.
+            if let Some(at) = at.filter(|at| *at > now) {
+                self.table.book(at, id, look);
+            }
+        }
+    }
+
+    // Requests and attempts.
+
+    fn asked(&mut self, now: Micros, by: BalancerId, ask: &Ask, left: Micros) {
+        let mut conn = Conn::new(by, Request::new(now + left, ask.home.is_some()));
+        conn.ring.note(now, What::Asked { left_ms: u32::try_from(left / 1_000).unwrap_or(u32::MAX) });
+        self.verdict.counts.taken += u64::from(self.table.open(ask.conn, conn));
+    }
+
+    /// An attempt begins; `first` is when its first byte was seen.
+    fn begins(&mut self, now: Micros, first: Micros, by: BalancerId, link: LinkId, node: NodeId, id: ConnId) {
+        let judging = &self.judging;
+        let off = self.told.off_since(first, by, node, judging);
+        let named = self.told.named(by, node);
+        let of_node = self.nodes.of(node);
+        let knew = of_node.started.is_some_and(|at| self.told.knows_start(first, by, node, at, judging));
+        let mut case = Case { reason: Reason::SentAfterEnd, at: now, by, conn: Some(id), node: Some(node) };
+        let Some(conn) = self.table.conn(id).filter(|c| c.by == by) else {
+            return self.verdict.add(case, String::from("nobody waits under this id"), Vec::new);
+        };
+        conn.ring.note(now, What::Linked(node));
+        // A dead balancer's last words are read late; it is judged no more.
+        if let Some(told) = off.filter(|told| first > told + judging.drain_grace && !conn.judged) {
+            case.reason = Reason::SentToDraining;
+            let detail = format!("{} after it was told at {}", secs(first - told), secs(told));
+            self.verdict.add(case, detail, || together([&conn.ring, &of_node.ring]));
+        } else if !(named || conn.judged || conn.request.carried) {
+            case.reason = Reason::Unlisted;
+            self.verdict.add(case, String::from("in its present life"), || together([&conn.ring]));
+        }
+        let finding = match conn.over(now, judging.learn) {
+            true => Some(Finding::Break(Reason::SentAfterEnd, now, format!("to node {}", node.0))),
+            false if judging.links_count => conn.request.tried(now, judging),
+            false => None,
+        };
+        self.table.link(by, link, Link { conn: id, node, knew, up: false, node_ended: None, ended: None });
+        if let Some(finding) = finding {
+            self.found(id, finding);
+        }
+    }
+
+    fn knew(&mut self, now: Micros, by: BalancerId, link: LinkId, node: NodeId) -> bool {
+        match (self.table.link_of(by, link), self.nodes.of(node).started) {
+            (Some(link), _) => link.knew,
+            (None, Some(started)) => self.told.knows_start(now, by, node, started, &self.judging),
+            (None, None) => false,
+        }
+    }
+
+    /// The first line of an attempt has gone out.
+    fn goes_out(&mut self, now: Micros, by: BalancerId, id: LinkId) {
+        let Some((link, conn)) = self.table.both(by, id) else { return };
+        if link.ended.is_some() || link.node_ended.is_some() {
+            return;
+        }
+        conn.ring.note(now, What::Sent(link.node));
+        self.verdict.counts.attempts += 1;
+        let of = link.conn;
+        let second = conn.request.goes_out(now, id);
+        let ended = conn.over(now, self.judging.learn);
+        let many = if self.judging.links_count { None } else { conn.request.tried(now, &self.judging) };
+        let finding = match ended {
+            true => Some(Finding::Break(Reason::SentAfterEnd, now, format!("to node {}", link.node.0))),
+            false if second && self.judging.overlap == 0 => conn.request.second_copy(id, now),
+            false => many,
+        };
+        if let Some(finding) = finding {
+            self.found(of, finding);
+        } else if second {
+            self.table.book(now + self.judging.overlap, of, Look::Copy(id, now));
+        }
+    }
+
+    fn answers(&mut self, now: Micros, by: BalancerId, id: ConnId, answer: Answer) {
+        let made = match answer {
+            Answer::Up(link) => self.table.link_of(by, link).filter(|l| l.conn == id && l.up).cloned(),
+            _ => None,
+        };
+        let Some(conn) = self.table.conn(id).filter(|c| c.by == by) else {
+            if let Answer::Up(_) = answer {
+                let case = Case { reason: Reason::Forged, at: now, by, conn: Some(id), node: None };
+                self.verdict.add(case, String::from("no request is known under this id"), Vec::new);
+            }
+            return;
+        };
+        conn.ring.note(now, What::answered(answer));
+        if conn.bad {
+            if let Answer::Up(_) = answer {
+                self.found(id, Finding::Break(Reason::ServedBad, now, String::new()));
+            }
+            return;
+        }
+        if let (Some(standing), Answer::Move) = (conn.standing.as_mut(), answer) {
+            self.verdict.counts.moves += u64::from(!standing.moved);
+            standing.moved = true;
+            return self.table.ends(now, id);
+        }
+        // It crossed with the client's end.
+        if conn.left.is_some() && conn.request.answered.is_none() {
+            return;
+        }
+        let finding = match (answer, &made) {
+            (Answer::Up(_), None) => {
+                conn.request.answered = conn.request.answered.or(Some(now));
+                Some(Finding::Break(Reason::Forged, now, String::from("no node said UP for it")))
+            }
+            _ => conn.request.answer(now, &self.judging),
+        };
+        match answer {
+            Answer::Up(_) => self.verdict.counts.up += 1,
+            Answer::Busy(_) => self.verdict.counts.busy += 1,
+            Answer::Err | Answer::Move => self.verdict.counts.failed += 1,
+        }
+        if let (Answer::Up(link), Some(made), None) = (answer, made, &conn.standing) {
+            let mut standing = Standing::new(link, made.node);
+            (standing.node_ended, standing.severed) = (made.node_ended, made.ended);
+            let (node_ended, severed) = (standing.node_ended, standing.severed);
+            conn.standing = Some(standing);
+            let held = self.judging.held;
+            node_ended.into_iter().for_each(|t| self.table.book(t.max(now) + held, id, Look::NodeEnded));
+            severed.into_iter().for_each(|t| self.table.book(t.max(now) + held, id, Look::Severed));
+            self.book_moving(now, id);
+        } else if conn.standing.is_none() {
+            self.table.ends(now, id);
+        }
+        if let Some(finding) = finding {
+            self.found(id, finding);
+        }
+    }
+
+    fn node_says(&mut self, now: Micros, by: BalancerId, id: LinkId, word: NodeWord) {
+        let Some((link, conn)) = self.table.both(by, id) else { return };
+        let of = link.conn;
+        match word {
+            NodeWord::Up => link.up = true,
+            NodeWord::Busy | NodeWord::Err | NodeWord::Move | NodeWord::Bye => conn.request.comes_in(id),
+            // Nonsense in place of an answer ends the attempt, too.
+            NodeWord::Junk if !link.up => conn.request.comes_in(id),
+            NodeWord::Load(_) | NodeWord::Delay(_) | NodeWord::Reply | NodeWord::Pong | NodeWord::Junk => {
+                // Lines of a standing connection: they would crowd out what tells.
+                if self.judging.lines {
+                    conn.to_client.enter(now);
+                } else if let Some(standing) = &mut conn.standing {
+                    standing.quiet = None;
+                }
+                return self.book_moving(now, of);
+            }
+        }
+        conn.ring.note(now, What::said(link.node, word));
+    }
+
+    fn node_ended(&mut self, now: Micros, by: BalancerId, id: LinkId, end: End) {
+        let Some((link, conn)) = self.table.both(by, id) else { return };
+        link.node_ended = link.node_ended.or(Some(now));
+        conn.request.comes_in(id);
+        conn.ring.note(now, What::NodeEnded(link.node, end));
+        let of = link.conn;
+        if let Some(standing) = conn.standing.as_mut().filter(|s| s.link == id && s.carries()) {
+            standing.node_ended = Some(now);
+            self.table.book(now + self.judging.held, of, Look::NodeEnded);
+        }
+    }
+
+    fn ends_link(&mut self, now: Micros, by: BalancerId, id: LinkId, end: End) {
+        let Some((link, conn)) = self.table.both(by, id) else { return };
+        link.ended = link.ended.or(Some(now));
+        conn.request.comes_in(id);
+        conn.ring.note(now, What::LinkEnded(link.node, end));
+        let of = link.conn;
+        if let Some(standing) = conn.standing.as_mut().filter(|s| s.link == id && s.carries()) {
+            standing.severed = standing.severed.or(Some(now));
+            self.table.book(now + self.judging.held, of, Look::Severed);
+        }
+    }
+
+    // Connections.
+
+    fn client_line(&mut self, now: Micros, id: ConnId) {
+        let Some(conn) = self.table.conn(id) else { return };
+        let Some(standing) = conn.standing.as_mut().filter(|s| s.carries()) else { return };
+        standing.quiet = standing.quiet.or(Some(now));
+        if self.judging.lines {
+            conn.to_node.enter(now);
+        }
+        self.book_moving(now, id);
+    }
+
+    fn passed(&mut self, now: Micros, id: ConnId, way: Way) {
+        let Some(conn) = self.table.conn(id) else { return };
+        match way {
+            Way::ToNode => conn.to_node.leave(now),
+            Way::ToClient => {
+                conn.to_client.leave(now);
+                if let Some(standing) = &mut conn.standing {
+                    standing.quiet = None;
+                }
+            }
+        }
+        self.book_moving(now, id);
+    }
+
+    fn client_ended(&mut self, now: Micros, id: ConnId, end: End) {
+        self.unanswered(now, id, Over::ClientLeft);
+        let Some(conn) = self.table.conn(id) else { return };
+        conn.ring.note(now, What::ClientEnded(end));
+        conn.left = conn.left.or(Some(now));
+        if let Some(standing) = &mut conn.standing {
+            standing.left = true;
+        }
+        self.table.ends(now, id);
+    }
+
+    fn cuts(&mut self, now: Micros, by: BalancerId, id: ConnId, end: End) {
+        if self.table.conn(id).is_none_or(|c| c.by != by) {
+            return;
+        }
+        if let Some(conn) = self.table.conn(id) {
+            conn.ring.note(now, What::ClientCut(end));
+        }
+        self.cut_off(now, id);
+        self.table.ends(now, id);
+    }
+
+    /// The balancer ends a client's connection, itself or with its process.
+    fn cut_off(&mut self, now: Micros, id: ConnId) {
+        self.unanswered(now, id, Over::Cut);
+        let Some(by) = self.table.conn(id).map(|c| c.by) else { return };
+        let planned = *self.leaving(by);
+        let Some(conn) = self.table.conn(id) else { return };
+        conn.cut = conn.cut.or(Some(now));
+        let Some(standing) = &mut conn.standing else { return };
+        let finding = standing.cut_off(now, self.nodes.of(standing.node), planned, &self.judging);
+        standing.cut = true;
+        if let Some(finding) = finding {
+            self.found(id, finding);
+        }
+    }
+
+    /// Nothing is left of a process: what its connections still show was on its way.
+    fn dead(&mut self, now: Micros, id: ConnId) {
+        if let Some(conn) = self.table.conn(id) {
+            conn.judged = true;
+            conn.cut = conn.cut.or(Some(now));
+            self.table.ends(now, id);
+        }
+    }
+
+    fn killed(&mut self, now: Micros, by: BalancerId) {
+        let planned = std::mem::take(self.leaving(by));
+        for id in self.table.ids(Some(by)) {
+            self.unanswered(now, id, if planned { Over::PlannedKill } else { Over::Killed });
+            let held = self.table.conn(id).and_then(|c| c.standing.as_ref()).and_then(|s| s.at_kill(now));
+            match held {
+                Some(finding) if planned => self.found(id, finding),
+                Some(_) => self.verdict.excuse(Excuse::Killed),
+                None => {}
+            }
+            self.dead(now, id);
+        }
+    }
+
+    fn exited(&mut self, now: Micros, by: BalancerId) {
+        let planned = *self.leaving(by);
+        if !planned {
+            let case = Case { reason: Reason::Exited, at: now, by, conn: None, node: None };
+            self.verdict.add(case, String::from("without SIGTERM"), Vec::new);
+        }
+        for id in self.table.ids(Some(by)) {
+            if planned {
+                self.cut_off(now, id);
+            }
+            self.dead(now, id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/audit/judging.rs
@@ -0,0 +1,106 @@
+//! With what figures a run is judged: the day's rules, and how far sockets and the platform's exceptions widen them.
+
+use crate::Micros;
+use crate::day::Day;
+
+/// Every time limit is so much longer on sockets: what the other side sees is late by its own scheduling.
+const SOCKETS_EXTRA: Micros = 50_000;
+/// Whatever discovery has to tell counts as told so long after, on sockets.
+const TOLD_AFTER: Micros = 6_000_000;
+/// And so long after SIGHUP, on sockets.
+const TOLD_AFTER_RELOAD: Micros = 4_000_000;
+/// A line may be held back, and a connection outlive its server's end, for so long.
+const HELD: Micros = 1_000_000;
+/// A connection that returns nothing from a running server may be kept so long.
+const SILENT: Micros = 7_000_000;
+/// The slack of the cold node's budget, as a share of it, for chance.
+const FALL_SLACK: f64 = 0.05;
+
+/// The figures that an [`super::Auditor`] goes by. All times are microseconds.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Judging {
+    /// An answer so long after the deadline is in time.
+    pub answer_slack: Micros,
+    /// What the balancer can't know yet: a client's end, read so much later than it happened.
+    pub learn: Micros,
+    /// Two attempts seen out at once for no longer than this were read in the wrong order, not sent so.
+    pub overlap: Micros,
+    /// Attempts of one request.
+    pub max_attempts: u32,
+    /// A link that never came up is an attempt too (in virtual time the decision to send is what counts).
+    pub links_count: bool,
+    /// Sends to a node are a break so long after its end was told.
+    pub drain_grace: Micros,
+    /// A balancer that watches nothing and has not asked for so long counts as told of what was listed that long ago.
+    pub ask_within: Micros,
+    /// Whatever is listed counts as told after this, if given.
+    pub told_after: Option<Micros>,
+    /// Whatever is listed counts as told so long after SIGHUP, if given.
+    pub told_after_reload: Option<Micros>,
+    /// A cold node falls when sent over so many times what it can do ...
+    pub fall_multiple: f64,
+    /// ... over any window of this length ...
+    pub fall_for: Micros,
+    /// ... with so much slack, as a share.
+    pub fall_slack: f64,
+    /// The longest that a line may be held, and that a connection may outlive its server's end.
+    pub held: Micros,
+    /// The longest that a connection may be kept that returns nothing.
+    pub silent: Micros,
+    /// Lines are seen at both ends of a standing connection (sockets), so held ones can be judged.
+    pub lines: bool,
+    /// A request with no answer in time is a break; else it has failed and is only counted.
+    pub overdue_breaks: bool,
+    /// A request whose connection is closed with nothing sent on for it is a break; else only counted.
+    pub unsent_breaks: bool,
+}
+
+impl Judging {
+    /// In virtual time: the rules as they are worded for the simulator.
+    pub fn virtual_time(day: &Day) -> Self {
+        Judging {
+            answer_slack: day.rules.answer_slack,
+            learn: 0,
+            overlap: 0,
+            max_attempts: day.limits.max_attempts,
+            links_count: true,
+            drain_grace: day.rules.drain_grace,
+            ask_within: day.rules.ask_within,
+            told_after: None,
+            told_after_reload: None,
+            fall_multiple: day.rules.fall_multiple,
+            fall_for: day.rules.fall_for,
+            fall_slack: FALL_SLACK,
+            held: HELD,
+            silent: SILENT,
+            lines: false,
+            overdue_breaks: true,
+            unsent_breaks: true,
+        }
+    }
+
+    /// On sockets, with the two exceptions that hold on the platform's hard days: a request without an answer when its
+    /// time runs out has failed and is not lost, and neither is one whose connection the balancer closes before it has
+    /// sent anything on for it.
+    pub fn sockets(day: &Day) -> Self {
+        Judging { overdue_breaks: false, unsent_breaks: false, ..Judging::sockets_strict(day) }
+    }
+
+    /// On sockets, without these exceptions.
+    pub fn sockets_strict(day: &Day) -> Self {
+        let rules = Judging::virtual_time(day);
+        Judging {
+            answer_slack: rules.answer_slack + SOCKETS_EXTRA,
+            learn: SOCKETS_EXTRA,
+            overlap: SOCKETS_EXTRA,
+            links_count: false,
+            drain_grace: rules.drain_grace + SOCKETS_EXTRA,
+            told_after: Some(TOLD_AFTER),
+            told_after_reload: Some(TOLD_AFTER_RELOAD),
+            held: HELD + SOCKETS_EXTRA,
+            silent: SILENT + SOCKETS_EXTRA,
+            lines: true,
+            ..rules
+        }
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/audit/request.rs
@@ -0,0 +1,125 @@
+//! One request until its answer, and its attempts: the first two rules.
+
+use super::judging::Judging;
+use super::trace::secs;
+use super::verdict::{Excuse, Reason};
+use crate::Micros;
+use crate::edge::LinkId;
+
+/// What a look at a connection comes to.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) enum Finding {
+    /// A break, when it became one, and its figures.
+    Break(Reason, Micros, String),
+    /// What looks like one and is let pass.
+    Let(Excuse),
+}
+
+/// Why no answer can come any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Over {
+    /// The client has ended its connection.
+    ClientLeft,
+    /// The balancer has ended it, itself or by ending its process.
+    Cut,
+    /// SIGKILL at the end of a planned restart.
+    PlannedKill,
+    /// Killed without warning.
+    Killed,
+    /// The run is over.
+    End,
+}
+
+/// A request.
+#[derive(Clone, Debug)]
+pub(super) struct Request {
+    deadline: Micros,
+    /// It stood before the run: not coming up again is a loss whatever else is excused.
+    pub carried: bool,
+    /// Attempts as `max_attempts` counts them.
+    tries: u32,
+    /// First lines that went out.
+    sent: u32,
+    /// Attempts that are out, and since when.
+    out: Vec<(LinkId, Micros)>,
+    /// Its final answer.
+    pub answered: Option<Micros>,
+}
+
+impl Request {
+    pub fn new(deadline: Micros, carried: bool) -> Self {
+        Request { deadline, carried, tries: 0, sent: 0, out: Vec::new(), answered: None }
+    }
+
+    /// A final answer, whatever it says.
+    pub fn answer(&mut self, now: Micros, judging: &Judging) -> Option<Finding> {
+        if let Some(first) = self.answered {
+            let detail = format!("{} after its first answer", secs(now - first));
+            return Some(Finding::Break(Reason::SecondAnswer, now, detail));
+        }
+        self.answered = Some(now);
+        if now <= self.deadline + judging.answer_slack {
+            return None;
+        }
+        let detail = format!("{} after the deadline", secs(now - self.deadline));
+        Some(self.overdue(Reason::LateAnswer, now, detail, judging))
+    }
+
+    fn overdue(&self, reason: Reason, at: Micros, detail: String, judging: &Judging) -> Finding {
+        match judging.overdue_breaks || self.carried {
+            true => Finding::Break(reason, at, detail),
+            false => Finding::Let(Excuse::Overdue),
+        }
+    }
+
+    /// No answer can come any more. The client's own patience counts up to its deadline: a client that leaves sooner
+    /// is owed nothing, one that leaves then was not answered.
+    pub fn over(&self, now: Micros, how: Over, judging: &Judging) -> Option<Finding> {
+        if self.answered.is_some() {
+            return None;
+        }
+        let due = self.deadline + judging.answer_slack;
+        if now > due || (how == Over::ClientLeft && now >= self.deadline) {
+            let detail = format!("its time ran out at {}", secs(self.deadline));
+            return Some(self.overdue(Reason::NoAnswer, due.min(now), detail, judging));
+        }
+        let reason = match how {
+            Over::ClientLeft => return Some(Finding::Let(Excuse::ClientLeft)),
+            Over::Killed => return Some(Finding::Let(Excuse::Killed)),
+            Over::End => return None,
+            Over::Cut => Reason::EndedUnanswered,
+            Over::PlannedKill => Reason::HeldUnanswered,
+        };
+        if self.sent == 0 && !judging.unsent_breaks && !self.carried {
+            return Some(Finding::Let(Excuse::ClosedUnsent));
+        }
+        let left = secs((self.deadline).saturating_sub(now));
+        Some(Finding::Break(reason, now, format!("{} attempts, {left} before the deadline", self.sent)))
+    }
+
+    /// An attempt that counts towards the most that are allowed.
+    pub fn tried(&mut self, now: Micros, judging: &Judging) -> Option<Finding> {
+        self.tries += 1;
+        let detail = || format!("attempt {} of {} allowed", self.tries, judging.max_attempts);
+        (self.tries > judging.max_attempts).then(|| Finding::Break(Reason::TooManyAttempts, now, detail()))
+    }
+
+    /// Its first line has gone out on this link; true if an earlier one is out.
+    pub fn goes_out(&mut self, now: Micros, link: LinkId) -> bool {
+        self.sent += 1;
+        self.out.push((link, now));
+        self.out.len() > 1
+    }
+
+    /// The attempt on this link has had its outcome, or was given up.
+    pub fn comes_in(&mut self, link: LinkId) {
+        self.out.retain(|(l, _)| *l != link);
+    }
+
+    /// Whether an attempt is out that went out before this one did, which was then.
+    pub fn second_copy(&self, link: LinkId, sent: Micros) -> Option<Finding> {
+        let (_, since) = self.out.iter().take_while(|(l, _)| *l != link).find(|(_, since)| *since <= sent)?;
+        let detail = format!("the earlier one had been out for {}", secs(sent - since));
+        Some(Finding::Break(Reason::SecondCopy, sent, detail))
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/audit/table.rs
@@ -0,0 +1,196 @@
+//! The connections and links that are remembered, and what falls due on them.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+
+use super::request::Request;
+use super::standing::{Lines, Standing};
+use super::trace::Ring;
+use crate::Micros;
+use crate::edge::{BalancerId, ConnId, LinkId, NodeId};
+
+/// A connection that is over is remembered for so long: what still refers to it then is no mix-up of reading order.
+const REMEMBERED: Micros = 10_000_000;
+
+/// A client's connection.
+#[derive(Clone, Debug)]
+pub(super) struct Conn {
+    pub by: BalancerId,
+    /// It is a bad client's.
+    pub bad: bool,
+    /// A break was found on it, or its balancer died: nothing more is judged, so that one fault has one reason.
+    pub judged: bool,
+    pub request: Request,
+    pub standing: Option<Standing>,
+    /// The client ended it.
+    pub left: Option<Micros>,
+    /// The balancer ended it.
+    pub cut: Option<Micros>,
+    /// Lines on their way to the node, and to the client.
+    pub to_node: Lines,
+    pub to_client: Lines,
+    /// Which looks are booked, so that each kind is booked once at most.
+    booked: [bool; 3],
+    links: Vec<LinkId>,
+    pub ring: Ring,
+}
+
+impl Conn {
+    pub fn new(by: BalancerId, request: Request) -> Self {
+        Conn {
+            by,
+            bad: false,
+            judged: false,
+            request,
+            standing: None,
+            left: None,
+            cut: None,
+            to_node: Lines::default(),
+            to_client: Lines::default(),
+            booked: [false; 3],
+            links: Vec::new(),
+            ring: Ring::default(),
+        }
+    }
+
+    /// Nothing may be sent for it any more: the balancer ended it itself, or has had time to learn of the client's end.
+    pub fn over(&self, now: Micros, learn: Micros) -> bool {
+        let own = self.request.answered.into_iter().chain(self.cut).any(|t| now >= t + learn);
+        !self.bad && (own || self.left.is_some_and(|t| now > t + learn))
+    }
+
+    /// Waits for its answer.
+    pub fn waits(&self) -> bool {
+        self.request.answered.is_none() && self.left.is_none() && self.cut.is_none()
+    }
+}
+
+/// A balancer's link that carries a client's connection.
+#[derive(Clone, Debug)]
+pub(super) struct Link {
+    pub conn: ConnId,
+    pub node: NodeId,
+    /// The balancer knew of the node's start when it sent.
+    pub knew: bool,
+    /// The node has said `UP` on it.
+    pub up: bool,
+    /// The node ended it.
+    pub node_ended: Option<Micros>,
+    /// The balancer ended it, or it never came up.
+    pub ended: Option<Micros>,
+}
+
+/// A look at a connection that is due at some time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Look {
+    ToNode,
+    ToClient,
+    Quiet,
+    NodeEnded,
+    Severed,
+    Copy(LinkId, Micros),
+    Forget,
+}
+
+/// All that is remembered.
+#[derive(Debug, Default)]
+pub(super) struct Table {
+    conns: HashMap<ConnId, Conn>,
+    links: HashMap<(BalancerId, LinkId), Link>,
+    looks: BinaryHeap<Reverse<(Micros, ConnId, Look)>>,
+}
+
+impl Table {
+    pub fn conn(&mut self, id: ConnId) -> Option<&mut Conn> {
+        self.conns.get_mut(&id)
+    }
+
+    /// A new connection; false if the id is in use.
+    pub fn open(&mut self, id: ConnId, conn: Conn) -> bool {
+        let fresh = !self.conns.contains_key(&id);
+        if fresh {
+            self.conns.insert(id, conn);
+        }
+        fresh
+    }
+
+    /// A link begins for a connection that is known.
+    pub fn link(&mut self, by: BalancerId, id: LinkId, link: Link) {
+        if let Some(conn) = self.conns.get_mut(&link.conn) {
+            conn.links.push(id);
+            self.links.insert((by, id), link);
+        }
+    }
+
+    pub fn link_of(&mut self, by: BalancerId, id: LinkId) -> Option<&mut Link> {
+        self.links.get_mut(&(by, id))
+    }
+
+    /// A link and its connection.
+    pub fn both(&mut self, by: BalancerId, id: LinkId) -> Option<(&mut Link, &mut Conn)> {
+        let link = self.links.get_mut(&(by, id))?;
+        let conn = self.conns.get_mut(&link.conn)?;
+        Some((link, conn))
+    }
+
+    /// The ids of a balancer's connections, or all, in order.
+    pub fn ids(&self, by: Option<BalancerId>) -> Vec<ConnId> {
+        let of = |c: &Conn| by.is_none_or(|b| c.by == b);
+        let mut ids: Vec<ConnId> = self.conns.iter().filter(|(_, c)| of(c)).map(|(id, _)| *id).collect();
+        ids.sort_unstable();
+        ids
+    }
+
+    /// Connections that are remembered.
+    pub fn len(&self) -> usize {
+        self.conns.len()
+    }
+
+    /// Books a look. Those that move on while they wait are booked once and come again from [`Table::again`].
+    pub fn book(&mut self, at: Micros, id: ConnId, look: Look) {
+        if let Some(place) = moving(look) {
+            match self.conns.get_mut(&id) {
+                Some(conn) if !conn.booked[place] => conn.booked[place] = true,
+                _ => return,
+            }
+        }
+        self.looks.push(Reverse((at, id, look)));
+    }
+
+    /// What is due before `now`: a limit is kept at its very end.
+    pub fn due(&mut self, now: Micros) -> Option<(Micros, ConnId, Look)> {
+        let Reverse((at, _, _)) = self.looks.peek()?;
+        if *at >= now {
+            return None;
+        }
+        let Reverse((at, id, look)) = self.looks.pop()?;
+        if let Some((place, conn)) = moving(look).zip(self.conns.get_mut(&id)) {
+            conn.booked[place] = false;
+        }
+        Some((at, id, look))
+    }
+
+    /// It is over: it will be forgotten.
+    pub fn ends(&mut self, now: Micros, id: ConnId) {
+        self.looks.push(Reverse((now + REMEMBERED, id, Look::Forget)));
+    }
+
+    pub fn forget(&mut self, id: ConnId) {
+        let Some(conn) = self.conns.remove(&id) else { return };
+        for link in conn.links {
+            // A later life of the balancer may have used the number again.
+            if self.links.get(&(conn.by, link)).is_some_and(|l| l.conn == id) {
+                self.links.remove(&(conn.by, link));
+            }
+        }
+    }
+}
+
+fn moving(look: Look) -> Option<usize> {
+    match look {
+        Look::ToNode => Some(0),
+        Look::ToClient => Some(1),
+        Look::Quiet => Some(2),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/audit/trace.rs
@@ -0,0 +1,129 @@
+//! The short memory of a connection or a node: what led to a break, kept small because 100,000 connections have one.
+
+use std::fmt;
+
+use serde::Serialize;
+
+use crate::Micros;
+use crate::edge::{Answer, End, NodeId, NodeWord, Stage};
+
+/// Steps that a ring keeps.
+const KEPT: usize = 12;
+/// The first so many stay: how it began tells more than what was in between.
+const FIRST: usize = 3;
+
+/// A step of a trace as it is reported.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Noted {
+    /// When, microseconds since the day's start.
+    pub at: Micros,
+    /// What was seen.
+    pub what: String,
+}
+
+/// What a step was. Small on purpose: lines of standing connections are not kept, and neither are figures.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum What {
+    Asked { left_ms: u32 },
+    Linked(NodeId),
+    LinkFailed(NodeId),
+    Sent(NodeId),
+    Said(NodeId, &'static str),
+    NodeEnded(NodeId, End),
+    LinkEnded(NodeId, End),
+    Answered(&'static str),
+    ClientCut(End),
+    ClientEnded(End),
+    // Of nodes.
+    Listed(Stage),
+    Is(&'static str),
+}
+
+impl What {
+    pub fn answered(answer: Answer) -> Self {
+        What::Answered(match answer {
+            Answer::Up(_) => "UP",
+            Answer::Busy(_) => "BUSY",
+            Answer::Err => "ERR",
+            Answer::Move => "MOVE",
+        })
+    }
+
+    pub fn said(node: NodeId, word: NodeWord) -> Self {
+        let word = match word {
+            NodeWord::Up => "UP",
+            NodeWord::Busy => "BUSY",
+            NodeWord::Err => "ERR",
+            NodeWord::Move => "MOVE",
+            NodeWord::Bye => "BYE",
+            NodeWord::Load(_) | NodeWord::Delay(_) => "LOAD",
+            NodeWord::Reply => "a reply",
+            NodeWord::Pong => "PONG",
+            NodeWord::Junk => "nonsense",
+        };
+        What::Said(node, word)
+    }
+}
+
+fn end(end: End) -> &'static str {
+    match end {
+        End::Fin => "ended",
+        End::Reset => "reset",
+    }
+}
+
+fn stage(stage: Stage) -> &'static str {
+    match stage {
+        Stage::Ready => "ready",
+        Stage::Draining => "draining",
+        Stage::Gone => "gone",
+    }
+}
+
+impl fmt::Display for What {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match *self {
+            What::Asked { left_ms } => write!(f, "client asks, {left_ms} ms left"),
+            What::Linked(n) => write!(f, "link to node {} begun", n.0),
+            What::LinkFailed(n) => write!(f, "link to node {} failed", n.0),
+            What::Sent(n) => write!(f, "first line out to node {}", n.0),
+            What::Said(n, word) => write!(f, "node {} says {word}", n.0),
+            What::NodeEnded(n, e) => write!(f, "link {} by node {}", end(e), n.0),
+            What::LinkEnded(n, e) => write!(f, "link to node {} {} by the balancer", n.0, end(e)),
+            What::Answered(word) => write!(f, "client is told {word}"),
+            What::ClientCut(e) => write!(f, "client's connection {} by the balancer", end(e)),
+            What::ClientEnded(e) => write!(f, "client's connection {} by the client", end(e)),
+            What::Listed(s) => write!(f, "discovery lists it as {}", stage(s)),
+            What::Is(word) => write!(f, "it {word}"),
+        }
+    }
+}
+
+/// The first few steps and the last ones.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Ring(Vec<(Micros, What)>);
+
+impl Ring {
+    pub fn note(&mut self, at: Micros, what: What) {
+        if self.0.len() == KEPT {
+            self.0.remove(FIRST);
+        }
+        self.0.push((at, what));
+    }
+
+    pub fn steps(&self) -> impl Iterator<Item = Noted> + '_ {
+        self.0.iter().map(|(at, what)| Noted { at: *at, what: what.to_string() })
+    }
+}
+
+/// Steps of several rings as one trace, in order of time.
+pub(super) fn together<'a>(rings: impl IntoIterator<Item = &'a Ring>) -> Vec<Noted> {
+    let mut all: Vec<Noted> = rings.into_iter().flat_map(Ring::steps).collect();
+    all.sort_by_key(|s| s.at);
+    all
+}
+
+/// Seconds with three digits, as the reports write a time.
+pub(super) fn secs(t: Micros) -> String {
+    format!("{}.{:03} s", t / 1_000_000, t / 1_000 % 1_000)
+}
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -5,6 +5,7 @@
 //! plays the other side must not share the faults of the side it tests, so this package uses `protocol` and nothing
 //! of the balancer.
 
+pub mod audit;
 pub mod day;
 pub mod edge;
 
