--- a/crates/emulator/src/edge.rs
+++ b/crates/emulator/src/edge.rs
@@ -114,6 +114,10 @@
     Err,
     /// `MOVE`.
     Move,
+    /// An `UP` line that no node made for this connection: served with what was never served (sockets only).
+    Forged,
+    /// A line that is no answer: the try has failed (sockets only).
+    Other,
 }
 
 /// What reaches a balancer.
@@ -130,6 +134,11 @@
     Kill,
     /// A planned end begins (SIGTERM).
     Terminate,
+    /// Its configuration has been replaced (SIGHUP); with `moved`, discovery is at another address from now on.
+    Reload {
+        /// Discovery has moved.
+        moved: bool,
+    },
     /// A client's connection has come with this first line. `left` of its patience is left.
     Asked {
         /// What it asks for.
@@ -192,6 +201,14 @@
     Watch,
     /// It passes a client's line on to its node, or a node's to its client (sockets only).
     Pass(LinkId),
+    /// It has answered that it is ready: the front may deal clients out to it.
+    Ready,
+    /// Its watch on the list has ended, by its own doing or because discovery has moved on from it.
+    Unwatch,
+    /// Its machine has refused a client's connection (sockets only).
+    Refused(ConnId),
+    /// It has sent a node a first line in a form that no client sent: the run is void (sockets only).
+    Syntax(NodeId),
     /// Its process has ended by itself.
     Exited,
 }
--- /dev/null
+++ b/crates/emulator/src/sockets/addresses.rs
@@ -0,0 +1,63 @@
+//! Who is where on loopback: every party has one address for each balancer, so that the far side of a connection
+//! knows which balancer calls without being told.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use crate::edge::{BalancerId, NodeId};
+
+/// The most balancers of one run: one second byte each, and some left for others on the same machine.
+pub const BALANCERS_MOST: u32 = 120;
+/// The most nodes of one run: what two bytes hold beside the balancers' own addresses.
+pub const NODES_MOST: u32 = 60_000;
+
+/// The addresses of one run: 127.b.x.y, where b is the balancer's.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
+    /// Runs at the same time begin at different bytes, so that a port one of them has left for a moment is not
+    /// taken by another.
+    first: u32,
+}
+
+impl Addresses {
+    /// The addresses of a run that is told apart from others by this number, such as its process's.
+    pub fn new(run: u32) -> Self {
+        Addresses { first: 1 + run.wrapping_mul(0x9e37_79b1) % (254 - BALANCERS_MOST) }
+    }
+
+    fn of(self, who: BalancerId, x: u32, y: u32) -> SocketAddr {
+        let b = self.first + who.0 % BALANCERS_MOST;
+        SocketAddr::from((Ipv4Addr::new(127, b as u8, x as u8, y as u8), 0))
+    }
+
+    /// Where clients reach a balancer. The port is left to the system.
+    pub fn balancer(self, who: BalancerId) -> SocketAddr {
+        self.of(who, 0, 1)
+    }
+
+    /// Where a balancer reaches discovery after so many moves.
+    pub fn discovery(self, who: BalancerId, moves: u32) -> SocketAddr {
+        self.of(who, 0, 2 + moves % 200)
+    }
+
+    /// Where a balancer reaches a node.
+    pub fn node(self, who: BalancerId, node: NodeId) -> SocketAddr {
+        self.of(who, 1 + node.0 / 250, 1 + node.0 % 250)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::collections::BTreeSet;
+
+    #[test]
+    fn no_two_parties_share_an_address() {
+        let (addresses, mut seen) = (Addresses::new(77), BTreeSet::new());
+        for who in (0..BALANCERS_MOST).map(BalancerId) {
+            assert!(seen.insert(addresses.balancer(who)));
+            assert!((0..200).all(|moves| seen.insert(addresses.discovery(who, moves))));
+            assert!((0..600).all(|n| seen.insert(addresses.node(who, NodeId(n)))));
+        }
+        assert!(seen.iter().all(|at| at.ip().is_loopback()));
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/sockets/clock.rs
@@ -0,0 +1,105 @@
+//! Real time as the day's clock, and how late the driver is in it.
+//!
+//! A result in real time is worth something only if the side that plays the platform kept up. So the driver holds
+//! every due time against the time at which it got to it, and a run in which it was late says so itself.
+
+use std::fmt;
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+
+use crate::Micros;
+
+/// Runs of the driver are void if they were later than this at the 99th percentile. A balancer's tick: what comes
+/// later than that would have reached it in another batch.
+pub const LATE: Micros = 5_000;
+
+/// Microseconds since the driver began, on the monotonic clock.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock(Instant);
+
+impl Clock {
+    /// A clock that begins now.
+    pub fn start() -> Self {
+        Clock(Instant::now())
+    }
+
+    /// The time now.
+    pub fn now(&self) -> Micros {
+        self.0.elapsed().as_micros() as Micros
+    }
+}
+
+/// The span from `now` to `due`; zero where it has passed.
+pub fn until(now: Micros, due: Micros) -> Duration {
+    Duration::from_micros(due.saturating_sub(now))
+}
+
+/// A distribution of spans of time, microseconds.
+#[derive(Clone, Debug)]
+pub struct Spread(Histogram<u64>);
+
+impl Default for Spread {
+    fn default() -> Self {
+        // Up to an hour with two digits: a few dozen kilobytes.
+        Spread(Histogram::new_with_bounds(1, 3_600_000_000, 2).expect("these bounds are in order"))
+    }
+}
+
+impl Spread {
+    /// Takes in one span.
+    pub fn record(&mut self, span: Micros) {
+        self.0.saturating_record(span.max(1));
+    }
+
+    /// How many there are.
+    pub fn len(&self) -> u64 {
+        self.0.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// The span that this share (0 to 1) of all do not exceed; 0 where there are none.
+    pub fn at(&self, share: f64) -> Micros {
+        if self.0.is_empty() { 0 } else { self.0.value_at_quantile(share) }
+    }
+
+    /// The longest; 0 where there are none.
+    pub fn max(&self) -> Micros {
+        if self.0.is_empty() { 0 } else { self.0.max() }
+    }
+
+    /// Adds what another has taken in.
+    pub fn add(&mut self, other: &Spread) {
+        self.0.add(&other.0).expect("all have the same bounds");
+    }
+}
+
+/// Median, 99th percentile and the longest, in milliseconds, and how many.
+impl fmt::Display for Spread {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let ms = |us: Micros| us as f64 / 1e3;
+        let (half, most, longest) = (ms(self.at(0.5)), ms(self.at(0.99)), ms(self.max()));
+        write!(f, "p50 {half:.2} ms, p99 {most:.2} ms, max {longest:.2} ms of {}", self.len())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_spread_tells_its_parts_and_an_empty_one_zero() {
+        let mut spread = Spread::default();
+        assert_eq!((spread.at(0.99), spread.max()), (0, 0));
+        (1..=100).for_each(|ms| spread.record(ms * 1_000));
+        let near = |found: u64, wanted: u64| found.abs_diff(wanted) * 50 < wanted;
+        assert!(near(spread.at(0.5), 50_000) && near(spread.at(0.99), 99_000) && near(spread.max(), 100_000));
+        let mut both = spread.clone();
+        both.add(&spread);
+        assert_eq!(both.len(), 200);
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/sockets/lines.rs
@@ -0,0 +1,202 @@
+//! One TCP connection and the lines on it. It never waits itself; while nothing is held back in either direction
+//! it owns no buffer.
+
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::Shutdown;
+
+use mio::net::TcpStream;
+use shorewharf_protocol::line::{Front, front};
+use slotmap::DefaultKey;
+
+use super::net::{Net, Ready, Role};
+use crate::edge::End;
+
+/// More than this is not held for a peer that does not take it: no line the platform sends is answered by so much.
+const OUT_MOST: usize = 4 << 20;
+
+/// A line is longer than the protocol allows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("a line of more than {most} bytes", most = shorewharf_protocol::line::MAX_LINE)]
+pub struct TooLong;
+
+/// One connection.
+#[derive(Debug)]
+pub struct Wire {
+    stream: TcpStream,
+    key: DefaultKey,
+    role: Role,
+    inbox: Vec<u8>,
+    /// So many bytes at the inbox's front have been taken.
+    taken: usize,
+    outbox: Vec<u8>,
+    /// It has come up.
+    up: bool,
+    writable: bool,
+    /// Sending ends once the outbox is empty.
+    finish: bool,
+    /// How the peer ended its side, once it has and all before that was read.
+    ended: Option<End>,
+}
+
+impl Wire {
+    pub(super) fn new(stream: TcpStream, key: DefaultKey, role: Role) -> Self {
+        Wire {
+            stream,
+            key,
+            role,
+            inbox: Vec::new(),
+            taken: 0,
+            outbox: Vec::new(),
+            up: false,
+            writable: false,
+            finish: false,
+            ended: None,
+        }
+    }
+
+    pub(super) fn into_parts(self) -> (TcpStream, DefaultKey, [Vec<u8>; 2]) {
+        (self.stream, self.key, [self.inbox, self.outbox])
+    }
+
+    /// Whether it has come up.
+    pub fn is_up(&self) -> bool {
+        self.up
+    }
+
+    /// How the peer ended its side. Lines that came before can still be taken.
+    pub fn ended(&self) -> Option<End> {
+        self.ended
+    }
+
+    /// Takes in what the system says: sends what waits and reads what has come.
+    pub fn ready(&mut self, net: &mut Net, ready: Ready) {
+        if ready.write {
+            self.writable = true;
+            if !self.up && !self.comes_up() {
+                return;
+            }
+            self.flush(net);
+        }
+        if ready.read && self.up {
+            self.fill(net);
+        }
+    }
+
+    fn comes_up(&mut self) -> bool {
+        match (self.stream.take_error(), self.stream.peer_addr()) {
+            (Ok(None), Ok(_)) => self.up = true,
+            (Ok(None), Err(e)) if e.kind() == ErrorKind::NotConnected => self.writable = false,
+            _ => self.ended = Some(End::Reset),
+        }
+        self.up
+    }
+
+    fn fill(&mut self, net: &mut Net) {
+        let mut room = net.scratch.len();
+        while self.ended.is_none() {
+            match self.stream.read(&mut net.scratch) {
+                Ok(0) => self.ended = Some(End::Fin),
+                Ok(n) => {
+                    if self.inbox.capacity() == 0 {
+                        self.inbox = net.buffer();
+                    }
+                    self.inbox.extend_from_slice(&net.scratch[..n]);
+                    room = room.saturating_sub(n);
+                    if room == 0 {
+                        // Others have their turn first.
+                        return net.call_again(self.role);
+                    }
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => self.ended = Some(End::Reset),
+            }
+        }
+    }
+
+    /// Bytes that have come and were not taken.
+    pub fn held(&self) -> &[u8] {
+        &self.inbox[self.taken..]
+    }
+
+    /// Takes so many bytes.
+    pub fn take(&mut self, bytes: usize) {
+        self.taken = (self.taken + bytes).min(self.inbox.len());
+    }
+
+    /// The next whole line, without its end.
+    pub fn line(&mut self) -> Result<Option<&[u8]>, TooLong> {
+        match front(&self.inbox[self.taken..]) {
+            Front::Whole(n) => {
+                let from = self.taken;
+                self.taken += n;
+                Ok(Some(&self.inbox[from..from + n - 2]))
+            }
+            Front::Part => Ok(None),
+            Front::TooLong => Err(TooLong),
+        }
+    }
+
+    /// After reading: gives back the room of what was taken.
+    pub fn tidy(&mut self, net: &mut Net) {
+        if self.taken == self.inbox.len() {
+            if self.inbox.capacity() > 0 {
+                net.give(std::mem::take(&mut self.inbox));
+            }
+        } else {
+            self.inbox.drain(..self.taken);
+        }
+        self.taken = 0;
+    }
+
+    /// Sends this, now or as soon as the peer takes it. False if the peer has let too much wait and this is lost.
+    pub fn say(&mut self, net: &mut Net, bytes: &[u8]) -> bool {
+        if self.outbox.len() + bytes.len() > OUT_MOST {
+            return false;
+        }
+        if self.outbox.capacity() == 0 {
+            self.outbox = net.buffer();
+        }
+        self.outbox.extend_from_slice(bytes);
+        self.flush(net);
+        true
+    }
+
+    /// Whether everything said has been handed to the system.
+    pub fn is_flushed(&self) -> bool {
+        self.outbox.is_empty()
+    }
+
+    /// Ends sending once everything said has gone out.
+    pub fn finish(&mut self, net: &mut Net) {
+        self.finish = true;
+        self.flush(net);
+    }
+
+    fn flush(&mut self, net: &mut Net) {
+        let mut sent = 0;
+        while self.up && self.writable && sent < self.outbox.len() {
+            match self.stream.write(&self.outbox[sent..]) {
+                Ok(n) => sent += n,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => self.writable = false,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => {
+                    // Reading says how it ended; here there is nobody left to send to.
+                    sent = self.outbox.len();
+                }
+            }
+        }
+        if sent == self.outbox.len() {
+            if self.outbox.capacity() > 0 {
+                net.give(std::mem::take(&mut self.outbox));
+            }
+            if self.finish && self.up {
+                self.finish = false;
+                // A connection that has ended has no sending to end.
+                let _: io::Result<()> = self.stream.shutdown(Shutdown::Write);
+            }
+        } else {
+            self.outbox.drain(..sent);
+        }
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/sockets/mod.rs
@@ -0,0 +1,11 @@
+//! The driver in real time: the emulated platform on loopback, round the built program.
+//!
+//! One thread plays all nodes, all clients and discovery for a number of balancers, each a process of its own. What
+//! happens is the world's to say; this module turns its words into connections, lines, HTTP and signals, and tells it
+//! what the balancers do. Nothing here decides how a node or a client behaves.
+
+pub mod addresses;
+pub mod clock;
+pub mod lines;
+pub mod net;
+pub mod process;
--- /dev/null
+++ b/crates/emulator/src/sockets/net.rs
@@ -0,0 +1,251 @@
+//! The table of everything the driver's one thread listens to: who stands behind a descriptor, and who is ready.
+//!
+//! `mio` and not `calloop`: the driver owns all its parts and hands them events one after the other, so callbacks
+//! held by a loop would only have to find their way back to it.
+
+use std::io;
+use std::net::SocketAddr;
+use std::os::fd::{AsRawFd, BorrowedFd, OwnedFd};
+use std::time::Duration;
+
+use mio::event::Source;
+use mio::net::{TcpListener, TcpStream};
+use mio::unix::SourceFd;
+use mio::{Events, Interest, Poll, Token};
+use slotmap::{DefaultKey, Key, KeyData, SlotMap};
+use socket2::{Domain, SockRef, Socket, Type};
+
+use super::lines::Wire;
+use crate::edge::{BalancerId, ConnId, End, LinkId, NodeId};
+
+/// Connections that wait to be accepted at a listener: a restart brings everybody at once.
+const BACKLOG: i32 = 4096;
+/// Events taken at once. What is left over is taken next time.
+const EVENTS: usize = 1024;
+/// What is read at once. A peer that sends more has to wait for its turn.
+const READ: usize = 256 << 10;
+/// Buffers that are kept for the next connection which needs one.
+const SPARE_BUFFERS: usize = 1024;
+/// A buffer larger than this is given back to the system.
+const SPARE_SIZE: usize = 16 << 10;
+
+/// Who stands behind a descriptor.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// A client's connection to its balancer.
+    Client(ConnId),
+    /// A bad client's, by number.
+    Bad(u64),
+    /// A balancer's connection to a node.
+    Link(LinkId),
+    /// A call at discovery, by number.
+    Call(u64),
+    /// The question whether a balancer is ready.
+    Ping(BalancerId),
+    /// A node listens to a balancer.
+    NodeEar(BalancerId, NodeId),
+    /// Discovery listens to a balancer, after so many moves.
+    DirectorEar(BalancerId, u32),
+    /// A balancer's process ends.
+    Exit(BalancerId),
+    /// A part of the load engine, by its own number.
+    Load(u32),
+}
+
+/// A descriptor that has something for its owner.
+#[derive(Clone, Copy, Debug)]
+pub struct Ready {
+    /// Whose it is.
+    pub role: Role,
+    /// It can be read (or has failed).
+    pub read: bool,
+    /// It can be written (or has failed).
+    pub write: bool,
+}
+
+/// A listener at an address that it keeps while closed.
+#[derive(Debug)]
+pub struct Ear {
+    listener: TcpListener,
+    key: DefaultKey,
+}
+
+/// Descriptors, their owners, and buffers shared by all connections.
+#[derive(Debug)]
+pub struct Net {
+    poll: Poll,
+    events: Events,
+    roles: SlotMap<DefaultKey, Role>,
+    /// Where everything is read into.
+    pub(super) scratch: Vec<u8>,
+    spare: Vec<Vec<u8>>,
+    /// Owners with something left to read, though the system will not say so again.
+    again: Vec<Role>,
+}
+
+impl Net {
+    /// An empty table.
+    pub fn new() -> io::Result<Self> {
+        Ok(Net {
+            poll: Poll::new()?,
+            events: Events::with_capacity(EVENTS),
+            roles: SlotMap::new(),
+            scratch: vec![0; READ],
+            spare: Vec::new(),
+            again: Vec::new(),
+        })
+    }
+
+    fn enter(&mut self, source: &mut dyn Source, interest: Interest, role: Role) -> io::Result<DefaultKey> {
+        let key = self.roles.insert(role);
+        let token = Token(key.data().as_ffi() as usize);
+        self.poll.registry().register(source, token, interest).inspect_err(|_| {
+            self.roles.remove(key);
+        })?;
+        Ok(key)
+    }
+
+    fn leave(&mut self, source: &mut dyn Source, key: DefaultKey) {
+        self.roles.remove(key);
+        // The descriptor is closed next, which takes it out of the poll whatever is said here.
+        let _ = self.poll.registry().deregister(source);
+    }
+
+    /// Listens at an address; port 0 leaves the port to the system. The address may be one where connections of
+    /// an earlier listener still linger.
+    pub fn listen(&mut self, at: SocketAddr, role: Role) -> io::Result<Ear> {
+        let socket = Socket::new(Domain::for_address(at), Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&at.into())?;
+        socket.listen(BACKLOG)?;
+        socket.set_nonblocking(true)?;
+        let mut listener = TcpListener::from_std(socket.into());
+        let key = self.enter(&mut listener, Interest::READABLE, role)?;
+        Ok(Ear { listener, key })
+    }
+
+    /// Begins a connection.
+    pub fn connect(&mut self, to: SocketAddr, role: Role) -> io::Result<Wire> {
+        let stream = TcpStream::connect(to)?;
+        self.adopt(stream, role)
+    }
+
+    /// Takes over a connection.
+    pub fn adopt(&mut self, mut stream: TcpStream, role: Role) -> io::Result<Wire> {
+        // Lines are short and wanted at once.
+        stream.set_nodelay(true)?;
+        let key = self.enter(&mut stream, Interest::READABLE | Interest::WRITABLE, role)?;
+        Ok(Wire::new(stream, key, role))
+    }
+
+    /// Has the end of a process told to its owner.
+    pub fn watch(&mut self, fd: &OwnedFd, role: Role) -> io::Result<DefaultKey> {
+        self.enter(&mut SourceFd(&fd.as_raw_fd()), Interest::READABLE, role)
+    }
+
+    /// Ends this.
+    pub fn unwatch(&mut self, fd: BorrowedFd<'_>, key: DefaultKey) {
+        self.leave(&mut SourceFd(&fd.as_raw_fd()), key);
+    }
+
+    /// Closes a connection: with `Reset`, or with unread bytes, the peer sees it break.
+    pub fn close(&mut self, wire: Wire, how: End) {
+        let (mut stream, key, buffers) = wire.into_parts();
+        if how == End::Reset {
+            // A socket that is broken already has no linger to set, and closes as it should anyway.
+            let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+        }
+        self.leave(&mut stream, key);
+        buffers.into_iter().for_each(|b| self.give(b));
+    }
+
+    /// Stops to listen: connections that wait to be accepted are reset, new ones refused.
+    pub fn deafen(&mut self, mut ear: Ear) -> SocketAddr {
+        let at = ear.address();
+        self.leave(&mut ear.listener, ear.key);
+        at
+    }
+
+    /// An empty buffer.
+    pub(super) fn buffer(&mut self) -> Vec<u8> {
+        self.spare.pop().unwrap_or_default()
+    }
+
+    /// Takes back a buffer.
+    pub(super) fn give(&mut self, mut buffer: Vec<u8>) {
+        if (1..=SPARE_SIZE).contains(&buffer.capacity()) && self.spare.len() < SPARE_BUFFERS {
+            buffer.clear();
+            self.spare.push(buffer);
+        }
+    }
+
+    /// Has an owner called again though its descriptor says nothing new.
+    pub(super) fn call_again(&mut self, role: Role) {
+        self.again.push(role);
+    }
+
+    /// Waits for at most so long, and says who is ready.
+    pub fn wait(&mut self, most: Duration, ready: &mut Vec<Ready>) -> io::Result<()> {
+        ready.clear();
+        let most = if self.again.is_empty() { most } else { Duration::ZERO };
+        match self.poll.poll(&mut self.events, Some(most)) {
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            other => other?,
+        }
+        ready.extend(self.again.drain(..).map(|role| Ready { role, read: true, write: false }));
+        for event in &self.events {
+            let key = DefaultKey::from(KeyData::from_ffi(event.token().0 as u64));
+            // A descriptor that was closed since the event came has no owner any more.
+            let Some(role) = self.roles.get(key).copied() else { continue };
+            let failed = event.is_error() || event.is_read_closed() || event.is_write_closed();
+            ready.push(Ready {
+                role,
+                read: event.is_readable() || failed,
+                write: event.is_writable() || failed,
+            });
+        }
+        Ok(())
+    }
+}
+
+impl Ear {
+    /// Its address with the port.
+    pub fn address(&self) -> SocketAddr {
+        self.listener.local_addr().expect("a bound listener has an address")
+    }
+
+    /// The next connection that waits, if one does.
+    pub fn accept(&self) -> Option<TcpStream> {
+        loop {
+            match self.listener.accept() {
+                Ok((stream, _)) => return Some(stream),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return None,
+                // The peer gave up while it waited; the next one may be fine.
+                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return None,
+            }
+        }
+    }
+
+    /// From now on connections neither come up nor fail, as at a machine that is cut off: the queue of those that
+    /// wait is cut to one and filled, and the system drops what comes beyond. The filling is returned.
+    pub fn fall_silent(&self) -> io::Result<Vec<std::net::TcpStream>> {
+        SockRef::from(&self.listener).listen(0)?;
+        let mut filling = Vec::new();
+        // One is enough where nobody else waits; with the second the queue is full for certain.
+        for _ in 0..2 {
+            let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+            socket.set_nonblocking(true)?;
+            // It comes up or it hangs; either is what is wanted.
+            let _ = socket.connect(&self.address().into());
+            filling.push(socket.into());
+        }
+        Ok(filling)
+    }
+
+    /// Takes connections as before.
+    pub fn speak_again(&self) -> io::Result<()> {
+        SockRef::from(&self.listener).listen(BACKLOG)
+    }
+}
