--- a/crates/emulator/src/day.rs
+++ b/crates/emulator/src/day.rs
@@ -41,11 +41,14 @@
     } else {
         Err(format!("{x} is no length of time"))
     }
+<<<<<<< HEAD
 }
 
 /// A figure in seconds as whole microseconds; what is negative or no number is none at all.
 pub fn seconds(s: f64) -> Micros {
     (s * 1e6).round() as Micros
+=======
+>>>>>>> audit
 }
 
 /// All figures of one run.
