--- a/crates/emulator/src/day.rs
+++ b/crates/emulator/src/day.rs
@@ -432,6 +432,9 @@
     /// Work of a probe on a core of speed 1.
     #[serde(rename = "probe_work_ms", with = "in_ms")]
     pub probe_work: Micros,
+    /// Probes a second that a node takes for each of its cores; 0 for any number.
+    #[serde(default)]
+    pub probe_cap_per_core: f64,
     /// A probe that is not answered by then has failed.
     #[serde(rename = "probe_timeout_ms", with = "in_ms")]
     pub probe_timeout: Micros,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,2 +1,4 @@
 //! The lab: the emulated platform with the real driver and decision module behind it, and what people need to
 //! experiment on them.
+
+pub mod import;
