--- a/crates/emulator/src/virtual_time/mod.rs
+++ b/crates/emulator/src/virtual_time/mod.rs
@@ -99,6 +99,7 @@
     let mut order = rng(day.seed, "order", 0);
     let mut truths = Vec::new();
     let mut told = 0;
+    let mut stood = false;
     let mut now: Micros = 0;
     loop {
         world.advance(now, &mut Post { slots: &mut slots, auditor: &mut auditor });
@@ -124,6 +125,10 @@
             told = now;
             progress(now, world.events());
         }
+        if now == 0 && !std::mem::replace(&mut stood, true) {
+            // Balancers are ready now; those that stand from before the day connect to them.
+            world.stand(&mut Post { slots: &mut slots, auditor: &mut auditor });
+        }
         if now == 0 && slots.iter().any(|s| !s.inbox.is_empty()) {
             // What stands from before the day is up before the first tick.
             continue;
--- a/crates/emulator/src/world/balancers.rs
+++ b/crates/emulator/src/world/balancers.rs
@@ -30,6 +30,15 @@
             FromBalancer::Watch => self.discovery.watch(self.now, balancer),
             // In virtual time these follow from the link; on sockets they come with it.
             FromBalancer::Forward { .. } | FromBalancer::Probe(_) | FromBalancer::Pass(_) => {}
+            FromBalancer::Ready => self.front.answered(self.now, balancer),
+            FromBalancer::Unwatch => self.discovery.unwatch(balancer),
+            FromBalancer::Refused(conn) => {
+                if self.last_word(balancer, conn) {
+                    self.to_client(conn, Word::Ended(End::Reset));
+                }
+            }
+            // Told to whoever judges; it changes nothing here.
+            FromBalancer::Syntax(_) => {}
             FromBalancer::Exited => self.balancer_gone(balancer, ear),
         }
     }
@@ -47,7 +56,6 @@
                     self.links.get(*id).is_some_and(|l| l.conn == Some(conn) && l.at == At::Up)
                 });
                 let Some(id) = stands else { return };
-                self.series.answered("up");
                 if self.now == 0 {
                     // From before the day: no time passes.
                     return self.at_client(conn, Word::Up(id));
@@ -55,19 +63,13 @@
                 return self.to_client(conn, Word::Up(id));
             }
             Answer::Busy(after) => Word::Busy(after),
-            Answer::Err => Word::Err,
-            Answer::Move => Word::Move,
+            Answer::Err | Answer::Other | Answer::Forged => Word::Err,
+            Answer::Move => Word::Move { by_node: false },
         };
         let stood = self.conns.get(conn).is_some_and(|c| c.stage == Stage::Standing);
         if self.last_word(balancer, conn) {
-            self.series.answered(match answer {
-                Answer::Busy(_) => "busy",
-                Answer::Err => "err",
-                _ if stood => "moved",
-                _ => "move unasked",
-            });
             if matches!(answer, Answer::Move) && stood {
-                self.score.moved();
+                self.score.moved(self.now);
             }
             self.to_client(conn, word);
         }
@@ -87,6 +89,8 @@
             last_at_node: 0,
             last_at_balancer: 0,
             asked: false,
+            paired: true,
+            heard: false,
         };
         let id = self.links.add(link);
         let home = conn.and_then(|c| self.conns.get_mut(c)).and_then(|c| {
@@ -102,12 +106,13 @@
             Mode::Sockets => 0,
         };
         let up = self.pairs.used(now, b, node, handshake);
-        let crosses = self.balancers[b.0 as usize].zone != self.nodes[node.0 as usize].zone;
         match conn {
-            Some(_) => self.score.attempt(now, crosses),
+            Some(_) => {
+                self.score.attempt(now);
+                self.series.sent(now);
+            }
             None => self.score.probe(now),
         }
-        self.series.attempt(now, node);
         self.to_node(id, up + leg, if conn.is_some() { AtNode::First } else { AtNode::Probe });
     }
 
@@ -115,10 +120,11 @@
     fn carries(&mut self, id: LinkId, ear: &mut impl Ear) {
         let Some(l) = self.links.get_mut(id) else { return };
         l.at = At::Up;
+        l.paired = false;
         let (b, theirs, node, conn) = (l.balancer, l.theirs, l.node, l.conn);
-        self.pairs.stood(self.now, b, node);
-        if let Some(ask) = conn.and_then(|c| self.conns.get(c)).map(|c| c.ask) {
-            self.node_hears(node, NodeIn::Carry { link: id, ask });
+        if let Some(c) = conn.and_then(|c| self.conns.get(c)) {
+            let heard = NodeIn::Carry { link: id, ask: c.ask, profile: c.profile };
+            self.node_hears(node, heard, ear);
         }
         ear.to(self.now, b, ToBalancer::LinkUp(theirs));
         ear.to(self.now, b, ToBalancer::NodeSays(theirs, NodeWord::Up));
@@ -146,7 +152,7 @@
 
     /// A link is over at both ends.
     pub(super) fn link_over(&mut self, id: LinkId) {
-        if let Some(l) = self.links.remove(id) {
+        if let Some(l) = self.links.remove(id).filter(|l| l.paired) {
             self.pairs.left(self.now, l.balancer, l.node);
         }
     }
@@ -162,10 +168,14 @@
         match what {
             OnLink::Up => ear.to(now, b, ToBalancer::LinkUp(theirs)),
             OnLink::Failed => {
+                if conn.is_some() {
+                    self.series.attempt("not connected");
+                }
                 ear.to(now, b, ToBalancer::LinkFailed(theirs));
                 self.link_over(id);
             }
             OnLink::Says(word) => {
+                let first = conn.is_some() && !was_up && !std::mem::replace(&mut l.heard, true);
                 if word == NodeWord::Up {
                     l.at = At::Up;
                 }
@@ -175,13 +185,19 @@
                 if word == NodeWord::Reply {
                     l.asked = false;
                 }
+                if first {
+                    self.series.attempt_word(word);
+                }
                 ear.to(now, b, ToBalancer::NodeSays(theirs, word));
                 if let (NodeWord::Bye | NodeWord::Move, true, Some(conn)) = (word, was_up, conn) {
                     // Lines on a standing connection pass through.
-                    self.to_client(conn, if word == NodeWord::Bye { Word::Bye } else { Word::Move });
+                    self.to_client(conn, if word == NodeWord::Bye { Word::Bye } else { Word::Move { by_node: true } });
                 }
             }
             OnLink::Ended(end) => {
+                if conn.is_some() && !was_up && !l.heard {
+                    self.series.attempt("reset");
+                }
                 ear.to(now, b, ToBalancer::NodeEnded(theirs, end));
                 self.link_over(id);
             }
@@ -204,7 +220,12 @@
                     ear.to(self.now, b, ToBalancer::Terminate);
                 }
             }
-            BalancerTurn::Reload { .. } => {}
+            BalancerTurn::Reload { moved } => {
+                if self.balancers[b.0 as usize].up {
+                    ear.fact(self.now, Seen::Reload(b));
+                    ear.to(self.now, b, ToBalancer::Reload { moved });
+                }
+            }
         }
     }
 
@@ -220,9 +241,6 @@
         let seed = rand::Rng::random(&mut rng(self.day.seed, "balancer", u64::from(b.0) << 32 | lives));
         let known = self.discovery.known(b);
         ear.to(self.now, b, ToBalancer::Start { seed, known });
-        if self.mode == Mode::Virtual {
-            self.front.answered(self.now, b);
-        }
     }
 
     /// A balancer's process is no more: what it held breaks.
@@ -241,6 +259,6 @@
         }
         let links: Vec<LinkId> = self.links.iter().filter(|(_, l)| l.balancer == b).map(|(id, _)| id).collect();
         links.into_iter().for_each(|id| self.balancer_ends(id, End::Reset));
-        self.pairs.broke(self.now, Some(b), None);
+        self.pairs.broke(Some(b), None);
     }
 }
--- a/crates/emulator/src/world/clients.rs
+++ b/crates/emulator/src/world/clients.rs
@@ -1,6 +1,7 @@
 //! Between clients and their balancers.
 
 use super::conns::{Conn, Stage};
+use crate::people::Heard;
 use super::*;
 
 impl World {
@@ -13,23 +14,28 @@
 
     fn client_acts(&mut self, act: PeopleOut, ear: &mut impl Ear) {
         match act {
-            PeopleOut::Connect { ask, zone } => self.connects(ask, zone, ear),
-            PeopleOut::Done { conn } => self.served_to_the_end(conn),
+            PeopleOut::Wants { cell, first } => self.score.wants(self.now, cell, first),
+            PeopleOut::WantsNoMore { cell } => self.score.wants_no_more(self.now, cell),
+            PeopleOut::Connect { ask, zone, cell, profile } => self.connects(ask, zone, cell, profile, ear),
+            PeopleOut::Done { conn } => self.served_to_the_end(conn, ear),
             PeopleOut::Leave { conn } => self.client_leaves(conn),
         }
     }
 
-    fn connects(&mut self, ask: Ask, zone: u32, ear: &mut impl Ear) {
+    fn connects(&mut self, ask: Ask, zone: u32, cell: Cell, profile: LoadProfile, ear: &mut impl Ear) {
         let now = self.now;
         let conn = ask.conn;
         let balancer = self.front.pick(now, zone);
         let first = Conn {
             ask,
+            cell,
+            profile,
             balancer: balancer.unwrap_or(BalancerId(0)),
             come: false,
             stage: Stage::Waiting,
             done: balancer.is_none(),
             link: None,
+            stands: None,
             sent: now,
             last_at_balancer: 0,
             last_at_client: 0,
@@ -37,7 +43,10 @@
         if !self.conns.add(first) {
             return;
         }
-        self.series.arrived(now);
+        self.waiting += 1;
+        if ask.home.is_none() {
+            self.series.tries(now, ask.key);
+        }
         if balancer.is_none() {
             // Nobody is there to take it: the front resets it.
             return self.to_client(conn, Word::Ended(End::Reset));
@@ -93,18 +102,65 @@
         }
     }
 
+    pub(super) fn clients_struck(&mut self, fault: usize, ear: &mut impl Ear) {
+        let mut acts = std::mem::take(&mut self.buffers.people);
+        self.people.struck(self.now, &self.day.faults[fault], &mut acts);
+        acts.drain(..).for_each(|act| self.client_acts(act, ear));
+        self.buffers.people = acts;
+    }
+
+    /// Those that stand from before the day connect to balancers that run at its start.
+    pub fn stand(&mut self, ear: &mut impl Ear) {
+        let mut acts = std::mem::take(&mut self.buffers.people);
+        self.people.standing(&mut acts);
+        acts.drain(..).for_each(|act| self.client_acts(act, ear));
+        self.buffers.people = acts;
+    }
+
+    /// A client's share of the service begins.
+    fn stands(&mut self, conn: ConnId, link: LinkId) {
+        let now = self.now;
+        let Some(l) = self.links.get(link).filter(|l| !l.ended) else { return };
+        let (node, balancer) = (l.node, l.balancer);
+        let crosses = self.balancers[balancer.0 as usize].zone != self.nodes[node.0 as usize].zone;
+        let Some(c) = self.conns.get_mut(conn) else { return };
+        c.stands = Some((node, crosses));
+        let integral = self.nodes[node.0 as usize].model.served(now, c.ask.class);
+        self.score.stands(now, c.cell, node, crosses, integral);
+    }
+
+    /// It ends, however it does.
+    pub(super) fn stands_no_more(&mut self, conn: ConnId) {
+        let now = self.now;
+        let Some(c) = self.conns.get_mut(conn) else { return };
+        let Some((node, crosses)) = c.stands.take() else { return };
+        let integral = self.nodes[node.0 as usize].model.served(now, c.ask.class);
+        self.score.stands_no_more(now, c.cell, node, crosses, integral);
+    }
+
+    /// A connection is over for its client; true if it stood.
+    fn over(&mut self, conn: ConnId) -> bool {
+        let Some(c) = self.conns.get_mut(conn) else { return false };
+        let stage = std::mem::replace(&mut c.stage, Stage::Over);
+        self.waiting -= usize::from(stage == Stage::Waiting);
+        self.stands_no_more(conn);
+        stage == Stage::Standing
+    }
+
     /// A client has left by itself.
     fn client_leaves(&mut self, conn: ConnId) {
-        let Some(c) = self.conns.get_mut(conn).filter(|c| c.stage != Stage::Over) else { return };
-        let stood = std::mem::replace(&mut c.stage, Stage::Over) == Stage::Standing;
-        if stood {
-            self.stands_no_more(conn);
+        let Some(key) = self.conns.get(conn).filter(|c| c.stage != Stage::Over).map(|c| c.ask.key) else { return };
+        if self.over(conn) {
+            self.series.ends(self.now, "left");
+        } else {
+            self.series.refused(self.now, "not answered");
+            self.series.forgets(key);
         }
         self.to_balancer(conn, FromClient::Ends(End::Fin));
     }
 
     /// A client has had all that it wanted: its node says so and ends, through the balancer.
-    fn served_to_the_end(&mut self, conn: ConnId) {
+    fn served_to_the_end(&mut self, conn: ConnId, ear: &mut impl Ear) {
         let Some(c) = self.conns.get(conn).filter(|c| c.stage == Stage::Standing) else {
             return self.client_leaves(conn);
         };
@@ -114,41 +170,50 @@
         if self.nodes[link.node.0 as usize].silent || link.ended || link.left {
             return self.client_leaves(conn);
         }
-        self.stands_no_more(conn);
-        if let Some(c) = self.conns.get_mut(conn) {
-            c.stage = Stage::Over;
-        }
-        self.series.ended("served");
+        self.over(conn);
+        self.series.ends(self.now, "served");
         self.node_says(id, NodeWord::Bye);
         self.node_ends(id, End::Fin);
-        self.node_hears(link.node, crate::node::NodeIn::Close { link: id });
+        self.node_hears(link.node, crate::node::NodeIn::Close { link: id }, ear);
     }
 
     pub(super) fn at_client(&mut self, conn: ConnId, word: Word) {
         let now = self.now;
         let Some(c) = self.conns.get_mut(conn).filter(|c| c.stage != Stage::Over) else { return };
         if let Word::Up(id) = word {
-            if c.stage == Stage::Waiting {
-                c.stage = Stage::Standing;
-                c.link = Some(id);
-                return self.stands(conn, id);
+            if c.stage != Stage::Waiting {
+                return;
             }
-            return;
-        }
-        let stood = std::mem::replace(&mut c.stage, Stage::Over) == Stage::Standing;
-        if stood {
-            self.stands_no_more(conn);
+            c.stage = Stage::Standing;
+            c.link = Some(id);
+            self.waiting -= 1;
+            if c.ask.home.is_none() {
+                self.series.stands(now, c.ask.key);
+            }
+            self.people.answered(now, conn, Heard::Up);
+            return self.stands(conn, id);
         }
-        let heard = match word {
-            Word::Busy(after) => crate::people::Heard::Busy(after),
-            Word::Err => crate::people::Heard::Err,
-            Word::Move => crate::people::Heard::Move,
+        let stood = self.over(conn);
+        let (heard, cause) = match word {
+            Word::Busy(after) => (Heard::Busy(after), "busy"),
+            Word::Err => (Heard::Err, "error"),
+            Word::Move { by_node: true } => (Heard::Move, "moved by node"),
+            Word::Move { by_node: false } => (Heard::Move, "moved by balancer"),
             Word::Up(_) | Word::Bye => return self.people.ended(now, conn, End::Fin),
             Word::Ended(end) => {
-                self.series.ended(if stood { "broken" } else { "unanswered" });
+                if stood {
+                    self.series.ends(now, "broken");
+                } else {
+                    self.series.refused(now, "no balancer");
+                }
                 return self.people.ended(now, conn, end);
             }
         };
+        if stood {
+            self.series.ends(now, cause);
+        } else {
+            self.series.refused(now, cause);
+        }
         self.people.answered(now, conn, heard);
     }
 }
--- a/crates/emulator/src/world/conns.rs
+++ b/crates/emulator/src/world/conns.rs
@@ -1,7 +1,8 @@
 //! Clients' connections to balancers, in order of their numbers.
 
 use crate::Micros;
-use crate::edge::{Ask, BalancerId, ConnId, LinkId};
+use crate::edge::{Ask, BalancerId, ConnId, LinkId, NodeId};
+use crate::people::{Cell, LoadProfile};
 
 /// How far a connection has come, seen from its client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -19,6 +20,10 @@
 pub struct Conn {
     /// What it asked for.
     pub ask: Ask,
+    /// Its client's account.
+    pub cell: Cell,
+    /// What it will load its node with.
+    pub profile: LoadProfile,
     /// Its balancer.
     pub balancer: BalancerId,
     /// It has reached its balancer.
@@ -29,6 +34,8 @@
     pub done: bool,
     /// The link that the balancer made for it last.
     pub link: Option<LinkId>,
+    /// The node that it stands on, and whether that crosses zones, while it is counted as standing.
+    pub stands: Option<(NodeId, bool)>,
     /// When its client sent its line.
     pub sent: Micros,
     /// Lines that balancer and client sent last arrive then: none overtakes another.
--- a/crates/emulator/src/world/links.rs
+++ b/crates/emulator/src/world/links.rs
@@ -39,10 +39,12 @@
     pub last_at_node: Micros,
     /// As above, at the balancer.
     pub last_at_balancer: Micros,
+    /// The node's first word has reached the balancer.
+    pub heard: bool,
     /// A line of the client's is unanswered.
     pub asked: bool,
-    /// Pair connection that it uses was made for it.
-    pub began: Micros,
+    /// It uses the pair's connection.
+    pub paired: bool,
 }
 
 #[derive(Clone, Debug)]
--- a/crates/emulator/src/world/mod.rs
+++ b/crates/emulator/src/world/mod.rs
@@ -23,13 +23,15 @@
 use crate::day::Day;
 use crate::edge::*;
 use crate::node::{Node, NodeOut};
-use crate::people::{People, PeopleOut};
+use crate::people::{Cell, LoadProfile, People, PeopleOut};
 use crate::places::{Discovery, Front, Happens, Network, Schedule};
 use crate::score::Score;
 use conns::Conns;
 pub use ear::Ear;
 use links::Links;
 use pairs::Pairs;
+use crate::virtual_time::{RunResult, Truth};
+use crate::audit::{Seen, Verdict};
 use queue::Queue;
 use series::Series;
 
@@ -82,7 +84,7 @@
     Up(LinkId),
     Busy(Micros),
     Err,
-    Move,
+    Move { by_node: bool },
     Bye,
     Ended(End),
 }
@@ -106,8 +108,20 @@
     /// The wake that is in the queue.
     wake: Option<Micros>,
     silent: bool,
-    /// Lives of its process so far.
-    life: u32,
+}
+
+impl NodeAt {
+    fn truth(&self) -> Truth {
+        let s = self.model.state();
+        Truth {
+            takes: s.up && !self.silent,
+            load: s.load,
+            capacity: s.capacity,
+            connections: s.connections,
+            set_ups: s.in_setup + s.waiting,
+            pile_s: s.pile_s,
+        }
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -124,6 +138,7 @@
     node: Vec<NodeOut>,
     people: Vec<PeopleOut>,
     news: Vec<(BalancerId, ToBalancer)>,
+    listed: Vec<Listed>,
     happens: Vec<Happens>,
 }
 
@@ -149,6 +164,7 @@
     lines: Pcg64Mcg,
     buffers: Buffers,
     events: u64,
+    waiting: usize,
 }
 
 impl World {
@@ -160,7 +176,6 @@
             zone: n.zone,
             wake: None,
             silent: false,
-            life: 0,
         };
         let balancer = |b: &crate::day::Balancer| BalancerAt { zone: b.zone, up: false, terminating: false, lives: 0 };
         let mut world = World {
@@ -182,6 +197,7 @@
             lines: rng(seed, "lines", 0),
             buffers: Buffers::default(),
             events: 0,
+            waiting: 0,
             day: day.clone(),
         };
         world.queue.push(SECOND, Event::Second);
@@ -203,18 +219,19 @@
 
     /// When something is due next.
     pub fn next_due(&self) -> Option<Micros> {
-        let models = [self.schedule.next_due(), self.discovery.next_due(), self.people.next_due()];
+        let models = [self.schedule.next_due(), self.score.next_due(), self.discovery.next_due(), self.people.next_due()];
         models.into_iter().flatten().chain(self.queue.next_due()).min()
     }
 
     /// Lets everything happen that is due up to `until`.
     pub fn advance(&mut self, until: Micros, ear: &mut impl Ear) {
         loop {
-            // Where times are the same: faults, then what was put in, then the list, then clients.
+            // Where times are the same: faults, then what was put in, then the list, then clients, then the account.
             let due = |t: Option<Micros>| t.unwrap_or(Micros::MAX);
             let (faults, queued) = (due(self.schedule.next_due()), due(self.queue.next_due()));
             let (list, clients) = (due(self.discovery.next_due()), due(self.people.next_due()));
-            let at = faults.min(queued).min(list).min(clients);
+            let account = due(self.score.next_due());
+            let at = faults.min(queued).min(list).min(clients).min(account);
             if at > until {
                 break;
             }
@@ -228,8 +245,10 @@
                 }
             } else if list == at {
                 self.news(ear);
-            } else {
+            } else if clients == at {
                 self.clients_act(ear);
+            } else {
+                self.account();
             }
         }
         self.now = self.now.max(until);
@@ -249,7 +268,10 @@
 
     fn news(&mut self, ear: &mut impl Ear) {
         let mut news = std::mem::take(&mut self.buffers.news);
-        self.discovery.advance(self.now, &mut news);
+        let mut listed = std::mem::take(&mut self.buffers.listed);
+        self.discovery.advance(self.now, &mut news, &mut listed);
+        listed.drain(..).for_each(|entry| ear.fact(self.now, Seen::Listed(entry)));
+        self.buffers.listed = listed;
         for (balancer, what) in news.drain(..) {
             if self.balancers[balancer.0 as usize].up {
                 ear.to(self.now, balancer, what);
@@ -265,7 +287,7 @@
             match what {
                 Happens::Node(node, turn) => self.node_turns(node, turn, ear),
                 Happens::Balancer(balancer, turn) => self.balancer_turns(balancer, turn, ear),
-                Happens::People(place) => self.people.struck(self.now, &self.day.faults[place]),
+                Happens::People(place) => self.clients_struck(place, ear),
                 Happens::Discovery(place, on) => self.discovery.struck(self.now, &self.day.faults[place], on),
             }
         }
@@ -275,7 +297,42 @@
     fn second(&mut self) {
         self.queue.push(self.now + SECOND, Event::Second);
         self.pairs.sweep(self.now);
+        self.score.pairs(self.now, self.pairs.open());
         self.conns.tidy();
+        if self.now <= self.day.length {
+            for (i, node) in self.nodes.iter().enumerate() {
+                self.series.node(NodeId(i as u32), node.truth());
+            }
+        }
+    }
+
+    fn account(&mut self) {
+        let nodes = &mut self.nodes;
+        let now = self.now;
+        self.score.tick(now, &mut |node, class| nodes[node.0 as usize].model.served(now, class));
+    }
+
+    /// The true state of all nodes.
+    pub fn truths(&self, out: &mut Vec<Truth>) {
+        out.clear();
+        out.extend(self.nodes.iter().map(NodeAt::truth));
+    }
+
+    /// Clients that wait for an answer.
+    pub fn waiting(&self) -> usize {
+        self.waiting
+    }
+
+    /// The end of a run, with what its auditor found.
+    pub fn finish(self, ended_at: Micros, verdict: Verdict) -> RunResult {
+        RunResult {
+            outcome: self.score.finish(),
+            verdict,
+            faults: self.schedule.bands().to_vec(),
+            series: self.series,
+            events: self.events,
+            ended_at,
+        }
     }
 
     /// One way between a balancer and a node.
--- a/crates/emulator/src/world/nodes.rs
+++ b/crates/emulator/src/world/nodes.rs
@@ -5,7 +5,7 @@
 use super::conns::Stage;
 use super::links::At;
 use super::*;
-use crate::audit::{Health, Seen};
+use crate::audit::Health;
 use crate::node::{Accepts, NodeIn};
 use crate::places::NodeTurn;
 
@@ -116,6 +116,9 @@
                     if let Some(l) = self.links.get_mut(id) {
                         l.ended = true;
                     }
+                    if l.paired {
+                        self.pairs.broke(Some(l.balancer), Some(node));
+                    }
                     self.on_its_way(id, OnLink::Failed);
                 }
                 // Nothing comes back; the balancer will give up.
@@ -124,12 +127,16 @@
                     if let Some(l) = self.links.get_mut(id) {
                         l.at = At::Asked;
                     }
+                    if self.mode == Mode::Virtual && self.pairs.came_up(l.balancer, node) {
+                        self.score.handshake(now);
+                        self.score.pairs(now, self.pairs.open());
+                    }
                     self.on_its_way(id, OnLink::Up);
                     let heard = match l.conn.and_then(|c| self.conns.get(c)) {
                         None => NodeIn::Probe { link: id },
                         Some(c) => {
                             let patience = (c.sent + c.ask.patience).saturating_sub(now);
-                            NodeIn::Open { link: id, ask: c.ask, patience }
+                            NodeIn::Open { link: id, ask: c.ask, profile: c.profile, patience }
                         }
                     };
                     self.node_hears(node, heard, ear);
@@ -160,7 +167,7 @@
     }
 
     fn process_gone(&mut self, node: NodeId) {
-        self.pairs.broke(self.now, None, Some(node));
+        self.pairs.broke(None, Some(node));
     }
 
     /// A node falls silent, or speaks again. Only now do the lines of its standing clients matter, so only now are
--- a/crates/lab/src/instances/mod.rs
+++ b/crates/lab/src/instances/mod.rs
@@ -129,9 +129,8 @@
 
 impl Instance for Hosted {
     fn turn(&mut self, now: Micros, came: &[ToBalancer], out: &mut Vec<FromBalancer>) {
-        if let Some((peers, brain)) = &mut self.life {
-            peers.begin(now);
-            brain.settle(peers);
+        if let Some((peers, _)) = &mut self.life {
+            peers.clock(now);
         }
         for what in came {
             match what {
@@ -142,6 +141,7 @@
                         now,
                         self.next_link,
                     );
+                    out.push(FromBalancer::Ready);
                     let known = peers.listed(true, known);
                     let mut brain = self.make.brain(&self.settings, *seed, known, &mut peers);
                     brain.settle(&mut peers);
@@ -162,7 +162,10 @@
                 }
             }
         }
-        if let Some((peers, _)) = &mut self.life {
+        // What came within the tick came before what is due at its end.
+        if let Some((peers, brain)) = &mut self.life {
+            peers.due();
+            brain.settle(peers);
             self.next_link = peers.next_link();
             peers.hand_over(out);
         }
--- a/crates/lab/src/instances/peers.rs
+++ b/crates/lab/src/instances/peers.rs
@@ -7,6 +7,7 @@
 use shorewharf_decisions::interface::{ListEntry, Outcome, RequestId, ServerId, Stage};
 use shorewharf_driver::{Happening, Micros, Peers, Req};
 use shorewharf_emulator::edge::*;
+use shorewharf_emulator::virtual_time::Truth;
 
 use super::places::Places;
 
@@ -140,9 +141,14 @@
         out.append(&mut self.did);
     }
 
-    /// Moves the clock on and queues what is due.
-    pub fn begin(&mut self, now: Micros) {
+    /// Moves the clock on.
+    pub fn clock(&mut self, now: Micros) {
         self.now = now;
+    }
+
+    /// Does and queues what is due.
+    pub fn due(&mut self) {
+        let now = self.now;
         while let Some(&Reverse((when, _, due))) = self.timers.peek() {
             if when > now {
                 break;
@@ -165,6 +171,11 @@
         }
     }
 
+    /// The true state of a server's node, for policies that may see it.
+    pub fn truth(&self, server: ServerId, truths: &[Truth]) -> Option<Truth> {
+        truths.get(self.places.node(server)?.0 as usize).copied()
+    }
+
     /// Takes in one thing that came; starts and kills are the caller's.
     pub fn take(&mut self, came: &ToBalancer) {
         match came {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,3 +2,4 @@
 //! experiment on them.
 
 pub mod import;
+pub mod instances;
