--- a/crates/emulator/src/day.rs
+++ b/crates/emulator/src/day.rs
@@ -41,14 +41,11 @@
     } else {
         Err(format!("{x} is no length of time"))
     }
-<<<<<<< HEAD
 }
 
 /// A figure in seconds as whole microseconds; what is negative or no number is none at all.
 pub fn seconds(s: f64) -> Micros {
     (s * 1e6).round() as Micros
-=======
->>>>>>> audit
 }
 
 /// All figures of one run.
@@ -333,7 +330,7 @@
     pub bursty: f64,
     /// Work piled up, in seconds, at which a node begins to drop.
     pub buffer_s: f64,
-    /// Share of a node's capacity that set-ups at the usual rate take.
+    /// Of the swing of the day's shape, the part (as an exponent) that comes by numbers of clients; the rest by their loads.
     pub by_joins: f64,
     /// Whom it drops.
     pub sheds: Sheds,
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -8,7 +8,10 @@
 pub mod audit;
 pub mod day;
 pub mod edge;
+pub mod node;
+pub mod people;
 pub mod places;
+pub mod score;
 pub mod sockets;
 pub mod virtual_time;
 pub mod world;
--- a/crates/emulator/src/world/balancers.rs
+++ b/crates/emulator/src/world/balancers.rs
@@ -123,7 +123,7 @@
         l.paired = false;
         let (b, theirs, node, conn) = (l.balancer, l.theirs, l.node, l.conn);
         if let Some(c) = conn.and_then(|c| self.conns.get(c)) {
-            let heard = NodeIn::Carry { link: id, ask: c.ask, profile: c.profile };
+            let heard = NodeIn::Carry { link: id, by: b, ask: c.ask, profile: c.profile };
             self.node_hears(node, heard, ear);
         }
         ear.to(self.now, b, ToBalancer::LinkUp(theirs));
--- a/crates/emulator/src/world/nodes.rs
+++ b/crates/emulator/src/world/nodes.rs
@@ -136,7 +136,7 @@
                         None => NodeIn::Probe { link: id },
                         Some(c) => {
                             let patience = (c.sent + c.ask.patience).saturating_sub(now);
-                            NodeIn::Open { link: id, ask: c.ask, profile: c.profile, patience }
+                            NodeIn::Open { link: id, by: l.balancer, ask: c.ask, profile: c.profile, patience }
                         }
                     };
                     self.node_hears(node, heard, ear);
--- a/crates/emulator/src/world/settings.rs
+++ b/crates/emulator/src/world/settings.rs
@@ -6,32 +6,15 @@
 use crate::Micros;
 use crate::day::Day;
 use crate::edge::BalancerId;
+use crate::people::{Capacity, capacity};
 
 fn s(t: Micros) -> f64 {
     t as f64 / 1e6
 }
 
-/// The connections that fill all nodes, with what their set-ups cost; and that many per mean life, a second.
-pub fn capacity(day: &Day) -> (f64, f64) {
-    let speeds: f64 =
-        day.nodes.iter().map(|n| f64::from(day.kinds[n.kind as usize].cores) * n.speed).sum();
-    let (mut load, mut life, mut set_up) = (0.0, 0.0, 0.0);
-    let shares: f64 = day.classes.iter().map(|c| c.share).sum();
-    for c in &day.classes {
-        let share = c.share / shares;
-        (load, life, set_up) = (load + share * c.load, life + share * c.life, set_up + share * s(c.set_up));
-    }
-    let (load, life) = (load / day.streams.per_core, life * s(day.streams.life));
-    // A connection costs a tenth of the mean load however idle it is; a group's cost is shared by its members
-    // as far as balancers keep them together (fitted to the simulator's quotas).
-    let shared = 1.1 + 1.3 * day.streams.group_cost / day.streams.group_size.max(1.0);
-    let connections = speeds / (load * shared + set_up / life);
-    (connections, connections / life)
-}
-
 /// The settings of one balancer as JSON text, with the names and units of the simulator's wire.
 pub fn json(day: &Day, me: BalancerId) -> String {
-    let (connections, rate) = capacity(day);
+    let Capacity { connections, per_s: rate, .. } = capacity(day);
     let class = |c: &crate::day::Class| {
         json!({
             "name": c.name, "promise_s": s(c.aim), "give_up_s": s(c.give_up), "late_worth": 0.0,
