--- a/crates/emulator/src/audit/auditor.rs
+++ b/crates/emulator/src/audit/auditor.rs
@@ -51,10 +51,8 @@
                     self.pushed_over(now, node, pushed);
                 }
             }
-            Seen::Sent { by, link, node, conn, first } => {
-                self.begins(now, first, by, link, node, conn);
-                self.goes_out(now, by, link);
-            }
+            Seen::Sent { by, link, node, conn, first } => self.begins(now, first, by, link, node, conn),
+            Seen::Stands { by, conn, link, node } => self.stands(now, by, conn, link, node),
             Seen::Passed(conn, way) => self.passed(now, conn, way),
             Seen::Garbled(conn, garble) => {
                 let reason = match garble {
@@ -69,7 +67,6 @@
                     conn.bad = true;
                 }
             }
-            Seen::Reload(by) => self.told.reloaded(now, by),
         }
     }
 
@@ -101,13 +98,19 @@
             }
             ToBalancer::Kill => self.killed(now, by),
             ToBalancer::Terminate => *self.leaving(by) = true,
+            ToBalancer::Reload { .. } => self.told.reloaded(now, by),
             ToBalancer::Asked { ask, left } => self.asked(now, by, ask, *left),
             ToBalancer::ClientLine(id) => self.client_line(now, *id),
             ToBalancer::ClientEnded(id, end) => self.client_ended(now, *id, *end),
-            ToBalancer::LinkUp(link) => self.goes_out(now, by, *link),
+            ToBalancer::LinkUp(id) => {
+                if let Some((link, conn)) = self.table.both(by, *id) {
+                    conn.ring.note(now, What::LinkUp(link.node));
+                }
+            }
             ToBalancer::LinkFailed(id) => {
                 if let Some((link, conn)) = self.table.both(by, *id) {
                     link.ended = Some(now);
+                    conn.request.comes_in(*id);
                     conn.ring.note(now, What::LinkFailed(link.node));
                 }
             }
@@ -127,11 +130,18 @@
             }
             FromBalancer::EndLink(link, end) => self.ends_link(now, by, link, end),
             FromBalancer::Watch => self.told.asks(now, by),
+            FromBalancer::Unwatch => self.told.unwatches(now, by),
+            FromBalancer::Refused(id) => self.refused(now, id),
+            FromBalancer::Syntax(node) => {
+                let case = Case { reason: Reason::Syntax, at: now, by, conn: None, node: Some(node) };
+                self.verdict.add(case, String::new(), Vec::new);
+            }
             FromBalancer::Exited => self.exited(now, by),
             FromBalancer::Link { conn: None, .. }
             | FromBalancer::Forward { .. }
             | FromBalancer::Probe(_)
-            | FromBalancer::Pass(_) => {}
+            | FromBalancer::Pass(_)
+            | FromBalancer::Ready => {}
         }
     }
 
@@ -260,14 +270,20 @@
             case.reason = Reason::Unlisted;
             self.verdict.add(case, String::from("in its present life"), || together([&conn.ring]));
         }
-        let finding = match conn.over(now, judging.learn) {
+        self.verdict.counts.attempts += 1;
+        let over = conn.over(now, judging.learn);
+        let many = conn.request.tried(now, judging);
+        let second = conn.request.goes_out(now, link);
+        let finding = match over {
             true => Some(Finding::Break(Reason::SentAfterEnd, now, format!("to node {}", node.0))),
-            false if judging.links_count => conn.request.tried(now, judging),
-            false => None,
+            false if second && judging.overlap == 0 => conn.request.second_copy(link, now),
+            false => many,
         };
-        self.table.link(by, link, Link { conn: id, node, knew, up: false, node_ended: None, ended: None });
-        if let Some(finding) = finding {
-            self.found(id, finding);
+        self.table.link(by, link, Link::new(id, node, knew));
+        match finding {
+            Some(finding) => self.found(id, finding),
+            None if second => self.table.book(now + self.judging.overlap, id, Look::Copy(link, now)),
+            None => {}
         }
     }
 
@@ -279,27 +295,22 @@
         }
     }
 
-    /// The first line of an attempt has gone out.
-    fn goes_out(&mut self, now: Micros, by: BalancerId, id: LinkId) {
-        let Some((link, conn)) = self.table.both(by, id) else { return };
-        if link.ended.is_some() || link.node_ended.is_some() {
-            return;
+    /// It stood when the run began.
+    fn stands(&mut self, now: Micros, by: BalancerId, id: ConnId, link: LinkId, node: NodeId) {
+        let mut conn = Conn::new(by, Request::new(now, true));
+        conn.request.stands(now, link);
+        conn.standing = Some(Standing::new(link, node));
+        conn.ring.note(now, What::Stands(node));
+        if self.table.open(id, conn) {
+            self.table.link(by, link, Link { up: true, ..Link::new(id, node, false) });
         }
-        conn.ring.note(now, What::Sent(link.node));
-        self.verdict.counts.attempts += 1;
-        let of = link.conn;
-        let second = conn.request.goes_out(now, id);
-        let ended = conn.over(now, self.judging.learn);
-        let many = if self.judging.links_count { None } else { conn.request.tried(now, &self.judging) };
-        let finding = match ended {
-            true => Some(Finding::Break(Reason::SentAfterEnd, now, format!("to node {}", link.node.0))),
-            false if second && self.judging.overlap == 0 => conn.request.second_copy(id, now),
-            false => many,
-        };
-        if let Some(finding) = finding {
-            self.found(of, finding);
-        } else if second {
-            self.table.book(now + self.judging.overlap, of, Look::Copy(id, now));
+    }
+
+    /// Its machine never took the connection.
+    fn refused(&mut self, now: Micros, id: ConnId) {
+        if self.table.conn(id).is_some_and(|c| c.waits()) {
+            self.verdict.counts.taken -= 1;
+            self.dead(now, id);
         }
     }
 
@@ -309,7 +320,7 @@
             _ => None,
         };
         let Some(conn) = self.table.conn(id).filter(|c| c.by == by) else {
-            if let Answer::Up(_) = answer {
+            if let Answer::Up(_) | Answer::Forged = answer {
                 let case = Case { reason: Reason::Forged, at: now, by, conn: Some(id), node: None };
                 self.verdict.add(case, String::from("no request is known under this id"), Vec::new);
             }
@@ -317,7 +328,7 @@
         };
         conn.ring.note(now, What::answered(answer));
         if conn.bad {
-            if let Answer::Up(_) = answer {
+            if let Answer::Up(_) | Answer::Forged = answer {
                 self.found(id, Finding::Break(Reason::ServedBad, now, String::new()));
             }
             return;
@@ -332,16 +343,16 @@
             return;
         }
         let finding = match (answer, &made) {
-            (Answer::Up(_), None) => {
+            (Answer::Up(_) | Answer::Forged, None) => {
                 conn.request.answered = conn.request.answered.or(Some(now));
                 Some(Finding::Break(Reason::Forged, now, String::from("no node said UP for it")))
             }
             _ => conn.request.answer(now, &self.judging),
         };
         match answer {
-            Answer::Up(_) => self.verdict.counts.up += 1,
+            Answer::Up(_) | Answer::Forged => self.verdict.counts.up += 1,
             Answer::Busy(_) => self.verdict.counts.busy += 1,
-            Answer::Err | Answer::Move => self.verdict.counts.failed += 1,
+            Answer::Err | Answer::Move | Answer::Other => self.verdict.counts.failed += 1,
         }
         if let (Answer::Up(link), Some(made), None) = (answer, made, &conn.standing) {
             let mut standing = Standing::new(link, made.node);
--- a/crates/emulator/src/audit/judging.rs
+++ b/crates/emulator/src/audit/judging.rs
@@ -27,8 +27,6 @@
     pub overlap: Micros,
     /// Attempts of one request.
     pub max_attempts: u32,
-    /// A link that never came up is an attempt too (in virtual time the decision to send is what counts).
-    pub links_count: bool,
     /// Sends to a node are a break so long after its end was told.
     pub drain_grace: Micros,
     /// A balancer that watches nothing and has not asked for so long counts as told of what was listed that long ago.
@@ -63,7 +61,6 @@
             learn: 0,
             overlap: 0,
             max_attempts: day.limits.max_attempts,
-            links_count: true,
             drain_grace: day.rules.drain_grace,
             ask_within: day.rules.ask_within,
             told_after: None,
@@ -93,7 +90,6 @@
             answer_slack: rules.answer_slack + SOCKETS_EXTRA,
             learn: SOCKETS_EXTRA,
             overlap: SOCKETS_EXTRA,
-            links_count: false,
             drain_grace: rules.drain_grace + SOCKETS_EXTRA,
             told_after: Some(TOLD_AFTER),
             told_after_reload: Some(TOLD_AFTER_RELOAD),
--- a/crates/emulator/src/audit/lists.rs
+++ b/crates/emulator/src/audit/lists.rs
@@ -88,6 +88,11 @@
         (hearing.watching, hearing.asked) = (true, now);
     }
 
+    pub fn unwatches(&mut self, now: Micros, by: BalancerId) {
+        let hearing = at(&mut self.hearing, by.0);
+        (hearing.watching, hearing.asked) = (false, now);
+    }
+
     pub fn failed(&mut self, now: Micros, by: BalancerId) {
         let hearing = at(&mut self.hearing, by.0);
         (hearing.watching, hearing.failed, hearing.asked) = (false, true, now);
--- a/crates/emulator/src/audit/mod.rs
+++ b/crates/emulator/src/audit/mod.rs
@@ -22,9 +22,6 @@
 use crate::Micros;
 use crate::edge::{BalancerId, ConnId, FromBalancer, LinkId, Listed, NodeId, ToBalancer};
 
-/// The link of an `UP` whose receipt no node made for the connection that got it.
-pub const FORGED: LinkId = LinkId(u64::MAX);
-
 /// How a node's process does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Health {
@@ -94,7 +91,19 @@
         /// What the node can do now, in that unit a second, while it is cold.
         cold: Option<f64>,
     },
-    /// Sockets: the first line of an attempt has been read to its end, on a link of which nothing was told before.
+    /// It stands when the run begins, and nothing was told of it before.
+    Stands {
+        /// At this balancer.
+        by: BalancerId,
+        /// The client's connection.
+        conn: ConnId,
+        /// The link that carries it.
+        link: LinkId,
+        /// To this node.
+        node: NodeId,
+    },
+    /// Sockets: the first line of an attempt has been read to its end. May be left out where the first byte came with
+    /// the last one: [`FromBalancer::Link`] tells the rest.
     Sent {
         /// Who sent it.
         by: BalancerId,
@@ -113,6 +122,4 @@
     Garbled(ConnId, Garble),
     /// Sockets: a bad client's connection, on which only being served is a break.
     Bad(BalancerId, ConnId),
-    /// Sockets: SIGHUP has gone to the program.
-    Reload(BalancerId),
 }
--- a/crates/emulator/src/audit/request.rs
+++ b/crates/emulator/src/audit/request.rs
@@ -36,10 +36,8 @@
     deadline: Micros,
     /// It stood before the run: not coming up again is a loss whatever else is excused.
     pub carried: bool,
-    /// Attempts as `max_attempts` counts them.
+    /// Attempts so far.
     tries: u32,
-    /// First lines that went out.
-    sent: u32,
     /// Attempts that are out, and since when.
     out: Vec<(LinkId, Micros)>,
     /// Its final answer.
@@ -48,7 +46,7 @@
 
 impl Request {
     pub fn new(deadline: Micros, carried: bool) -> Self {
-        Request { deadline, carried, tries: 0, sent: 0, out: Vec::new(), answered: None }
+        Request { deadline, carried, tries: 0, out: Vec::new(), answered: None }
     }
 
     /// A final answer, whatever it says.
@@ -90,23 +88,28 @@
             Over::Cut => Reason::EndedUnanswered,
             Over::PlannedKill => Reason::HeldUnanswered,
         };
-        if self.sent == 0 && !judging.unsent_breaks && !self.carried {
+        if self.tries == 0 && !judging.unsent_breaks && !self.carried {
             return Some(Finding::Let(Excuse::ClosedUnsent));
         }
         let left = secs((self.deadline).saturating_sub(now));
-        Some(Finding::Break(reason, now, format!("{} attempts, {left} before the deadline", self.sent)))
+        Some(Finding::Break(reason, now, format!("{} attempts, {left} before the deadline", self.tries)))
     }
 
-    /// An attempt that counts towards the most that are allowed.
+    /// An attempt more.
     pub fn tried(&mut self, now: Micros, judging: &Judging) -> Option<Finding> {
         self.tries += 1;
         let detail = || format!("attempt {} of {} allowed", self.tries, judging.max_attempts);
         (self.tries > judging.max_attempts).then(|| Finding::Break(Reason::TooManyAttempts, now, detail()))
     }
 
-    /// Its first line has gone out on this link; true if an earlier one is out.
+    /// It stood before anything was seen of it.
+    pub fn stands(&mut self, now: Micros, link: LinkId) {
+        self.answered = Some(now);
+        self.out.push((link, now));
+    }
+
+    /// The attempt on this link is out; true if an earlier one is, too.
     pub fn goes_out(&mut self, now: Micros, link: LinkId) -> bool {
-        self.sent += 1;
         self.out.push((link, now));
         self.out.len() > 1
     }
--- a/crates/emulator/src/audit/table.rs
+++ b/crates/emulator/src/audit/table.rs
@@ -80,6 +80,12 @@
     pub ended: Option<Micros>,
 }
 
+impl Link {
+    pub fn new(conn: ConnId, node: NodeId, knew: bool) -> Self {
+        Link { conn, node, knew, up: false, node_ended: None, ended: None }
+    }
+}
+
 /// A look at a connection that is due at some time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Look {
--- a/crates/emulator/src/audit/trace.rs
+++ b/crates/emulator/src/audit/trace.rs
@@ -27,7 +27,8 @@
     Asked { left_ms: u32 },
     Linked(NodeId),
     LinkFailed(NodeId),
-    Sent(NodeId),
+    LinkUp(NodeId),
+    Stands(NodeId),
     Said(NodeId, &'static str),
     NodeEnded(NodeId, End),
     LinkEnded(NodeId, End),
@@ -46,6 +47,8 @@
             Answer::Busy(_) => "BUSY",
             Answer::Err => "ERR",
             Answer::Move => "MOVE",
+            Answer::Forged => "UP that no node made",
+            Answer::Other => "what is no answer",
         })
     }
 
@@ -86,7 +89,8 @@
             What::Asked { left_ms } => write!(f, "client asks, {left_ms} ms left"),
             What::Linked(n) => write!(f, "link to node {} begun", n.0),
             What::LinkFailed(n) => write!(f, "link to node {} failed", n.0),
-            What::Sent(n) => write!(f, "first line out to node {}", n.0),
+            What::LinkUp(n) => write!(f, "link to node {} is up", n.0),
+            What::Stands(n) => write!(f, "stands at node {} from before the run", n.0),
             What::Said(n, word) => write!(f, "node {} says {word}", n.0),
             What::NodeEnded(n, e) => write!(f, "link {} by node {}", end(e), n.0),
             What::LinkEnded(n, e) => write!(f, "link to node {} {} by the balancer", n.0, end(e)),
--- a/crates/emulator/src/audit/verdict.rs
+++ b/crates/emulator/src/audit/verdict.rs
@@ -99,6 +99,8 @@
     LineChanged => NoConnectionLost, "a line was changed on its way";
     /// The process ended by itself.
     Exited => SoundProgram, "the program ended by itself";
+    /// A first line in a form that no client sent.
+    Syntax => SoundProgram, "a node was sent a first line that no client wrote";
     /// A send to a node that its list never named.
     Unlisted => SoundProgram, "sent to a node that its list never named";
 }
@@ -155,7 +157,7 @@
     pub busy: u64,
     /// Failed.
     pub failed: u64,
-    /// First lines sent.
+    /// Attempts.
     pub attempts: u64,
     /// Clients moved.
     pub moves: u64,
--- a/crates/emulator/src/sockets/process.rs
+++ b/crates/emulator/src/sockets/process.rs
@@ -129,7 +129,10 @@
 impl Process {
     /// Starts the program as this balancer.
     pub fn start(
-        program: &Program, desk: &Desk, listen: SocketAddr, discovery: SocketAddr,
+        program: &Program,
+        desk: &Desk,
+        listen: SocketAddr,
+        discovery: SocketAddr,
     ) -> Result<Self, ProcessError> {
         let log = |path: PathBuf| -> Result<File, ProcessError> {
             OpenOptions::new().create(true).append(true).open(&path).map_err(|e| ProcessError::File(path, e))
