--- a/crates/emulator/src/audit/auditor.rs
+++ b/crates/emulator/src/audit/auditor.rs
@@ -125,8 +125,11 @@
         match *from {
             FromBalancer::Answer(id, answer) => self.answers(now, by, id, answer),
             FromBalancer::EndClient(id, end) => self.cuts(now, by, id, end),
+            // On sockets it may follow what was told of it as sent.
             FromBalancer::Link { link, node, conn: Some(conn) } => {
-                self.begins(now, now, by, link, node, conn)
+                if self.table.link_of(by, link).is_none_or(|l| l.conn != conn) {
+                    self.begins(now, now, by, link, node, conn);
+                }
             }
             FromBalancer::EndLink(link, end) => self.ends_link(now, by, link, end),
             FromBalancer::Watch => self.told.asks(now, by),
--- a/crates/emulator/src/audit/mod.rs
+++ b/crates/emulator/src/audit/mod.rs
@@ -11,6 +11,8 @@
 mod request;
 mod standing;
 mod table;
+#[cfg(test)]
+mod tests;
 mod trace;
 mod verdict;
 
--- a/crates/emulator/src/day.rs
+++ b/crates/emulator/src/day.rs
@@ -43,6 +43,11 @@
     }
 }
 
+/// A figure in seconds as whole microseconds; what is negative or no number is none at all.
+pub fn seconds(s: f64) -> Micros {
+    (s * 1e6).round() as Micros
+}
+
 /// All figures of one run.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod audit;
 pub mod day;
 pub mod edge;
+pub mod places;
 pub mod sockets;
 
 /// Whole microseconds since the day's start.
