--- a/crates/emulator/src/audit/tests.rs
+++ b/crates/emulator/src/audit/tests.rs
@@ -298,3 +298,210 @@
         }
     }
 }
+
+fn ask(conn: u64, at: Micros, history: &mut History) {
+    let (conn, patience) = (ConnId(conn), 3 * S);
+    let (key, group, home) = (conn.0, 0, None);
+    let ask =
+        Ask { conn, key, class: 0, tenant: 0, group, patience, hint: None, retry: false, again: false, home };
+    history.add(at, To(T::Asked { ask, left: patience }));
+}
+
+/// A client asks, is sent to this node and refused there.
+fn send(history: &mut History, conn: u64, at: Micros, node: NodeId) {
+    ask(conn, at, history);
+    history.add(at, From(F::Link { link: LinkId(conn), node, conn: Some(ConnId(conn)) }));
+    history.add(at + MS, To(T::NodeSays(LinkId(conn), NodeWord::Busy)));
+    history.add(at + MS, From(F::Answer(ConnId(conn), Answer::Busy(0))));
+}
+
+/// A client asks, is served by node 0 and stands.
+fn stand(history: &mut History, conn: u64, at: Micros) {
+    let link = LinkId(conn);
+    ask(conn, at, history);
+    history.add(at, From(F::Link { link, node: NODE, conn: Some(ConnId(conn)) }));
+    history.add(at + MS, To(T::NodeSays(link, NodeWord::Up)));
+    history.add(at + MS, From(F::Answer(ConnId(conn), Answer::Up(link))));
+}
+
+fn reasons(verdict: &Verdict) -> Vec<(Reason, u64)> {
+    verdict.reasons.iter().map(|(r, n)| (*r, *n)).collect()
+}
+
+/// Failure: a node drains, and a balancer hears of it by its watch, too late, or never, in each way that counts.
+/// Promise: sends up to the moment at which it counts as told plus the grace are let pass, and the first one after it
+/// is a break.
+#[test]
+fn sends_to_a_draining_node_count_from_when_its_end_was_told_or_counts_as_told() {
+    let off = |stage| T::List { full: false, entries: vec![listed(NODE, stage, None)] };
+    // What is told, whether on sockets, and when the balancer counts as told; the node is listed as draining at 20 s.
+    type Case = (&'static str, bool, Vec<(Micros, Fact)>, Option<Micros>);
+    let cases: Vec<Case> = vec![
+        ("told by the watch", false, vec![(23 * S, To(off(Stage::Draining)))], Some(23 * S)),
+        (
+            "told twice",
+            false,
+            vec![(23 * S, To(off(Stage::Draining))), (25 * S, To(off(Stage::Gone)))],
+            Some(23 * S),
+        ),
+        (
+            "left out of the whole list",
+            false,
+            vec![(23 * S, To(T::List { full: true, entries: vec![] }))],
+            Some(23 * S),
+        ),
+        (
+            "told that it is ready again",
+            false,
+            vec![(23 * S, To(off(Stage::Gone))), (24 * S, To(off(Stage::Ready)))],
+            None,
+        ),
+        ("watching, and not told", false, vec![], None),
+        ("without a watch since 5 s", false, vec![(5 * S, From(F::Unwatch))], Some(30 * S)),
+        ("without a watch since 22 s", false, vec![(22 * S, From(F::Unwatch))], Some(32 * S)),
+        ("a watch broken at 5 s", false, vec![(5 * S, To(T::ListFailed))], Some(60 * S)),
+        ("asked in time", false, vec![(25 * S, From(F::Unwatch)), (34 * S, From(F::Watch))], None),
+        ("on sockets, watching", true, vec![], Some(26 * S)),
+        ("on sockets, SIGHUP", true, vec![(21 * S, To(T::Reload { moved: true }))], Some(25 * S)),
+        (
+            "on sockets, started",
+            true,
+            vec![
+                (23 * S, To(T::Kill)),
+                (24 * S, To(T::Start { seed: 2, known: vec![listed(NODE, Stage::Ready, None)] })),
+            ],
+            Some(30 * S),
+        ),
+    ];
+    for (name, sockets, facts, told) in cases {
+        let mut legal = History::default();
+        started(&mut legal, 0);
+        legal.add(20 * S, Other(Seen::Listed(listed(NODE, Stage::Draining, None))));
+        facts.into_iter().for_each(|(at, fact)| legal.add(at, fact));
+        let grace = judging(sockets).drain_grace;
+        let last = told.map_or(90 * S, |told| told + grace);
+        send(&mut legal, 1, last, NODE);
+        let verdict = legal.judge(judging(sockets));
+        assert!(verdict.clean(), "{name}: {:#?}", verdict.lines().collect::<Vec<_>>());
+        if told.is_some() {
+            send(&mut legal, 2, last + 1, NODE);
+            assert_eq!(reasons(&legal.judge(judging(sockets))), [(Reason::SentToDraining, 1)], "{name}");
+        }
+    }
+}
+
+/// Failure: balancers overrun a node that has just started. Promise: within the budget nothing is said; over it, it is
+/// a break of who sent the most once, if two thirds came from balancers that knew, and else only counted.
+#[test]
+fn a_cold_node_pushed_over_is_a_break_if_most_of_it_was_sent_knowingly() {
+    // Able to do 1 a second, it bears 3 * 1.5 = 4.5, and 3 * sqrt(4.5) + 3 = 9.4 more for chance.
+    let most = 13;
+    let push = |sent: u64, knowing: u64, over: Micros| {
+        let mut history = History::default();
+        started(&mut history, 0);
+        history.add(10 * S, Other(Seen::Node(NODE, Health::Started)));
+        for i in 0..sent {
+            if i + knowing == sent {
+                let entries = vec![listed(NODE, Stage::Ready, Some(10 * S))];
+                history.add(15 * S, To(T::List { full: false, entries }));
+            }
+            let at = 15 * S + i * over / sent;
+            send(&mut history, i + 1, at, NODE);
+            let (by, link, node) = (B, LinkId(i + 1), NODE);
+            history.add(at, Other(Seen::Reached { by, link, node, weight: 1.0, cold: Some(1.0) }));
+        }
+        history.judge(judging(false))
+    };
+    assert!(push(most, most, 0).clean());
+    assert!(push(3 * most, 3 * most, 6 * S).clean(), "spread over longer than the window");
+    let verdict = push(3 * most, 3 * most, S);
+    assert_eq!(reasons(&verdict), [(Reason::PushedOver, 1)]);
+    assert!(verdict.breaks[0].trace.iter().any(|s| s.what == "it starts"), "{:?}", verdict.breaks);
+    let unknowing = push(most + 1, 9, 0);
+    assert!(unknowing.clean() && unknowing.excused[&Excuse::PushedOverUnknowing] == 1, "{unknowing:?}");
+    assert_eq!(reasons(&push(most + 1, 10, 0)), [(Reason::PushedOver, 1)]);
+}
+
+/// Failure: the ways in which a process ends with clients on it. Promise: a planned end must leave nobody behind or
+/// cut off, a kill is nobody's fault, and an end that nobody ordered is one break and not one for each client.
+#[test]
+fn the_end_of_a_process_is_judged_by_how_it_came() {
+    let end = |facts: &[(Micros, Fact)]| {
+        let mut history = History::default();
+        started(&mut history, 0);
+        (1..=3).for_each(|conn| stand(&mut history, conn, S));
+        facts.iter().for_each(|(at, fact)| history.add(*at, fact.clone()));
+        reasons(&history.judge(judging(false)))
+    };
+    let term = (10 * S, To(T::Terminate));
+    let kill = (14 * S, To(T::Kill));
+    let moved = |conn, at| {
+        [(at, From(F::Answer(ConnId(conn), Answer::Move))), (at, From(F::EndClient(ConnId(conn), End::Fin)))]
+    };
+    let cut = (11 * S, From(F::EndClient(ConnId(1), End::Reset)));
+    let all: Vec<(Micros, Fact)> = (1..=3).flat_map(|conn| moved(conn, 11 * S)).collect();
+    assert_eq!(end(std::slice::from_ref(&kill)), []);
+    assert_eq!(end(&[term.clone(), kill.clone()]), [(Reason::HeldAtKill, 3)]);
+    assert_eq!(end(&[&[term.clone()], &all[..], &[(12 * S, From(F::Exited))]].concat()), []);
+    assert_eq!(end(&[&[term.clone()], &all[..4], &[kill.clone()]].concat()), [(Reason::HeldAtKill, 1)]);
+    assert_eq!(
+        end(&[&[term.clone(), cut.clone()], &all[2..], &[kill.clone()]].concat()),
+        [(Reason::CutOffAtRestart, 1)]
+    );
+    assert_eq!(end(&[term.clone(), (12 * S, From(F::Exited)), kill]), [(Reason::CutOffAtRestart, 3)]);
+    assert_eq!(end(&[(12 * S, From(F::Exited))]), [(Reason::Exited, 1)]);
+}
+
+/// Failure: the exceptions swallow too much, or too little. Promise: on the platform's hard days an unanswered or
+/// unsent request is only counted; one that was sent on and cut off stays a loss, and so does a served bad client.
+#[test]
+fn what_hard_days_excuse_is_counted_and_nothing_else_is_excused() {
+    let mut history = History::default();
+    started(&mut history, 0);
+    ask(1, S, &mut history);
+    history.add(S + 3 * S + 100 * MS, From(F::Answer(ConnId(1), Answer::Err)));
+    ask(2, S, &mut history);
+    history.add(2 * S, From(F::EndClient(ConnId(2), End::Fin)));
+    ask(3, S, &mut history);
+    history.add(S, From(F::Link { link: LinkId(3), node: NODE, conn: Some(ConnId(3)) }));
+    history.add(2 * S, From(F::EndClient(ConnId(3), End::Fin)));
+    history.add(S, Other(Seen::Bad(B, ConnId(4))));
+    history.add(2 * S, From(F::Answer(ConnId(4), Answer::Forged)));
+    history.add(S, Other(Seen::Bad(B, ConnId(5))));
+    history.add(2 * S, From(F::EndClient(ConnId(5), End::Reset)));
+    stand(&mut history, 6, S);
+    history.add(20 * S, Other(Seen::Node(NODE, Health::Silent)));
+    history.add(22 * S, From(F::EndClient(ConnId(6), End::Fin)));
+    history.add(23 * S, From(F::Link { link: LinkId(9), node: NodeId(2), conn: Some(ConnId(77)) }));
+    history.add(23 * S, From(F::Syntax(NODE)));
+    let day = crate::places::tests::day(3, &[0, 0]);
+    let verdict = history.judge(Judging::sockets(&day));
+    let breaks = [Reason::EndedUnanswered, Reason::ServedBad, Reason::SentAfterEnd, Reason::Syntax];
+    assert_eq!(reasons(&verdict), breaks.map(|r| (r, 1)));
+    let excused: Vec<(Excuse, u64)> = verdict.excused.into_iter().collect();
+    assert_eq!(excused, [(Excuse::Overdue, 1), (Excuse::ClosedUnsent, 1), (Excuse::ServerSilent, 1)]);
+}
+
+/// Failure: memory grows with the length of a run. Promise: connections that are over are let go of, and of many
+/// breaks only the first keep their traces.
+#[test]
+fn what_is_over_is_forgotten_and_traces_are_bounded() {
+    let mut auditor = Auditor::new(&crate::places::tests::day(3, &[0, 0]), judging(false));
+    for conn in 0..20_000 {
+        let at = conn * 10 * MS;
+        let mut history = History::default();
+        ask(conn, at, &mut history);
+        history.add(at, From(F::EndClient(ConnId(conn), End::Fin)));
+        for (at, fact) in &history.0 {
+            match fact {
+                To(to) => auditor.see(*at, Seen::To(B, to)),
+                From(from) => auditor.see(*at, Seen::From(B, from)),
+                Other(seen) => auditor.see(*at, *seen),
+            }
+        }
+        assert!(auditor.remembered() <= 1_100, "{}", auditor.remembered());
+    }
+    let verdict = auditor.finish(400 * S);
+    assert_eq!(reasons(&verdict), [(Reason::EndedUnanswered, 20_000)]);
+    assert!(verdict.breaks.len() < 100);
+}
