--- a/crates/emulator/src/audit/judging.rs
+++ b/crates/emulator/src/audit/judging.rs
@@ -13,8 +13,6 @@
 const HELD: Micros = 1_000_000;
 /// A connection that returns nothing from a running server may be kept so long.
 const SILENT: Micros = 7_000_000;
-/// The slack of the cold node's budget, as a share of it, for chance.
-const FALL_SLACK: f64 = 0.05;
 
 /// The figures that an [`super::Auditor`] goes by. All times are microseconds.
 #[derive(Clone, Debug, PartialEq)]
@@ -27,8 +25,6 @@
     pub overlap: Micros,
     /// Attempts of one request.
     pub max_attempts: u32,
-    /// A link that never came up is an attempt too (in virtual time the decision to send is what counts).
-    pub links_count: bool,
     /// Sends to a node are a break so long after its end was told.
     pub drain_grace: Micros,
     /// A balancer that watches nothing and has not asked for so long counts as told of what was listed that long ago.
@@ -39,10 +35,8 @@
     pub told_after_reload: Option<Micros>,
     /// A cold node falls when sent over so many times what it can do ...
     pub fall_multiple: f64,
-    /// ... over any window of this length ...
+    /// ... over any window of this length.
     pub fall_for: Micros,
-    /// ... with so much slack, as a share.
-    pub fall_slack: f64,
     /// The longest that a line may be held, and that a connection may outlive its server's end.
     pub held: Micros,
     /// The longest that a connection may be kept that returns nothing.
@@ -63,14 +57,12 @@
             learn: 0,
             overlap: 0,
             max_attempts: day.limits.max_attempts,
-            links_count: true,
             drain_grace: day.rules.drain_grace,
             ask_within: day.rules.ask_within,
             told_after: None,
             told_after_reload: None,
             fall_multiple: day.rules.fall_multiple,
             fall_for: day.rules.fall_for,
-            fall_slack: FALL_SLACK,
             held: HELD,
             silent: SILENT,
             lines: false,
@@ -93,7 +85,6 @@
             answer_slack: rules.answer_slack + SOCKETS_EXTRA,
             learn: SOCKETS_EXTRA,
             overlap: SOCKETS_EXTRA,
-            links_count: false,
             drain_grace: rules.drain_grace + SOCKETS_EXTRA,
             told_after: Some(TOLD_AFTER),
             told_after_reload: Some(TOLD_AFTER_RELOAD),
--- a/crates/emulator/src/places/mod.rs
+++ b/crates/emulator/src/places/mod.rs
@@ -13,4 +13,4 @@
 pub use network::Network;
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
