--- a/crates/emulator/src/world/balancers.rs
+++ b/crates/emulator/src/world/balancers.rs
@@ -22,9 +22,9 @@
                 }
             }
             FromBalancer::Link { link, node, conn } => self.links_to(balancer, link, node, conn, ear),
-            FromBalancer::EndLink(link, end) => {
+            FromBalancer::EndLink(link, _) => {
                 if let Some(id) = self.links.of(balancer, link) {
-                    self.balancer_ends(id, end);
+                    self.balancer_ends(id);
                 }
             }
             FromBalancer::Watch => self.discovery.watch(self.now, balancer),
@@ -136,7 +136,7 @@
         self.queue.push(l.last_at_node, Event::Node(id, what));
     }
 
-    fn balancer_ends(&mut self, id: LinkId, end: End) {
+    fn balancer_ends(&mut self, id: LinkId) {
         let Some(l) = self.links.get_mut(id) else { return };
         if std::mem::replace(&mut l.left, true) {
             return;
@@ -147,7 +147,7 @@
             return;
         }
         let leg = self.leg(b, node);
-        self.to_node(id, self.now + leg, AtNode::Ended(end));
+        self.to_node(id, self.now + leg, AtNode::Ended);
     }
 
     /// A link is over at both ends.
@@ -222,7 +222,6 @@
             }
             BalancerTurn::Reload { moved } => {
                 if self.balancers[b.0 as usize].up {
-                    ear.fact(self.now, Seen::Reload(b));
                     ear.to(self.now, b, ToBalancer::Reload { moved });
                 }
             }
@@ -258,7 +257,7 @@
             self.to_client(conn, Word::Ended(End::Reset));
         }
         let links: Vec<LinkId> = self.links.iter().filter(|(_, l)| l.balancer == b).map(|(id, _)| id).collect();
-        links.into_iter().for_each(|id| self.balancer_ends(id, End::Reset));
+        links.into_iter().for_each(|id| self.balancer_ends(id));
         self.pairs.broke(Some(b), None);
     }
 }
--- a/crates/emulator/src/world/mod.rs
+++ b/crates/emulator/src/world/mod.rs
@@ -58,7 +58,7 @@
 enum AtNode {
     First,
     Probe,
-    Ended(End),
+    Ended,
 }
 
 /// What reaches a balancer on a link.
--- a/crates/emulator/src/world/nodes.rs
+++ b/crates/emulator/src/world/nodes.rs
@@ -104,7 +104,7 @@
         let Some(l) = self.links.get(id).copied() else { return };
         let node = l.node;
         match what {
-            AtNode::Ended(_) => {
+            AtNode::Ended => {
                 if l.at != At::Coming {
                     self.node_hears(node, NodeIn::Close { link: id }, ear);
                 }
--- a/crates/lab/src/instances/peers.rs
+++ b/crates/lab/src/instances/peers.rs
@@ -67,7 +67,6 @@
     link: LinkId,
     server: ServerId,
     up_line: bool,
-    until: Micros,
     last: Option<NodeWord>,
 }
 
@@ -157,7 +156,7 @@
             match due {
                 Due::Module(token) => self.tell(Happening::Woken(token)),
                 Due::Connect(id, link) => {
-                    if self.fetch(id, link).is_some_and(|f| !f.up_line) {
+                    if self.fetch_on(id, link).is_some_and(|f| !f.up_line) {
                         self.fetch_over(id, Outcome::ConnectFailed);
                     }
                 }
@@ -224,7 +223,7 @@
         self.timers.push(Reverse((when, self.serial, due)));
     }
 
-    fn fetch(&self, id: RequestId, link: LinkId) -> Option<Fetch> {
+    fn fetch_on(&self, id: RequestId, link: LinkId) -> Option<Fetch> {
         self.sessions.get(&id).and_then(|s| s.fetch).filter(|f| f.link == link)
     }
 
@@ -270,7 +269,7 @@
         self.next_link += 1;
         let until = self.now + patience;
         if let Some(s) = self.sessions.get_mut(&id) {
-            s.fetch = Some(Fetch { link, server, up_line: false, until, last: None });
+            s.fetch = Some(Fetch { link, server, up_line: false, last: None });
         }
         self.by_link.insert(link, id);
         self.did.push(FromBalancer::Link { link, node, conn: Some(conn) });
@@ -326,7 +325,7 @@
     }
 
     fn patience_due(&mut self, id: RequestId, link: LinkId) {
-        let Some(f) = self.fetch(id, link) else { return };
+        let Some(f) = self.fetch_on(id, link) else { return };
         match self.sessions.get(&id).map(|s| s.at) {
             Some(At::Waiting) if f.up_line => self.fetch_over(id, Outcome::TimedOut),
             Some(At::Waiting) => self.fetch_over(id, Outcome::NotSent),
