--- a/crates/emulator/src/day.rs
+++ b/crates/emulator/src/day.rs
@@ -36,7 +36,11 @@
 fn micros(x: f64, unit: f64) -> Result<Micros, String> {
     let us = x * unit;
     // A year is more than any day or figure needs, and keeps sums far from their end.
-    if (0.0..3.2e13).contains(&us) { Ok(us.round() as Micros) } else { Err(format!("{x} is no length of time")) }
+    if (0.0..3.2e13).contains(&us) {
+        Ok(us.round() as Micros)
+    } else {
+        Err(format!("{x} is no length of time"))
+    }
 }
 
 /// All figures of one run.
@@ -321,7 +325,7 @@
     pub bursty: f64,
     /// Work piled up, in seconds, at which a node begins to drop.
     pub buffer_s: f64,
-    /// Share of a node's capacity that set-ups at the usual rate take.
+    /// Of the swing of the day's shape, the part (as an exponent) that comes by numbers of clients; the rest by their loads.
     pub by_joins: f64,
     /// Whom it drops.
     pub sheds: Sheds,
