--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,9 +6,13 @@
 mod files;
 pub mod import;
 mod log;
+pub mod page;
+mod plots;
+pub mod record;
 pub mod scenario;
 pub mod stats;
 mod style;
+mod tables;
 
 use std::process::ExitCode;
 
@@ -26,6 +30,7 @@
         Command::Import(args) => files::import(args),
         Command::Check(args) => files::check(args, &style),
         Command::Show(args) => files::show(args),
+        Command::Report(args) => page::report(args),
         _ => Err(Failure::Input("not yet".into())),
     });
     if let Err(e) = &ended {
