--- a/crates/emulator/src/day.rs
+++ b/crates/emulator/src/day.rs
@@ -353,9 +353,9 @@
     pub name: String,
     /// Cores.
     pub cores: u32,
-    /// Set-ups in work at once.
+    /// Set-ups in work at once, as a site file states it; nodes here work on half their cores' number.
     pub slots: u32,
-    /// Set-ups that wait.
+    /// Set-ups that wait, in the site file's count; four times as many do.
     pub queue: u32,
     /// Loss of efficiency when crowded.
     pub thrash: f64,
@@ -366,7 +366,7 @@
     /// Warm after this.
     #[serde(rename = "cold_s", with = "in_s")]
     pub cold: Micros,
-    /// It pauses this often on average; 0 for never.
+    /// It pauses each time it has done so much work (core time on a standard core); 0 for never.
     #[serde(rename = "pause_every_s", with = "in_s")]
     pub pause_every: Micros,
     /// Length of a pause.
@@ -436,7 +436,7 @@
     /// Work of a probe on a core of speed 1.
     #[serde(rename = "probe_work_ms", with = "in_ms")]
     pub probe_work: Micros,
-    /// Probes a second that a node takes for each of its cores; 0 for any number.
+    /// Probes that a node has in hand at once, for each of its cores; 0 for any number.
     #[serde(default)]
     pub probe_cap_per_core: f64,
     /// A probe that is not answered by then has failed.
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod day;
 pub mod edge;
+pub mod node;
 pub mod people;
 pub mod score;
 
