--- a/crates/emulator/src/node/standing.rs
+++ b/crates/emulator/src/node/standing.rs
@@ -150,3 +150,17 @@
         one
     }
 }
+
+#[cfg(test)]
+impl Standing {
+    /// The sums are those of what stands.
+    pub fn sums_are_right(&self) -> bool {
+        let load: f64 = self.all.values().map(|one| one.load).sum();
+        let mut groups = BTreeMap::new();
+        self.all
+            .values()
+            .filter(|one| one.group != 0)
+            .for_each(|one| *groups.entry(one.group).or_default() += 1);
+        (load - self.load).abs() < 1e-9 * load.max(1.0) && groups == self.groups
+    }
+}
