--- a/crates/emulator/src/day.rs
+++ b/crates/emulator/src/day.rs
@@ -366,7 +366,7 @@
     /// Warm after this.
     #[serde(rename = "cold_s", with = "in_s")]
     pub cold: Micros,
-    /// It pauses each time it has done so much work (core time on a standard core); 0 for never.
+    /// It pauses each time its cores have been busy for so long, all cores together; 0 for never.
     #[serde(rename = "pause_every_s", with = "in_s")]
     pub pause_every: Micros,
     /// Length of a pause.
--- a/crates/emulator/src/node/mod.rs
+++ b/crates/emulator/src/node/mod.rs
@@ -182,7 +182,7 @@
     probe_cap: usize,
     error_rate: f64,
     attempt: Option<Gamma<f64>>,
-    /// Core seconds between pauses, and a pause's length in seconds.
+    /// Busy core seconds between pauses, and a pause's length in seconds.
     pauses: Option<(f64, f64)>,
     resets: Vec<(Micros, Micros)>,
     tells_load: bool,
--- a/crates/emulator/src/node/work.rs
+++ b/crates/emulator/src/node/work.rs
@@ -141,11 +141,11 @@
         self.set_ups.set_pace(now, self.lane(now));
     }
 
-    /// Work is put off for the length of a pause each time so much work has been done. It shows from the step on that
+    /// Work is put off for the length of a pause each time cores have been busy for so long. It shows from the step on that
     /// the pause falls into, but not in what that step tells of messages.
     fn pauses(&mut self, long: f64) {
         let Some((every, length)) = self.pauses else { return };
-        self.worked += (self.stood + self.lanes) * self.capacity(self.stepped) * long;
+        self.worked += (self.stood + self.lanes).min(1.0) * self.cores * long;
         if self.worked >= every {
             self.worked = 0.0;
             self.pile = (self.pile + length).min(self.buffer.max(length));
