--- /dev/null
+++ b/crates/lab/src/mutants/mod.rs
@@ -0,0 +1,331 @@
+//! Balancers that break one rule each, on purpose: what shows that the auditor catches it, and with which reason.
+//!
+//! A mutant stands round a sound instance. It keeps words from it, puts words in its mouth or adds some of its own, and
+//! lets everything else pass, so that whatever else is found on a run is a false alarm. What only sockets can show (held
+//! or changed lines, `MOVE` within a line, first lines that no client wrote) has no mutant here.
+
+mod acts;
+mod tracks;
+
+use shorewharf_emulator::Micros;
+use shorewharf_emulator::audit::Reason;
+use shorewharf_emulator::day::Day;
+use shorewharf_emulator::edge::{Answer, Ask, BalancerId, ConnId, End, FromBalancer, LinkId, NodeId, ToBalancer};
+use shorewharf_emulator::virtual_time::{Host, Instance, Truth};
+
+use acts::{Act, Acts};
+use tracks::Tracks;
+
+/// Every so many-th connection is struck, where a fault strikes single ones.
+const STRIKES: u64 = 5;
+/// Links of a mutant's own are numbered from here on, above those of any instance.
+const OWN_LINKS: u64 = 1 << 60;
+/// The time between an act of a mutant's own and the next one.
+const STEP: Micros = 5_000;
+/// A connection stands this long before it is mistreated.
+const STOOD: Micros = 2_000_000;
+/// A node whose start was told draws everything to it for so long.
+const OVERRUN: Micros = 4_000_000;
+/// When the one that exits does so.
+const EXITS: Micros = 20_000_000;
+
+/// What a mutant does wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Wrong {
+    /// It never answers some clients.
+    Mute,
+    /// It answers some clients after their time.
+    Late,
+    /// It closes some connections without an answer.
+    HangsUp,
+    /// It says `UP` where no node did.
+    Forges,
+    /// It answers some clients twice.
+    AnswersTwice,
+    /// It sends some requests to two nodes at once.
+    TwoAtOnce,
+    /// It tries more often than allowed.
+    NeverGivesUp,
+    /// It sends some requests on that it has refused.
+    SendsAfterEnd,
+    /// It believes no news of a drain or an end.
+    IgnoresDrains,
+    /// It sends everything to a node of whose start it was told.
+    OverrunsStarts,
+    /// It cuts some clients off.
+    CutsOff,
+    /// It keeps some clients whose server has ended the connection.
+    KeepsEnded,
+    /// It ends its own link and keeps the client.
+    KeepsSevered,
+    /// It never notices that a connection returns nothing.
+    KeepsSilent,
+    /// It takes no notice of SIGTERM.
+    IgnoresTerm,
+    /// It cuts everybody off at SIGTERM.
+    CutsOffAtTerm,
+    /// It ends by itself.
+    Exits,
+}
+
+impl Wrong {
+    /// All of them.
+    pub const ALL: &[Wrong] = &[
+        Wrong::Mute,
+        Wrong::Late,
+        Wrong::HangsUp,
+        Wrong::Forges,
+        Wrong::AnswersTwice,
+        Wrong::TwoAtOnce,
+        Wrong::NeverGivesUp,
+        Wrong::SendsAfterEnd,
+        Wrong::IgnoresDrains,
+        Wrong::OverrunsStarts,
+        Wrong::CutsOff,
+        Wrong::KeepsEnded,
+        Wrong::KeepsSevered,
+        Wrong::KeepsSilent,
+        Wrong::IgnoresTerm,
+        Wrong::CutsOffAtTerm,
+        Wrong::Exits,
+    ];
+
+    /// The reasons for which it is to be caught. A late answer crosses with the end of a client that has waited long
+    /// enough; then it is none.
+    pub fn caught_for(self) -> &'static [Reason] {
+        match self {
+            Wrong::Mute => &[Reason::NoAnswer],
+            Wrong::Late => &[Reason::NoAnswer, Reason::LateAnswer],
+            Wrong::HangsUp => &[Reason::EndedUnanswered],
+            Wrong::Forges => &[Reason::Forged],
+            Wrong::AnswersTwice => &[Reason::SecondAnswer],
+            Wrong::TwoAtOnce => &[Reason::SecondCopy],
+            Wrong::NeverGivesUp => &[Reason::TooManyAttempts],
+            Wrong::SendsAfterEnd => &[Reason::SentAfterEnd],
+            Wrong::IgnoresDrains => &[Reason::SentToDraining],
+            Wrong::OverrunsStarts => &[Reason::PushedOver],
+            Wrong::CutsOff => &[Reason::CutOff],
+            Wrong::KeepsEnded => &[Reason::EndedKept],
+            Wrong::KeepsSevered => &[Reason::SeveredKept],
+            Wrong::KeepsSilent => &[Reason::SilentKept],
+            Wrong::IgnoresTerm => &[Reason::HeldAtKill],
+            Wrong::CutsOffAtTerm => &[Reason::CutOffAtRestart],
+            Wrong::Exits => &[Reason::Exited],
+        }
+    }
+}
+
+/// Hosts mutants round the instances of another host.
+pub struct Mutants<H> {
+    sound: H,
+    wrong: Wrong,
+}
+
+impl<H: Host> Mutants<H> {
+    /// Balancers of `sound` that do this wrong.
+    pub fn new(sound: H, wrong: Wrong) -> Self {
+        Mutants { sound, wrong }
+    }
+}
+
+impl<H: Host> Host for Mutants<H> {
+    fn instance(&self, day: &Day, id: BalancerId, settings: &str) -> Box<dyn Instance> {
+        Box::new(Mutant {
+            sound: self.sound.instance(day, id, settings),
+            wrong: self.wrong,
+            most: u64::from(day.limits.max_attempts),
+            late: day.rules.answer_slack + 1,
+            acts: Acts::new(OWN_LINKS + (u64::from(id.0) << 40)),
+            tracks: Tracks::default(),
+            silenced: false,
+            due: None,
+        })
+    }
+
+    fn wants_truth(&self) -> bool {
+        self.sound.wants_truth()
+    }
+
+    fn truth(&self, now: Micros, nodes: &[Truth]) {
+        self.sound.truth(now, nodes);
+    }
+}
+
+struct Mutant {
+    sound: Box<dyn Instance>,
+    wrong: Wrong,
+    /// Attempts that are allowed.
+    most: u64,
+    /// So long after the deadline an answer is late.
+    late: Micros,
+    acts: Acts,
+    tracks: Tracks,
+    /// It has exited and does nothing until it starts again.
+    silenced: bool,
+    /// Its own exit.
+    due: Option<Micros>,
+}
+
+impl Instance for Mutant {
+    fn turn(&mut self, now: Micros, came: &[ToBalancer], out: &mut Vec<FromBalancer>) {
+        let mut heard = Vec::with_capacity(came.len());
+        for word in came {
+            self.hears(now, word, &mut heard, out);
+        }
+        self.acts.due(now, out, &mut heard);
+        let mut said = Vec::new();
+        self.sound.turn(now, &heard, &mut said);
+        for word in said {
+            self.says(now, word, out);
+        }
+        // What the instance was made to say may have set off more.
+        let mut more = Vec::new();
+        self.acts.due(now, out, &mut more);
+        if !more.is_empty() {
+            self.sound.turn(now, &more, out);
+        }
+        if self.due.is_some_and(|due| due <= now) {
+            (self.due, self.silenced) = (None, true);
+            out.push(FromBalancer::Exited);
+        }
+    }
+
+    fn next_due(&self) -> Option<Micros> {
+        let sound = self.sound.next_due().filter(|_| !self.silenced);
+        [sound, self.acts.next_due(), self.due].into_iter().flatten().min()
+    }
+}
+
+impl Mutant {
+    /// A word comes: hands on what the instance may hear.
+    fn hears(&mut self, now: Micros, word: &ToBalancer, heard: &mut Vec<ToBalancer>, out: &mut Vec<FromBalancer>) {
+        match word {
+            ToBalancer::Start { known, .. } => {
+                self.silenced = false;
+                self.tracks.started(known);
+                if self.wrong == Wrong::Exits && now < EXITS {
+                    self.due = Some(EXITS);
+                }
+            }
+            ToBalancer::Kill => {
+                self.acts.clear();
+                self.tracks.clear();
+            }
+            _ => {}
+        }
+        if let ToBalancer::Asked { ask, left } = word {
+            // What stands from before the run is left alone.
+            if ask.conn.0 % STRIKES == 2 && ask.home.is_none() {
+                self.tracks.strikes(ask.conn, now + left + self.late);
+                if self.mistreats(now, ask, out) {
+                    return;
+                }
+            }
+        }
+        let pass = match (self.wrong, word) {
+            (Wrong::IgnoresDrains, ToBalancer::List { full, entries }) => {
+                let entries = self.tracks.all_ready(*full, entries);
+                heard.push(ToBalancer::List { full: *full, entries });
+                false
+            }
+            (Wrong::OverrunsStarts, ToBalancer::List { entries, .. }) => {
+                self.tracks.starts(now + OVERRUN, entries);
+                true
+            }
+            (Wrong::KeepsEnded, ToBalancer::NodeEnded(link, _)) => {
+                self.tracks.stands(*link).is_none_or(|conn| self.tracks.struck(conn).is_none())
+            }
+            (Wrong::KeepsSilent, ToBalancer::ClientLine(_)) | (Wrong::IgnoresTerm, ToBalancer::Terminate) => false,
+            (Wrong::CutsOffAtTerm, ToBalancer::Terminate) => {
+                for conn in self.tracks.standing() {
+                    self.cuts_off(now, conn);
+                }
+                true
+            }
+            (_, ToBalancer::NodeSays(link, _) | ToBalancer::NodeEnded(link, _)) => !self.acts.owns(*link),
+            (_, ToBalancer::LinkUp(link) | ToBalancer::LinkFailed(link)) => !self.acts.owns(*link),
+            _ => true,
+        };
+        if let ToBalancer::ClientEnded(conn, _) = word {
+            self.tracks.over(*conn);
+        }
+        if pass {
+            heard.push(word.clone());
+        }
+    }
+
+    /// Deals with a request by itself, so that the instance never hears of it; false if this is not its way.
+    fn mistreats(&mut self, now: Micros, ask: &Ask, out: &mut Vec<FromBalancer>) -> bool {
+        let conn = ask.conn;
+        match self.wrong {
+            Wrong::HangsUp => out.push(FromBalancer::EndClient(conn, End::Fin)),
+            Wrong::Forges => out.push(FromBalancer::Answer(conn, Answer::Forged)),
+            Wrong::SendsAfterEnd => {
+                out.push(FromBalancer::Answer(conn, Answer::Busy(0)));
+                self.acts.tries(now + STEP, conn, self.tracks.some_node(conn), STEP);
+            }
+            Wrong::NeverGivesUp => {
+                for i in 0..=self.most {
+                    self.acts.tries(now + 2 * i * STEP, conn, self.tracks.some_node(conn), STEP);
+                }
+                let refuses = FromBalancer::Answer(conn, Answer::Busy(0));
+                self.acts.at(now + 2 * (self.most + 1) * STEP, Act::Does(refuses));
+            }
+            _ => return false,
+        }
+        true
+    }
+
+    fn cuts_off(&mut self, now: Micros, conn: ConnId) {
+        self.acts.at(now, Act::Does(FromBalancer::EndClient(conn, End::Fin)));
+        self.acts.at(now, Act::Hears(ToBalancer::ClientEnded(conn, End::Fin)));
+    }
+
+    /// The instance says something: lets it out, or what is made of it.
+    fn says(&mut self, now: Micros, word: FromBalancer, out: &mut Vec<FromBalancer>) {
+        if self.silenced {
+            return;
+        }
+        if let FromBalancer::Answer(conn, Answer::Up(link)) = word {
+            self.tracks.up(conn, link);
+        }
+        let about = match word {
+            FromBalancer::Answer(conn, _) | FromBalancer::EndClient(conn, _) => Some(conn),
+            FromBalancer::Link { conn, .. } => conn,
+            _ => None,
+        };
+        let word = match (self.wrong, word) {
+            (Wrong::OverrunsStarts, FromBalancer::Link { link, conn: Some(conn), node }) => {
+                let node = self.tracks.overrun(now).unwrap_or(node);
+                FromBalancer::Link { link, node, conn: Some(conn) }
+            }
+            _ => word,
+        };
+        let Some(late) = about.and_then(|conn| self.tracks.struck(conn)) else { return out.push(word) };
+        match (self.wrong, word) {
+            (Wrong::Mute, FromBalancer::Answer(..) | FromBalancer::EndClient(..)) => {}
+            (Wrong::Late, FromBalancer::Answer(..) | FromBalancer::EndClient(..)) if late > now => {
+                self.acts.at(late, Act::Does(word));
+            }
+            (Wrong::AnswersTwice, FromBalancer::Answer(conn, Answer::Up(_))) => {
+                out.push(word);
+                self.acts.at(now + STOOD, Act::Does(FromBalancer::Answer(conn, Answer::Err)));
+                self.acts.at(now + STOOD, Act::Hears(ToBalancer::ClientEnded(conn, End::Fin)));
+            }
+            (Wrong::TwoAtOnce, FromBalancer::Link { node, conn: Some(conn), .. }) => {
+                out.push(word);
+                let other = self.tracks.other_than(node);
+                self.acts.tries(now, conn, other, STEP);
+            }
+            (Wrong::CutsOff, FromBalancer::Answer(conn, Answer::Up(_))) => {
+                out.push(word);
+                self.cuts_off(now + STOOD, conn);
+            }
+            (Wrong::KeepsSevered, FromBalancer::Answer(conn, Answer::Up(link))) => {
+                out.push(word);
+                self.acts.at(now + STOOD, Act::Does(FromBalancer::EndLink(link, End::Fin)));
+            }
+            _ => out.push(word),
+        }
+    }
+}
