--- a/crates/emulator/src/day.rs
+++ b/crates/emulator/src/day.rs
@@ -330,7 +330,7 @@
     pub bursty: f64,
     /// Work piled up, in seconds, at which a node begins to drop.
     pub buffer_s: f64,
-    /// Share of a node's capacity that set-ups at the usual rate take.
+    /// Of the swing of the day's shape, the part (as an exponent) that comes by numbers of clients; the rest by their loads.
     pub by_joins: f64,
     /// Whom it drops.
     pub sheds: Sheds,
@@ -441,6 +441,9 @@
     /// Work of a probe on a core of speed 1.
     #[serde(rename = "probe_work_ms", with = "in_ms")]
     pub probe_work: Micros,
+    /// Probes a second that a node takes for each of its cores; 0 for any number.
+    #[serde(default)]
+    pub probe_cap_per_core: f64,
     /// A probe that is not answered by then has failed.
     #[serde(rename = "probe_timeout_ms", with = "in_ms")]
     pub probe_timeout: Micros,
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -8,8 +8,13 @@
 pub mod audit;
 pub mod day;
 pub mod edge;
+pub mod node;
+pub mod people;
 pub mod places;
+pub mod score;
 pub mod sockets;
+pub mod virtual_time;
+pub mod world;
 
 /// Whole microseconds since the day's start.
 pub type Micros = shorewharf_protocol::Micros;
