--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -5,8 +5,16 @@
 //! plays the other side must not share the faults of the side it tests, so this package uses `protocol` and nothing
 //! of the balancer.
 
+pub mod audit;
 pub mod day;
 pub mod edge;
+pub mod node;
+pub mod people;
+pub mod places;
+pub mod score;
+pub mod sockets;
+pub mod virtual_time;
+pub mod world;
 
 /// Whole microseconds since the day's start.
 pub type Micros = shorewharf_protocol::Micros;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,16 +2,22 @@
 //! experiment on them.
 
 pub mod cli;
+mod compare;
 pub mod error;
+mod fidelity;
 mod files;
 pub mod import;
+pub mod instances;
 mod log;
 pub mod page;
 mod plots;
 pub mod record;
+mod run;
+pub mod runner;
 pub mod scenario;
 pub mod stats;
 mod style;
+mod sweep;
 mod tables;
 
 use std::process::ExitCode;
@@ -31,6 +37,10 @@
         Command::Check(args) => files::check(args, &style),
         Command::Show(args) => files::show(args),
         Command::Report(args) => page::report(args),
+        Command::Run(args) => run::run(args, &style),
+        Command::Sweep(args) => sweep::sweep(args, &style),
+        Command::Compare(args) => compare::compare(args, &style),
+        Command::Fidelity(args) => fidelity::fidelity(args, &style),
         _ => Err(Failure::Input("not yet".into())),
     });
     if let Err(e) = &ended {
