--- a/crates/emulator/src/world/series.rs
+++ b/crates/emulator/src/world/series.rs
@@ -61,6 +61,8 @@
     pub attempts: Causes,
     /// What clients were answered by their balancers.
     pub answers: Causes,
+    /// The same by second.
+    pub refused_by: BTreeMap<&'static str, Vec<u32>>,
     /// How standing connections ended.
     pub ends: Causes,
     /// Time from a client's first line to its `UP`, over all its tries since it last stood, in microseconds.
@@ -79,6 +81,7 @@
             nodes: vec![NodeSeries::default(); day.nodes.len()],
             attempts: Causes::new(),
             answers: Causes::new(),
+            refused_by: BTreeMap::new(),
             ends: Causes::new(),
             set_up: Histogram::new_with_bounds(1, LONGEST, 3).expect("three digits and a range are in bounds"),
             waiting: HashMap::new(),
@@ -116,6 +119,12 @@
     pub fn refused(&mut self, now: Micros, cause: &'static str) {
         self.second(now).refused += 1;
         *self.answers.entry(cause).or_default() += 1;
+        let seconds = self.refused_by.entry(cause).or_default();
+        let at = (now / 1_000_000) as usize;
+        if seconds.len() <= at {
+            seconds.resize(at + 1, 0);
+        }
+        seconds[at] += 1;
     }
 
     /// A balancer sent an attempt.
