Let groups fill a node by their mean loads at the start, and count shares at steps

On filled servers of the simulator the sum of mean loads is 0.7 of capacity. Shares within a step were guessed and taken back, so that seconds could be negative; the account now grows at steps, as at the simulator.

--- a/crates/emulator/src/node/mod.rs
+++ b/crates/emulator/src/node/mod.rs
@@ -329,11 +329,11 @@
         }
     }
 
-    /// Seconds of messages in time so far, for a connection of this class that stood all along.
-    pub fn served(&self, now: Micros, class: u32) -> f64 {
-        let Some((share, sum)) = self.served.get(class as usize) else { return 0.0 };
-        // Within a step its share is not known yet; the last one stands for it.
-        sum + share * now.saturating_sub(self.stepped) as f64 / 1e6
+    /// Seconds of messages in time so far, for a connection of this class that stood all along. It grows at steps
+    /// only: who stands at a step is paid for all of it, as at the simulator. A guess within a step would have to be
+    /// taken back where the step then shows a smaller share.
+    pub fn served(&self, class: u32) -> f64 {
+        self.served.get(class as usize).map_or(0.0, |(_, sum)| *sum)
     }
 
     /// Its true state, as of the last step.
--- a/crates/emulator/src/node/tests.rs
+++ b/crates/emulator/src/node/tests.rs
@@ -112,9 +112,9 @@
     /// Share of messages in time over a stretch.
     fn share(&mut self, from: Micros, to: Micros) -> f64 {
         self.until(from);
-        let before = self.node.served(from, 0);
+        let before = self.node.served(0);
         self.until(to);
-        (self.node.served(to, 0) - before) / ((to - from) as f64 / 1e6)
+        (self.node.served(0) - before) / ((to - from) as f64 / 1e6)
     }
 }
 
@@ -376,6 +376,6 @@
     assert!(links.values().all(|(up, no, ends)| up + no <= 1 && ends + no <= 1), "a link had two ends");
     assert!(links.values().filter(|l| l.0 == 1).count() > 1000 && links.values().any(|l| l.2 == 1));
     assert!(rig.node.standing.sums_are_right());
-    let (served, all) = (rig.node.served(now, 0), now as f64 / 1e6);
+    let (served, all) = (rig.node.served(0), now as f64 / 1e6);
     assert!((0.0..=all).contains(&served), "{served} of {all} s");
 }
--- a/crates/emulator/src/people/mod.rs
+++ b/crates/emulator/src/people/mod.rs
@@ -133,7 +133,7 @@
     /// Lets those who stand when the day starts connect, at time 0. Called once, first.
     pub fn standing(&mut self, out: &mut Vec<PeopleOut>) {
         for stood in start::standing(&self.day, &self.traffic, &self.groups, &mut self.rng) {
-            let client = self.draw(0, stood.tenant, Some(stood.group));
+            let client = self.draw(0, stood.tenant, Some(&stood));
             let rest = self.traffic.rest(client.class, &mut self.rng).max(start::LEAST_REST);
             let place = self.enter(client, rest, out);
             self.connect(0, place, Some(stood.home), out);
@@ -186,18 +186,16 @@
     }
 
     /// Draws a client that comes now, or one that has stood in this group before the day.
-    fn draw(&mut self, now: Micros, tenant: u32, group: Option<u32>) -> Client {
+    fn draw(&mut self, now: Micros, tenant: u32, stood: Option<&start::Stood>) -> Client {
         let day = &self.day;
         let rng = &mut self.rng;
-        let class = match group {
-            Some(_) => self.traffic.class_standing(rng),
-            None => self.traffic.class(rng),
-        };
+        let class = stood.map_or_else(|| self.traffic.class(rng), |s| s.class);
         let within = rng.random_bool(self.traffic.within(now, tenant));
-        let mean = self.traffic.load(class, rng);
+        let mean = stood.map_or_else(|| self.traffic.load(class, rng), |s| s.mean);
+        let group = stood.map_or_else(|| self.groups.draw(rng), |s| s.group);
         Client {
             key: rng.random_range(1..=u64::MAX),
-            group: self.groups.id(group.unwrap_or_else(|| self.groups.draw(rng))),
+            group: self.groups.id(group),
             class,
             tenant,
             zone: self.traffic.zone(rng),
--- a/crates/emulator/src/people/start.rs
+++ b/crates/emulator/src/people/start.rs
@@ -1,7 +1,7 @@
 //! Who stands when the day starts, and where.
 //!
-//! A group's connections are together on one node until that holds as many as it can carry; then, and for a new
-//! group, the emptier of two nodes drawn at random takes over. So a start is neither even nor absurd.
+//! A group's connections are together on one node until that holds most of the mean load that it can carry; then, and
+//! for a new group, the emptier of two nodes drawn at random takes over. So a start is neither even nor absurd.
 
 use rand::Rng;
 
@@ -15,10 +15,18 @@
 /// Nobody's rest of a life is shorter at the start.
 pub(super) const LEAST_REST: Micros = 500_000;
 
+/// A group stays on its node until this share of the node is taken by the mean loads of what it holds. Measured: on
+/// filled servers of the simulator those sums lie within 0.69 and 0.71 of capacity, whatever the loads' spread, while
+/// counts lie within 0.62 and 0.81.
+const GROUP_STAYS: f64 = 0.7;
+
 /// A connection from before the day.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Stood {
     pub tenant: u32,
+    pub class: u32,
+    /// Its mean load, in usual loads.
+    pub mean: f64,
     /// Rank of its group.
     pub group: u32,
     /// Where it stands.
@@ -42,14 +50,16 @@
     for (tenant, share) in traffic.tenant_shares().iter().enumerate() {
         for _ in 0..(number * share).floor() as u64 {
             let group = groups.draw(rng);
-            let fits = |node: &usize| groups.len() > 0 && held[*node] + 1.0 <= capacity.of[*node];
+            let class = traffic.class_standing(rng);
+            let mean = traffic.load(class, rng);
+            let fits = |node: &usize| groups.len() > 0 && held[*node] < GROUP_STAYS * capacity.of[*node];
             let home = home_of[group as usize].filter(fits).unwrap_or_else(|| {
                 let [a, b] = [(); 2].map(|()| up[rng.random_range(0..up.len())]);
                 if held[b] / room[b] < held[a] / room[a] { b } else { a }
             });
             home_of[group as usize] = Some(home);
-            held[home] += 1.0;
-            all.push(Stood { tenant: tenant as u32, group, home: NodeId(home as u32) });
+            held[home] += mean;
+            all.push(Stood { tenant: tenant as u32, class, mean, group, home: NodeId(home as u32) });
         }
     }
     all
--- a/crates/emulator/src/world/clients.rs
+++ b/crates/emulator/src/world/clients.rs
@@ -125,7 +125,7 @@
         let crosses = self.balancers[balancer.0 as usize].zone != self.nodes[node.0 as usize].zone;
         let Some(c) = self.conns.get_mut(conn) else { return };
         c.stands = Some((node, crosses));
-        let integral = self.nodes[node.0 as usize].model.served(now, c.ask.class);
+        let integral = self.nodes[node.0 as usize].model.served(c.ask.class);
         self.score.stands(now, c.cell, node, crosses, integral);
     }
 
@@ -134,7 +134,7 @@
         let now = self.now;
         let Some(c) = self.conns.get_mut(conn) else { return };
         let Some((node, crosses)) = c.stands.take() else { return };
-        let integral = self.nodes[node.0 as usize].model.served(now, c.ask.class);
+        let integral = self.nodes[node.0 as usize].model.served(c.ask.class);
         self.score.stands_no_more(now, c.cell, node, crosses, integral);
     }
 
