--- /dev/null
+++ b/crates/emulator/src/sockets/bad.rs
@@ -0,0 +1,282 @@
+//! Clients that send what cannot be used or read, or nothing: at full speed, and they read whatever they are sent.
+//!
+//! Each is owed an error or a close in time, and must never be served.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::Serialize;
+use shorewharf_protocol::words::{Word, word};
+use thiserror::Error;
+
+use super::book::Book;
+use super::lines::Wire;
+use super::net::{Net, Ready, Role};
+use crate::Micros;
+use crate::day::{BadClients, Day};
+use crate::edge::{ConnId, End};
+
+/// An error or a close is owed within this of connecting ...
+const OWED: Micros = 3_000_000;
+/// ... or within this by those who have so much to send.
+const OWED_LONG: Micros = 6_000_000;
+/// Bytes of the longest value.
+const HUGE: usize = 60 << 20;
+/// What is put into the system's hands at once.
+const PIECE: usize = 256 << 10;
+/// Commands of those who send many at a time.
+const COMMANDS: usize = 300;
+
+/// A kind of bad client that the day names and nobody knows.
+#[derive(Debug, Error, PartialEq, Eq)]
+#[error("bad_clients: '{0}' is not one of {known}", known = KINDS.map(|k| k.0).join(", "))]
+pub struct UnknownKind(String);
+
+/// What a bad client does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    EndlessLine,
+    HugeValue,
+    WrongNumber,
+    UnknownClass,
+    BadDeadline,
+    NoId,
+    StolenId,
+    Half,
+    Commands,
+    Again,
+    Silent,
+}
+
+/// The kinds by name.
+const KINDS: [(&str, Kind); 11] = [
+    ("endless-line", Kind::EndlessLine),
+    ("huge-value", Kind::HugeValue),
+    ("wrong-number", Kind::WrongNumber),
+    ("unknown-class", Kind::UnknownClass),
+    ("bad-deadline", Kind::BadDeadline),
+    ("no-id", Kind::NoId),
+    ("stolen-id", Kind::StolenId),
+    ("half", Kind::Half),
+    ("commands", Kind::Commands),
+    ("again", Kind::Again),
+    ("silent", Kind::Silent),
+];
+
+/// How bad clients of one kind fared.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Fared {
+    /// Connections they made, but for those that were refused because nobody listened.
+    pub came: u64,
+    /// Got an error.
+    pub refused: u64,
+    /// Were closed on without a word.
+    pub closed: u64,
+    /// Got neither in time.
+    pub neither: u64,
+    /// Were served.
+    pub served: u64,
+}
+
+#[derive(Debug)]
+struct Bad {
+    wire: Wire,
+    to: SocketAddr,
+    kind: Kind,
+    place: usize,
+    since: Micros,
+    /// Bytes that are still to be sent.
+    left: usize,
+    /// It has got what it is owed, or has been counted for not getting it.
+    judged: bool,
+    /// Turned away, it comes again at once until then.
+    storms: Micros,
+}
+
+#[derive(Debug)]
+struct Flow {
+    kind: Kind,
+    every: f64,
+    next: f64,
+}
+
+/// The bad clients of a day.
+#[derive(Debug)]
+pub struct Bads {
+    flows: Vec<Flow>,
+    names: Vec<String>,
+    bads: BTreeMap<u64, Bad>,
+    next: u64,
+    class: String,
+    tenant: String,
+    /// By flow, in the day's order.
+    pub fared: Vec<Fared>,
+}
+
+impl Bads {
+    /// Those that the day names.
+    pub fn new(day: &Day) -> Result<Self, UnknownKind> {
+        let flow = |b: &BadClients| {
+            let kind = KINDS.iter().find(|k| k.0 == b.kind).ok_or_else(|| UnknownKind(b.kind.clone()))?.1;
+            let every = 1e6 / b.per_s.max(1e-6);
+            Ok(Flow { kind, every, next: every })
+        };
+        let name = |names: Option<&String>| names.cloned().unwrap_or_default();
+        Ok(Bads {
+            flows: day.bad_clients.iter().map(flow).collect::<Result<_, _>>()?,
+            names: day.bad_clients.iter().map(|b| b.kind.clone()).collect(),
+            bads: BTreeMap::new(),
+            next: 0,
+            class: name(day.classes.first().map(|c| &c.name)),
+            tenant: name(day.tenants.first().map(|t| &t.name)),
+            fared: vec![Fared::default(); day.bad_clients.len()],
+        })
+    }
+
+    /// How each kind fared, by name.
+    pub fn report(&self) -> Vec<(String, Fared)> {
+        self.names.iter().cloned().zip(self.fared.iter().copied()).collect()
+    }
+
+    /// When somebody comes next or is owed something no longer, on the driver's clock; the day began at `start`.
+    pub fn next_due(&self, start: Micros) -> Micros {
+        let comes = self.flows.iter().map(|f| start + f.next as Micros);
+        let owed = self.bads.values().filter(|b| !b.judged).map(|b| b.since + owed(b.kind));
+        comes.chain(owed).min().unwrap_or(Micros::MAX)
+    }
+
+    /// Lets those come who are due, while the day lasts, and counts those who have waited too long.
+    pub fn due(
+        &mut self,
+        net: &mut Net,
+        now: Micros,
+        start: Micros,
+        lasts: bool,
+        book: &mut Book,
+        to: impl Fn(u64) -> Option<(SocketAddr, Option<ConnId>)>,
+    ) {
+        for place in 0..self.flows.len() {
+            while start + self.flows[place].next as Micros <= now {
+                self.flows[place].next += self.flows[place].every;
+                if let Some((at, other)) = to(self.next).filter(|_| lasts) {
+                    self.comes(net, now, place, (at, other), now + OWED, book);
+                }
+            }
+        }
+        let late = |b: &Bad| !b.judged && now >= b.since + owed(b.kind);
+        for bad in self.bads.values_mut().filter(|b| late(b)) {
+            bad.judged = true;
+            self.fared[bad.place].neither += 1;
+        }
+    }
+
+    fn comes(
+        &mut self,
+        net: &mut Net,
+        now: Micros,
+        place: usize,
+        (to, other): (SocketAddr, Option<ConnId>),
+        storms: Micros,
+        book: &mut Book,
+    ) {
+        let (id, kind) = (self.next, self.flows[place].kind);
+        self.next += 1;
+        let Ok(mut wire) = net.connect(to, Role::Bad(id)) else { return };
+        let line = self.line(kind, id, other);
+        book.bad(line.trim_end().as_bytes());
+        wire.say(net, line.as_bytes());
+        let left = match kind {
+            Kind::EndlessLine | Kind::HugeValue => HUGE,
+            _ => 0,
+        };
+        if kind == Kind::Half {
+            wire.finish(net);
+        }
+        self.bads.insert(id, Bad { wire, to, kind, place, since: now, left, judged: false, storms });
+    }
+
+    /// What one says first.
+    fn line(&self, kind: Kind, id: u64, other: Option<ConnId>) -> String {
+        // Far from the usual clients' ids.
+        let own = 0xbad0_0000_0000_0000 | id;
+        let (class, tenant) = (&self.class, &self.tenant);
+        let open = |id: &str, class: &str, wait: &str, more: &str| {
+            format!("OPEN {id} {own:x} c={class},t={tenant},d={wait}{more}\r\n")
+        };
+        let id_text = format!("{own:x}");
+        match kind {
+            Kind::EndlessLine | Kind::Silent => String::new(),
+            Kind::HugeValue => open(&id_text, class, "2000", ",x=").trim_end().to_owned(),
+            Kind::WrongNumber => {
+                let odd = [",h=-5", ",g=-1", ",h=1e400", ",g=11112222333344445555"][id as usize % 4];
+                open(&id_text, class, "2000", odd)
+            }
+            Kind::UnknownClass | Kind::Again => open(&id_text, "no-such-class", "2000", ""),
+            Kind::BadDeadline => open(&id_text, class, ["soon", "-1", "NaN", "1e99"][id as usize % 4], ""),
+            Kind::NoId => format!("OPEN {own:x} c={class},t={tenant},d=2000\r\n"),
+            Kind::StolenId => {
+                open(&other.map_or(id_text.clone(), |c| format!("{:x}", c.0)), class, "2000", ",bad=1")
+            }
+            Kind::Half => format!("OPEN {own:x} {own:x} c="),
+            Kind::Commands => open(&id_text, class, "2000", ",bad=1").repeat(COMMANDS),
+        }
+    }
+
+    /// A bad client's connection has something.
+    pub fn ready(&mut self, net: &mut Net, now: Micros, id: u64, ready: Ready, book: &mut Book) {
+        let Some(bad) = self.bads.get_mut(&id) else { return };
+        bad.wire.ready(net, ready);
+        while bad.left > 0 && bad.wire.is_up() && bad.wire.is_flushed() && bad.wire.ended().is_none() {
+            let n = bad.left.min(PIECE);
+            bad.left -= n;
+            bad.wire.say(net, &[b'x'; PIECE][..n]);
+            if bad.left == 0 && bad.kind == Kind::HugeValue {
+                bad.wire.say(net, b"\r\n");
+            }
+        }
+        let fared = &mut self.fared[bad.place];
+        // What is sent in excess of a line says nothing.
+        while let Ok(Some(line)) = bad.wire.line() {
+            let found = word(line);
+            match found {
+                Word::Up(_) => fared.served += 1,
+                Word::Busy(_) | Word::Err if !bad.judged => {
+                    bad.judged = true;
+                    fared.refused += 1;
+                }
+                _ => {}
+            }
+        }
+        bad.wire.tidy(net);
+        if bad.wire.ended().is_none() {
+            return;
+        }
+        let bad = self.bads.remove(&id).expect("it was just there");
+        let fared = &mut self.fared[bad.place];
+        // One that was refused because nobody listens is owed nothing by a process.
+        if bad.wire.is_up() {
+            fared.came += 1;
+            if !bad.judged {
+                fared.closed += 1;
+            }
+        }
+        let (up, place, to, storms) = (bad.wire.is_up(), bad.place, bad.to, bad.storms);
+        net.close(bad.wire, End::Fin);
+        if bad.kind == Kind::Again && up && now < storms {
+            self.comes(net, now, place, (to, None), storms, book);
+        }
+    }
+
+    /// Ends those that are still open, when the run is over.
+    pub fn stop(&mut self, net: &mut Net) {
+        for (_, bad) in std::mem::take(&mut self.bads) {
+            self.fared[bad.place].came += u64::from(bad.wire.is_up());
+            net.close(bad.wire, End::Reset);
+        }
+    }
+}
+
+/// How long an error or a close may take.
+fn owed(kind: Kind) -> Micros {
+    if matches!(kind, Kind::EndlessLine | Kind::HugeValue) { OWED_LONG } else { OWED }
+}
--- /dev/null
+++ b/crates/emulator/src/sockets/book.rs
@@ -0,0 +1,155 @@
+//! What was said in first lines and receipts, so that each side can be held to it: a node knows whether a client sent
+//! the line it gets, and a client whether a node made the receipt it gets.
+
+use std::collections::{HashMap, HashSet};
+
+use shorewharf_protocol::names::Names;
+use shorewharf_protocol::open::{OpenLine, parse_open};
+
+use super::directory::Directory;
+use crate::Micros;
+use crate::day::Day;
+use crate::edge::{Ask, BalancerId, ConnId, LinkId, NodeId};
+
+/// What connections from before the start name as their wait, in milliseconds: all that fits 32 bits of
+/// microseconds.
+const FROM_BEFORE_MS: u64 = 4_294_967;
+
+/// What a node makes of a first line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum First {
+    /// A client of this balancer has sent it; the balancer will wait so long.
+    Sent(ConnId, Micros),
+    /// A bad client has sent it: no node can use it.
+    Unusable,
+    /// Nobody has sent it in this form.
+    Unknown,
+}
+
+#[derive(Debug)]
+struct Entry {
+    who: BalancerId,
+    /// The line without its wait.
+    line: Vec<u8>,
+    /// Links on which a node has taken it.
+    stands: Vec<LinkId>,
+}
+
+/// First lines by connection. What has been sent stays: a balancer may pass it on late.
+#[derive(Debug)]
+pub struct Book {
+    names: Names,
+    classes: Vec<String>,
+    tenants: Vec<String>,
+    sent: HashMap<ConnId, Entry>,
+    bad: HashSet<Vec<u8>>,
+}
+
+/// A line's bytes but for the value of its wait.
+fn without_wait(line: &[u8]) -> Vec<u8> {
+    let (head, list) = line.split_at(line.iter().rposition(|b| *b == b' ').map_or(0, |at| at + 1));
+    let items: Vec<&[u8]> =
+        list.split(|b| *b == b',').map(|i| if i.starts_with(b"d=") { &i[..2] } else { i }).collect();
+    [head, &items.join(&b',')].concat()
+}
+
+impl Book {
+    /// An empty book of this day's names.
+    pub fn new(day: &Day, dir: &Directory) -> Self {
+        Book {
+            names: dir.names(),
+            classes: day.classes.iter().map(|c| c.name.clone()).collect(),
+            tenants: day.tenants.iter().map(|t| t.name.clone()).collect(),
+            sent: HashMap::new(),
+            bad: HashSet::new(),
+        }
+    }
+
+    /// Writes a client's first line, with its end.
+    pub fn open(&mut self, who: BalancerId, ask: &Ask, left: Micros, dir: &Directory) -> String {
+        let text = OpenLine {
+            id: ask.conn.0,
+            key: ask.key,
+            class: &self.classes[ask.class as usize],
+            tenant: self.tenants.get(ask.tenant as usize).map_or("", String::as_str),
+            patience_ms: if ask.home.is_some() { FROM_BEFORE_MS } else { (left / 1000).max(1) },
+            group: ask.group,
+            load: ask.hint,
+            retry: ask.retry,
+            again: ask.again,
+            home: ask.home.map(|node: NodeId| dir.node(node)),
+        }
+        .to_string();
+        let line = without_wait(text.trim_end().as_bytes());
+        self.sent.insert(ask.conn, Entry { who, line, stands: Vec::new() });
+        text
+    }
+
+    /// Notes the first line of a bad client.
+    pub fn bad(&mut self, line: &[u8]) {
+        self.bad.insert(without_wait(line));
+    }
+
+    /// Reads a first line that a balancer has sent a node.
+    pub fn read(&self, who: BalancerId, line: &[u8]) -> First {
+        let plain = without_wait(line);
+        let open = parse_open(line, &self.names).ok();
+        let sent = open.as_ref().and_then(|o| Some((ConnId(o.id), o.patience?)));
+        match sent.and_then(|(conn, wait)| Some((conn, wait, self.sent.get(&conn)?))) {
+            Some((conn, wait, entry)) if entry.who == who && entry.line == plain => First::Sent(conn, wait),
+            _ if self.bad.contains(&plain) => First::Unusable,
+            _ => First::Unknown,
+        }
+    }
+
+    /// A node takes the connection on this link; the receipt for it.
+    pub fn stands(&mut self, conn: ConnId, link: LinkId) -> String {
+        if let Some(entry) = self.sent.get_mut(&conn) {
+            entry.stands.push(link);
+        }
+        format!("{:x}.{:x}", conn.0, link.0)
+    }
+
+    /// The link on which a node made this receipt for this connection.
+    pub fn receipt(&self, conn: ConnId, receipt: &[u8]) -> Option<LinkId> {
+        let (of, link) = std::str::from_utf8(receipt).ok()?.split_once('.')?;
+        let link = LinkId(u64::from_str_radix(link, 16).ok()?);
+        let own = u64::from_str_radix(of, 16) == Ok(conn.0);
+        (own && self.sent.get(&conn)?.stands.contains(&link)).then_some(link)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn only_the_wait_may_change_and_only_own_receipts_count() {
+        let mut book = Book {
+            names: Names { classes: [("chat".to_owned(), 0)].into(), ..Names::default() },
+            classes: vec!["chat".to_owned()],
+            tenants: vec![],
+            sent: HashMap::new(),
+            bad: HashSet::new(),
+        };
+        let (who, conn) = (BalancerId(3), ConnId(0x9b1f));
+        let line = without_wait(b"OPEN 9b1f 7 c=chat,d=2000,g=5c");
+        book.sent.insert(conn, Entry { who, line, stands: vec![] });
+        book.bad(b"OPEN 9b1f 7 c=none,d=1");
+        for (line, who, wanted) in [
+            (&b"OPEN 9b1f 7 c=chat,d=1990,g=5c"[..], who, First::Sent(conn, 1_990_000)),
+            (b"OPEN 9b1f 7 c=chat,d=1990,g=5c", BalancerId(0), First::Unknown),
+            (b"OPEN 9b1f 7 c=chat,g=5c", who, First::Unknown),
+            (b"OPEN 9b1f 8 c=chat,d=1990,g=5c", who, First::Unknown),
+            (b"OPEN 9b1f 7 c=chat,d=1990,g=5c,again=1", who, First::Unknown),
+            (b"OPEN 9b1f 7 c=none,d=5", who, First::Unusable),
+            (b"HELLO", who, First::Unknown),
+        ] {
+            assert_eq!(book.read(who, line), wanted, "{}", String::from_utf8_lossy(line));
+        }
+        let receipt = book.stands(conn, LinkId(5));
+        assert_eq!(book.receipt(conn, receipt.as_bytes()), Some(LinkId(5)));
+        assert_eq!(book.receipt(ConnId(0x9b20), receipt.as_bytes()), None, "another's");
+        assert_eq!(book.receipt(conn, b"9b1f.6"), None, "no node made it");
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/sockets/clients.rs
@@ -0,0 +1,295 @@
+//! The usual clients' side: a connection to a balancer each, one first line, and a line now and then once it stands.
+//!
+//! The world says who comes, how long they wait and when they leave. What only sockets show is judged here: answers
+//! no node made, lines that are held back, and connections that are kept after their node has ended them.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+
+use serde::Serialize;
+use shorewharf_protocol::words::{Word, word};
+
+use super::book::Book;
+use super::clock::Spread;
+use super::lines::Wire;
+use super::net::{Net, Ready, Role};
+use super::nodes::{Nodes, is_figure};
+use super::stage::Did;
+use crate::Micros;
+use crate::edge::{Answer, BalancerId, ConnId, End, FromBalancer, LinkId};
+
+/// A line that returns later than this was held back, if its node answered all the time.
+const HELD: Micros = 1_000_000;
+/// A connection on which nothing has returned for so long from a node that answers is lost.
+const MUTE: Micros = 7_000_000;
+/// A connection that its node has ended must be ended or moved within this.
+const ENDED: Micros = 1_050_000;
+/// A client that has finished its sending closes after this at the latest.
+const LINGER: Micros = 5_000_000;
+
+/// What only the sockets show of the clients' connections.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Facts {
+    /// Lines that clients sent on standing connections.
+    pub lines: u64,
+    /// Lines that came back.
+    pub returned: u64,
+    /// How long they took.
+    #[serde(skip)]
+    pub round: Spread,
+    /// Lines that came back late though the node answered.
+    pub held: u64,
+    /// Connections on which nothing came back though the node answered.
+    pub mute: u64,
+    /// Connections that were kept after their node had ended them.
+    pub kept: u64,
+    /// Standing connections that were cut off without `MOVE` while their node answered.
+    pub cut: u64,
+    /// Lines that no node had sent on this connection.
+    pub foreign: u64,
+    /// Answers that no node had made.
+    pub forged: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// The answer is awaited.
+    Waits,
+    /// It stands on this link.
+    Stands(LinkId),
+    /// Answered otherwise, moved or served to its end; the balancer's end is awaited.
+    Over,
+    /// The client has left and only closes.
+    Left,
+}
+
+#[derive(Debug)]
+struct Client {
+    wire: Wire,
+    who: BalancerId,
+    stage: Stage,
+    /// Lines that have not come back: when sent, and their number.
+    out: VecDeque<(Micros, u32)>,
+    number: u32,
+    /// It has been counted as held back or mute.
+    ill: bool,
+}
+
+/// The usual clients.
+#[derive(Debug)]
+pub struct Clients {
+    clients: BTreeMap<ConnId, Client>,
+    line_every: Micros,
+    /// Whose next line is due when, in order: the period is the same for all.
+    lines: VecDeque<(Micros, ConnId)>,
+    /// Who must have been let go by then, and who closes then, each in order.
+    ended: VecDeque<(Micros, ConnId)>,
+    closing: VecDeque<(Micros, ConnId)>,
+    /// What has been seen.
+    pub facts: Facts,
+}
+
+impl Clients {
+    /// Nobody yet; on standing connections a line is sent this often.
+    pub fn new(line_every: Micros) -> Self {
+        Clients {
+            clients: BTreeMap::new(),
+            line_every: line_every.max(1_000),
+            lines: VecDeque::new(),
+            ended: VecDeque::new(),
+            closing: VecDeque::new(),
+            facts: Facts::default(),
+        }
+    }
+
+    /// How many stand.
+    pub fn standing(&self) -> usize {
+        self.clients.values().filter(|c| matches!(c.stage, Stage::Stands(_))).count()
+    }
+
+    /// The link on which a connection stands, if it does.
+    pub fn stands(&self, conn: ConnId) -> Option<LinkId> {
+        match self.clients.get(&conn)?.stage {
+            Stage::Stands(link) => Some(link),
+            _ => None,
+        }
+    }
+
+    /// Some client that waits or stands at this balancer.
+    pub fn any_of(&self, who: BalancerId) -> Option<ConnId> {
+        let here = |c: &Client| c.who == who && matches!(c.stage, Stage::Waits | Stage::Stands(_));
+        self.clients.iter().rev().take(64).find(|(_, c)| here(c)).map(|(conn, _)| *conn)
+    }
+
+    /// A client comes with this first line.
+    pub fn comes(
+        &mut self,
+        net: &mut Net,
+        who: BalancerId,
+        conn: ConnId,
+        to: SocketAddr,
+        line: &str,
+        did: &mut Did,
+    ) {
+        match net.connect(to, Role::Client(conn)) {
+            Ok(mut wire) => {
+                wire.say(net, line.as_bytes());
+                let client =
+                    Client { wire, who, stage: Stage::Waits, out: VecDeque::new(), number: 0, ill: false };
+                self.clients.insert(conn, client);
+            }
+            // Refused at once, or no port is left for it; either way it does not reach the balancer.
+            Err(_) => did.push((who, FromBalancer::Refused(conn))),
+        }
+    }
+
+    /// A client's connection has something.
+    pub fn ready(
+        &mut self,
+        net: &mut Net,
+        now: Micros,
+        conn: ConnId,
+        ready: Ready,
+        (nodes, book): (&Nodes, &Book),
+        did: &mut Did,
+    ) {
+        let Some(client) = self.clients.get_mut(&conn) else { return };
+        client.wire.ready(net, ready);
+        let who = client.who;
+        loop {
+            let line = match client.wire.line() {
+                Ok(Some(line)) => line,
+                Ok(None) => break,
+                // Nothing that a node sends is so long.
+                Err(_) => {
+                    self.facts.foreign += 1;
+                    let held = client.wire.held().len();
+                    client.wire.take(held);
+                    break;
+                }
+            };
+            match (client.stage, word(line)) {
+                (Stage::Waits, found) => {
+                    let answer = match found {
+                        Word::Up(receipt) => match book.receipt(conn, receipt) {
+                            Some(link) => Answer::Up(link),
+                            None => Answer::Forged,
+                        },
+                        Word::Busy(ms) => Answer::Busy(ms.unwrap_or(0).saturating_mul(1000)),
+                        Word::Err => Answer::Err,
+                        Word::Move => Answer::Move,
+                        _ => Answer::Other,
+                    };
+                    client.stage = match answer {
+                        Answer::Up(link) => {
+                            self.lines.push_back((now + self.line_every, conn));
+                            Stage::Stands(link)
+                        }
+                        _ => Stage::Over,
+                    };
+                    self.facts.forged += u64::from(answer == Answer::Forged);
+                    did.push((who, FromBalancer::Answer(conn, answer)));
+                }
+                (Stage::Stands(_), Word::Move) => {
+                    client.stage = Stage::Over;
+                    did.push((who, FromBalancer::Answer(conn, Answer::Move)));
+                }
+                (Stage::Stands(_), Word::Bye) => client.stage = Stage::Over,
+                (Stage::Stands(link), _) if !is_figure(line) => match client.out.front().copied() {
+                    Some((sent, number)) if line == said(conn, number).as_bytes() => {
+                        let took = now - sent;
+                        client.out.pop_front();
+                        self.facts.returned += 1;
+                        self.facts.round.record(took);
+                        if took > HELD
+                            && nodes.answers(link, sent)
+                            && !std::mem::replace(&mut client.ill, true)
+                        {
+                            self.facts.held += 1;
+                        }
+                    }
+                    _ => self.facts.foreign += 1,
+                },
+                _ => {}
+            }
+        }
+        client.wire.tidy(net);
+        let Some(how) = client.wire.ended() else { return };
+        let client = self.clients.remove(&conn).expect("it was just there");
+        match client.stage {
+            Stage::Waits if !client.wire.is_up() => did.push((who, FromBalancer::Refused(conn))),
+            Stage::Left => {}
+            stage => {
+                if let Stage::Stands(link) = stage {
+                    self.facts.cut += u64::from(nodes.answers(link, now));
+                }
+                did.push((who, FromBalancer::EndClient(conn, how)));
+            }
+        }
+        net.close(client.wire, End::Fin);
+    }
+
+    /// A client ends its connection.
+    pub fn leaves(&mut self, net: &mut Net, now: Micros, conn: ConnId, how: End) {
+        let Some(client) = self.clients.get_mut(&conn) else { return };
+        client.stage = Stage::Left;
+        match how {
+            End::Fin => {
+                client.wire.finish(net);
+                self.closing.push_back((now + LINGER, conn));
+            }
+            End::Reset => {
+                let client = self.clients.remove(&conn).expect("it was just there");
+                net.close(client.wire, End::Reset);
+            }
+        }
+    }
+
+    /// The node of this connection has ended it.
+    pub fn node_ended(&mut self, now: Micros, conn: ConnId) {
+        self.ended.push_back((now + ENDED, conn));
+    }
+
+    /// When something is due next.
+    pub fn next_due(&self) -> Micros {
+        let fronts =
+            [&self.lines, &self.ended, &self.closing].map(|q| q.front().map_or(Micros::MAX, |e| e.0));
+        fronts.into_iter().min().unwrap_or(Micros::MAX)
+    }
+
+    /// Does what is due; each due time goes to `late` with the time of its doing.
+    pub fn due(&mut self, net: &mut Net, now: Micros, nodes: &Nodes, late: &mut Spread) {
+        while let Some((due, conn)) = self.lines.front().copied().filter(|e| e.0 <= now) {
+            self.lines.pop_front();
+            let Some(client) = self.clients.get_mut(&conn) else { continue };
+            let Stage::Stands(link) = client.stage else { continue };
+            late.record(now - due);
+            // From the due time and not from now: lateness must not thin the lines out.
+            self.lines.push_back((due + self.line_every, conn));
+            let quiet = client.out.front().is_some_and(|(sent, _)| now > sent + MUTE);
+            if quiet && nodes.answers(link, now - MUTE) && !std::mem::replace(&mut client.ill, true) {
+                self.facts.mute += 1;
+            }
+            client.number += 1;
+            client.out.push_back((now, client.number));
+            self.facts.lines += 1;
+            client.wire.say(net, format!("{}\r\n", said(conn, client.number)).as_bytes());
+        }
+        while let Some((_, conn)) = self.ended.front().copied().filter(|e| e.0 <= now) {
+            self.ended.pop_front();
+            let kept = self.clients.get(&conn).is_some_and(|c| matches!(c.stage, Stage::Stands(_)));
+            self.facts.kept += u64::from(kept);
+        }
+        while let Some((_, conn)) = self.closing.front().copied().filter(|e| e.0 <= now) {
+            self.closing.pop_front();
+            if let Some(client) = self.clients.remove(&conn) {
+                net.close(client.wire, End::Reset);
+            }
+        }
+    }
+}
+
+/// The line of this number on a connection.
+fn said(conn: ConnId, number: u32) -> String {
+    format!("M {:x} {number}", conn.0)
+}
--- a/crates/emulator/src/sockets/discovery.rs
+++ b/crates/emulator/src/sockets/discovery.rs
@@ -11,6 +11,7 @@
 use super::directory::Directory;
 use super::lines::Wire;
 use super::net::{Ear, Net, Ready, Role};
+use super::stage::Did;
 use crate::Micros;
 use crate::edge::{BalancerId, End, FromBalancer, Listed, NodeId, Stage};
 
@@ -196,7 +197,14 @@
     }
 
     /// Connections wait to be accepted.
-    pub fn called(&mut self, net: &mut Net, who: BalancerId, moves: u32, did: &mut Vec<(BalancerId, FromBalancer)>, dir: &Directory, now: Micros) {
+    pub fn called(
+        &mut self,
+        net: &mut Net,
+        now: Micros,
+        (who, moves): (BalancerId, u32),
+        dir: &Directory,
+        did: &mut Did,
+    ) {
         let side = &self.sides[who.0 as usize];
         let Some(ear) = side.ear.as_ref().filter(|_| side.moves == moves) else { return };
         let mut came = Vec::new();
@@ -211,19 +219,24 @@
             let call =
                 Call { who, wire, moves, asks: Asks::Nothing, stand: Stand::Reading, blank: Micros::MAX };
             self.calls.insert(id, call);
-            self.ready(net, now, id, Ready { role: Role::Call(id), read: true, write: true }, did, dir);
+            self.ready(net, now, id, Ready { role: Role::Call(id), read: true, write: true }, dir, did);
         }
     }
 
     /// A call's connection has something.
     pub fn ready(
-        &mut self, net: &mut Net, now: Micros, id: u64, ready: Ready, did: &mut Vec<(BalancerId, FromBalancer)>,
+        &mut self,
+        net: &mut Net,
+        now: Micros,
+        id: u64,
+        ready: Ready,
         dir: &Directory,
+        did: &mut Did,
     ) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         call.wire.ready(net, ready);
         if call.stand == Stand::Reading {
-            self.read_request(net, now, id, did, dir);
+            self.read_request(net, now, id, dir, did);
         } else {
             let held = call.wire.held().len();
             call.wire.take(held);
@@ -234,9 +247,7 @@
         }
     }
 
-    fn read_request(
-        &mut self, net: &mut Net, now: Micros, id: u64, did: &mut Vec<(BalancerId, FromBalancer)>, dir: &Directory,
-    ) {
+    fn read_request(&mut self, net: &mut Net, now: Micros, id: u64, dir: &Directory, did: &mut Did) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         let (asks, n) = match request(call.wire.held()) {
             Ok(None) => return,
@@ -261,7 +272,7 @@
     }
 
     /// Ends a call's connection, and tells the world if the balancer has no other.
-    fn ends(&mut self, net: &mut Net, id: u64, how: End, did: &mut Vec<(BalancerId, FromBalancer)>) {
+    fn ends(&mut self, net: &mut Net, id: u64, how: End, did: &mut Did) {
         let Some(call) = self.calls.remove(&id) else { return };
         let told = matches!(call.stand, Stand::Waiting | Stand::Watching);
         net.close(call.wire, how);
@@ -272,7 +283,13 @@
 
     /// The world has news for a balancer.
     pub fn lists(
-        &mut self, net: &mut Net, now: Micros, who: BalancerId, full: bool, entries: &[Listed], dir: &Directory,
+        &mut self,
+        net: &mut Net,
+        now: Micros,
+        who: BalancerId,
+        full: bool,
+        entries: &[Listed],
+        dir: &Directory,
     ) {
         let side = &mut self.sides[who.0 as usize];
         let changed = side.take(full, entries);
@@ -345,7 +362,7 @@
     }
 
     /// Does what is due.
-    pub fn due(&mut self, net: &mut Net, now: Micros, did: &mut Vec<(BalancerId, FromBalancer)>) {
+    pub fn due(&mut self, net: &mut Net, now: Micros, did: &mut Did) {
         for call in self.calls.values_mut().filter(|c| c.stand == Stand::Watching && c.blank <= now) {
             say_body(net, &mut call.wire, b"\n");
             call.blank = now + BLANK;
--- /dev/null
+++ b/crates/emulator/src/sockets/fleet.rs
@@ -0,0 +1,301 @@
+//! The balancers' processes: who runs, who is ready, who was told to end, and how each life went.
+//!
+//! A balancer comes back from nothing under its name and address. An end that nobody ordered is a crash.
+
+use std::io;
+use std::net::SocketAddr;
+use std::os::fd::AsFd;
+use std::path::Path;
+
+use serde::Serialize;
+use serde_json::{Value, json};
+use shorewharf_protocol::list::Listing;
+use slotmap::DefaultKey;
+use socket2::{Domain, Socket, Type};
+
+use super::addresses::Addresses;
+use super::clock::Spread;
+use super::directory::Directory;
+use super::lines::Wire;
+use super::net::{Net, Ready, Role};
+use super::process::{Desk, Process, ProcessError, Program, Usage};
+use super::stage::Did;
+use crate::Micros;
+use crate::edge::{BalancerId, End, FromBalancer};
+
+/// A balancer that has not answered yet is asked again after this.
+const ASK_AGAIN: Micros = 20_000;
+/// Memory, time on a core and descriptors are looked at this often.
+const LOOK: Micros = 250_000;
+
+/// One life of a balancer's process, times on the driver's clock.
+#[derive(Clone, Debug, Serialize)]
+pub struct Life {
+    /// Whose.
+    pub balancer: u32,
+    /// Its process began.
+    pub began: Micros,
+    /// It answered that it is ready.
+    pub ready: Option<Micros>,
+    /// It ended.
+    pub ended: Option<Micros>,
+    /// How it ended, in words; empty while it runs.
+    pub how: String,
+    /// The end was not ordered.
+    pub crashed: bool,
+    /// What it used.
+    pub usage: Usage,
+}
+
+/// What has been ordered for a process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Ordered {
+    #[default]
+    Nothing,
+    Term,
+    Kill,
+}
+
+/// What a balancer is started with.
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// For random numbers.
+    pub seed: u64,
+    /// The list as it had it last.
+    pub known: Listing,
+    /// Its settings as JSON text.
+    pub settings: Value,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+}
+
+#[derive(Debug)]
+struct Running {
+    process: Process,
+    key: DefaultKey,
+    ordered: Ordered,
+    ready: bool,
+    /// The question whether it is ready, while it is out.
+    ping: Option<Wire>,
+    /// The next thing to do: to ask again, or to look at what it uses.
+    due: Micros,
+    /// Its life's place.
+    life: usize,
+}
+
+#[derive(Debug)]
+struct Post {
+    desk: Desk,
+    listen: SocketAddr,
+    /// Keeps the port while no balancer listens there; it never listens itself.
+    _seat: Socket,
+    config: Value,
+    running: Option<Running>,
+}
+
+/// All balancers.
+#[derive(Debug)]
+pub struct Fleet {
+    program: Program,
+    cores: f64,
+    posts: Vec<Post>,
+    /// All lives, in the order in which they began.
+    pub lives: Vec<Life>,
+    /// Errors in telling a balancer something.
+    pub faults: Vec<String>,
+}
+
+impl Fleet {
+    /// Posts for so many balancers, with their files in this folder. None runs yet.
+    pub fn new(
+        program: Program,
+        cores: f64,
+        addresses: Addresses,
+        balancers: u32,
+        folder: &Path,
+    ) -> Result<Self, ProcessError> {
+        let mut posts = Vec::new();
+        for who in (0..balancers).map(BalancerId) {
+            let desk = Desk::new(folder, &Directory::balancer(who))?;
+            let seat = || -> io::Result<(Socket, SocketAddr)> {
+                let seat = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+                seat.set_reuse_address(true)?;
+                seat.bind(&addresses.balancer(who).into())?;
+                let at = seat.local_addr()?.as_socket().ok_or(io::ErrorKind::AddrNotAvailable)?;
+                Ok((seat, at))
+            };
+            let (seat, listen) = seat().map_err(|e| ProcessError::Address(addresses.balancer(who), e))?;
+            posts.push(Post { desk, listen, _seat: seat, config: Value::Null, running: None });
+        }
+        Ok(Fleet { program, cores, posts, lives: Vec::new(), faults: Vec::new() })
+    }
+
+    /// Where clients reach a balancer.
+    pub fn address(&self, who: BalancerId) -> SocketAddr {
+        self.posts[who.0 as usize].listen
+    }
+
+    /// Whether a balancer runs and has answered that it is ready.
+    pub fn is_ready(&self, who: BalancerId) -> bool {
+        self.posts[who.0 as usize].running.as_ref().is_some_and(|r| r.ready)
+    }
+
+    /// Where a balancer's log is.
+    pub fn desk(&self, who: BalancerId) -> &Desk {
+        &self.posts[who.0 as usize].desk
+    }
+
+    /// The number of a balancer's process in the system, while it runs.
+    pub fn pid(&self, who: BalancerId) -> Option<u32> {
+        self.posts[who.0 as usize].running.as_ref().map(|r| r.process.id())
+    }
+
+    /// Starts a balancer; one that runs still, or is about to be gone, is waited for first.
+    pub fn start(
+        &mut self,
+        net: &mut Net,
+        now: Micros,
+        who: BalancerId,
+        start: &Start,
+    ) -> Result<(), ProcessError> {
+        self.kill(who);
+        self.over(net, now, who);
+        let limits = self.program.limits;
+        let post = &mut self.posts[who.0 as usize];
+        post.config = json!({
+            "name": post.desk.name(), "listen": post.listen, "discovery": start.discovery,
+            "seed": format!("{:016x}", start.seed),
+            "limits": {"cores": self.cores, "memory_mb": limits.memory_mb, "sockets": limits.sockets},
+            "known": start.known, "settings": start.settings,
+        });
+        post.desk.configure(&post.config)?;
+        let process = Process::start(&self.program, &post.desk, post.listen, start.discovery)?;
+        let watched = net.watch(process.end(), Role::Exit(who));
+        let key = watched.map_err(|e| ProcessError::Watch(process.id(), e))?;
+        let life = self.lives.len();
+        let ordered = Ordered::Nothing;
+        post.running = Some(Running { process, key, ordered, ready: false, ping: None, due: now, life });
+        self.lives.push(Life {
+            balancer: who.0,
+            began: now,
+            ready: None,
+            ended: None,
+            how: String::new(),
+            crashed: false,
+            usage: Usage::default(),
+        });
+        Ok(())
+    }
+
+    /// A planned end: SIGTERM.
+    pub fn terminate(&mut self, who: BalancerId) {
+        if let Some(running) = &mut self.posts[who.0 as usize].running {
+            running.ordered = Ordered::Term;
+            running.process.terminate();
+        }
+    }
+
+    /// SIGKILL. The system needs milliseconds to end a process with many connections; its end is told later, so
+    /// that nobody waits for it here.
+    pub fn kill(&mut self, who: BalancerId) {
+        let Some(running) = &mut self.posts[who.0 as usize].running else { return };
+        running.process.look();
+        running.ordered = Ordered::Kill;
+        running.ready = false;
+        running.due = Micros::MAX;
+        running.process.kill();
+    }
+
+    /// Replaces the configuration with one that names this address of discovery, and sends SIGHUP.
+    pub fn reload(&mut self, who: BalancerId, discovery: SocketAddr) -> Result<(), ProcessError> {
+        let post = &mut self.posts[who.0 as usize];
+        let Some(running) = &post.running else { return Ok(()) };
+        post.config["discovery"] = json!(discovery);
+        post.desk.configure(&post.config)?;
+        running.process.hang_up();
+        Ok(())
+    }
+
+    /// A process has ended; tells the world if that was not its order to kill.
+    pub fn exited(&mut self, net: &mut Net, now: Micros, who: BalancerId, did: &mut Did) {
+        let running = self.posts[who.0 as usize].running.as_ref();
+        if running.is_some_and(|r| r.ordered != Ordered::Kill) {
+            did.push((who, FromBalancer::Exited));
+        }
+        self.over(net, now, who);
+    }
+
+    /// Takes a process that has ended, or was killed, off its post.
+    fn over(&mut self, net: &mut Net, now: Micros, who: BalancerId) {
+        let Some(mut running) = self.posts[who.0 as usize].running.take() else { return };
+        net.unwatch(running.process.end().as_fd(), running.key);
+        if let Some(ping) = running.ping.take() {
+            net.close(ping, End::Reset);
+        }
+        let life = &mut self.lives[running.life];
+        let status = running.process.exited();
+        (life.ended, life.usage) = (Some(now), running.process.usage());
+        life.how = match (running.ordered, status) {
+            (Ordered::Kill, _) => "killed as ordered".to_owned(),
+            (_, Some(status)) => status.to_string(),
+            (_, None) => "gone".to_owned(),
+        };
+        let fine = running.ordered == Ordered::Kill
+            || (running.ordered == Ordered::Term && status.is_some_and(|s| s.success()));
+        life.crashed = !fine;
+        // Dropped here, the process is waited for.
+    }
+
+    /// The answer to the question whether a balancer is ready, or the end of the connection.
+    pub fn pinged(&mut self, net: &mut Net, now: Micros, who: BalancerId, ready: Ready, did: &mut Did) {
+        let Some(running) = &mut self.posts[who.0 as usize].running else { return };
+        let Some(ping) = &mut running.ping else { return };
+        ping.ready(net, ready);
+        let answered = matches!(ping.line(), Ok(Some(b"PONG")));
+        if answered {
+            running.ready = true;
+            self.lives[running.life].ready = Some(now);
+            did.push((who, FromBalancer::Ready));
+        }
+        if (answered || ping.ended().is_some()) && running.ping.is_some() {
+            let ping = running.ping.take().expect("it was just there");
+            net.close(ping, End::Fin);
+        }
+    }
+
+    /// When something is due next.
+    pub fn next_due(&self) -> Micros {
+        self.posts.iter().filter_map(|p| p.running.as_ref()).map(|r| r.due).min().unwrap_or(Micros::MAX)
+    }
+
+    /// Does what is due: asks who has not answered, looks at what the others use, and kills who uses too much.
+    pub fn due(&mut self, net: &mut Net, now: Micros, late: &mut Spread) {
+        for (who, post) in self.posts.iter_mut().enumerate() {
+            let Some(running) = post.running.as_mut().filter(|r| r.due <= now) else { continue };
+            late.record(now - running.due);
+            if running.ready {
+                running.due = now + LOOK;
+                if running.process.look() {
+                    self.faults.push(format!("{} over its memory, killed", post.desk.name()));
+                    running.process.kill();
+                }
+                continue;
+            }
+            running.due = now + ASK_AGAIN;
+            if running.ping.is_none() {
+                if let Ok(mut wire) = net.connect(post.listen, Role::Ping(BalancerId(who as u32))) {
+                    wire.say(net, b"PING\r\n");
+                    running.ping = Some(wire);
+                }
+            }
+        }
+    }
+
+    /// Ends all that still run, by SIGKILL.
+    pub fn stop(&mut self, net: &mut Net, now: Micros) {
+        for who in (0..self.posts.len() as u32).map(BalancerId) {
+            self.kill(who);
+            self.over(net, now, who);
+        }
+    }
+}
--- a/crates/emulator/src/sockets/mod.rs
+++ b/crates/emulator/src/sockets/mod.rs
@@ -5,7 +5,16 @@
 //! what the balancers do. Nothing here decides how a node or a client behaves.
 
 pub mod addresses;
+pub mod bad;
+pub mod book;
+pub mod clients;
 pub mod clock;
+pub mod directory;
+pub mod discovery;
+pub mod fleet;
 pub mod lines;
 pub mod net;
+pub mod nodes;
 pub mod process;
+pub mod run;
+pub mod stage;
--- a/crates/emulator/src/sockets/net.rs
+++ b/crates/emulator/src/sockets/net.rs
@@ -12,6 +12,9 @@
 use mio::net::{TcpListener, TcpStream};
 use mio::unix::SourceFd;
 use mio::{Events, Interest, Poll, Token};
+use rustix::time::{
+    Itimerspec, TimerfdClockId, TimerfdFlags, TimerfdTimerFlags, Timespec, timerfd_create, timerfd_settime,
+};
 use slotmap::{DefaultKey, Key, KeyData, SlotMap};
 use socket2::{Domain, SockRef, Socket, Type};
 
@@ -50,6 +53,8 @@
     Exit(BalancerId),
     /// A part of the load engine, by its own number.
     Load(u32),
+    /// The driver's own timer.
+    Timer,
 }
 
 /// A descriptor that has something for its owner.
@@ -81,19 +86,27 @@
     spare: Vec<Vec<u8>>,
     /// Owners with something left to read, though the system will not say so again.
     again: Vec<Role>,
+    /// Ends a wait to the microsecond; the poll's own limit counts whole milliseconds.
+    timer: OwnedFd,
 }
 
 impl Net {
     /// An empty table.
     pub fn new() -> io::Result<Self> {
-        Ok(Net {
+        let timer =
+            timerfd_create(TimerfdClockId::Monotonic, TimerfdFlags::NONBLOCK | TimerfdFlags::CLOEXEC)?;
+        let mut net = Net {
             poll: Poll::new()?,
             events: Events::with_capacity(EVENTS),
             roles: SlotMap::new(),
             scratch: vec![0; READ],
             spare: Vec::new(),
             again: Vec::new(),
-        })
+            timer,
+        };
+        let fd = net.timer.as_raw_fd();
+        net.enter(&mut SourceFd(&fd), Interest::READABLE, Role::Timer)?;
+        Ok(net)
     }
 
     fn enter(&mut self, source: &mut dyn Source, interest: Interest, role: Role) -> io::Result<DefaultKey> {
@@ -188,6 +201,14 @@
     pub fn wait(&mut self, most: Duration, ready: &mut Vec<Ready>) -> io::Result<()> {
         ready.clear();
         let most = if self.again.is_empty() { most } else { Duration::ZERO };
+        if !most.is_zero() {
+            let (tv_sec, tv_nsec) = (most.as_secs() as i64, most.subsec_nanos().into());
+            let once = Itimerspec {
+                it_interval: Timespec { tv_sec: 0, tv_nsec: 0 },
+                it_value: Timespec { tv_sec, tv_nsec },
+            };
+            timerfd_settime(&self.timer, TimerfdTimerFlags::empty(), &once)?;
+        }
         match self.poll.poll(&mut self.events, Some(most)) {
             Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
             other => other?,
@@ -196,7 +217,7 @@
         for event in &self.events {
             let key = DefaultKey::from(KeyData::from_ffi(event.token().0 as u64));
             // A descriptor that was closed since the event came has no owner any more.
-            let Some(role) = self.roles.get(key).copied() else { continue };
+            let Some(role) = self.roles.get(key).copied().filter(|r| *r != Role::Timer) else { continue };
             let failed = event.is_error() || event.is_read_closed() || event.is_write_closed();
             ready.push(Ready {
                 role,
--- /dev/null
+++ b/crates/emulator/src/sockets/nodes.rs
@@ -0,0 +1,319 @@
+//! The nodes' side: a listener of each node for each balancer, and the links on them.
+//!
+//! The world decides what a node does; this module hears first lines and probes for it, says its words, and returns
+//! clients' lines. A dead process refuses, a machine that is cut off lets nothing come up and reads nothing, a hung
+//! process takes everything in and says nothing.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+
+use shorewharf_protocol::words::{Word, word};
+
+use super::addresses::Addresses;
+use super::book::{Book, First};
+use super::lines::Wire;
+use super::net::{Ear, Net, Ready, Role};
+use super::stage::Did;
+use crate::Micros;
+use crate::edge::{BalancerId, ConnId, End, FromBalancer, LinkId, NodeId, NodeWord};
+
+/// Lines of one connection that a hung node owes. No client sends so many before it is moved or gives up.
+const OWED_MOST: usize = 64 << 10;
+
+/// How a node's machine meets connections.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Reach {
+    /// It takes them.
+    #[default]
+    Open,
+    /// It refuses them: no process runs, or it holds all that it takes.
+    Refused,
+    /// They never come up, and those that are open carry nothing.
+    Silent,
+    /// They come up, and nothing is said on them.
+    Mute,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// Its first line has not come.
+    First,
+    /// It carries probes.
+    Probes,
+    /// It has asked for a client.
+    Asked,
+    /// It stands.
+    Stands,
+    /// The node has ended it.
+    Over,
+}
+
+#[derive(Debug)]
+struct Link {
+    wire: Wire,
+    who: BalancerId,
+    node: NodeId,
+    conn: Option<ConnId>,
+    stage: Stage,
+    owed: Vec<u8>,
+}
+
+#[derive(Debug)]
+struct Seat {
+    reach: Reach,
+    /// Since when.
+    since: Micros,
+    /// By balancer; none while refused.
+    ears: Vec<Option<Ear>>,
+    at: Vec<SocketAddr>,
+    /// What keeps the queues full while silent.
+    filling: Vec<TcpStream>,
+}
+
+/// The nodes.
+#[derive(Debug)]
+pub struct Nodes {
+    seats: Vec<Seat>,
+    links: BTreeMap<LinkId, Link>,
+    next: u64,
+    /// The node takes everything at once and asks nobody: before the day begins.
+    alone: bool,
+    /// Lines that came before their connection stood.
+    pub early: u64,
+}
+
+impl Nodes {
+    /// Listens for all nodes and balancers.
+    pub fn new(net: &mut Net, addresses: Addresses, balancers: u32, nodes: u32) -> io::Result<Self> {
+        let mut seats = Vec::new();
+        for node in (0..nodes).map(NodeId) {
+            let mut ears = Vec::new();
+            for who in (0..balancers).map(BalancerId) {
+                ears.push(Some(net.listen(addresses.node(who, node), Role::NodeEar(who, node))?));
+            }
+            let at = ears.iter().flatten().map(Ear::address).collect();
+            seats.push(Seat { reach: Reach::Open, since: 0, ears, at, filling: Vec::new() });
+        }
+        Ok(Nodes { seats, links: BTreeMap::new(), next: 1, alone: true, early: 0 })
+    }
+
+    /// Where each balancer reaches each node.
+    pub fn addresses(&self, balancers: u32) -> Vec<Vec<SocketAddr>> {
+        (0..balancers as usize).map(|who| self.seats.iter().map(|s| s.at[who]).collect()).collect()
+    }
+
+    /// From now on the world answers.
+    pub fn day_begins(&mut self) {
+        self.alone = false;
+    }
+
+    /// Connections that are open, first lines or not.
+    pub fn open_links(&self) -> usize {
+        self.links.len()
+    }
+
+    /// The node and connection of a link.
+    pub fn of(&self, link: LinkId) -> Option<(NodeId, Option<ConnId>)> {
+        self.links.get(&link).map(|l| (l.node, l.conn))
+    }
+
+    /// Whether a node has answered on this link since `then`: it stands on the node's side, and the node is open.
+    pub fn answers(&self, link: LinkId, then: Micros) -> bool {
+        let stands = self.links.get(&link).filter(|l| l.stage == Stage::Stands && l.wire.ended().is_none());
+        let seat = stands.map(|l| &self.seats[l.node.0 as usize]);
+        seat.is_some_and(|s| s.reach == Reach::Open && s.since <= then)
+    }
+
+    /// A node's machine meets connections in this way from now on.
+    pub fn reach(&mut self, net: &mut Net, now: Micros, node: NodeId, reach: Reach) -> io::Result<()> {
+        let seat = &mut self.seats[node.0 as usize];
+        let before = std::mem::replace(&mut seat.reach, reach);
+        if before == reach {
+            return Ok(());
+        }
+        seat.since = now;
+        if before == Reach::Silent {
+            seat.filling.clear();
+            seat.ears.iter().flatten().try_for_each(Ear::speak_again)?;
+        }
+        match reach {
+            Reach::Refused => seat.ears.iter_mut().filter_map(Option::take).for_each(|ear| {
+                net.deafen(ear);
+            }),
+            Reach::Silent => {
+                for ear in seat.ears.iter().flatten() {
+                    seat.filling.extend(ear.fall_silent()?);
+                }
+            }
+            Reach::Open | Reach::Mute => {
+                for (who, ear) in seat.ears.iter_mut().enumerate().filter(|(_, ear)| ear.is_none()) {
+                    let role = Role::NodeEar(BalancerId(who as u32), node);
+                    *ear = Some(net.listen(seat.at[who], role)?);
+                }
+            }
+        }
+        let of: Vec<LinkId> = self.links.iter().filter(|(_, l)| l.node == node).map(|(id, _)| *id).collect();
+        for id in of {
+            // Who has said nothing is unknown to the world, which ends all others of a dead process.
+            if reach == Reach::Refused && self.links[&id].stage == Stage::First {
+                self.end(net, id, End::Reset);
+            } else if before == Reach::Silent {
+                net.call_again(Role::Link(id));
+            }
+            if reach == Reach::Open {
+                self.pay(net, id);
+            }
+        }
+        Ok(())
+    }
+
+    fn pay(&mut self, net: &mut Net, id: LinkId) {
+        if let Some(link) = self.links.get_mut(&id).filter(|l| !l.owed.is_empty()) {
+            let owed = std::mem::take(&mut link.owed);
+            link.wire.say(net, &owed);
+        }
+    }
+
+    /// Connections wait to be accepted.
+    pub fn called(&mut self, net: &mut Net, who: BalancerId, node: NodeId, book: &mut Book, did: &mut Did) {
+        let seat = &self.seats[node.0 as usize];
+        if seat.reach == Reach::Silent {
+            return;
+        }
+        let mut came = Vec::new();
+        while let Some(stream) = seat.ears[who.0 as usize].as_ref().and_then(Ear::accept) {
+            came.push(stream);
+        }
+        for stream in came {
+            let id = LinkId(self.next);
+            self.next += 1;
+            // One that broke while it waited is no link.
+            let Ok(wire) = net.adopt(stream, Role::Link(id)) else { continue };
+            let stage = Stage::First;
+            self.links.insert(id, Link { wire, who, node, conn: None, stage, owed: Vec::new() });
+            self.ready(net, id, Ready { role: Role::Link(id), read: true, write: true }, book, did);
+        }
+    }
+
+    /// A link has something.
+    pub fn ready(&mut self, net: &mut Net, id: LinkId, ready: Ready, book: &mut Book, did: &mut Did) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        let reach = self.seats[link.node.0 as usize].reach;
+        if reach == Reach::Silent {
+            return;
+        }
+        link.wire.ready(net, ready);
+        loop {
+            match link.wire.line() {
+                Ok(Some(line)) => match (link.stage, line) {
+                    (Stage::First | Stage::Probes, b"PING" | b"STATS") => {
+                        if link.stage == Stage::First {
+                            did.push((
+                                link.who,
+                                FromBalancer::Link { link: id, node: link.node, conn: None },
+                            ));
+                        }
+                        link.stage = Stage::Probes;
+                        did.push((link.who, FromBalancer::Probe(id)));
+                    }
+                    (Stage::First, line) => match book.read(link.who, line) {
+                        First::Sent(conn, patience) => {
+                            (link.conn, link.stage) = (Some(conn), Stage::Asked);
+                            if self.alone {
+                                let up = Word::Up(book.stands(conn, id).as_bytes()).to_string();
+                                link.stage = Stage::Stands;
+                                link.wire.say(net, up.as_bytes());
+                            }
+                            let node = link.node;
+                            did.push((link.who, FromBalancer::Link { link: id, node, conn: Some(conn) }));
+                            did.push((link.who, FromBalancer::Forward { link: id, patience }));
+                        }
+                        First::Unusable => {
+                            link.stage = Stage::Over;
+                            link.wire.say(net, Word::Err.to_string().as_bytes());
+                            link.wire.finish(net);
+                        }
+                        First::Unknown => {
+                            link.stage = Stage::Over;
+                            link.wire.say(net, Word::Syntax.to_string().as_bytes());
+                            link.wire.finish(net);
+                            did.push((link.who, FromBalancer::Syntax(link.node)));
+                        }
+                    },
+                    (Stage::Stands, line) => {
+                        let answer = [line, b"\r\n"].concat();
+                        if reach == Reach::Mute {
+                            if link.owed.len() < OWED_MOST {
+                                link.owed.extend(answer);
+                            }
+                        } else {
+                            link.wire.say(net, &answer);
+                        }
+                    }
+                    (Stage::Asked | Stage::Probes, _) => self.early += 1,
+                    (Stage::Over, _) => {}
+                },
+                Ok(None) => break,
+                // No client sends such a line, so no balancer may.
+                Err(_) => {
+                    did.push((link.who, FromBalancer::Syntax(link.node)));
+                    return self.end(net, id, End::Reset);
+                }
+            }
+        }
+        link.wire.tidy(net);
+        if let Some(how) = link.wire.ended() {
+            if !matches!(link.stage, Stage::First | Stage::Over) {
+                did.push((link.who, FromBalancer::EndLink(id, how)));
+            }
+            self.end(net, id, End::Fin);
+        }
+    }
+
+    /// A node says this on a link.
+    pub fn says(&mut self, net: &mut Net, id: LinkId, what: NodeWord, book: &mut Book) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        if self.seats[link.node.0 as usize].reach == Reach::Silent || link.stage == Stage::Over {
+            return;
+        }
+        let text = match (what, link.conn) {
+            (NodeWord::Up, Some(conn)) => {
+                link.stage = Stage::Stands;
+                Word::Up(book.stands(conn, id).as_bytes()).to_string()
+            }
+            (NodeWord::Up, None) | (NodeWord::Pong, _) => Word::Pong.to_string(),
+            (NodeWord::Busy, _) => Word::Busy(None).to_string(),
+            (NodeWord::Err, _) => Word::Err.to_string(),
+            (NodeWord::Move, _) => Word::Move.to_string(),
+            (NodeWord::Bye, _) => Word::Bye.to_string(),
+            (NodeWord::Load(x) | NodeWord::Delay(x), _) => Word::Load(Some(x)).to_string(),
+            // Clients' lines are returned as they come.
+            (NodeWord::Reply, _) => return,
+            (NodeWord::Junk, _) => "7f3a HUH 0\r\n".to_owned(),
+        };
+        link.wire.say(net, text.as_bytes());
+    }
+
+    /// A node ends a link.
+    pub fn ends(&mut self, net: &mut Net, id: LinkId, how: End) {
+        match self.links.get_mut(&id) {
+            Some(link) if how == End::Fin => {
+                link.stage = Stage::Over;
+                link.wire.finish(net);
+            }
+            _ => self.end(net, id, End::Reset),
+        }
+    }
+
+    fn end(&mut self, net: &mut Net, id: LinkId, how: End) {
+        if let Some(link) = self.links.remove(&id) {
+            net.close(link.wire, how);
+        }
+    }
+}
+
+/// Whether a line among those that a node sends is one that clients pass over: a figure for the balancer.
+pub fn is_figure(line: &[u8]) -> bool {
+    matches!(word(line), Word::Load(_))
+}
--- a/crates/emulator/src/sockets/process.rs
+++ b/crates/emulator/src/sockets/process.rs
@@ -27,6 +27,9 @@
     /// The program does not start.
     #[error("{0} does not start: {1}")]
     Start(PathBuf, io::Error),
+    /// There is no port for it.
+    #[error("no port at {0}: {1}")]
+    Address(SocketAddr, io::Error),
     /// Its end cannot be watched.
     #[error("the process {0} cannot be watched: {1}")]
     Watch(u32, io::Error),
@@ -129,7 +132,10 @@
 impl Process {
     /// Starts the program as this balancer.
     pub fn start(
-        program: &Program, desk: &Desk, listen: SocketAddr, discovery: SocketAddr,
+        program: &Program,
+        desk: &Desk,
+        listen: SocketAddr,
+        discovery: SocketAddr,
     ) -> Result<Self, ProcessError> {
         let log = |path: PathBuf| -> Result<File, ProcessError> {
             OpenOptions::new().create(true).append(true).open(&path).map_err(|e| ProcessError::File(path, e))
--- /dev/null
+++ b/crates/emulator/src/sockets/run.rs
@@ -0,0 +1,479 @@
+//! A day in real time: one thread moves the stage on by the monotonic clock and carries words between it and the
+//! sockets.
+//!
+//! Before the day begins, the balancers start, and the connections that stand from before are opened; nodes and
+//! discovery answer by themselves then, and the day's clock stands at zero.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::path::PathBuf;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use serde::Serialize;
+use serde_json::Value;
+use tempfile::TempDir;
+use thiserror::Error;
+
+use super::addresses::{Addresses, BALANCERS_MOST, NODES_MOST};
+use super::bad::{Bads, Fared, UnknownKind};
+use super::book::Book;
+use super::clients::{Clients, Facts};
+use super::clock::{Clock, LATE, Spread, until};
+use super::directory::Directory;
+use super::discovery::Discovery;
+use super::fleet::{Fleet, Life, Start};
+use super::net::{Net, Ready, Role};
+use super::nodes::Nodes;
+use super::process::{ProcessError, Program};
+use super::stage::{Did, Said, Stage};
+use crate::Micros;
+use crate::day::Day;
+use crate::edge::{Answer, Ask, BalancerId, ConnId, End, FromBalancer, LinkId, NodeId, ToBalancer};
+
+/// Balancers that are not ready by then have failed to start.
+const READY: Micros = 30_000_000;
+/// Connections from before the day that are not up by then are lost.
+const STANDING: Micros = 40_000_000;
+/// Connections from before the day that are opened at once; more would only wait in queues.
+const AT_ONCE: usize = 128;
+/// The loop turns at least this often, so that lateness is measured also while nothing happens.
+const BEAT: Micros = 5_000;
+
+/// How a day is run.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The program that is tested.
+    pub program: Program,
+    /// Where configurations and logs go; a folder that is removed at the end if none is given.
+    pub folder: Option<PathBuf>,
+    /// The settings that a balancer is told, as JSON text.
+    pub settings: fn(&Day, BalancerId) -> String,
+}
+
+/// Why a day could not be run.
+#[derive(Debug, Error)]
+pub enum RunError {
+    /// More parties than there are addresses for.
+    #[error("{0} balancers and {1} nodes: at most {BALANCERS_MOST} and {NODES_MOST} have addresses")]
+    TooMany(usize, usize),
+    /// A kind of bad client that nobody knows.
+    #[error(transparent)]
+    Bad(#[from] UnknownKind),
+    /// The settings are no JSON.
+    #[error("settings of {0}: {1}")]
+    Settings(String, serde_json::Error),
+    /// A process could not be started or told something.
+    #[error(transparent)]
+    Process(#[from] ProcessError),
+    /// A balancer ended, or did not answer, before the day began.
+    #[error("{0} did not become ready; its log ends: {1}")]
+    NotReady(String, String),
+    /// The system refused something that the driver needs.
+    #[error("the driver's own sockets: {0}")]
+    Io(#[from] io::Error),
+}
+
+/// How the driver and the processes fared.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// Why nothing of this run counts, if so.
+    pub void: Option<String>,
+    /// How much later than due the driver did what its clocks asked for.
+    #[serde(skip)]
+    pub late: Spread,
+    /// How long after the system could first have told it the driver had handled what came on sockets, at most.
+    #[serde(skip)]
+    pub handled: Spread,
+    /// What only sockets show of the clients' connections.
+    pub clients: Facts,
+    /// How bad clients fared, by kind.
+    pub bad: Vec<(String, Fared)>,
+    /// Each life of each balancer.
+    pub lives: Vec<Life>,
+    /// First lines in a form that no client sent.
+    pub syntax: u64,
+    /// Lines that came at a node before their connection stood.
+    pub early: u64,
+    /// Calls at discovery that are none of the protocol, and what else went wrong with a balancer.
+    pub strange: Vec<String>,
+    /// Connections from before the day that did not come up.
+    pub missed: usize,
+    /// The day's clock at the end.
+    pub ended: Micros,
+}
+
+impl Report {
+    /// Whether a process ended without an order.
+    pub fn crashed(&self) -> bool {
+        self.lives.iter().any(|l| l.crashed)
+    }
+}
+
+/// Connections from before the day while they are opened.
+struct Prelude {
+    to_open: VecDeque<(BalancerId, Ask)>,
+    out: usize,
+    up: BTreeMap<ConnId, (BalancerId, LinkId, NodeId)>,
+    missed: usize,
+}
+
+struct Driver<'a, S: Stage> {
+    stage: &'a mut S,
+    day: &'a Day,
+    options: &'a Options,
+    clock: Clock,
+    /// When the day began on the driver's clock; none before.
+    start: Option<Micros>,
+    net: Net,
+    dir: Directory,
+    book: Book,
+    fleet: Fleet,
+    nodes: Nodes,
+    clients: Clients,
+    discovery: Discovery,
+    bads: Bads,
+    late: Spread,
+    handled: Spread,
+    /// What balancers have done and nobody has been told.
+    did: Did,
+    said: Said,
+    ready: Vec<Ready>,
+    /// When the last wait returned.
+    woke: Micros,
+    prelude: Prelude,
+    syntax: u64,
+}
+
+/// Plays a day's stage in real time against the program.
+pub fn play<S: Stage>(stage: &mut S, day: &Day, options: &Options) -> Result<Report, RunError> {
+    let folder = match &options.folder {
+        Some(folder) => (folder.clone(), None),
+        None => {
+            let made = TempDir::with_prefix("shorewharf-lab-")?;
+            (made.path().to_owned(), Some(made))
+        }
+    };
+    let (balancers, nodes) = (day.balancers.len() as u32, day.nodes.len() as u32);
+    if balancers > BALANCERS_MOST || nodes > NODES_MOST {
+        return Err(RunError::TooMany(day.balancers.len(), day.nodes.len()));
+    }
+    let mut net = Net::new()?;
+    let addresses = Addresses::new(std::process::id());
+    let seats = Nodes::new(&mut net, addresses, balancers, nodes)?;
+    let dir = Directory::new(day, seats.addresses(balancers));
+    let mut driver = Driver {
+        stage,
+        day,
+        options,
+        clock: Clock::start(),
+        start: None,
+        book: Book::new(day, &dir),
+        dir,
+        fleet: Fleet::new(options.program.clone(), day.limits.cores, addresses, balancers, &folder.0)?,
+        nodes: seats,
+        clients: Clients::new(day.clients.line_every),
+        discovery: Discovery::new(&mut net, addresses, balancers)?,
+        bads: Bads::new(day)?,
+        net,
+        late: Spread::default(),
+        handled: Spread::default(),
+        did: Vec::new(),
+        said: Vec::new(),
+        ready: Vec::new(),
+        woke: 0,
+        prelude: Prelude { to_open: VecDeque::new(), out: 0, up: BTreeMap::new(), missed: 0 },
+        syntax: 0,
+    };
+    driver.begin()?;
+    driver.day()?;
+    Ok(driver.end())
+}
+
+impl<S: Stage> Driver<'_, S> {
+    /// Starts the balancers that begin with the day, and opens what stands.
+    fn begin(&mut self) -> Result<(), RunError> {
+        self.stage.advance(0, &mut self.said);
+        self.deliver()?;
+        let first: Vec<BalancerId> = (0..self.day.balancers.len() as u32)
+            .map(BalancerId)
+            .filter(|w| self.fleet.pid(*w).is_some())
+            .collect();
+        let limit = self.clock.now() + READY;
+        while let Some(who) = first.iter().find(|w| !self.fleet.is_ready(**w)) {
+            if self.clock.now() > limit || self.fleet.pid(*who).is_none() {
+                let desk = self.fleet.desk(*who);
+                return Err(RunError::NotReady(desk.name().to_owned(), desk.log_tail(5)));
+            }
+            self.turn()?;
+        }
+        self.prelude.to_open = self.stage.standing().into();
+        let limit = self.clock.now() + STANDING;
+        while self.prelude.out > 0 || !self.prelude.to_open.is_empty() {
+            if self.clock.now() > limit {
+                self.prelude.missed += self.prelude.out + self.prelude.to_open.len();
+                break;
+            }
+            while self.prelude.out < AT_ONCE {
+                let Some((who, ask)) = self.prelude.to_open.pop_front() else { break };
+                self.prelude.out += 1;
+                self.asks(who, &ask, ask.patience);
+            }
+            self.turn()?;
+        }
+        self.stage.carried(std::mem::take(&mut self.prelude.up));
+        Ok(())
+    }
+
+    /// Plays the day.
+    fn day(&mut self) -> Result<(), RunError> {
+        let now = self.clock.now();
+        self.start = Some(now);
+        self.woke = now;
+        let epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        self.dir.begins(epoch.as_secs_f64() * 1e3);
+        self.nodes.day_begins();
+        self.discovery.day_begins();
+        // What was late before counts for nothing.
+        (self.late, self.handled) = (Spread::default(), Spread::default());
+        while !self.stage.is_over(self.time(self.clock.now())) {
+            self.turn()?;
+        }
+        Ok(())
+    }
+
+    fn end(mut self) -> Report {
+        let now = self.clock.now();
+        let ended = self.time(now);
+        self.bads.stop(&mut self.net);
+        self.fleet.stop(&mut self.net, now);
+        let worst = self.late.at(0.99).max(self.handled.at(0.99));
+        let void = if worst > LATE {
+            Some(format!(
+                "the driver was late: p99 {:.1} ms, at most {:.0}",
+                worst as f64 / 1e3,
+                LATE as f64 / 1e3
+            ))
+        } else if self.syntax > 0 {
+            Some(format!("{} first lines in a form no client sent", self.syntax))
+        } else {
+            None
+        };
+        let mut strange = self.discovery.strange;
+        strange.append(&mut self.fleet.faults);
+        Report {
+            void,
+            late: self.late,
+            handled: self.handled,
+            clients: self.clients.facts,
+            bad: self.bads.report(),
+            lives: self.fleet.lives,
+            syntax: self.syntax,
+            early: self.nodes.early,
+            strange,
+            missed: self.prelude.missed,
+            ended,
+        }
+    }
+
+    /// The day's clock; zero before it begins.
+    fn time(&self, now: Micros) -> Micros {
+        self.start.map_or(0, |start| now - start)
+    }
+
+    /// Does what is due, waits for what is next, and handles it.
+    fn turn(&mut self) -> Result<(), RunError> {
+        let now = self.clock.now();
+        if self.start.is_some() {
+            let time = self.time(now);
+            if let Some(due) = self.stage.next_due().filter(|due| *due <= time) {
+                self.late.record(time - due);
+                self.stage.advance(time, &mut self.said);
+            }
+            self.reaches(now)?;
+        }
+        self.deliver()?;
+        self.fleet.due(&mut self.net, now, &mut self.late);
+        self.discovery.due(&mut self.net, now, &mut self.did);
+        self.clients.due(&mut self.net, now, &self.nodes, &mut self.late);
+        self.bad_due(now);
+        self.tell()?;
+
+        let now = self.clock.now();
+        let next = self.next_due().min(now + BEAT);
+        let mut ready = std::mem::take(&mut self.ready);
+        self.net.wait(until(now, next), &mut ready)?;
+        let (before, woke) = (std::mem::replace(&mut self.woke, self.clock.now()), self.clock.now());
+        if ready.is_empty() {
+            self.late.record(woke.saturating_sub(next));
+        }
+        for one in &ready {
+            self.handle(*one);
+        }
+        self.tell()?;
+        if !ready.is_empty() {
+            // If the wait was none, what came may have come at any time since the last one.
+            let since = if woke > now + 50 { woke } else { before };
+            self.handled.record(self.clock.now() - since);
+        }
+        self.ready = ready;
+        Ok(())
+    }
+
+    fn next_due(&self) -> Micros {
+        let mut next = self.fleet.next_due().min(self.discovery.next_due()).min(self.clients.next_due());
+        if let Some(start) = self.start {
+            next = next.min(self.bads.next_due(start));
+            next = next.min(self.stage.next_due().map_or(Micros::MAX, |due| start + due));
+        }
+        next
+    }
+
+    fn bad_due(&mut self, now: Micros) {
+        let Some(start) = self.start else { return };
+        let (fleet, clients, count) = (&self.fleet, &self.clients, self.day.balancers.len() as u64);
+        let lasts = now < start + self.day.length;
+        self.bads.due(&mut self.net, now, start, lasts, &mut self.book, |number| {
+            let who = BalancerId((number % count.max(1)) as u32);
+            fleet.is_ready(who).then(|| (fleet.address(who), clients.any_of(who)))
+        });
+    }
+
+    fn reaches(&mut self, now: Micros) -> Result<(), RunError> {
+        for node in (0..self.day.nodes.len() as u32).map(NodeId) {
+            self.nodes.reach(&mut self.net, now, node, self.stage.reach(node))?;
+        }
+        Ok(())
+    }
+
+    fn handle(&mut self, one: Ready) {
+        let now = self.clock.now();
+        let (net, did) = (&mut self.net, &mut self.did);
+        match one.role {
+            Role::Client(conn) => {
+                self.clients.ready(net, now, conn, one, (&self.nodes, &self.book), did);
+            }
+            Role::Bad(id) => self.bads.ready(net, now, id, one, &mut self.book),
+            Role::Link(link) => self.nodes.ready(net, link, one, &mut self.book, did),
+            Role::Call(id) => self.discovery.ready(net, now, id, one, &self.dir, did),
+            Role::Ping(who) => self.fleet.pinged(net, now, who, one, did),
+            Role::NodeEar(who, node) => self.nodes.called(net, who, node, &mut self.book, did),
+            Role::DirectorEar(who, moves) => self.discovery.called(net, now, (who, moves), &self.dir, did),
+            Role::Exit(who) => self.fleet.exited(net, now, who, did),
+            Role::Load(_) | Role::Timer => {}
+        }
+    }
+
+    /// Tells the stage what balancers have done.
+    fn tell(&mut self) -> Result<(), RunError> {
+        let did = std::mem::take(&mut self.did);
+        let time = self.time(self.clock.now());
+        for (who, what) in &did {
+            if let FromBalancer::Syntax(_) = what {
+                self.syntax += 1;
+            }
+            if self.start.is_none() && self.before_the_day(*who, *what) {
+                continue;
+            }
+            self.stage.did(time, *who, *what, &mut self.said);
+        }
+        self.did = did;
+        self.did.clear();
+        self.deliver()
+    }
+
+    /// What concerns connections from before the day; true if it does.
+    fn before_the_day(&mut self, who: BalancerId, what: FromBalancer) -> bool {
+        let (up, missed) = match what {
+            FromBalancer::Answer(conn, Answer::Up(link)) => match self.nodes.of(link) {
+                Some((node, _)) => (self.prelude.up.insert(conn, (who, link, node)).is_none(), false),
+                None => (false, true),
+            },
+            FromBalancer::Answer(..) | FromBalancer::Refused(_) => (false, true),
+            FromBalancer::EndClient(conn, _) => (false, self.prelude.up.remove(&conn).is_some()),
+            FromBalancer::Link { .. }
+            | FromBalancer::Forward { .. }
+            | FromBalancer::EndLink(..)
+            | FromBalancer::Pass(_) => (false, false),
+            FromBalancer::Probe(link) => {
+                self.nodes.says(&mut self.net, link, crate::edge::NodeWord::Pong, &mut self.book);
+                (false, false)
+            }
+            _ => return false,
+        };
+        if up || missed {
+            self.prelude.out = self.prelude.out.saturating_sub(1);
+        }
+        self.prelude.missed += usize::from(missed);
+        true
+    }
+
+    /// Carries what the stage says to the sockets.
+    fn deliver(&mut self) -> Result<(), RunError> {
+        let mut said = std::mem::take(&mut self.said);
+        for (who, what) in said.drain(..) {
+            self.say(who, what)?;
+        }
+        // Nothing that is carried makes the stage speak before it is told.
+        self.said = said;
+        Ok(())
+    }
+
+    fn asks(&mut self, who: BalancerId, ask: &Ask, left: Micros) {
+        let line = self.book.open(who, ask, left, &self.dir);
+        let to = self.fleet.address(who);
+        self.clients.comes(&mut self.net, who, ask.conn, to, &line, &mut self.did);
+    }
+
+    fn say(&mut self, who: BalancerId, what: ToBalancer) -> Result<(), RunError> {
+        let now = self.clock.now();
+        let net = &mut self.net;
+        match what {
+            ToBalancer::Start { seed, known } => {
+                let index = self.discovery.starts(who, &known);
+                let text = (self.options.settings)(self.day, who);
+                let settings: Value = serde_json::from_str(&text)
+                    .map_err(|e| RunError::Settings(Directory::balancer(who), e))?;
+                let known = self.dir.listing(who, index, true, &known);
+                let discovery = self.discovery.address(who);
+                self.fleet.start(net, now, who, &Start { seed, known, settings, discovery })?;
+            }
+            ToBalancer::Kill => self.fleet.kill(who),
+            ToBalancer::Terminate => self.fleet.terminate(who),
+            ToBalancer::Reload { moved } => {
+                if moved {
+                    self.discovery.moves(net, now, who)?;
+                }
+                self.fleet.reload(who, self.discovery.address(who))?;
+            }
+            ToBalancer::Asked { ask, left } => self.asks(who, &ask, left),
+            ToBalancer::ClientEnded(conn, how) => self.clients.leaves(net, now, conn, how),
+            ToBalancer::LinkFailed(link) => self.nodes.ends(net, link, End::Reset),
+            ToBalancer::NodeSays(link, word) => self.nodes.says(net, link, word, &mut self.book),
+            ToBalancer::NodeEnded(link, how) => {
+                if let Some((_, Some(conn))) = self.nodes.of(link) {
+                    self.clients.node_ended(now, conn);
+                }
+                self.nodes.ends(net, link, how);
+            }
+            ToBalancer::List { full, entries } => {
+                self.discovery.lists(net, now, who, full, &entries, &self.dir);
+            }
+            ToBalancer::ListFailed => self.discovery.fails(net, who),
+            // Clients send their lines by themselves, and links come up by the system's doing.
+            ToBalancer::ClientLine(_) | ToBalancer::LinkUp(_) => {}
+        }
+        Ok(())
+    }
+}
+
+/// Raises this process's own limit of descriptors as far as it may, and returns it: a day holds two for each
+/// connection.
+pub fn raise_descriptors() -> u64 {
+    use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
+    let found = getrlimit(Resource::Nofile);
+    let raised = Rlimit { current: found.maximum, maximum: found.maximum };
+    match setrlimit(Resource::Nofile, raised) {
+        Ok(()) => found.maximum.unwrap_or(u64::MAX),
+        Err(_) => found.current.unwrap_or(u64::MAX),
+    }
+}
