--- a/crates/emulator/src/sockets/clients.rs
+++ b/crates/emulator/src/sockets/clients.rs
@@ -35,7 +35,6 @@
     /// Lines that came back.
     pub returned: u64,
     /// How long they took.
-    #[serde(skip)]
     pub round: Spread,
     /// Lines that came back late though the node answered.
     pub held: u64,
--- a/crates/emulator/src/sockets/clock.rs
+++ b/crates/emulator/src/sockets/clock.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use hdrhistogram::Histogram;
+use serde::ser::{Serialize, SerializeStruct, Serializer};
 
 use crate::Micros;
 
@@ -36,7 +37,7 @@
 }
 
 /// A distribution of spans of time, microseconds.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Spread(Histogram<u64>);
 
 impl Default for Spread {
@@ -87,6 +88,26 @@
     }
 }
 
+/// As it is displayed.
+impl fmt::Debug for Spread {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+/// As counts and parts, microseconds.
+impl Serialize for Spread {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        let mut out = s.serialize_struct("Spread", 5)?;
+        out.serialize_field("count", &self.len())?;
+        for (key, share) in [("p50_us", 0.5), ("p90_us", 0.9), ("p99_us", 0.99)] {
+            out.serialize_field(key, &self.at(share))?;
+        }
+        out.serialize_field("max_us", &self.max())?;
+        out.end()
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/emulator/src/sockets/mod.rs
+++ b/crates/emulator/src/sockets/mod.rs
@@ -15,6 +15,8 @@
 pub mod lines;
 pub mod net;
 pub mod nodes;
+pub mod plain;
 pub mod process;
 pub mod run;
+pub mod settings;
 pub mod stage;
--- a/crates/emulator/src/sockets/run.rs
+++ b/crates/emulator/src/sockets/run.rs
@@ -79,10 +79,8 @@
     /// Why nothing of this run counts, if so.
     pub void: Option<String>,
     /// How much later than due the driver did what its clocks asked for.
-    #[serde(skip)]
     pub late: Spread,
     /// How long after the system could first have told it the driver had handled what came on sockets, at most.
-    #[serde(skip)]
     pub handled: Spread,
     /// What only sockets show of the clients' connections.
     pub clients: Facts,
--- /dev/null
+++ b/crates/emulator/src/sockets/settings.rs
@@ -0,0 +1,96 @@
+//! The settings text that a balancer gets: the day's figures as the platform would tell them, and no more. True
+//! speeds, caps and delays are not in it.
+
+use serde_json::{Value, json};
+
+use crate::Micros;
+use crate::day::Day;
+use crate::edge::BalancerId;
+
+fn s(t: Micros) -> f64 {
+    t as f64 / 1e6
+}
+
+/// The connections that fill all nodes, with what their set-ups cost; and that many per mean life, a second.
+pub fn capacity(day: &Day) -> (f64, f64) {
+    let speeds: f64 =
+        day.nodes.iter().map(|n| f64::from(day.kinds[n.kind as usize].cores) * n.speed).sum();
+    let (mut load, mut life, mut set_up) = (0.0, 0.0, 0.0);
+    let shares: f64 = day.classes.iter().map(|c| c.share).sum();
+    for c in &day.classes {
+        let share = c.share / shares;
+        (load, life, set_up) = (load + share * c.load, life + share * c.life, set_up + share * s(c.set_up));
+    }
+    let (load, life) = (load / day.streams.per_core, life * s(day.streams.life));
+    // A connection costs a tenth of the mean load however idle it is; a group's cost is shared by its members
+    // as far as balancers keep them together (fitted to the simulator's quotas).
+    let shared = 1.1 + 1.3 * day.streams.group_cost / day.streams.group_size.max(1.0);
+    let connections = speeds / (load * shared + set_up / life);
+    (connections, connections / life)
+}
+
+/// The settings of one balancer as JSON text, with the names and units of the simulator's wire.
+pub fn json(day: &Day, me: BalancerId) -> String {
+    let (connections, rate) = capacity(day);
+    let class = |c: &crate::day::Class| {
+        json!({
+            "name": c.name, "promise_s": s(c.aim), "give_up_s": s(c.give_up), "late_worth": 0.0,
+            "semantics": "read_like", "group": "all", "window_s": 5.0, "streamed": true, "worth": c.worth,
+        })
+    };
+    let tenant = |t: &crate::day::Tenant| {
+        json!({"name": t.name, "fraction": t.share, "quota_per_s": (t.quota * rate).round().max(1.0)})
+    };
+    let quotas: Vec<f64> = day.tenants.iter().map(|t| (t.quota * connections).round().max(1.0)).collect();
+    let aims: Vec<f64> = day.classes.iter().map(|c| s(c.message_aim)).collect();
+    let kinds: Vec<&str> = day.kinds.iter().map(|k| k.name.as_str()).collect();
+    let zone = day.balancers.get(me.0 as usize).map_or(0, |b| b.zone);
+    let text: Value = json!({
+        "me": me.0,
+        "group_size": day.balancers.len(),
+        "family": "conn",
+        "tier": 0,
+        "tiers": ["live-updates"],
+        "zone": zone,
+        "zones": day.zones,
+        "flavors": kinds,
+        "tick_s": s(day.tick),
+        "registry_mode": "ask",
+        "weights": "nominal",
+        "worth_by": "request",
+        "over_share_worth": day.traffic.over_share_worth,
+        "classes": day.classes.iter().map(class).collect::<Vec<_>>(),
+        "clients": {"marks_retry": day.clients.marks_retry},
+        "tenants": day.tenants.iter().map(tenant).collect::<Vec<_>>(),
+        "load_info": {"columns": [], "source": "off"},
+        "goal": {
+            "whole": day.goal.whole, "worst_window": day.goal.worst_window,
+            "worst_class": day.goal.worst_class, "worst_tenant": day.goal.worst_tenant,
+        },
+        "tariffs": {
+            "cross_zone": day.prices.cross_zone, "waste": day.prices.waste, "connection": day.prices.connection,
+            "handshake": day.prices.handshake, "probe": day.prices.probe, "late_fail": day.prices.late_fail,
+            "moves": day.prices.moves, "origin": 0.0, "peer": 0.0, "registry_mode": 0.0,
+        },
+        "limits": {
+            "cancel": day.limits.cancel, "retry_after": day.limits.retry_after, "may_probe": day.limits.probes,
+            "may_tell": false, "second_copies": false, "max_attempts": day.limits.max_attempts,
+            "max_open": 1_000_000, "max_streams": 1_048_576, "connect_timeout_s": s(day.limits.connect_timeout),
+            "idle_close_s": s(day.limits.idle_close), "max_retry_after_s": s(day.clients.max_retry_after),
+            "cpu_us_per_s": day.limits.cpu_us_per_s, "cpu_us_per_request": 0.0,
+        },
+        "rules": {
+            "answer_slack_s": s(day.rules.answer_slack), "drain_grace_s": s(day.rules.drain_grace),
+            "fall_multiple": day.rules.fall_multiple, "overload_for_s": s(day.rules.fall_for),
+            "start_capacity": day.rules.stated_cold_from, "warm_within_s": s(day.rules.stated_cold),
+            "ask_within_s": s(day.rules.ask_within),
+        },
+        "specifics": {
+            "mode": "proxy", "park_s": 0.0, "groups": day.streams.group_cost > 0.0, "message_aim_s": aims,
+            "hint": "usual load of the connection: work a second, in seconds",
+            "tells_load": day.streams.tells_load, "tells_delay": day.streams.tells_delay,
+            "tenant_quota_connections": quotas,
+        },
+    });
+    text.to_string()
+}
