--- a/crates/emulator/src/sockets/directory.rs
+++ b/crates/emulator/src/sockets/directory.rs
@@ -39,6 +39,11 @@
         self.epoch_ms = epoch_ms;
     }
 
+    /// How many nodes there are.
+    pub fn nodes(&self) -> usize {
+        self.nodes.len()
+    }
+
     /// A node's name.
     pub fn node(&self, node: NodeId) -> &str {
         &self.nodes[node.0 as usize]
--- a/crates/emulator/src/sockets/fleet.rs
+++ b/crates/emulator/src/sockets/fleet.rs
@@ -150,6 +150,17 @@
         self.posts[who.0 as usize].running.as_ref().map(|r| r.process.id())
     }
 
+    /// What a balancer's process has used so far.
+    pub fn used(&mut self, who: BalancerId) -> Usage {
+        match &mut self.posts[who.0 as usize].running {
+            Some(running) => {
+                running.process.look();
+                running.process.usage()
+            }
+            None => Usage::default(),
+        }
+    }
+
     /// Starts a balancer; one that runs still, or is about to be gone, is waited for first.
     pub fn start(
         &mut self,
--- /dev/null
+++ b/crates/emulator/src/sockets/load.rs
@@ -0,0 +1,516 @@
+//! Load on one balancer, open loop: set-ups and lines come when they are due, whether or not those before have been
+//! answered, and every time is counted from when it was due. A program that stalls is not asked less for it.
+//!
+//! Nodes take every connection at once and return every line, so that what is measured is the balancer and the two
+//! machines' system. The same is done in the same run past the balancer, straight to a node, at a tenth of the rate:
+//! what that takes is the lab's own part.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::fmt;
+use std::io;
+use std::path::Path;
+
+use serde::Serialize;
+use shorewharf_protocol::words::{Word, word};
+use thiserror::Error;
+
+use super::addresses::Addresses;
+use super::book::Book;
+use super::clock::{Clock, LATE, Spread, until};
+use super::directory::Directory;
+use super::discovery::Discovery;
+use super::fleet::{Fleet, Life, Start};
+use super::lines::Wire;
+use super::net::{Net, Ready, Role};
+use super::nodes::Nodes;
+use super::plain;
+use super::process::{ProcessError, Program};
+use super::stage::Did;
+use crate::Micros;
+use crate::day::Day;
+use crate::edge::{Ask, BalancerId, ConnId, End, FromBalancer, Listed, NodeId, NodeWord, Stage as ListStage};
+
+/// The balancer that is loaded, and those who pass it by: a node knows both as balancers of their own.
+const THROUGH: BalancerId = BalancerId(0);
+const PAST: BalancerId = BalancerId(1);
+/// Of what goes through the balancer, this part goes past it too.
+const PAST_PART: u64 = 10;
+/// A set-up or a line that has no answer by then is lost.
+const LOST: Micros = 5_000_000;
+/// Standing connections are opened this far apart before the clock starts.
+const OPEN_EVERY: Micros = 500;
+/// The balancer must be ready, and those who stand be up, within this.
+const READY: Micros = 30_000_000;
+/// Nothing is counted in the first second: the balancer's first list and everybody's caches fall in it.
+const WARM: Micros = 1_000_000;
+const BEAT: Micros = 5_000;
+
+/// What load is put on.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The program.
+    pub program: Program,
+    /// New connections a second.
+    pub set_ups_per_s: f64,
+    /// Connections that stand all the time, besides the new ones.
+    pub standing: u32,
+    /// A new connection stays so long.
+    pub hold: Micros,
+    /// On each that stands, a line is sent this often.
+    pub line_every: Micros,
+    /// Load lasts so long, after a second that is not counted.
+    pub length: Micros,
+    /// Nodes behind the balancer.
+    pub nodes: u32,
+    /// The settings that the balancer is told.
+    pub settings: fn(&Day, BalancerId) -> String,
+}
+
+/// Why load could not be put on.
+#[derive(Debug, Error)]
+pub enum LoadError {
+    /// A figure makes no load.
+    #[error("{0}: {1} is not above 0")]
+    Figure(&'static str, f64),
+    /// The settings are no JSON.
+    #[error("settings: {0}")]
+    Settings(#[from] serde_json::Error),
+    /// The balancer did not start.
+    #[error(transparent)]
+    Process(#[from] ProcessError),
+    /// It did not become ready, or ended under load.
+    #[error("the balancer {0}; its log ends: {1}")]
+    Balancer(&'static str, String),
+    /// The system refused something that the lab needs.
+    #[error("the lab's own sockets: {0}")]
+    Io(#[from] io::Error),
+}
+
+/// What came of one way to the nodes.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Way {
+    /// From when a set-up was due to its `UP`.
+    pub set_up: Spread,
+    /// From when a line was due to its return.
+    pub line: Spread,
+    /// Set-ups that were answered otherwise, refused or cut off.
+    pub failed: u64,
+    /// Set-ups and lines without an answer.
+    pub lost: u64,
+}
+
+/// What came of the load.
+#[derive(Clone, Debug, Serialize)]
+pub struct Outcome {
+    /// Through the balancer.
+    pub through: Way,
+    /// Past it, straight to a node.
+    pub past: Way,
+    /// Set-ups a second that came up, through the balancer.
+    pub set_ups_per_s: f64,
+    /// Lines a second that came back, through the balancer.
+    pub lines_per_s: f64,
+    /// Connections that stood through the balancer, at most.
+    pub stood: usize,
+    /// The balancer's time on a core, as a share of the run.
+    pub cores: f64,
+    /// Its life.
+    pub life: Life,
+    /// How late the lab was.
+    pub late: Spread,
+    /// Why none of this counts, if so.
+    pub void: Option<String>,
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let ms = |us: Micros| us as f64 / 1e3;
+        writeln!(
+            f,
+            "{:22} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9}",
+            "ms, from when due", "p50", "p90", "p99", "p99.9", "max", "count"
+        )?;
+        for (name, s) in [
+            ("set-up, through", &self.through.set_up),
+            ("set-up, past", &self.past.set_up),
+            ("line, through", &self.through.line),
+            ("line, past", &self.past.line),
+            ("the lab's lateness", &self.late),
+        ] {
+            let at = |share| ms(s.at(share));
+            let (a, b, c, d) = (at(0.5), at(0.9), at(0.99), at(0.999));
+            writeln!(f, "{name:22} {a:9.2} {b:9.2} {c:9.2} {d:9.2} {:9.2} {:9}", ms(s.max()), s.len())?;
+        }
+        writeln!(
+            f,
+            "set-ups a second {:.0}, lines a second {:.0}, stood at most {}",
+            self.set_ups_per_s, self.lines_per_s, self.stood
+        )?;
+        let usage = &self.life.usage;
+        writeln!(
+            f,
+            "balancer: {:.2} cores, {:.1} MB, {} descriptors",
+            self.cores, usage.memory_mb, usage.descriptors
+        )?;
+        for (name, way) in [("through", &self.through), ("past", &self.past)] {
+            if way.failed + way.lost > 0 {
+                writeln!(f, "{name}: {} set-ups failed, {} set-ups and lines lost", way.failed, way.lost)?;
+            }
+        }
+        self.void.as_ref().map_or(Ok(()), |why| writeln!(f, "VOID: {why}"))
+    }
+}
+
+#[derive(Debug)]
+struct Client {
+    wire: Wire,
+    way: usize,
+    /// When its set-up was due; none once it stands.
+    due: Option<Micros>,
+    /// It stays to the end.
+    stays: bool,
+    /// It leaves once all its lines have come back.
+    leaves: bool,
+    /// Lines that have not come back: when due, and their number.
+    out: VecDeque<(Micros, u64)>,
+    number: u64,
+}
+
+struct Load {
+    clock: Clock,
+    net: Net,
+    dir: Directory,
+    book: Book,
+    fleet: Fleet,
+    nodes: Nodes,
+    discovery: Discovery,
+    ways: [Way; 2],
+    late: Spread,
+    clients: BTreeMap<u32, Client>,
+    next: u32,
+    /// Standing through the balancer.
+    stand: usize,
+    stood: usize,
+    /// Lines and ends that are due, each in order: their spans are the same for all.
+    lines: VecDeque<(Micros, u32)>,
+    ends: VecDeque<(Micros, u32)>,
+    /// What is due is counted from then on.
+    counted: Micros,
+    line_every: Micros,
+    hold: Micros,
+    did: Did,
+    ready: Vec<Ready>,
+    crashed: bool,
+}
+
+/// Puts load on a balancer; its files go into this folder.
+pub fn run(options: &Options, folder: &Path) -> Result<Outcome, LoadError> {
+    for (name, figure) in [
+        ("set-ups a second", options.set_ups_per_s),
+        ("length", options.length as f64),
+        ("hold", options.hold as f64),
+        ("line every", options.line_every as f64),
+        ("nodes", f64::from(options.nodes)),
+    ] {
+        if figure.is_nan() || figure <= 0.0 {
+            return Err(LoadError::Figure(name, figure));
+        }
+    }
+    let limits = options.program.limits;
+    let day = plain::day(2, options.nodes, options.length, limits.memory_mb, limits.sockets);
+    let mut load = Load::begin(options, &day, folder)?;
+    load.stand_up(options.standing)?;
+    load.press(options)
+}
+
+impl Load {
+    fn begin(options: &Options, day: &Day, folder: &Path) -> Result<Self, LoadError> {
+        let mut net = Net::new()?;
+        let addresses = Addresses::new(std::process::id());
+        let nodes = Nodes::new(&mut net, addresses, 2, options.nodes)?;
+        let dir = Directory::new(day, nodes.addresses(2));
+        let mut discovery = Discovery::new(&mut net, addresses, 1)?;
+        let listed = |n| Listed { node: NodeId(n), stage: ListStage::Ready, born: None };
+        let known: Vec<Listed> = (0..options.nodes).map(listed).collect();
+        let index = discovery.starts(THROUGH, &known);
+        let start = Start {
+            seed: 1,
+            known: dir.listing(THROUGH, index, true, &known),
+            settings: serde_json::from_str(&(options.settings)(day, THROUGH))?,
+            discovery: discovery.address(THROUGH),
+        };
+        let mut fleet = Fleet::new(options.program.clone(), day.limits.cores, addresses, 1, folder)?;
+        let clock = Clock::start();
+        fleet.start(&mut net, clock.now(), THROUGH, &start)?;
+        Ok(Load {
+            book: Book::new(day, &dir),
+            clock,
+            net,
+            dir,
+            fleet,
+            nodes,
+            discovery,
+            ways: Default::default(),
+            late: Spread::default(),
+            clients: BTreeMap::new(),
+            next: 0,
+            stand: 0,
+            stood: 0,
+            lines: VecDeque::new(),
+            ends: VecDeque::new(),
+            counted: Micros::MAX,
+            line_every: options.line_every,
+            hold: options.hold,
+            did: Vec::new(),
+            ready: Vec::new(),
+            crashed: false,
+        })
+    }
+
+    fn failed(&self, how: &'static str) -> LoadError {
+        LoadError::Balancer(how, self.fleet.desk(THROUGH).log_tail(5))
+    }
+
+    /// Opens the connections that stand all the time.
+    fn stand_up(&mut self, standing: u32) -> Result<(), LoadError> {
+        let limit = self.clock.now() + READY;
+        while !self.fleet.is_ready(THROUGH) {
+            self.turn(Micros::MAX)?;
+            if self.crashed || self.clock.now() > limit {
+                return Err(self.failed("did not become ready"));
+            }
+        }
+        let (began, limit) = (self.clock.now(), self.clock.now() + READY + u64::from(standing) * OPEN_EVERY);
+        let (through, past) = (u64::from(standing), u64::from(standing) / PAST_PART);
+        let (mut opened, mut opened_past) = (0, 0);
+        while opened < through || self.stand < standing as usize {
+            let now = self.clock.now();
+            while opened < through && began + opened * OPEN_EVERY <= now {
+                self.comes(0, now, true);
+                opened += 1;
+                if opened_past < past && opened % PAST_PART == 0 {
+                    self.comes(1, now, true);
+                    opened_past += 1;
+                }
+            }
+            self.turn(if opened < through { began + opened * OPEN_EVERY } else { Micros::MAX })?;
+            if self.crashed || self.clock.now() > limit {
+                return Err(self.failed("did not take the connections that stand"));
+            }
+        }
+        Ok(())
+    }
+
+    /// Presses for as long as wanted and waits for the last answers.
+    fn press(mut self, options: &Options) -> Result<Outcome, LoadError> {
+        let start = self.clock.now();
+        self.counted = start + WARM;
+        self.late = Spread::default();
+        let stop = self.counted + options.length;
+        let due = |i: u64| start + (i as f64 * 1e6 / options.set_ups_per_s) as Micros;
+        let mut before = None;
+        let mut set_ups = 0;
+        loop {
+            let now = self.clock.now();
+            if before.is_none() && now >= self.counted {
+                before = Some(self.fleet.used(THROUGH));
+            }
+            while due(set_ups) <= now && due(set_ups) < stop {
+                self.late.record(now - due(set_ups));
+                self.comes(0, due(set_ups), false);
+                if set_ups % PAST_PART == 0 {
+                    self.comes(1, due(set_ups), false);
+                }
+                set_ups += 1;
+            }
+            if now >= stop {
+                break;
+            }
+            self.turn(due(set_ups).min(stop))?;
+            if self.crashed {
+                return Err(self.failed("ended under load"));
+            }
+        }
+        let used = self.fleet.used(THROUGH).cpu_ms - before.map_or(0.0, |u| u.cpu_ms);
+        // Nothing more is sent; what is out may still be answered.
+        self.lines.clear();
+        let limit = self.clock.now() + LOST;
+        while self.clock.now() < limit && self.is_owed() {
+            self.turn(limit)?;
+        }
+        Ok(self.end(options, used))
+    }
+
+    fn is_owed(&self) -> bool {
+        self.clients.values().any(|c| c.due.is_some() || !c.out.is_empty())
+    }
+
+    fn end(mut self, options: &Options, used_ms: f64) -> Outcome {
+        for client in self.clients.values() {
+            let way = &mut self.ways[client.way];
+            way.lost += u64::from(client.due.is_some_and(|due| due >= self.counted));
+            way.lost += client.out.iter().filter(|(due, _)| *due >= self.counted).count() as u64;
+        }
+        let now = self.clock.now();
+        self.fleet.stop(&mut self.net, now);
+        let [through, past] = self.ways;
+        let seconds = options.length as f64 / 1e6;
+        let late = self.late.at(0.99);
+        Outcome {
+            set_ups_per_s: through.set_up.len() as f64 / seconds,
+            lines_per_s: through.line.len() as f64 / seconds,
+            stood: self.stood,
+            cores: used_ms / 1e3 / seconds,
+            life: self.fleet.lives.remove(0),
+            void: (late > LATE).then(|| format!("the lab was late: p99 {:.1} ms", late as f64 / 1e3)),
+            late: self.late,
+            through,
+            past,
+        }
+    }
+
+    fn comes(&mut self, way: usize, due: Micros, stays: bool) {
+        let id = self.next;
+        self.next += 1;
+        let conn = ConnId(u64::from(id) + 1);
+        let node = NodeId(id % self.dir.nodes() as u32);
+        let (who, to) = match way {
+            0 => (THROUGH, self.fleet.address(THROUGH)),
+            _ => (PAST, self.dir.address(PAST, node)),
+        };
+        let ask = Ask {
+            conn,
+            key: conn.0.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+            class: 0,
+            tenant: 0,
+            group: 0,
+            patience: LOST,
+            hint: None,
+            retry: false,
+            again: false,
+            home: None,
+        };
+        let line = self.book.open(who, &ask, LOST, &self.dir);
+        let Ok(mut wire) = self.net.connect(to, Role::Load(id)) else {
+            self.ways[way].failed += u64::from(due >= self.counted);
+            return;
+        };
+        wire.say(&mut self.net, line.as_bytes());
+        let client = Client { wire, way, due: Some(due), stays, leaves: false, out: VecDeque::new(), number: 0 };
+        self.clients.insert(id, client);
+    }
+
+    /// Does what is due, waits for what is next, but no longer than until `next`, and handles it.
+    fn turn(&mut self, next: Micros) -> Result<(), LoadError> {
+        let now = self.clock.now();
+        self.fleet.due(&mut self.net, now, &mut self.late);
+        self.discovery.due(&mut self.net, now, &mut self.did);
+        while let Some((due, id)) = self.lines.front().copied().filter(|e| e.0 <= now) {
+            self.lines.pop_front();
+            let Some(client) = self.clients.get_mut(&id).filter(|c| !c.leaves) else { continue };
+            self.late.record(now - due);
+            client.number += 1;
+            client.out.push_back((due, client.number));
+            client.wire.say(&mut self.net, format!("M {id:x} {}\r\n", client.number).as_bytes());
+            self.lines.push_back((due + self.line_every, id));
+        }
+        while let Some((_, id)) = self.ends.front().copied().filter(|e| e.0 <= now) {
+            self.ends.pop_front();
+            let Some(client) = self.clients.get_mut(&id) else { continue };
+            client.leaves = true;
+            if client.out.is_empty() {
+                self.over(id, End::Fin);
+            }
+        }
+        let own = [self.fleet.next_due(), self.discovery.next_due(), now + BEAT];
+        let fronts = [&self.lines, &self.ends].map(|q| q.front().map_or(Micros::MAX, |e| e.0));
+        let next = own.into_iter().chain(fronts).fold(next, Micros::min);
+        let mut ready = std::mem::take(&mut self.ready);
+        self.net.wait(until(self.clock.now(), next), &mut ready)?;
+        let woke = self.clock.now();
+        for one in &ready {
+            self.handle(*one);
+        }
+        if !ready.is_empty() {
+            self.late.record(self.clock.now() - woke);
+        }
+        self.ready = ready;
+        for (_, what) in self.did.drain(..) {
+            match what {
+                FromBalancer::Probe(link) => {
+                    self.nodes.says(&mut self.net, link, NodeWord::Pong, &mut self.book)
+                }
+                FromBalancer::Exited => self.crashed = true,
+                _ => {}
+            }
+        }
+        Ok(())
+    }
+
+    fn handle(&mut self, one: Ready) {
+        let now = self.clock.now();
+        let (net, did) = (&mut self.net, &mut self.did);
+        match one.role {
+            Role::Load(id) => self.client(now, id, one),
+            Role::Link(link) => self.nodes.ready(net, link, one, &mut self.book, did),
+            Role::NodeEar(who, node) => self.nodes.called(net, who, node, &mut self.book, did),
+            Role::Call(id) => self.discovery.ready(net, now, id, one, &self.dir, did),
+            Role::DirectorEar(who, moves) => self.discovery.called(net, now, (who, moves), &self.dir, did),
+            Role::Ping(who) => self.fleet.pinged(net, now, who, one, did),
+            Role::Exit(who) => self.fleet.exited(net, now, who, did),
+            Role::Client(_) | Role::Bad(_) | Role::Timer => {}
+        }
+    }
+
+    fn client(&mut self, now: Micros, id: u32, ready: Ready) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        client.wire.ready(&mut self.net, ready);
+        let way = &mut self.ways[client.way];
+        let mut fails = false;
+        while let Ok(Some(line)) = client.wire.line() {
+            if let Some(due) = client.due {
+                if !matches!(word(line), Word::Up(_)) {
+                    fails = true;
+                    break;
+                }
+                client.due = None;
+                if due >= self.counted {
+                    way.set_up.record(now - due);
+                }
+                if client.way == 0 {
+                    self.stand += 1;
+                    self.stood = self.stood.max(self.stand);
+                }
+                self.lines.push_back((now + self.line_every, id));
+                if !client.stays {
+                    self.ends.push_back((now + self.hold, id));
+                }
+            } else if let Some((due, number)) = client.out.front().copied() {
+                if line == format!("M {id:x} {number}").as_bytes() {
+                    client.out.pop_front();
+                    if due >= self.counted {
+                        way.line.record(now - due);
+                    }
+                }
+            }
+        }
+        client.wire.tidy(&mut self.net);
+        if client.leaves && client.out.is_empty() {
+            return self.over(id, End::Fin);
+        }
+        if fails || client.wire.ended().is_some() {
+            let waits = client.due;
+            way.failed += u64::from(waits.is_some_and(|due| due >= self.counted));
+            way.lost += client.out.iter().filter(|(due, _)| *due >= self.counted).count() as u64;
+            self.over(id, End::Fin);
+        }
+    }
+
+    fn over(&mut self, id: u32, how: End) {
+        let Some(client) = self.clients.remove(&id) else { return };
+        if client.way == 0 && client.due.is_none() {
+            self.stand -= 1;
+        }
+        self.net.close(client.wire, how);
+    }
+}
--- a/crates/emulator/src/sockets/mod.rs
+++ b/crates/emulator/src/sockets/mod.rs
@@ -13,6 +13,7 @@
 pub mod discovery;
 pub mod fleet;
 pub mod lines;
+pub mod load;
 pub mod net;
 pub mod nodes;
 pub mod plain;
--- a/crates/emulator/src/sockets/process.rs
+++ b/crates/emulator/src/sockets/process.rs
@@ -140,6 +140,9 @@
         let log = |path: PathBuf| -> Result<File, ProcessError> {
             OpenOptions::new().create(true).append(true).open(&path).map_err(|e| ProcessError::File(path, e))
         };
+        // The shell would say only in the log that there is no such file.
+        let path = fs::canonicalize(&program.path)
+            .map_err(|e| ProcessError::Start(program.path.clone(), e))?;
         let (out, limits) = (log(desk.log())?, program.limits);
         let err = out.try_clone().map_err(|e| ProcessError::File(desk.log(), e))?;
         // The shell is replaced by the program, so that signals reach the program itself.
@@ -147,7 +150,7 @@
         let mut command = Command::new("/bin/sh");
         command.arg("-c").arg(script);
         command.arg(limits.sockets.to_string()).arg(((limits.memory_mb * 1024.0) as u64).to_string());
-        command.arg(&program.path).args(&program.args);
+        command.arg(&path).args(&program.args);
         command.env("ROUTER_NAME", &desk.name).env("ROUTER_LISTEN", listen.to_string());
         command.env("ROUTER_DISCOVERY", discovery.to_string()).env("ROUTER_CONFIG", desk.config());
         command.env("TMPDIR", desk.scratch());
--- a/crates/emulator/src/sockets/settings.rs
+++ b/crates/emulator/src/sockets/settings.rs
@@ -13,8 +13,7 @@
 
 /// The connections that fill all nodes, with what their set-ups cost; and that many per mean life, a second.
 pub fn capacity(day: &Day) -> (f64, f64) {
-    let speeds: f64 =
-        day.nodes.iter().map(|n| f64::from(day.kinds[n.kind as usize].cores) * n.speed).sum();
+    let speeds: f64 = day.nodes.iter().map(|n| f64::from(day.kinds[n.kind as usize].cores) * n.speed).sum();
     let (mut load, mut life, mut set_up) = (0.0, 0.0, 0.0);
     let shares: f64 = day.classes.iter().map(|c| c.share).sum();
     for c in &day.classes {
@@ -38,9 +37,7 @@
             "semantics": "read_like", "group": "all", "window_s": 5.0, "streamed": true, "worth": c.worth,
         })
     };
-    let tenant = |t: &crate::day::Tenant| {
-        json!({"name": t.name, "fraction": t.share, "quota_per_s": (t.quota * rate).round().max(1.0)})
-    };
+    let tenant = |t: &crate::day::Tenant| json!({"name": t.name, "fraction": t.share, "quota_per_s": (t.quota * rate).round().max(1.0)});
     let quotas: Vec<f64> = day.tenants.iter().map(|t| (t.quota * connections).round().max(1.0)).collect();
     let aims: Vec<f64> = day.classes.iter().map(|c| s(c.message_aim)).collect();
     let kinds: Vec<&str> = day.kinds.iter().map(|k| k.name.as_str()).collect();
