--- a/crates/balancer/tests/platform/main.rs
+++ b/crates/balancer/tests/platform/main.rs
@@ -6,9 +6,10 @@
 use shorewharf_emulator::day::{BadClients, Day};
 use shorewharf_emulator::edge::*;
 use shorewharf_emulator::sockets::nodes::Reach;
+use shorewharf_emulator::sockets::plain;
 use shorewharf_emulator::sockets::process::{ProcessLimits, Program};
 use shorewharf_emulator::sockets::run::{Options, Report, play};
-use shorewharf_emulator::sockets::{plain, settings};
+use shorewharf_emulator::world::settings;
 
 use script::{Act, MS, S, Script};
 
@@ -27,7 +28,6 @@
     report
 }
 
-
 #[test]
 fn hup() {
     let day = plain::day(2, 4, 8 * S, 192.0, 4096);
@@ -73,8 +73,21 @@
 #[test]
 fn bads() {
     let mut day = plain::day(1, 2, 7 * S, 192.0, 1024);
-    for kind in ["endless-line", "huge-value", "wrong-number", "unknown-class", "bad-deadline", "no-id", "stolen-id", "half", "commands", "again", "silent"] {
-        day.bad_clients.push(BadClients { kind: kind.to_owned(), per_s: if kind == "silent" { 100.0 } else { 1.0 } });
+    for kind in [
+        "endless-line",
+        "huge-value",
+        "wrong-number",
+        "unknown-class",
+        "bad-deadline",
+        "no-id",
+        "stolen-id",
+        "half",
+        "commands",
+        "again",
+        "silent",
+    ] {
+        day.bad_clients
+            .push(BadClients { kind: kind.to_owned(), per_s: if kind == "silent" { 100.0 } else { 1.0 } });
     }
     let mut script = Script::new(&day, 20 * MS, 50);
     let report = run(&day, &mut script);
--- a/crates/balancer/tests/platform/script.rs
+++ b/crates/balancer/tests/platform/script.rs
@@ -1,7 +1,7 @@
 //! A simple platform: nodes that take everybody at once, clients that come evenly, stay, and come again.
 
-use std::collections::{BTreeMap, BinaryHeap};
 use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
 
 use shorewharf_emulator::Micros;
 use shorewharf_emulator::day::Day;
@@ -156,7 +156,8 @@
             return;
         }
         // The front: the next balancer that was ready once.
-        let Some(who) = (0..self.balancers).map(|i| (self.dealt + i) % self.balancers).find(|w| self.ready[*w as usize])
+        let Some(who) =
+            (0..self.balancers).map(|i| (self.dealt + i) % self.balancers).find(|w| self.ready[*w as usize])
         else {
             return self.at(now + AGAIN, Event::Again(key));
         };
--- a/crates/emulator/examples/load.rs
+++ b/crates/emulator/examples/load.rs
@@ -8,7 +8,7 @@
     let options = Options {
         program: Program { path: a[1].clone().into(), args: vec![], limits: ProcessLimits { sockets: 20000, memory_mb: 192.0 } },
         set_ups_per_s: n(2), standing: n(3) as u32, hold: 2_000_000, line_every: 2_000_000, length: (n(4) * 1e6) as u64, nodes: 8,
-        settings: shorewharf_emulator::sockets::settings::json,
+        settings: shorewharf_emulator::world::settings::json,
     };
     match run(&options, std::path::Path::new("/tmp/socktry/load")) { Ok(o) => println!("{o}"), Err(e) => println!("{e}") }
 }
--- a/crates/emulator/src/sockets/clients.rs
+++ b/crates/emulator/src/sockets/clients.rs
@@ -1,7 +1,7 @@
 //! The usual clients' side: a connection to a balancer each, one first line, and a line now and then once it stands.
 //!
 //! The world says who comes, how long they wait and when they leave. What only sockets show is judged here: answers
-//! no node made, lines that are held back, and connections that are kept after their node has ended them.
+//! no node made, and lines that come back late, changed or not at all.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -13,17 +13,11 @@
 use super::clock::Spread;
 use super::lines::Wire;
 use super::net::{Net, Ready, Role};
-use super::nodes::{Nodes, is_figure};
-use super::stage::Did;
+use super::nodes::is_figure;
+use super::stage::{Did, Sight};
 use crate::Micros;
-use crate::edge::{Answer, BalancerId, ConnId, End, FromBalancer, LinkId};
+use crate::edge::{Answer, Ask, BalancerId, ConnId, End, FromBalancer, LinkId};
 
-/// A line that returns later than this was held back, if its node answered all the time.
-const HELD: Micros = 1_000_000;
-/// A connection on which nothing has returned for so long from a node that answers is lost.
-const MUTE: Micros = 7_000_000;
-/// A connection that its node has ended must be ended or moved within this.
-const ENDED: Micros = 1_050_000;
 /// A client that has finished its sending closes after this at the latest.
 const LINGER: Micros = 5_000_000;
 
@@ -36,14 +30,6 @@
     pub returned: u64,
     /// How long they took.
     pub round: Spread,
-    /// Lines that came back late though the node answered.
-    pub held: u64,
-    /// Connections on which nothing came back though the node answered.
-    pub mute: u64,
-    /// Connections that were kept after their node had ended them.
-    pub kept: u64,
-    /// Standing connections that were cut off without `MOVE` while their node answered.
-    pub cut: u64,
     /// Lines that no node had sent on this connection.
     pub foreign: u64,
     /// Answers that no node had made.
@@ -70,8 +56,8 @@
     /// Lines that have not come back: when sent, and their number.
     out: VecDeque<(Micros, u32)>,
     number: u32,
-    /// It has been counted as held back or mute.
-    ill: bool,
+    /// Its first line, until it has been written.
+    ask: Option<(Ask, Micros)>,
 }
 
 /// The usual clients.
@@ -81,8 +67,7 @@
     line_every: Micros,
     /// Whose next line is due when, in order: the period is the same for all.
     lines: VecDeque<(Micros, ConnId)>,
-    /// Who must have been let go by then, and who closes then, each in order.
-    ended: VecDeque<(Micros, ConnId)>,
+    /// Who closes then, in order.
     closing: VecDeque<(Micros, ConnId)>,
     /// What has been seen.
     pub facts: Facts,
@@ -95,7 +80,6 @@
             clients: BTreeMap::new(),
             line_every: line_every.max(1_000),
             lines: VecDeque::new(),
-            ended: VecDeque::new(),
             closing: VecDeque::new(),
             facts: Facts::default(),
         }
@@ -124,21 +108,21 @@
     pub fn comes(
         &mut self,
         net: &mut Net,
-        who: BalancerId,
-        conn: ConnId,
-        to: SocketAddr,
+        (who, to): (BalancerId, SocketAddr),
+        (ask, left): (Ask, Micros),
         line: &str,
         did: &mut Did,
     ) {
+        let conn = ask.conn;
         match net.connect(to, Role::Client(conn)) {
             Ok(mut wire) => {
                 wire.say(net, line.as_bytes());
-                let client =
-                    Client { wire, who, stage: Stage::Waits, out: VecDeque::new(), number: 0, ill: false };
+                let (stage, out, ask) = (Stage::Waits, VecDeque::new(), Some((ask, left)));
+                let client = Client { wire, who, stage, out, number: 0, ask };
                 self.clients.insert(conn, client);
             }
             // Refused at once, or no port is left for it; either way it does not reach the balancer.
-            Err(_) => did.push((who, FromBalancer::Refused(conn))),
+            Err(_) => did.push((who, FromBalancer::Refused(conn).into())),
         }
     }
 
@@ -149,12 +133,15 @@
         now: Micros,
         conn: ConnId,
         ready: Ready,
-        (nodes, book): (&Nodes, &Book),
+        book: &Book,
         did: &mut Did,
     ) {
         let Some(client) = self.clients.get_mut(&conn) else { return };
         client.wire.ready(net, ready);
         let who = client.who;
+        if client.wire.is_up() && client.wire.is_flushed() {
+            did.extend(client.ask.take().map(|(ask, left)| (who, Sight::Asked(ask, left).into())));
+        }
         loop {
             let line = match client.wire.line() {
                 Ok(Some(line)) => line,
@@ -187,27 +174,24 @@
                         _ => Stage::Over,
                     };
                     self.facts.forged += u64::from(answer == Answer::Forged);
-                    did.push((who, FromBalancer::Answer(conn, answer)));
+                    did.push((who, FromBalancer::Answer(conn, answer).into()));
                 }
                 (Stage::Stands(_), Word::Move) => {
                     client.stage = Stage::Over;
-                    did.push((who, FromBalancer::Answer(conn, Answer::Move)));
+                    did.push((who, FromBalancer::Answer(conn, Answer::Move).into()));
                 }
                 (Stage::Stands(_), Word::Bye) => client.stage = Stage::Over,
-                (Stage::Stands(link), _) if !is_figure(line) => match client.out.front().copied() {
+                (Stage::Stands(_), _) if !is_figure(line) => match client.out.front().copied() {
                     Some((sent, number)) if line == said(conn, number).as_bytes() => {
-                        let took = now - sent;
                         client.out.pop_front();
                         self.facts.returned += 1;
-                        self.facts.round.record(took);
-                        if took > HELD
-                            && nodes.answers(link, sent)
-                            && !std::mem::replace(&mut client.ill, true)
-                        {
-                            self.facts.held += 1;
-                        }
+                        self.facts.round.record(now - sent);
+                        did.push((who, Sight::AtClient(conn).into()));
+                    }
+                    _ => {
+                        self.facts.foreign += 1;
+                        did.push((who, Sight::Changed(conn).into()));
                     }
-                    _ => self.facts.foreign += 1,
                 },
                 _ => {}
             }
@@ -216,14 +200,9 @@
         let Some(how) = client.wire.ended() else { return };
         let client = self.clients.remove(&conn).expect("it was just there");
         match client.stage {
-            Stage::Waits if !client.wire.is_up() => did.push((who, FromBalancer::Refused(conn))),
+            Stage::Waits if !client.wire.is_up() => did.push((who, FromBalancer::Refused(conn).into())),
             Stage::Left => {}
-            stage => {
-                if let Stage::Stands(link) = stage {
-                    self.facts.cut += u64::from(nodes.answers(link, now));
-                }
-                did.push((who, FromBalancer::EndClient(conn, how)));
-            }
+            _ => did.push((who, FromBalancer::EndClient(conn, how).into())),
         }
         net.close(client.wire, End::Fin);
     }
@@ -244,40 +223,28 @@
         }
     }
 
-    /// The node of this connection has ended it.
-    pub fn node_ended(&mut self, now: Micros, conn: ConnId) {
-        self.ended.push_back((now + ENDED, conn));
-    }
-
     /// When something is due next.
     pub fn next_due(&self) -> Micros {
-        let fronts =
-            [&self.lines, &self.ended, &self.closing].map(|q| q.front().map_or(Micros::MAX, |e| e.0));
+        let fronts = [&self.lines, &self.closing].map(|q| q.front().map_or(Micros::MAX, |e| e.0));
         fronts.into_iter().min().unwrap_or(Micros::MAX)
     }
 
     /// Does what is due; each due time goes to `late` with the time of its doing.
-    pub fn due(&mut self, net: &mut Net, now: Micros, nodes: &Nodes, late: &mut Spread) {
+    pub fn due(&mut self, net: &mut Net, now: Micros, late: &mut Spread, did: &mut Did) {
         while let Some((due, conn)) = self.lines.front().copied().filter(|e| e.0 <= now) {
             self.lines.pop_front();
             let Some(client) = self.clients.get_mut(&conn) else { continue };
-            let Stage::Stands(link) = client.stage else { continue };
+            if !matches!(client.stage, Stage::Stands(_)) {
+                continue;
+            }
             late.record(now - due);
             // From the due time and not from now: lateness must not thin the lines out.
             self.lines.push_back((due + self.line_every, conn));
-            let quiet = client.out.front().is_some_and(|(sent, _)| now > sent + MUTE);
-            if quiet && nodes.answers(link, now - MUTE) && !std::mem::replace(&mut client.ill, true) {
-                self.facts.mute += 1;
-            }
             client.number += 1;
             client.out.push_back((now, client.number));
             self.facts.lines += 1;
             client.wire.say(net, format!("{}\r\n", said(conn, client.number)).as_bytes());
-        }
-        while let Some((_, conn)) = self.ended.front().copied().filter(|e| e.0 <= now) {
-            self.ended.pop_front();
-            let kept = self.clients.get(&conn).is_some_and(|c| matches!(c.stage, Stage::Stands(_)));
-            self.facts.kept += u64::from(kept);
+            did.push((client.who, Sight::Wrote(conn).into()));
         }
         while let Some((_, conn)) = self.closing.front().copied().filter(|e| e.0 <= now) {
             self.closing.pop_front();
--- a/crates/emulator/src/sockets/discovery.rs
+++ b/crates/emulator/src/sockets/discovery.rs
@@ -268,7 +268,7 @@
             self.answer(net, now, who, dir);
         }
         let call = &self.calls[&id];
-        did.push((call.who, FromBalancer::Watch));
+        did.push((call.who, FromBalancer::Watch.into()));
     }
 
     /// Ends a call's connection, and tells the world if the balancer has no other.
@@ -277,7 +277,7 @@
         let told = matches!(call.stand, Stand::Waiting | Stand::Watching);
         net.close(call.wire, how);
         if told && !self.is_watched(call.who) {
-            did.push((call.who, FromBalancer::Unwatch));
+            did.push((call.who, FromBalancer::Unwatch.into()));
         }
     }
 
--- a/crates/emulator/src/sockets/fleet.rs
+++ b/crates/emulator/src/sockets/fleet.rs
@@ -231,7 +231,7 @@
     pub fn exited(&mut self, net: &mut Net, now: Micros, who: BalancerId, did: &mut Did) {
         let running = self.posts[who.0 as usize].running.as_ref();
         if running.is_some_and(|r| r.ordered != Ordered::Kill) {
-            did.push((who, FromBalancer::Exited));
+            did.push((who, FromBalancer::Exited.into()));
         }
         self.over(net, now, who);
     }
@@ -266,7 +266,7 @@
         if answered {
             running.ready = true;
             self.lives[running.life].ready = Some(now);
-            did.push((who, FromBalancer::Ready));
+            did.push((who, FromBalancer::Ready.into()));
         }
         if (answered || ping.ended().is_some()) && running.ping.is_some() {
             let ping = running.ping.take().expect("it was just there");
--- a/crates/emulator/src/sockets/load.rs
+++ b/crates/emulator/src/sockets/load.rs
@@ -25,7 +25,7 @@
 use super::nodes::Nodes;
 use super::plain;
 use super::process::{ProcessError, Program};
-use super::stage::Did;
+use super::stage::{Did, Heard};
 use crate::Micros;
 use crate::day::Day;
 use crate::edge::{Ask, BalancerId, ConnId, End, FromBalancer, Listed, NodeId, NodeWord, Stage as ListStage};
@@ -396,7 +396,8 @@
             return;
         };
         wire.say(&mut self.net, line.as_bytes());
-        let client = Client { wire, way, due: Some(due), stays, leaves: false, out: VecDeque::new(), number: 0 };
+        let client =
+            Client { wire, way, due: Some(due), stays, leaves: false, out: VecDeque::new(), number: 0 };
         self.clients.insert(id, client);
     }
 
@@ -437,10 +438,10 @@
         self.ready = ready;
         for (_, what) in self.did.drain(..) {
             match what {
-                FromBalancer::Probe(link) => {
+                Heard::Did(FromBalancer::Probe(link)) => {
                     self.nodes.says(&mut self.net, link, NodeWord::Pong, &mut self.book)
                 }
-                FromBalancer::Exited => self.crashed = true,
+                Heard::Did(FromBalancer::Exited) => self.crashed = true,
                 _ => {}
             }
         }
--- a/crates/emulator/src/sockets/mod.rs
+++ b/crates/emulator/src/sockets/mod.rs
@@ -19,5 +19,4 @@
 pub mod plain;
 pub mod process;
 pub mod run;
-pub mod settings;
 pub mod stage;
--- a/crates/emulator/src/sockets/nodes.rs
+++ b/crates/emulator/src/sockets/nodes.rs
@@ -14,8 +14,7 @@
 use super::book::{Book, First};
 use super::lines::Wire;
 use super::net::{Ear, Net, Ready, Role};
-use super::stage::Did;
-use crate::Micros;
+use super::stage::{Did, Sight};
 use crate::edge::{BalancerId, ConnId, End, FromBalancer, LinkId, NodeId, NodeWord};
 
 /// Lines of one connection that a hung node owes. No client sends so many before it is moved or gives up.
@@ -62,8 +61,6 @@
 #[derive(Debug)]
 struct Seat {
     reach: Reach,
-    /// Since when.
-    since: Micros,
     /// By balancer; none while refused.
     ears: Vec<Option<Ear>>,
     at: Vec<SocketAddr>,
@@ -93,7 +90,7 @@
                 ears.push(Some(net.listen(addresses.node(who, node), Role::NodeEar(who, node))?));
             }
             let at = ears.iter().flatten().map(Ear::address).collect();
-            seats.push(Seat { reach: Reach::Open, since: 0, ears, at, filling: Vec::new() });
+            seats.push(Seat { reach: Reach::Open, ears, at, filling: Vec::new() });
         }
         Ok(Nodes { seats, links: BTreeMap::new(), next: 1, alone: true, early: 0 })
     }
@@ -118,21 +115,13 @@
         self.links.get(&link).map(|l| (l.node, l.conn))
     }
 
-    /// Whether a node has answered on this link since `then`: it stands on the node's side, and the node is open.
-    pub fn answers(&self, link: LinkId, then: Micros) -> bool {
-        let stands = self.links.get(&link).filter(|l| l.stage == Stage::Stands && l.wire.ended().is_none());
-        let seat = stands.map(|l| &self.seats[l.node.0 as usize]);
-        seat.is_some_and(|s| s.reach == Reach::Open && s.since <= then)
-    }
-
     /// A node's machine meets connections in this way from now on.
-    pub fn reach(&mut self, net: &mut Net, now: Micros, node: NodeId, reach: Reach) -> io::Result<()> {
+    pub fn reach(&mut self, net: &mut Net, node: NodeId, reach: Reach, did: &mut Did) -> io::Result<()> {
         let seat = &mut self.seats[node.0 as usize];
         let before = std::mem::replace(&mut seat.reach, reach);
         if before == reach {
             return Ok(());
         }
-        seat.since = now;
         if before == Reach::Silent {
             seat.filling.clear();
             seat.ears.iter().flatten().try_for_each(Ear::speak_again)?;
@@ -162,16 +151,19 @@
                 net.call_again(Role::Link(id));
             }
             if reach == Reach::Open {
-                self.pay(net, id);
+                self.pay(net, id, did);
             }
         }
         Ok(())
     }
 
-    fn pay(&mut self, net: &mut Net, id: LinkId) {
+    /// Returns the lines that a hung node owes.
+    fn pay(&mut self, net: &mut Net, id: LinkId, did: &mut Did) {
         if let Some(link) = self.links.get_mut(&id).filter(|l| !l.owed.is_empty()) {
             let owed = std::mem::take(&mut link.owed);
             link.wire.say(net, &owed);
+            let lines = owed.windows(2).filter(|w| w == b"\r\n").count();
+            did.extend((0..lines).map(|_| (link.who, Sight::Returned(id).into())));
         }
     }
 
@@ -209,13 +201,14 @@
                 Ok(Some(line)) => match (link.stage, line) {
                     (Stage::First | Stage::Probes, b"PING" | b"STATS") => {
                         if link.stage == Stage::First {
-                            did.push((
-                                link.who,
-                                FromBalancer::Link { link: id, node: link.node, conn: None },
-                            ));
+                            let (who, node) = (link.who, link.node);
+                            did.push((who, FromBalancer::Link { link: id, node, conn: None }.into()));
+                            did.push((who, FromBalancer::Probe(id).into()));
+                        } else if reach == Reach::Open {
+                            // The world knows one probe a link; further ones are answered here.
+                            link.wire.say(net, Word::Pong.to_string().as_bytes());
                         }
                         link.stage = Stage::Probes;
-                        did.push((link.who, FromBalancer::Probe(id)));
                     }
                     (Stage::First, line) => match book.read(link.who, line) {
                         First::Sent(conn, patience) => {
@@ -226,8 +219,11 @@
                                 link.wire.say(net, up.as_bytes());
                             }
                             let node = link.node;
-                            did.push((link.who, FromBalancer::Link { link: id, node, conn: Some(conn) }));
-                            did.push((link.who, FromBalancer::Forward { link: id, patience }));
+                            did.push((
+                                link.who,
+                                FromBalancer::Link { link: id, node, conn: Some(conn) }.into(),
+                            ));
+                            did.push((link.who, FromBalancer::Forward { link: id, patience }.into()));
                         }
                         First::Unusable => {
                             link.stage = Stage::Over;
@@ -238,17 +234,23 @@
                             link.stage = Stage::Over;
                             link.wire.say(net, Word::Syntax.to_string().as_bytes());
                             link.wire.finish(net);
-                            did.push((link.who, FromBalancer::Syntax(link.node)));
+                            did.push((link.who, FromBalancer::Syntax(link.node).into()));
                         }
                     },
                     (Stage::Stands, line) => {
                         let answer = [line, b"\r\n"].concat();
+                        if let Some(conn) = link.conn.filter(|_| !self.alone) {
+                            did.push((link.who, Sight::AtNode(conn).into()));
+                        }
                         if reach == Reach::Mute {
                             if link.owed.len() < OWED_MOST {
                                 link.owed.extend(answer);
                             }
                         } else {
                             link.wire.say(net, &answer);
+                            if !self.alone {
+                                did.push((link.who, Sight::Returned(id).into()));
+                            }
                         }
                     }
                     (Stage::Asked | Stage::Probes, _) => self.early += 1,
@@ -257,7 +259,7 @@
                 Ok(None) => break,
                 // No client sends such a line, so no balancer may.
                 Err(_) => {
-                    did.push((link.who, FromBalancer::Syntax(link.node)));
+                    did.push((link.who, FromBalancer::Syntax(link.node).into()));
                     return self.end(net, id, End::Reset);
                 }
             }
@@ -265,7 +267,7 @@
         link.wire.tidy(net);
         if let Some(how) = link.wire.ended() {
             if !matches!(link.stage, Stage::First | Stage::Over) {
-                did.push((link.who, FromBalancer::EndLink(id, how)));
+                did.push((link.who, FromBalancer::EndLink(id, how).into()));
             }
             self.end(net, id, End::Fin);
         }
--- a/crates/emulator/src/sockets/plain.rs
+++ b/crates/emulator/src/sockets/plain.rs
@@ -114,6 +114,7 @@
             handshake_rtts: 1.0,
             idle_close: 5 * S,
             probe_work: 100,
+            probe_cap_per_core: 0.0,
             probe_timeout: S,
             cpu_us_per_s: 15_000.0,
             cores: 1.0,
--- a/crates/emulator/src/sockets/process.rs
+++ b/crates/emulator/src/sockets/process.rs
@@ -141,8 +141,8 @@
             OpenOptions::new().create(true).append(true).open(&path).map_err(|e| ProcessError::File(path, e))
         };
         // The shell would say only in the log that there is no such file.
-        let path = fs::canonicalize(&program.path)
-            .map_err(|e| ProcessError::Start(program.path.clone(), e))?;
+        let path =
+            fs::canonicalize(&program.path).map_err(|e| ProcessError::Start(program.path.clone(), e))?;
         let (out, limits) = (log(desk.log())?, program.limits);
         let err = out.try_clone().map_err(|e| ProcessError::File(desk.log(), e))?;
         // The shell is replaced by the program, so that signals reach the program itself.
--- a/crates/emulator/src/sockets/run.rs
+++ b/crates/emulator/src/sockets/run.rs
@@ -4,7 +4,7 @@
 //! Before the day begins, the balancers start, and the connections that stand from before are opened; nodes and
 //! discovery answer by themselves then, and the day's clock stands at zero.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io;
 use std::path::PathBuf;
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -25,10 +25,10 @@
 use super::net::{Net, Ready, Role};
 use super::nodes::Nodes;
 use super::process::{ProcessError, Program};
-use super::stage::{Did, Said, Stage};
+use super::stage::{Did, Heard, Said, Stage};
 use crate::Micros;
 use crate::day::Day;
-use crate::edge::{Answer, Ask, BalancerId, ConnId, End, FromBalancer, LinkId, NodeId, ToBalancer};
+use crate::edge::{Answer, Ask, BalancerId, ConnId, End, FromBalancer, LinkId, NodeId, NodeWord, ToBalancer};
 
 /// Balancers that are not ready by then have failed to start.
 const READY: Micros = 30_000_000;
@@ -108,9 +108,11 @@
 }
 
 /// Connections from before the day while they are opened.
+#[derive(Default)]
 struct Prelude {
     to_open: VecDeque<(BalancerId, Ask)>,
-    out: usize,
+    out: BTreeSet<ConnId>,
+    homes: BTreeMap<ConnId, NodeId>,
     up: BTreeMap<ConnId, (BalancerId, LinkId, NodeId)>,
     missed: usize,
 }
@@ -179,7 +181,7 @@
         said: Vec::new(),
         ready: Vec::new(),
         woke: 0,
-        prelude: Prelude { to_open: VecDeque::new(), out: 0, up: BTreeMap::new(), missed: 0 },
+        prelude: Prelude::default(),
         syntax: 0,
     };
     driver.begin()?;
@@ -205,20 +207,27 @@
             self.turn()?;
         }
         self.prelude.to_open = self.stage.standing().into();
+        let homes = self.prelude.to_open.iter().filter_map(|(_, ask)| Some((ask.conn, ask.home?)));
+        self.prelude.homes = homes.collect();
         let limit = self.clock.now() + STANDING;
-        while self.prelude.out > 0 || !self.prelude.to_open.is_empty() {
+        while !self.prelude.out.is_empty() || !self.prelude.to_open.is_empty() {
             if self.clock.now() > limit {
-                self.prelude.missed += self.prelude.out + self.prelude.to_open.len();
                 break;
             }
-            while self.prelude.out < AT_ONCE {
+            while self.prelude.out.len() < AT_ONCE {
                 let Some((who, ask)) = self.prelude.to_open.pop_front() else { break };
-                self.prelude.out += 1;
+                self.prelude.out.insert(ask.conn);
                 self.asks(who, &ask, ask.patience);
             }
             self.turn()?;
         }
-        self.stage.carried(std::mem::take(&mut self.prelude.up));
+        let up = std::mem::take(&mut self.prelude.up);
+        let now = self.clock.now();
+        for conn in self.prelude.homes.keys().filter(|conn| !up.contains_key(conn)) {
+            self.prelude.missed += 1;
+            self.clients.leaves(&mut self.net, now, *conn, End::Reset);
+        }
+        self.stage.carried(up);
         Ok(())
     }
 
@@ -287,12 +296,12 @@
                 self.late.record(time - due);
                 self.stage.advance(time, &mut self.said);
             }
-            self.reaches(now)?;
+            self.reaches()?;
         }
         self.deliver()?;
         self.fleet.due(&mut self.net, now, &mut self.late);
         self.discovery.due(&mut self.net, now, &mut self.did);
-        self.clients.due(&mut self.net, now, &self.nodes, &mut self.late);
+        self.clients.due(&mut self.net, now, &mut self.late, &mut self.did);
         self.bad_due(now);
         self.tell()?;
 
@@ -336,9 +345,9 @@
         });
     }
 
-    fn reaches(&mut self, now: Micros) -> Result<(), RunError> {
+    fn reaches(&mut self) -> Result<(), RunError> {
         for node in (0..self.day.nodes.len() as u32).map(NodeId) {
-            self.nodes.reach(&mut self.net, now, node, self.stage.reach(node))?;
+            self.nodes.reach(&mut self.net, node, self.stage.reach(node), &mut self.did)?;
         }
         Ok(())
     }
@@ -348,7 +357,7 @@
         let (net, did) = (&mut self.net, &mut self.did);
         match one.role {
             Role::Client(conn) => {
-                self.clients.ready(net, now, conn, one, (&self.nodes, &self.book), did);
+                self.clients.ready(net, now, conn, one, &self.book, did);
             }
             Role::Bad(id) => self.bads.ready(net, now, id, one, &mut self.book),
             Role::Link(link) => self.nodes.ready(net, link, one, &mut self.book, did),
@@ -365,14 +374,17 @@
     fn tell(&mut self) -> Result<(), RunError> {
         let did = std::mem::take(&mut self.did);
         let time = self.time(self.clock.now());
-        for (who, what) in &did {
-            if let FromBalancer::Syntax(_) = what {
-                self.syntax += 1;
-            }
-            if self.start.is_none() && self.before_the_day(*who, *what) {
-                continue;
+        for (who, heard) in &did {
+            match *heard {
+                Heard::Did(what) => {
+                    self.syntax += u64::from(matches!(what, FromBalancer::Syntax(_)));
+                    if self.start.is_some() || !self.before_the_day(*who, what) {
+                        self.stage.did(time, *who, what, &mut self.said);
+                    }
+                }
+                Heard::Saw(sight) if self.start.is_some() => self.stage.saw(time, *who, sight),
+                Heard::Saw(_) => {}
             }
-            self.stage.did(time, *who, *what, &mut self.said);
         }
         self.did = did;
         self.did.clear();
@@ -381,27 +393,29 @@
 
     /// What concerns connections from before the day; true if it does.
     fn before_the_day(&mut self, who: BalancerId, what: FromBalancer) -> bool {
-        let (up, missed) = match what {
-            FromBalancer::Answer(conn, Answer::Up(link)) => match self.nodes.of(link) {
-                Some((node, _)) => (self.prelude.up.insert(conn, (who, link, node)).is_none(), false),
-                None => (false, true),
-            },
-            FromBalancer::Answer(..) | FromBalancer::Refused(_) => (false, true),
-            FromBalancer::EndClient(conn, _) => (false, self.prelude.up.remove(&conn).is_some()),
+        match what {
+            FromBalancer::Answer(conn, answer) => {
+                self.prelude.out.remove(&conn);
+                let link = if let Answer::Up(link) = answer { Some(link) } else { None };
+                let node = link.and_then(|link| Some((link, self.nodes.of(link)?.0)));
+                // Only its home knows it without a set-up.
+                if let Some((link, node)) = node.filter(|n| self.prelude.homes.get(&conn) == Some(&n.1)) {
+                    self.prelude.up.insert(conn, (who, link, node));
+                }
+            }
+            FromBalancer::EndClient(conn, _) | FromBalancer::Refused(conn) => {
+                self.prelude.out.remove(&conn);
+                self.prelude.up.remove(&conn);
+            }
+            FromBalancer::Probe(link) => {
+                self.nodes.says(&mut self.net, link, NodeWord::Pong, &mut self.book);
+            }
             FromBalancer::Link { .. }
             | FromBalancer::Forward { .. }
             | FromBalancer::EndLink(..)
-            | FromBalancer::Pass(_) => (false, false),
-            FromBalancer::Probe(link) => {
-                self.nodes.says(&mut self.net, link, crate::edge::NodeWord::Pong, &mut self.book);
-                (false, false)
-            }
+            | FromBalancer::Pass(_) => {}
             _ => return false,
-        };
-        if up || missed {
-            self.prelude.out = self.prelude.out.saturating_sub(1);
         }
-        self.prelude.missed += usize::from(missed);
         true
     }
 
@@ -409,7 +423,8 @@
     fn deliver(&mut self) -> Result<(), RunError> {
         let mut said = std::mem::take(&mut self.said);
         for (who, what) in said.drain(..) {
-            self.say(who, what)?;
+            self.say(who, &what)?;
+            self.stage.carried_out(self.time(self.clock.now()), who, &what);
         }
         // Nothing that is carried makes the stage speak before it is told.
         self.said = said;
@@ -418,20 +433,20 @@
 
     fn asks(&mut self, who: BalancerId, ask: &Ask, left: Micros) {
         let line = self.book.open(who, ask, left, &self.dir);
-        let to = self.fleet.address(who);
-        self.clients.comes(&mut self.net, who, ask.conn, to, &line, &mut self.did);
+        let to = (who, self.fleet.address(who));
+        self.clients.comes(&mut self.net, to, (*ask, left), &line, &mut self.did);
     }
 
-    fn say(&mut self, who: BalancerId, what: ToBalancer) -> Result<(), RunError> {
+    fn say(&mut self, who: BalancerId, what: &ToBalancer) -> Result<(), RunError> {
         let now = self.clock.now();
         let net = &mut self.net;
-        match what {
-            ToBalancer::Start { seed, known } => {
-                let index = self.discovery.starts(who, &known);
+        match *what {
+            ToBalancer::Start { seed, ref known } => {
+                let index = self.discovery.starts(who, known);
                 let text = (self.options.settings)(self.day, who);
                 let settings: Value = serde_json::from_str(&text)
                     .map_err(|e| RunError::Settings(Directory::balancer(who), e))?;
-                let known = self.dir.listing(who, index, true, &known);
+                let known = self.dir.listing(who, index, true, known);
                 let discovery = self.discovery.address(who);
                 self.fleet.start(net, now, who, &Start { seed, known, settings, discovery })?;
             }
@@ -448,13 +463,10 @@
             ToBalancer::LinkFailed(link) => self.nodes.ends(net, link, End::Reset),
             ToBalancer::NodeSays(link, word) => self.nodes.says(net, link, word, &mut self.book),
             ToBalancer::NodeEnded(link, how) => {
-                if let Some((_, Some(conn))) = self.nodes.of(link) {
-                    self.clients.node_ended(now, conn);
-                }
                 self.nodes.ends(net, link, how);
             }
-            ToBalancer::List { full, entries } => {
-                self.discovery.lists(net, now, who, full, &entries, &self.dir);
+            ToBalancer::List { full, ref entries } => {
+                self.discovery.lists(net, now, who, full, entries, &self.dir);
             }
             ToBalancer::ListFailed => self.discovery.fails(net, who),
             // Clients send their lines by themselves, and links come up by the system's doing.
--- a/crates/emulator/src/sockets/stage.rs
+++ b/crates/emulator/src/sockets/stage.rs
@@ -9,31 +9,46 @@
 /// What reaches balancers, in order.
 pub type Said = Vec<(BalancerId, ToBalancer)>;
 
-/// What balancers have done, in order.
-pub type Did = Vec<(BalancerId, FromBalancer)>;
+/// What has been seen of balancers, in order.
+pub type Did = Vec<(BalancerId, Heard)>;
 
-/// What only sockets show, told as it is seen.
+/// What the driver hears on its sockets.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Heard {
+    /// A balancer has done this.
+    Did(FromBalancer),
+    /// Something that only sockets show.
+    Saw(Sight),
+}
+
+impl From<FromBalancer> for Heard {
+    fn from(what: FromBalancer) -> Self {
+        Heard::Did(what)
+    }
+}
+
+impl From<Sight> for Heard {
+    fn from(what: Sight) -> Self {
+        Heard::Saw(what)
+    }
+}
+
+/// What only sockets show.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Sight {
-    /// An attempt's first line has been read at the node to its last byte; the first byte came then.
-    Sent {
-        /// The link.
-        link: LinkId,
-        /// The node.
-        node: NodeId,
-        /// The connection that the line names.
-        conn: ConnId,
-        /// When its first byte came.
-        first: Micros,
-    },
-    /// A client's line has come out at its node.
-    ToNode(ConnId),
-    /// A node's line has come out at its client.
-    ToClient(ConnId),
-    /// A line has come out changed, or one that nobody sent.
-    Garbled(ConnId),
-    /// SIGHUP has gone to the program.
-    Reloaded,
+    /// A client's first line has been written to its last byte, on a connection that the balancer's machine took;
+    /// so much of its patience is left.
+    Asked(Ask, Micros),
+    /// A client has written a line on a standing connection.
+    Wrote(ConnId),
+    /// It has come out at its node.
+    AtNode(ConnId),
+    /// The node has returned it on this link.
+    Returned(LinkId),
+    /// It has come out at its client.
+    AtClient(ConnId),
+    /// A client has read a line that its node has not written.
+    Changed(ConnId),
 }
 
 /// What happens on the platform, on the day's clock.
@@ -58,9 +73,12 @@
         Vec::new()
     }
 
-    /// Those of them that are up, each with the link and node that its balancer chose.
+    /// Those of them that are up, each on a link to its home; all others have been closed.
     fn carried(&mut self, _up: BTreeMap<ConnId, (BalancerId, LinkId, NodeId)>) {}
 
+    /// This has been carried to a balancer.
+    fn carried_out(&mut self, _now: Micros, _who: BalancerId, _what: &ToBalancer) {}
+
     /// What only sockets show.
     fn saw(&mut self, _now: Micros, _who: BalancerId, _sight: Sight) {}
 
