--- a/crates/balancer/tests/platform/main.rs
+++ b/crates/balancer/tests/platform/main.rs
@@ -5,7 +5,6 @@
 
 use shorewharf_emulator::day::{BadClients, Day};
 use shorewharf_emulator::edge::*;
-use shorewharf_emulator::sockets::nodes::Reach;
 use shorewharf_emulator::sockets::plain;
 use shorewharf_emulator::sockets::process::{ProcessLimits, Program};
 use shorewharf_emulator::sockets::run::{Options, Report, play};
--- a/crates/balancer/tests/platform/script.rs
+++ b/crates/balancer/tests/platform/script.rs
@@ -6,7 +6,6 @@
 use shorewharf_emulator::Micros;
 use shorewharf_emulator::day::Day;
 use shorewharf_emulator::edge::*;
-use shorewharf_emulator::sockets::nodes::Reach;
 use shorewharf_emulator::sockets::stage::{Said, Stage};
 
 pub const MS: Micros = 1_000;
--- a/crates/emulator/src/edge.rs
+++ b/crates/emulator/src/edge.rs
@@ -81,6 +81,20 @@
     Junk,
 }
 
+/// How a node's machine meets connections.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Reach {
+    /// It takes them.
+    #[default]
+    Open,
+    /// It refuses them: no process runs, or it holds all that it takes.
+    Refused,
+    /// They never come up, and those that are open carry nothing.
+    Silent,
+    /// They come up, and nothing is said on them.
+    Mute,
+}
+
 /// An entry of the list as it is told to one balancer.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Listed {
--- a/crates/emulator/src/sockets/bad.rs
+++ b/crates/emulator/src/sockets/bad.rs
@@ -12,9 +12,10 @@
 use super::book::Book;
 use super::lines::Wire;
 use super::net::{Net, Ready, Role};
+use super::stage::{Did, Sight};
 use crate::Micros;
 use crate::day::{BadClients, Day};
-use crate::edge::{ConnId, End};
+use crate::edge::{BalancerId, ConnId, End};
 
 /// An error or a close is owed within this of connecting ...
 const OWED: Micros = 3_000_000;
@@ -24,6 +25,8 @@
 const HUGE: usize = 60 << 20;
 /// What is put into the system's hands at once.
 const PIECE: usize = 256 << 10;
+/// Ids of bad clients, far from the usual ones'.
+const OWN: u64 = 0xbad0_0000_0000_0000;
 /// Commands of those who send many at a time.
 const COMMANDS: usize = 300;
 
@@ -81,6 +84,7 @@
 #[derive(Debug)]
 struct Bad {
     wire: Wire,
+    who: BalancerId,
     to: SocketAddr,
     kind: Kind,
     place: usize,
@@ -153,13 +157,13 @@
         start: Micros,
         lasts: bool,
         book: &mut Book,
-        to: impl Fn(u64) -> Option<(SocketAddr, Option<ConnId>)>,
+        to: impl Fn(u64) -> Option<(BalancerId, SocketAddr, Option<ConnId>)>,
     ) {
         for place in 0..self.flows.len() {
             while start + self.flows[place].next as Micros <= now {
                 self.flows[place].next += self.flows[place].every;
-                if let Some((at, other)) = to(self.next).filter(|_| lasts) {
-                    self.comes(net, now, place, (at, other), now + OWED, book);
+                if let Some(to) = to(self.next).filter(|_| lasts) {
+                    self.comes(net, now, place, to, now + OWED, book);
                 }
             }
         }
@@ -175,7 +179,7 @@
         net: &mut Net,
         now: Micros,
         place: usize,
-        (to, other): (SocketAddr, Option<ConnId>),
+        (who, to, other): (BalancerId, SocketAddr, Option<ConnId>),
         storms: Micros,
         book: &mut Book,
     ) {
@@ -192,13 +196,12 @@
         if kind == Kind::Half {
             wire.finish(net);
         }
-        self.bads.insert(id, Bad { wire, to, kind, place, since: now, left, judged: false, storms });
+        self.bads.insert(id, Bad { wire, who, to, kind, place, since: now, left, judged: false, storms });
     }
 
     /// What one says first.
     fn line(&self, kind: Kind, id: u64, other: Option<ConnId>) -> String {
-        // Far from the usual clients' ids.
-        let own = 0xbad0_0000_0000_0000 | id;
+        let own = OWN | id;
         let (class, tenant) = (&self.class, &self.tenant);
         let open = |id: &str, class: &str, wait: &str, more: &str| {
             format!("OPEN {id} {own:x} c={class},t={tenant},d={wait}{more}\r\n")
@@ -223,7 +226,15 @@
     }
 
     /// A bad client's connection has something.
-    pub fn ready(&mut self, net: &mut Net, now: Micros, id: u64, ready: Ready, book: &mut Book) {
+    pub fn ready(
+        &mut self,
+        net: &mut Net,
+        now: Micros,
+        id: u64,
+        ready: Ready,
+        book: &mut Book,
+        did: &mut Did,
+    ) {
         let Some(bad) = self.bads.get_mut(&id) else { return };
         bad.wire.ready(net, ready);
         while bad.left > 0 && bad.wire.is_up() && bad.wire.is_flushed() && bad.wire.ended().is_none() {
@@ -239,7 +250,10 @@
         while let Ok(Some(line)) = bad.wire.line() {
             let found = word(line);
             match found {
-                Word::Up(_) => fared.served += 1,
+                Word::Up(_) => {
+                    fared.served += 1;
+                    did.push((bad.who, Sight::BadServed(ConnId(OWN | id)).into()));
+                }
                 Word::Busy(_) | Word::Err if !bad.judged => {
                     bad.judged = true;
                     fared.refused += 1;
@@ -260,10 +274,10 @@
                 fared.closed += 1;
             }
         }
-        let (up, place, to, storms) = (bad.wire.is_up(), bad.place, bad.to, bad.storms);
+        let (up, place, to, storms) = (bad.wire.is_up(), bad.place, (bad.who, bad.to, None), bad.storms);
         net.close(bad.wire, End::Fin);
         if bad.kind == Kind::Again && up && now < storms {
-            self.comes(net, now, place, (to, None), storms, book);
+            self.comes(net, now, place, to, storms, book);
         }
     }
 
--- a/crates/emulator/src/sockets/clients.rs
+++ b/crates/emulator/src/sockets/clients.rs
@@ -13,7 +13,6 @@
 use super::clock::Spread;
 use super::lines::Wire;
 use super::net::{Net, Ready, Role};
-use super::nodes::is_figure;
 use super::stage::{Did, Sight};
 use crate::Micros;
 use crate::edge::{Answer, Ask, BalancerId, ConnId, End, FromBalancer, LinkId};
@@ -85,9 +84,12 @@
         }
     }
 
-    /// How many stand.
-    pub fn standing(&self) -> usize {
-        self.clients.values().filter(|c| matches!(c.stage, Stage::Stands(_))).count()
+    /// How many stand at each of so many balancers.
+    pub fn standing(&self, balancers: usize) -> Vec<usize> {
+        let mut all = vec![0; balancers];
+        let stand = self.clients.values().filter(|c| matches!(c.stage, Stage::Stands(_)));
+        stand.for_each(|c| all[c.who.0 as usize] += 1);
+        all
     }
 
     /// The link on which a connection stands, if it does.
@@ -181,7 +183,8 @@
                     did.push((who, FromBalancer::Answer(conn, Answer::Move).into()));
                 }
                 (Stage::Stands(_), Word::Bye) => client.stage = Stage::Over,
-                (Stage::Stands(_), _) if !is_figure(line) => match client.out.front().copied() {
+                (Stage::Stands(_), Word::Load(_)) => did.push((who, Sight::AtClient(conn).into())),
+                (Stage::Stands(_), _) => match client.out.front().copied() {
                     Some((sent, number)) if line == said(conn, number).as_bytes() => {
                         client.out.pop_front();
                         self.facts.returned += 1;
--- a/crates/emulator/src/sockets/mod.rs
+++ b/crates/emulator/src/sockets/mod.rs
@@ -17,6 +17,7 @@
 pub mod net;
 pub mod nodes;
 pub mod plain;
+pub mod platform;
 pub mod process;
 pub mod run;
 pub mod stage;
--- a/crates/emulator/src/sockets/nodes.rs
+++ b/crates/emulator/src/sockets/nodes.rs
@@ -8,32 +8,18 @@
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 
-use shorewharf_protocol::words::{Word, word};
+use shorewharf_protocol::words::Word;
 
 use super::addresses::Addresses;
 use super::book::{Book, First};
 use super::lines::Wire;
 use super::net::{Ear, Net, Ready, Role};
 use super::stage::{Did, Sight};
-use crate::edge::{BalancerId, ConnId, End, FromBalancer, LinkId, NodeId, NodeWord};
+use crate::edge::{BalancerId, ConnId, End, FromBalancer, LinkId, NodeId, NodeWord, Reach};
 
 /// Lines of one connection that a hung node owes. No client sends so many before it is moved or gives up.
 const OWED_MOST: usize = 64 << 10;
 
-/// How a node's machine meets connections.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Reach {
-    /// It takes them.
-    #[default]
-    Open,
-    /// It refuses them: no process runs, or it holds all that it takes.
-    Refused,
-    /// They never come up, and those that are open carry nothing.
-    Silent,
-    /// They come up, and nothing is said on them.
-    Mute,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
     /// Its first line has not come.
@@ -314,8 +300,3 @@
         }
     }
 }
-
-/// Whether a line among those that a node sends is one that clients pass over: a figure for the balancer.
-pub fn is_figure(line: &[u8]) -> bool {
-    matches!(word(line), Word::Load(_))
-}
--- a/crates/emulator/src/sockets/run.rs
+++ b/crates/emulator/src/sockets/run.rs
@@ -25,7 +25,7 @@
 use super::net::{Net, Ready, Role};
 use super::nodes::Nodes;
 use super::process::{ProcessError, Program};
-use super::stage::{Did, Heard, Said, Stage};
+use super::stage::{Did, Heard, Post, Said, Stage};
 use crate::Micros;
 use crate::day::Day;
 use crate::edge::{Answer, Ask, BalancerId, ConnId, End, FromBalancer, LinkId, NodeId, NodeWord, ToBalancer};
@@ -138,6 +138,10 @@
     did: Did,
     said: Said,
     ready: Vec<Ready>,
+    /// The day's clock as the stage was told it last.
+    told: Micros,
+    /// The next full second of the day.
+    second: Micros,
     /// When the last wait returned.
     woke: Micros,
     prelude: Prelude,
@@ -180,6 +184,8 @@
         did: Vec::new(),
         said: Vec::new(),
         ready: Vec::new(),
+        told: 0,
+        second: 0,
         woke: 0,
         prelude: Prelude::default(),
         syntax: 0,
@@ -294,9 +300,12 @@
             let time = self.time(now);
             if let Some(due) = self.stage.next_due().filter(|due| *due <= time) {
                 self.late.record(time - due);
-                self.stage.advance(time, &mut self.said);
             }
+            self.advance(now);
             self.reaches()?;
+            if time >= self.second {
+                self.glance(time);
+            }
         }
         self.deliver()?;
         self.fleet.due(&mut self.net, now, &mut self.late);
@@ -316,6 +325,9 @@
         for one in &ready {
             self.handle(*one);
         }
+        if !self.did.is_empty() && self.start.is_some() {
+            self.advance(self.clock.now());
+        }
         self.tell()?;
         if !ready.is_empty() {
             // If the wait was none, what came may have come at any time since the last one.
@@ -341,7 +353,7 @@
         let lasts = now < start + self.day.length;
         self.bads.due(&mut self.net, now, start, lasts, &mut self.book, |number| {
             let who = BalancerId((number % count.max(1)) as u32);
-            fleet.is_ready(who).then(|| (fleet.address(who), clients.any_of(who)))
+            fleet.is_ready(who).then(|| (who, fleet.address(who), clients.any_of(who)))
         });
     }
 
@@ -359,7 +371,7 @@
             Role::Client(conn) => {
                 self.clients.ready(net, now, conn, one, &self.book, did);
             }
-            Role::Bad(id) => self.bads.ready(net, now, id, one, &mut self.book),
+            Role::Bad(id) => self.bads.ready(net, now, id, one, &mut self.book, did),
             Role::Link(link) => self.nodes.ready(net, link, one, &mut self.book, did),
             Role::Call(id) => self.discovery.ready(net, now, id, one, &self.dir, did),
             Role::Ping(who) => self.fleet.pinged(net, now, who, one, did),
@@ -370,10 +382,29 @@
         }
     }
 
+    /// Moves the stage on to now. Whatever it is told until the next time is told as of now, so that nothing is told
+    /// before what was due earlier.
+    fn advance(&mut self, now: Micros) {
+        self.told = self.time(now);
+        self.stage.advance(self.told, &mut self.said);
+    }
+
+    fn glance(&mut self, time: Micros) {
+        self.second = (time / 1_000_000 + 1) * 1_000_000;
+        let count = self.day.balancers.len();
+        let clients = self.clients.standing(count).into_iter().enumerate();
+        let post = |(who, clients)| {
+            let who = BalancerId(who as u32);
+            Post { runs: self.fleet.pid(who).is_some(), ready: self.fleet.is_ready(who), clients }
+        };
+        let posts: Vec<Post> = clients.map(post).collect();
+        self.stage.second(time, &posts);
+    }
+
     /// Tells the stage what balancers have done.
     fn tell(&mut self) -> Result<(), RunError> {
         let did = std::mem::take(&mut self.did);
-        let time = self.time(self.clock.now());
+        let time = self.told;
         for (who, heard) in &did {
             match *heard {
                 Heard::Did(what) => {
@@ -424,7 +455,7 @@
         let mut said = std::mem::take(&mut self.said);
         for (who, what) in said.drain(..) {
             self.say(who, &what)?;
-            self.stage.carried_out(self.time(self.clock.now()), who, &what);
+            self.stage.carried_out(self.told, who, &what);
         }
         // Nothing that is carried makes the stage speak before it is told.
         self.said = said;
--- a/crates/emulator/src/sockets/stage.rs
+++ b/crates/emulator/src/sockets/stage.rs
@@ -2,9 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use super::nodes::Reach;
 use crate::Micros;
-use crate::edge::{Ask, BalancerId, ConnId, FromBalancer, LinkId, NodeId, ToBalancer};
+use crate::edge::{Ask, BalancerId, ConnId, FromBalancer, LinkId, NodeId, Reach, ToBalancer};
 
 /// What reaches balancers, in order.
 pub type Said = Vec<(BalancerId, ToBalancer)>;
@@ -49,6 +48,19 @@
     AtClient(ConnId),
     /// A client has read a line that its node has not written.
     Changed(ConnId),
+    /// A bad client has been served.
+    BadServed(ConnId),
+}
+
+/// A balancer at a glance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Post {
+    /// Its process runs.
+    pub runs: bool,
+    /// It has answered that it is ready.
+    pub ready: bool,
+    /// Clients that stand at it.
+    pub clients: usize,
 }
 
 /// What happens on the platform, on the day's clock.
@@ -82,6 +94,9 @@
     /// What only sockets show.
     fn saw(&mut self, _now: Micros, _who: BalancerId, _sight: Sight) {}
 
+    /// A second of the day has passed.
+    fn second(&mut self, _now: Micros, _balancers: &[Post]) {}
+
     /// Whether all has been played to its end.
     fn is_over(&self, now: Micros) -> bool;
 }
--- a/crates/emulator/src/virtual_time/mod.rs
+++ b/crates/emulator/src/virtual_time/mod.rs
@@ -148,7 +148,8 @@
     Ok(world.finish(now, verdict))
 }
 
-fn last_answers(day: &Day) -> Micros {
+/// How long after the day's length the last answer may still come.
+pub(crate) fn last_answers(day: &Day) -> Micros {
     day.classes.iter().map(|c| c.give_up).max().unwrap_or(0) + day.rules.answer_slack + LAST_WORDS
 }
 
--- a/crates/emulator/src/world/mod.rs
+++ b/crates/emulator/src/world/mod.rs
@@ -309,7 +309,7 @@
     fn account(&mut self) {
         let nodes = &self.nodes;
         let now = self.now;
-        self.score.tick(now, &|node, class| nodes[node.0 as usize].model.served(now, class));
+        self.score.tick(now, &mut |node, class| nodes[node.0 as usize].model.served(now, class));
     }
 
     /// The true state of all nodes.
@@ -318,6 +318,11 @@
         out.extend(self.nodes.iter().map(NodeAt::truth));
     }
 
+    /// What has been seen so far, by second.
+    pub fn series(&self) -> &Series {
+        &self.series
+    }
+
     /// Clients that wait for an answer.
     pub fn waiting(&self) -> usize {
         self.waiting
--- a/crates/emulator/src/world/nodes.rs
+++ b/crates/emulator/src/world/nodes.rs
@@ -10,6 +10,17 @@
 use crate::places::NodeTurn;
 
 impl World {
+    /// How a node's machine meets connections now, for the driver that has listeners.
+    pub fn reach(&self, node: NodeId) -> Reach {
+        let at = &self.nodes[node.0 as usize];
+        match (at.model.accepts(self.now), at.silent) {
+            (Accepts::Refused, _) => Reach::Refused,
+            (Accepts::Silent, _) => Reach::Silent,
+            (Accepts::Yes, true) => Reach::Mute,
+            (Accepts::Yes, false) => Reach::Open,
+        }
+    }
+
     /// Puts a node's next wake into the queue, if it is a new one.
     pub(super) fn wake(&mut self, node: NodeId) {
         let at = &mut self.nodes[node.0 as usize];
