--- a/crates/emulator/src/world/nodes.rs
+++ b/crates/emulator/src/world/nodes.rs
@@ -138,7 +138,7 @@
                     if let Some(l) = self.links.get_mut(id) {
                         l.at = At::Asked;
                     }
-                    if self.mode == Mode::Virtual && self.pairs.came_up(l.balancer, node) {
+                    if self.pairs.came_up(l.balancer, node) {
                         self.score.handshake(now);
                         self.score.pairs(now, self.pairs.open());
                     }
