--- a/crates/emulator/src/node/mod.rs
+++ b/crates/emulator/src/node/mod.rs
@@ -330,7 +330,7 @@
     }
 
     /// Seconds of messages in time so far, for a connection of this class that stood all along.
-    pub fn served(&mut self, now: Micros, class: u32) -> f64 {
+    pub fn served(&self, now: Micros, class: u32) -> f64 {
         let Some((share, sum)) = self.served.get(class as usize) else { return 0.0 };
         // Within a step its share is not known yet; the last one stands for it.
         sum + share * now.saturating_sub(self.stepped) as f64 / 1e6
--- a/crates/lab/src/mutants/mod.rs
+++ b/crates/lab/src/mutants/mod.rs
@@ -10,7 +10,7 @@
 use shorewharf_emulator::Micros;
 use shorewharf_emulator::audit::Reason;
 use shorewharf_emulator::day::Day;
-use shorewharf_emulator::edge::{Answer, Ask, BalancerId, ConnId, End, FromBalancer, LinkId, NodeId, ToBalancer};
+use shorewharf_emulator::edge::{Answer, Ask, BalancerId, ConnId, End, FromBalancer, ToBalancer};
 use shorewharf_emulator::virtual_time::{Host, Instance, Truth};
 
 use acts::{Act, Acts};
@@ -90,27 +90,27 @@
         Wrong::Exits,
     ];
 
-    /// The reasons for which it is to be caught. A late answer crosses with the end of a client that has waited long
-    /// enough; then it is none.
-    pub fn caught_for(self) -> &'static [Reason] {
+    /// The reason for which it is to be caught. An answer is only late while its client is still there: the clients' delay
+    /// must be over a tick, or it crosses with the end of one that has waited long enough and counts as none.
+    pub fn caught_for(self) -> Reason {
         match self {
-            Wrong::Mute => &[Reason::NoAnswer],
-            Wrong::Late => &[Reason::NoAnswer, Reason::LateAnswer],
-            Wrong::HangsUp => &[Reason::EndedUnanswered],
-            Wrong::Forges => &[Reason::Forged],
-            Wrong::AnswersTwice => &[Reason::SecondAnswer],
-            Wrong::TwoAtOnce => &[Reason::SecondCopy],
-            Wrong::NeverGivesUp => &[Reason::TooManyAttempts],
-            Wrong::SendsAfterEnd => &[Reason::SentAfterEnd],
-            Wrong::IgnoresDrains => &[Reason::SentToDraining],
-            Wrong::OverrunsStarts => &[Reason::PushedOver],
-            Wrong::CutsOff => &[Reason::CutOff],
-            Wrong::KeepsEnded => &[Reason::EndedKept],
-            Wrong::KeepsSevered => &[Reason::SeveredKept],
-            Wrong::KeepsSilent => &[Reason::SilentKept],
-            Wrong::IgnoresTerm => &[Reason::HeldAtKill],
-            Wrong::CutsOffAtTerm => &[Reason::CutOffAtRestart],
-            Wrong::Exits => &[Reason::Exited],
+            Wrong::Mute => Reason::NoAnswer,
+            Wrong::Late => Reason::LateAnswer,
+            Wrong::HangsUp => Reason::EndedUnanswered,
+            Wrong::Forges => Reason::Forged,
+            Wrong::AnswersTwice => Reason::SecondAnswer,
+            Wrong::TwoAtOnce => Reason::SecondCopy,
+            Wrong::NeverGivesUp => Reason::TooManyAttempts,
+            Wrong::SendsAfterEnd => Reason::SentAfterEnd,
+            Wrong::IgnoresDrains => Reason::SentToDraining,
+            Wrong::OverrunsStarts => Reason::PushedOver,
+            Wrong::CutsOff => Reason::CutOff,
+            Wrong::KeepsEnded => Reason::EndedKept,
+            Wrong::KeepsSevered => Reason::SeveredKept,
+            Wrong::KeepsSilent => Reason::SilentKept,
+            Wrong::IgnoresTerm => Reason::HeldAtKill,
+            Wrong::CutsOffAtTerm => Reason::CutOffAtRestart,
+            Wrong::Exits => Reason::Exited,
         }
     }
 }
@@ -198,7 +198,13 @@
 
 impl Mutant {
     /// A word comes: hands on what the instance may hear.
-    fn hears(&mut self, now: Micros, word: &ToBalancer, heard: &mut Vec<ToBalancer>, out: &mut Vec<FromBalancer>) {
+    fn hears(
+        &mut self,
+        now: Micros,
+        word: &ToBalancer,
+        heard: &mut Vec<ToBalancer>,
+        out: &mut Vec<FromBalancer>,
+    ) {
         match word {
             ToBalancer::Start { known, .. } => {
                 self.silenced = false;
@@ -235,7 +241,9 @@
             (Wrong::KeepsEnded, ToBalancer::NodeEnded(link, _)) => {
                 self.tracks.stands(*link).is_none_or(|conn| self.tracks.struck(conn).is_none())
             }
-            (Wrong::KeepsSilent, ToBalancer::ClientLine(_)) | (Wrong::IgnoresTerm, ToBalancer::Terminate) => false,
+            (Wrong::KeepsSilent, ToBalancer::ClientLine(_)) | (Wrong::IgnoresTerm, ToBalancer::Terminate) => {
+                false
+            }
             (Wrong::CutsOffAtTerm, ToBalancer::Terminate) => {
                 for conn in self.tracks.standing() {
                     self.cuts_off(now, conn);
@@ -321,7 +329,7 @@
                 out.push(word);
                 self.cuts_off(now + STOOD, conn);
             }
-            (Wrong::KeepsSevered, FromBalancer::Answer(conn, Answer::Up(link))) => {
+            (Wrong::KeepsSevered, FromBalancer::Answer(_, Answer::Up(link))) => {
                 out.push(word);
                 self.acts.at(now + STOOD, Act::Does(FromBalancer::EndLink(link, End::Fin)));
             }
