--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,7 +2,9 @@
 //! experiment on them.
 
 pub mod cli;
+mod compare;
 pub mod error;
+mod fidelity;
 mod files;
 pub mod import;
 pub mod instances;
@@ -11,9 +13,12 @@
 pub mod page;
 mod plots;
 pub mod record;
+mod run;
+pub mod runner;
 pub mod scenario;
 pub mod stats;
 mod style;
+mod sweep;
 mod tables;
 
 use std::process::ExitCode;
@@ -33,6 +38,10 @@
         Command::Check(args) => files::check(args, &style),
         Command::Show(args) => files::show(args),
         Command::Report(args) => page::report(args),
+        Command::Run(args) => run::run(args, &style),
+        Command::Sweep(args) => sweep::sweep(args, &style),
+        Command::Compare(args) => compare::compare(args, &style),
+        Command::Fidelity(args) => fidelity::fidelity(args, &style),
         _ => Err(Failure::Input("not yet".into())),
     });
     if let Err(e) = &ended {
