--- a/crates/emulator/src/audit/auditor.rs
+++ b/crates/emulator/src/audit/auditor.rs
@@ -22,6 +22,8 @@
     table: Table,
     /// By balancer: SIGTERM has gone to it.
     leaving: Vec<bool>,
+    /// The time of the last fact.
+    now: Micros,
     verdict: Verdict,
 }
 
@@ -30,11 +32,14 @@
     pub fn new(day: &Day, judging: Judging) -> Self {
         let leaving = vec![false; day.balancers.len()];
         let (told, nodes, table) = (Told::default(), Nodes::default(), Table::default());
-        Auditor { judging, told, nodes, table, leaving, verdict: Verdict::default() }
+        Auditor { judging, told, nodes, table, leaving, now: 0, verdict: Verdict::default() }
     }
 
-    /// Takes a fact in. `now` never goes back.
+    /// Takes a fact in. Time does not go back: on sockets what the world planned is told a little after it was due, and
+    /// what was read meanwhile came first.
     pub fn see(&mut self, now: Micros, seen: Seen<'_>) {
+        let now = now.max(self.now);
+        self.now = now;
         self.looks(now);
         match seen {
             Seen::To(by, to) => self.comes(now, by, to),
@@ -82,6 +87,7 @@
 
     /// The run is over.
     pub fn finish(mut self, now: Micros) -> Verdict {
+        let now = now.max(self.now);
         self.looks(now);
         for id in self.table.ids(None) {
             self.unanswered(now, id, Over::End);
