--- a/crates/emulator/src/world/mod.rs
+++ b/crates/emulator/src/world/mod.rs
@@ -318,6 +318,11 @@
         out.extend(self.nodes.iter().map(NodeAt::truth));
     }
 
+    /// What has been seen so far, by second.
+    pub fn series(&self) -> &Series {
+        &self.series
+    }
+
     /// Clients that wait for an answer.
     pub fn waiting(&self) -> usize {
         self.waiting
