--- a/crates/lab/examples/proof.rs
+++ b/crates/lab/examples/proof.rs
@@ -1,6 +1,6 @@
 //! Scratch: plays drawn days and prints results as JSON lines.
-use shorewharf_lab::instances::{Hosts, Who};
 use shorewharf_emulator::virtual_time::{Options, run};
+use shorewharf_lab::instances::{Hosts, Who};
 fn main() {
     let args: Vec<String> = std::env::args().collect();
     let who: Who = args[1].parse().expect("who");
@@ -18,8 +18,14 @@
             let o = v.as_object_mut().expect("object");
             o.insert("day".into(), serde_json::json!(f));
             o.insert("wall".into(), serde_json::json!(wall));
-            o.insert("set_up_p50_ms".into(), serde_json::json!(r.series.set_up.value_at_quantile(0.5) as f64 / 1e3));
-            o.insert("set_up_p99_ms".into(), serde_json::json!(r.series.set_up.value_at_quantile(0.99) as f64 / 1e3));
+            o.insert(
+                "set_up_p50_ms".into(),
+                serde_json::json!(r.series.set_up.value_at_quantile(0.5) as f64 / 1e3),
+            );
+            o.insert(
+                "set_up_p99_ms".into(),
+                serde_json::json!(r.series.set_up.value_at_quantile(0.99) as f64 / 1e3),
+            );
             println!("{v}");
         }
     }
--- a/crates/lab/src/compare.rs
+++ b/crates/lab/src/compare.rs
@@ -65,10 +65,8 @@
     let mut b = side(args, path_b, policy_b)?;
     a.sort_by_key(|r| r.seed);
     b.sort_by_key(|r| r.seed);
-    let pairs: Vec<(&Record, &Record)> = a
-        .iter()
-        .filter_map(|x| b.iter().find(|y| y.seed == x.seed).map(|y| (x, y)))
-        .collect();
+    let pairs: Vec<(&Record, &Record)> =
+        a.iter().filter_map(|x| b.iter().find(|y| y.seed == x.seed).map(|y| (x, y))).collect();
     if pairs.is_empty() {
         return Err(Failure::Input("no seed is on both sides: nothing can be paired".into()));
     }
@@ -130,8 +128,7 @@
 fn figure(name: &'static str, of: &Of, pairs: &[(&Record, &Record)], level: f64) -> Figure {
     let differences: Vec<f64> = pairs.iter().map(|(a, b)| of(b) - of(a)).collect();
     let mean = |xs: Vec<f64>| stats::mean(&xs).unwrap_or(0.0);
-    let interval =
-        stats::bootstrap_mean(&differences, level, DRAWS, &mut Pcg64Mcg::seed_from_u64(SEED));
+    let interval = stats::bootstrap_mean(&differences, level, DRAWS, &mut Pcg64Mcg::seed_from_u64(SEED));
     Figure {
         name,
         a: mean(pairs.iter().map(|p| of(p.0)).collect()),
@@ -157,7 +154,13 @@
             format!("{:+.4}", f.difference),
             f.interval.map_or("-".into(), |i| format!("{:+.4} to {:+.4}", i.low, i.high)),
             format!("{}/{}", f.b_is_better_in, f.b_is_worse_in),
-            if f.within_the_noise { "noise".into() } else if f.difference > 0.0 { "B better".into() } else { "B worse".into() },
+            if f.within_the_noise {
+                "noise".into()
+            } else if f.difference > 0.0 {
+                "B better".into()
+            } else {
+                "B worse".into()
+            },
         ]);
     }
     text += &format!("{t}\n\n");
@@ -165,10 +168,14 @@
     let pairs = if c.pairs == 1 { "1 pair".to_owned() } else { format!("{} pairs", c.pairs) };
     text += &match (g.interval, g.within_the_noise) {
         (None, _) => format!("{pairs}: one pair says nothing about noise; play more seeds.\n"),
+        (Some(i), true) if i.low == i.high => format!("{pairs}: no difference at all.\n"),
         (Some(_), true) => format!("{pairs}: the difference in g is {}.\n", style.warn("within the noise")),
         (Some(_), false) => {
             let word = if g.difference > 0.0 { style.good("better") } else { style.bad("worse") };
-            format!("{pairs}: B is {word} than A by {:.4} in g, more than chance explains.\n", g.difference.abs())
+            format!(
+                "{pairs}: B is {word} than A by {:.4} in g, more than chance explains.\n",
+                g.difference.abs()
+            )
         }
     };
     for (side, broken) in [("A", c.rules_broken_in_a), ("B", c.rules_broken_in_b)] {
--- a/crates/lab/src/fidelity.rs
+++ b/crates/lab/src/fidelity.rs
@@ -67,7 +67,8 @@
     }
     bar.finish_and_clear();
     let runs = runner::all(&jobs, args.threads)?;
-    let pairs: Vec<Pair> = simulated.into_iter().zip(&runs).map(|((path, policy, s), r)| pair(path, policy, s, r)).collect();
+    let pairs: Vec<Pair> =
+        simulated.into_iter().zip(&runs).map(|((path, policy, s), r)| pair(path, policy, s, r)).collect();
     let near: Vec<(String, Nearness)> = args
         .policies
         .iter()
@@ -114,7 +115,12 @@
             return Err(Failure::Input(message));
         };
         let mut command = Command::new(program);
-        command.arg("run").arg(day).args(["--json", "--no-build", "--why", "Figures to compare the emulator with"]);
+        command.arg("run").arg(day).args([
+            "--json",
+            "--no-build",
+            "--why",
+            "Figures to compare the emulator with",
+        ]);
         if policy != "module" {
             command.args(["--native", policy]);
         }
@@ -167,7 +173,8 @@
 }
 
 fn print(pairs: &[Pair], near: &[(String, Nearness)], style: &Style) -> String {
-    let columns = ["day", "policy", "g simulator", "emulator", "difference", "whole day", "worst window", "rules"];
+    let columns =
+        ["day", "policy", "g simulator", "emulator", "difference", "whole day", "worst window", "rules"];
     let mut t = tables::table(&columns, true, style);
     let both = |a: f64, b: f64| format!("{a:.3} {b:.3}");
     for p in pairs {
@@ -183,7 +190,8 @@
             if p.rules_kept { "kept".into() } else { "BROKEN".to_owned() },
         ]);
     }
-    let columns = ["policy", "pairs", "median difference", "median distance", "within 0.08", "rank correlation"];
+    let columns =
+        ["policy", "pairs", "median difference", "median distance", "within 0.08", "rank correlation"];
     let mut sums = tables::table(&columns, true, style);
     for (policy, n) in near {
         sums.add_row([
--- a/crates/lab/src/instances/peers.rs
+++ b/crates/lab/src/instances/peers.rs
@@ -256,7 +256,9 @@
     }
 
     fn fetch_begins(&mut self, id: RequestId, server: ServerId, patience: Micros) {
-        let Some(s) = self.sessions.get(&id).filter(|s| s.at == At::Waiting && s.fetch.is_none()) else { return };
+        let Some(s) = self.sessions.get(&id).filter(|s| s.at == At::Waiting && s.fetch.is_none()) else {
+            return;
+        };
         let home = s.home == Some(server);
         let conn = s.conn;
         let node = self.places.node(server).filter(|n| {
@@ -434,7 +436,9 @@
     fn client_line(&mut self, conn: ConnId) {
         let now = self.now;
         let Some(&id) = self.by_conn.get(&conn) else { return };
-        let Some(s) = self.sessions.get_mut(&id).filter(|s| s.at == At::Open && s.asked.is_none()) else { return };
+        let Some(s) = self.sessions.get_mut(&id).filter(|s| s.at == At::Open && s.asked.is_none()) else {
+            return;
+        };
         s.asked = Some(now);
         // Silence is looked for by the sweep, which may be a part of its period away.
         let due = (now + SILENT).div_ceil(SWEEP) * SWEEP;
@@ -511,7 +515,8 @@
             }
         }
         if since >= move_from {
-            let open: Vec<RequestId> = ids.iter().filter(|(_, at)| *at == At::Open).map(|(id, _)| *id).collect();
+            let open: Vec<RequestId> =
+                ids.iter().filter(|(_, at)| *at == At::Open).map(|(id, _)| *id).collect();
             let parts = move_until.saturating_sub(since) / SWEEP;
             let n = open.len().div_ceil(parts as usize + 1);
             open.into_iter().take(n).for_each(|id| self.move_away(id));
--- a/crates/lab/src/instances/places.rs
+++ b/crates/lab/src/instances/places.rs
@@ -34,7 +34,8 @@
 impl Places {
     /// The nodes of a day.
     pub fn new(day: &Day) -> Self {
-        let server = |(i, n): (usize, &shorewharf_emulator::day::Node)| (server_id(i), n.zone, n.cell, n.weight);
+        let server =
+            |(i, n): (usize, &shorewharf_emulator::day::Node)| (server_id(i), n.zone, n.cell, n.weight);
         let servers: Vec<_> = day.nodes.iter().enumerate().map(server).collect();
         let nodes = servers.iter().enumerate().map(|(i, s)| (s.0, NodeId(i as u32))).collect();
         let longest_wait = day.classes.iter().map(|c| c.give_up).max().unwrap_or(0);
--- a/crates/lab/src/page.rs
+++ b/crates/lab/src/page.rs
@@ -21,7 +21,7 @@
 table{border-collapse:collapse}td,th{text-align:left;padding:3px 18px 3px 0;border-bottom:1px solid #eceff3}
 td.n,th.n{text-align:right;font-variant-numeric:tabular-nums}
 .good{color:#0a7a4b}.bad{color:#b3261e}pre{font-size:.8rem;overflow-x:auto;background:#f4f5f7;padding:8px}
-.tables{display:flex;flex-wrap:wrap;gap:8px 48px}";
+.tables{display:flex;flex-wrap:wrap;align-items:flex-start;gap:20px 48px}";
 
 /// `report`.
 pub fn report(args: &Report) -> Result<Done, Failure> {
--- a/crates/lab/src/plots.rs
+++ b/crates/lab/src/plots.rs
@@ -274,6 +274,7 @@
         .x_desc("seconds")
         .x_label_formatter(&whole)
         .y_desc("a standard core")
+        .y_label_formatter(&whole)
         .label_style(TEXT)
         .draw()?;
     chart.draw_series(bands(&record.faults, end, most * 1.1))?;
@@ -332,6 +333,7 @@
         .x_desc("seconds")
         .x_label_formatter(&whole)
         .y_desc("a second")
+        .y_label_formatter(&whole)
         .label_style(TEXT)
         .draw()?;
     chart.draw_series(bands(&record.faults, end, most))?;
--- a/crates/lab/src/runner.rs
+++ b/crates/lab/src/runner.rs
@@ -13,7 +13,9 @@
 
 use crate::error::Failure;
 use crate::instances::{Hosts, Who};
-use crate::record::{Band, Break, NodeName, NodeSeries, Part, Price, Record, Series, SetUp, Verdict, Window, round};
+use crate::record::{
+    Band, Break, NodeName, NodeSeries, Part, Price, Record, Series, SetUp, Verdict, Window, round,
+};
 
 /// Cores of this machine that the process may use.
 pub fn cores() -> usize {
--- a/crates/lab/src/sweep.rs
+++ b/crates/lab/src/sweep.rs
@@ -124,8 +124,21 @@
     let mut head: Vec<String> = vec!["scenario".into(), "policy".into()];
     head.extend(args.set.iter().map(|a| quoted(&a.key)));
     head.extend(
-        ["seed", "g", "whole", "worst_window", "worst_tenant", "prices", "set_ups", "set_up_p50_ms", "set_up_p99_ms", "refused", "rules_kept", "events"]
-            .map(String::from),
+        [
+            "seed",
+            "g",
+            "whole",
+            "worst_window",
+            "worst_tenant",
+            "prices",
+            "set_ups",
+            "set_up_p50_ms",
+            "set_up_p99_ms",
+            "refused",
+            "rules_kept",
+            "events",
+        ]
+        .map(String::from),
     );
     let mut text = head.join(",") + "\n";
     for ((policy, sets), run) in points.iter().zip(runs) {
