--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod import;
 pub mod instances;
 mod log;
+pub mod mutants;
 pub mod page;
 mod plots;
 pub mod record;
