--- /dev/null
+++ b/crates/emulator/src/places/drawn.rs
@@ -0,0 +1,91 @@
+//! Draws what goes wrong on a day from ranges, where a scenario does not name it. Each fault is drawn from its mildest
+//! figure to its hardest, and falls so that most of it lies within the day.
+
+use rand::Rng;
+use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
+
+use crate::Micros;
+use crate::day::{Fault, FaultKind, seconds};
+
+/// No fault begins earlier than this part of the day ...
+const FIRST: f64 = 0.03;
+/// ... and what counts of its length ends by this part ...
+const LAST: f64 = 0.97;
+/// ... where so much of its length counts.
+const COUNTS: f64 = 0.8;
+
+/// A kind of fault with its figures from the mildest to the hardest.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Range {
+    /// What happens.
+    pub kind: FaultKind,
+    /// How long it lasts, in seconds.
+    pub len_s: (f64, f64),
+    /// Its strength, as the kind says.
+    #[serde(default)]
+    pub size: (f64, f64),
+    /// The part that is struck; all, where it is not given.
+    #[serde(default)]
+    pub part: Option<(f64, f64)>,
+}
+
+/// Draws between `count.0` and `count.1` faults (both may come) of these kinds, each kind as likely, in order of time.
+/// None where there is no kind.
+pub fn draw(length: Micros, count: (u32, u32), kinds: &[Range], rng: &mut Pcg64Mcg) -> Vec<Fault> {
+    if kinds.is_empty() {
+        return Vec::new();
+    }
+    let day = length as f64 / 1e6;
+    let between = |(mild, hard): (f64, f64), rng: &mut Pcg64Mcg| mild + (hard - mild) * rng.random::<f64>();
+    let mut faults: Vec<Fault> = (0..rng.random_range(count.0..=count.1.max(count.0)))
+        .map(|_| {
+            let range = &kinds[rng.random_range(0..kinds.len())];
+            let len = between(range.len_s, rng);
+            let room = ((LAST - FIRST) * day - COUNTS * len).max(0.0);
+            let at = FIRST * day + rng.random::<f64>() * room;
+            Fault {
+                kind: range.kind,
+                at: seconds(at),
+                len: seconds(len),
+                size: between(range.size, rng),
+                on: Vec::new(),
+                zone: None,
+                part: range.part.map(|part| between(part, rng)),
+            }
+        })
+        .collect();
+    faults.sort_by_key(|f| f.at);
+    faults
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand::SeedableRng;
+
+    /// Failure: a range whose hardest figure is the smaller one, and a fault as long as the day. Promise: every figure
+    /// lies within its range, most of each fault lies within the day, and a seed always draws the same.
+    #[test]
+    fn drawn_faults_keep_to_their_ranges_and_to_the_day() {
+        let crash =
+            Range { kind: FaultKind::Crash, len_s: (5.0, 60.0), size: (0.0, 0.0), part: Some((0.05, 0.25)) };
+        let rush = Range { kind: FaultKind::Reconnect, len_s: (2.5, 0.3), size: (0.1, 0.5), part: None };
+        let kinds = [crash, rush];
+        let mut rng = Pcg64Mcg::seed_from_u64(1);
+        let all: Vec<Vec<Fault>> = (0..300).map(|_| draw(50_000_000, (2, 4), &kinds, &mut rng)).collect();
+        let mut again = Pcg64Mcg::seed_from_u64(1);
+        assert_eq!(draw(50_000_000, (2, 4), &kinds, &mut again), all[0]);
+        assert!((2..=4).all(|n| all.iter().any(|day| day.len() == n)));
+        for f in all.iter().flatten() {
+            let (len, part, size) = (f.len as f64 / 1e6, f.part.unwrap_or(0.1), f.size);
+            let kept = match f.kind {
+                FaultKind::Crash => (5.0..=60.0).contains(&len) && (0.05..=0.25).contains(&part),
+                _ => (0.3..=2.5).contains(&len) && (0.1..=0.5).contains(&size),
+            };
+            let late = f.at as f64 / 1e6 + 0.8 * len;
+            assert!(kept && f.at >= 1_500_000 && (late <= 48.51 || f.at == 1_500_000), "{f:?}");
+        }
+    }
+}
--- a/crates/emulator/src/places/mod.rs
+++ b/crates/emulator/src/places/mod.rs
@@ -3,6 +3,7 @@
 //! and hands out what follows. The figures behind them are in `docs/design/emulator-places.md`.
 
 pub mod discovery;
+pub mod drawn;
 pub mod faults;
 pub mod front;
 pub mod network;
