--- a/crates/emulator/src/places/faults.rs
+++ b/crates/emulator/src/places/faults.rs
@@ -5,6 +5,7 @@
 use rand::Rng;
 use rand::seq::SliceRandom;
 use rand_pcg::Pcg64Mcg;
+use serde::Serialize;
 
 use crate::day::{Day, Fault, FaultKind};
 use crate::edge::{BalancerId, NodeId};
@@ -73,7 +74,7 @@
 }
 
 /// A fault as reports show it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Band {
     /// What happened.
     pub kind: FaultKind,
--- a/crates/emulator/src/places/mod.rs
+++ b/crates/emulator/src/places/mod.rs
@@ -14,4 +14,4 @@
 pub use network::Network;
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
