--- a/crates/emulator/src/world/mod.rs
+++ b/crates/emulator/src/world/mod.rs
@@ -307,9 +307,9 @@
     }
 
     fn account(&mut self) {
-        let nodes = &self.nodes;
+        let nodes = &mut self.nodes;
         let now = self.now;
-        self.score.tick(now, &|node, class| nodes[node.0 as usize].model.served(now, class));
+        self.score.tick(now, &mut |node, class| nodes[node.0 as usize].model.served(now, class));
     }
 
     /// The true state of all nodes.
