--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -324,6 +324,9 @@
     /// Who decides, in both
     #[arg(long, default_value = "module", value_delimiter = ',', value_name = "NAMES")]
     pub policies: Vec<String>,
+    /// Play each day so many times here with other luck, and compare the mean
+    #[arg(long, default_value_t = 1, value_name = "N", value_parser = clap::value_parser!(u64).range(1..=1000))]
+    pub draws: u64,
     /// The simulator's program, for results that are missing
     #[arg(long, value_name = "PROGRAM")]
     pub simulator: Option<PathBuf>,
--- a/crates/lab/src/fidelity.rs
+++ b/crates/lab/src/fidelity.rs
@@ -5,6 +5,7 @@
 
 use indicatif::ProgressBar;
 use serde::{Deserialize, Serialize};
+use shorewharf_emulator::day::Day;
 
 use crate::cli::Fidelity;
 use crate::error::{Done, Failure};
@@ -17,6 +18,8 @@
 
 // Days that agree within this give the same answers to questions about policies, whose differences are larger.
 const CLOSE: f64 = 0.08;
+// Keeps the seeds of one day's draws apart from those of the next.
+const NEXT_SEED: u64 = 0x9e37_79b9;
 
 /// What is read of a simulator's result.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
@@ -33,6 +36,8 @@
     policy: String,
     simulator: Simulated,
     emulator: Simulated,
+    /// Of the emulator's g over its draws.
+    spread: f64,
     rules_kept: bool,
 }
 
@@ -61,14 +66,22 @@
     for policy in &args.policies {
         for path in &days {
             simulated.push((path, policy, simulator(args, path, policy)?));
-            jobs.push((policy.clone(), files::load(path, &[], None)?.day));
+            let day = files::load(path, &[], None)?.day;
+            // All figures of a drawn day are in the day: another seed changes the luck alone.
+            jobs.extend((0..args.draws).map(|draw| {
+                let seed = (day.seed + draw * NEXT_SEED) & i64::MAX as u64;
+                (policy.clone(), Day { seed, ..day.clone() })
+            }));
             bar.inc(1);
         }
     }
     bar.finish_and_clear();
     let runs = runner::all(&jobs, args.threads)?;
-    let pairs: Vec<Pair> =
-        simulated.into_iter().zip(&runs).map(|((path, policy, s), r)| pair(path, policy, s, r)).collect();
+    let pairs: Vec<Pair> = simulated
+        .into_iter()
+        .zip(runs.chunks(args.draws as usize))
+        .map(|((path, policy, s), r)| pair(path, policy, s, r))
+        .collect();
     let near: Vec<(String, Nearness)> = args
         .policies
         .iter()
@@ -142,18 +155,21 @@
     serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_str(&text)).map_err(|e| wrong(&e))
 }
 
-fn pair(path: &Path, policy: &str, simulator: Simulated, run: &Record) -> Pair {
+fn pair(path: &Path, policy: &str, simulator: Simulated, runs: &[Record]) -> Pair {
+    let of = |f: &dyn Fn(&Record) -> f64| runs.iter().map(f).collect::<Vec<_>>();
+    let mean = |f: &dyn Fn(&Record) -> f64| stats::mean(&of(f)).unwrap_or(0.0);
     Pair {
         day: path.file_stem().unwrap_or_default().to_string_lossy().into_owned(),
         policy: policy.to_owned(),
         simulator,
         emulator: Simulated {
-            g: run.g,
-            whole: run.whole,
-            worst_window: run.worst_window.share,
-            worst_tenant: Record::worst(&run.tenants).map_or(0.0, |t| t.share),
+            g: mean(&|r| r.g),
+            whole: mean(&|r| r.whole),
+            worst_window: mean(&|r| r.worst_window.share),
+            worst_tenant: mean(&|r| Record::worst(&r.tenants).map_or(0.0, |t| t.share)),
         },
-        rules_kept: run.rules.kept,
+        spread: stats::deviation(&of(&|r| r.g)),
+        rules_kept: runs.iter().all(|r| r.rules.kept),
     }
 }
 
@@ -173,8 +189,17 @@
 }
 
 fn print(pairs: &[Pair], near: &[(String, Nearness)], style: &Style) -> String {
-    let columns =
-        ["day", "policy", "g simulator", "emulator", "difference", "whole day", "worst window", "rules"];
+    let columns = [
+        "day",
+        "policy",
+        "g simulator",
+        "emulator",
+        "spread",
+        "difference",
+        "whole day",
+        "worst window",
+        "rules",
+    ];
     let mut t = tables::table(&columns, true, style);
     let both = |a: f64, b: f64| format!("{a:.3} {b:.3}");
     for p in pairs {
@@ -184,6 +209,7 @@
             p.policy.clone(),
             tables::share(p.simulator.g),
             tables::share(p.emulator.g),
+            tables::share(p.spread),
             format!("{:+.4}{mark}", p.difference()),
             both(p.simulator.whole, p.emulator.whole),
             both(p.simulator.worst_window, p.emulator.worst_window),
--- a/crates/lab/src/files.rs
+++ b/crates/lab/src/files.rs
@@ -57,7 +57,12 @@
                 say(&format!("{}\n", indent(&e.to_string())));
             }
             Ok(scenario) if scenario.odd.is_empty() => {
-                say(&format!("{} {}\n", style.good("fine "), path.display()));
+                say(&format!(
+                    "{} {}  {}\n",
+                    style.good("fine "),
+                    path.display(),
+                    style.dim(&scenario.day.about)
+                ));
             }
             Ok(scenario) => {
                 if args.strict {
--- a/crates/lab/src/mutants/mod.rs
+++ b/crates/lab/src/mutants/mod.rs
@@ -10,7 +10,9 @@
 use shorewharf_emulator::Micros;
 use shorewharf_emulator::audit::Reason;
 use shorewharf_emulator::day::Day;
-use shorewharf_emulator::edge::{Answer, Ask, BalancerId, ConnId, End, FromBalancer, LinkId, NodeId, ToBalancer};
+use shorewharf_emulator::edge::{
+    Answer, Ask, BalancerId, ConnId, End, FromBalancer, LinkId, NodeId, ToBalancer,
+};
 use shorewharf_emulator::virtual_time::{Host, Instance, Truth};
 
 use acts::{Act, Acts};
@@ -198,7 +200,13 @@
 
 impl Mutant {
     /// A word comes: hands on what the instance may hear.
-    fn hears(&mut self, now: Micros, word: &ToBalancer, heard: &mut Vec<ToBalancer>, out: &mut Vec<FromBalancer>) {
+    fn hears(
+        &mut self,
+        now: Micros,
+        word: &ToBalancer,
+        heard: &mut Vec<ToBalancer>,
+        out: &mut Vec<FromBalancer>,
+    ) {
         match word {
             ToBalancer::Start { known, .. } => {
                 self.silenced = false;
@@ -235,7 +243,9 @@
             (Wrong::KeepsEnded, ToBalancer::NodeEnded(link, _)) => {
                 self.tracks.stands(*link).is_none_or(|conn| self.tracks.struck(conn).is_none())
             }
-            (Wrong::KeepsSilent, ToBalancer::ClientLine(_)) | (Wrong::IgnoresTerm, ToBalancer::Terminate) => false,
+            (Wrong::KeepsSilent, ToBalancer::ClientLine(_)) | (Wrong::IgnoresTerm, ToBalancer::Terminate) => {
+                false
+            }
             (Wrong::CutsOffAtTerm, ToBalancer::Terminate) => {
                 for conn in self.tracks.standing() {
                     self.cuts_off(now, conn);
