--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -75,7 +75,7 @@
     Sweep(Sweep),
     /// Compare two scenarios, policies or result files, paired by seed
     Compare(Compare),
-    /// Load a running balancer (or a fleet of them) and measure it
+    /// Put load on one balancer and measure what it adds
     Load(Load),
     /// Make one self-contained HTML page with plots from a result file
     Report(Report),
@@ -246,12 +246,43 @@
 
 /// `load`.
 #[derive(Args, Debug)]
+#[command(after_help = "\
+Open loop: set-ups and lines come when they are due, and each time counts from then, so that a balancer that stalls is
+not asked less for it. A tenth goes past the balancer, straight to a node: what that takes is the lab's own part.
+
+Example:
+  shorewharf-lab load --set-ups 500 --standing 10000 --seconds 20")]
 pub struct Load {
-    /// The scenario that says what is asked for
-    pub scenario: PathBuf,
+    /// New connections a second
+    #[arg(long, default_value_t = 200.0, value_name = "N")]
+    pub set_ups: f64,
+    /// Connections that stand all the time, besides the new ones
+    #[arg(long, default_value_t = 1000, value_name = "N")]
+    pub standing: u32,
+    /// A new connection stays so long
+    #[arg(long, default_value_t = 5.0, value_name = "SECONDS")]
+    pub hold_s: f64,
+    /// A line is sent this often on each that stands
+    #[arg(long, default_value_t = 2.0, value_name = "SECONDS")]
+    pub line_every_s: f64,
+    /// Load lasts so long, after a second that is not counted
+    #[arg(long, default_value_t = 10.0, value_name = "SECONDS")]
+    pub seconds: f64,
+    /// Nodes behind the balancer
+    #[arg(long, default_value_t = 8, value_name = "N")]
+    pub nodes: u32,
+    /// Descriptors that the balancer may hold: two for each connection
+    #[arg(long, default_value_t = 65_536, value_name = "N")]
+    pub sockets: u32,
+    /// Memory that the balancer may hold
+    #[arg(long, default_value_t = 1024.0, value_name = "MB")]
+    pub memory_mb: f64,
     /// The balancer's program; found beside this program or built if left out
     #[arg(long, value_name = "PROGRAM")]
     pub balancer: Option<PathBuf>,
+    /// Write the figures as JSON; - for standard output, in place of the table
+    #[arg(long, value_name = "FILE")]
+    pub json: Option<PathBuf>,
 }
 
 /// `report`.
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,13 +1,16 @@
 //! The lab: the emulated platform with the real driver and decision module behind it, and what people need to
 //! experiment on them.
 
+mod balancer;
 pub mod cli;
 mod compare;
+mod demo;
 pub mod error;
 mod fidelity;
 mod files;
 pub mod import;
 pub mod instances;
+mod load;
 mod log;
 pub mod mutants;
 pub mod page;
@@ -16,6 +19,7 @@
 mod run;
 pub mod runner;
 pub mod scenario;
+mod sockets;
 pub mod stats;
 mod style;
 mod sweep;
@@ -26,7 +30,6 @@
 use clap::Parser;
 
 use cli::{Cli, Command};
-use error::Failure;
 use style::Style;
 
 /// Runs the command line that the process was started with.
@@ -42,7 +45,8 @@
         Command::Sweep(args) => sweep::sweep(args, &style),
         Command::Compare(args) => compare::compare(args, &style),
         Command::Fidelity(args) => fidelity::fidelity(args, &style),
-        _ => Err(Failure::Input("not yet".into())),
+        Command::Demo(args) => demo::demo(args, &style),
+        Command::Load(args) => load::load(args, &style),
     });
     if let Err(e) = &ended {
         eprintln!("{}", style.bad("error:").to_owned() + " " + &e.to_string());
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -55,6 +55,66 @@
     pub faults: Vec<Band>,
     /// The course of the day.
     pub series: Series,
+    /// What only a run in real time shows.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub sockets: Option<SocketFacts>,
+}
+
+/// What only a run in real time shows.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct SocketFacts {
+    /// Why nothing of the run counts, if so.
+    pub void: Option<String>,
+    /// How late the lab did what was due.
+    pub late: Times,
+    /// How late it handled what came.
+    pub handled: Times,
+    /// Lines that clients sent on standing connections.
+    pub lines: u64,
+    /// Lines that came back.
+    pub returned: u64,
+    /// What that took.
+    pub round: Times,
+    /// The balancers' processes.
+    pub lives: Vec<Life>,
+    /// How bad clients fared, by kind.
+    pub bad: Vec<(String, String)>,
+    /// What else was odd.
+    pub strange: Vec<String>,
+}
+
+/// Spans of time.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Times {
+    /// How many.
+    pub count: u64,
+    /// The median.
+    pub half_ms: f64,
+    /// 99 % are within this.
+    pub most_ms: f64,
+    /// The longest.
+    pub longest_ms: f64,
+}
+
+/// One life of a balancer's process.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Life {
+    /// Whose.
+    pub balancer: u32,
+    /// Its begin.
+    pub began_s: f64,
+    /// Its end, if it came before the run's.
+    pub ended_s: Option<f64>,
+    /// How it ended.
+    pub how: String,
+    /// The end was not ordered.
+    pub crashed: bool,
+    /// Time on a core.
+    pub cpu_ms: f64,
+    /// Most memory.
+    pub memory_mb: f64,
+    /// Descriptors at the last look.
+    pub descriptors: usize,
 }
 
 /// A stretch of the day.
@@ -211,6 +271,11 @@
         pairs.map(|(asked, served)| (*asked > 0.0).then(|| served / asked)).collect()
     }
 
+    /// Nothing was broken or lost, and the run counts.
+    pub fn sound(&self) -> bool {
+        self.rules.kept && self.sockets.as_ref().is_none_or(|s| s.void.is_none())
+    }
+
     /// The worst class or tenant; none where there are none.
     pub fn worst(parts: &[Part]) -> Option<&Part> {
         parts.iter().min_by(|a, b| a.share.total_cmp(&b.share))
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -2,12 +2,14 @@
 
 use std::path::Path;
 
+use crate::balancer;
 use crate::cli::{Clock, Run};
 use crate::error::{Done, Failure};
 use crate::files;
 use crate::page;
 use crate::record::Record;
 use crate::runner;
+use crate::sockets;
 use crate::style::{Style, say};
 use crate::tables;
 
@@ -23,7 +25,10 @@
             let note = runner::speed(&record, took);
             (record, note)
         }
-        Clock::Sockets => return Err(Failure::Input("sockets come with the next merge".into())),
+        Clock::Sockets => {
+            let program = balancer::find(args.how.balancer.as_deref())?;
+            (sockets::with_bar(&scenario.day, &program)?, String::new())
+        }
     };
     show(&record, &note, args.json.as_deref(), args.report.as_deref(), style)
 }
@@ -38,6 +43,9 @@
 ) -> Result<Done, Failure> {
     if json != Some(Path::new("-")) {
         say(&tables::run(record, style));
+        if let Some(facts) = &record.sockets {
+            say(&style.dim(&sockets::note(facts)));
+        }
         say(&style.dim(note));
     }
     if let Some(path) = json {
@@ -46,5 +54,5 @@
     if let Some(path) = report {
         page::write(path, record)?;
     }
-    Ok(if record.rules.kept { Done::Well } else { Done::Badly })
+    Ok(if record.sound() { Done::Well } else { Done::Badly })
 }
--- a/crates/lab/src/runner.rs
+++ b/crates/lab/src/runner.rs
@@ -162,6 +162,7 @@
             })
             .collect(),
         series: series(result),
+        sockets: None,
     }
 }
 
--- /dev/null
+++ b/crates/lab/src/sockets.rs
@@ -0,0 +1,133 @@
+//! Owns the playing of a day on sockets, from the lab's side: the program with its limits, what only real time shows,
+//! and how far it is.
+
+use std::path::Path;
+
+use indicatif::{ProgressBar, ProgressStyle};
+use shorewharf_emulator::day::Day;
+use shorewharf_emulator::sockets::clock::Spread;
+use shorewharf_emulator::sockets::platform::{self, Glance};
+use shorewharf_emulator::sockets::process::{ProcessLimits, Program};
+use shorewharf_emulator::sockets::run::{Options, Report, RunError, raise_descriptors};
+use shorewharf_emulator::world::settings;
+
+use crate::error::Failure;
+use crate::record::{Life, Record, SocketFacts, Times, round};
+use crate::runner;
+
+/// The program with the limits of a day's machines.
+pub fn program(day: &Day, path: &Path) -> Program {
+    let limits = ProcessLimits { sockets: day.limits.sockets, memory_mb: day.limits.memory_mb };
+    Program { path: path.to_owned(), args: Vec::new(), limits }
+}
+
+/// Plays a day in real time. `watch` is called once a second.
+pub fn play(day: &Day, path: &Path, watch: &mut dyn FnMut(&Glance<'_>)) -> Result<Record, Failure> {
+    let descriptors = raise_descriptors();
+    tracing::info!(descriptors, program = %path.display(), "playing on sockets");
+    let options = Options { program: program(day, path), folder: None, settings: settings::json };
+    let run = platform::run(day, &options, watch).map_err(|e| match e {
+        RunError::TooMany(..) | RunError::Bad(_) => Failure::Input(format!("{}: {e}", day.name)),
+        e => Failure::Outside(e.to_string()),
+    })?;
+    let name = path.file_name().unwrap_or_default().to_string_lossy();
+    let mut record = runner::record(day, &name, "sockets", &run.result);
+    record.sockets = Some(facts(&run.report));
+    Ok(record)
+}
+
+/// Plays a day in real time, with a bar.
+pub fn with_bar(day: &Day, path: &Path) -> Result<Record, Failure> {
+    let bar = ProgressBar::new(day.length / 1_000_000);
+    let style = ProgressStyle::with_template("{msg} {wide_bar} {pos} of {len} s")
+        .unwrap_or_else(|_| ProgressStyle::default_bar());
+    bar.set_style(style);
+    bar.set_message(format!("{} on sockets", day.name));
+    let played = play(day, path, &mut |glance| bar.set_position(glance.now / 1_000_000));
+    bar.finish_and_clear();
+    played
+}
+
+fn times(spread: &Spread) -> Times {
+    let ms = |us: u64| round(us as f64 / 1e3, 3);
+    Times {
+        count: spread.len(),
+        half_ms: ms(spread.at(0.5)),
+        most_ms: ms(spread.at(0.99)),
+        longest_ms: ms(spread.max()),
+    }
+}
+
+fn facts(report: &Report) -> SocketFacts {
+    SocketFacts {
+        void: report.void.clone(),
+        late: times(&report.late),
+        handled: times(&report.handled),
+        lines: report.clients.lines,
+        returned: report.clients.returned,
+        round: times(&report.clients.round),
+        lives: report
+            .lives
+            .iter()
+            .map(|l| Life {
+                balancer: l.balancer,
+                began_s: l.began as f64 / 1e6,
+                ended_s: l.ended.map(|t| t as f64 / 1e6),
+                how: l.how.clone(),
+                crashed: l.crashed,
+                cpu_ms: l.usage.cpu_ms,
+                memory_mb: l.usage.memory_mb,
+                descriptors: l.usage.descriptors,
+            })
+            .collect(),
+        bad: report
+            .bad
+            .iter()
+            .map(|(kind, f)| {
+                let text = format!(
+                    "{} came, {} refused, {} closed on, {} got neither, {} served",
+                    f.came, f.refused, f.closed, f.neither, f.served
+                );
+                (kind.clone(), text)
+            })
+            .collect(),
+        strange: report.strange.clone(),
+    }
+}
+
+/// What only real time shows, for people.
+pub fn note(facts: &SocketFacts) -> String {
+    let late = &facts.late;
+    let round = &facts.round;
+    let mut text = format!(
+        "lines: {} of {} came back, half within {:.2} ms, 99 % within {:.2} ms\n\
+         the lab was late by {:.2} ms at half, {:.2} ms at 99 %, {:.2} ms at most\n",
+        facts.returned,
+        facts.lines,
+        round.half_ms,
+        round.most_ms,
+        late.half_ms,
+        late.most_ms,
+        late.longest_ms,
+    );
+    for life in &facts.lives {
+        text += &format!(
+            "balancer {}: {:.0} ms of a core, {:.1} MB, {} descriptors, {}\n",
+            life.balancer,
+            life.cpu_ms,
+            life.memory_mb,
+            life.descriptors,
+            if life.how.is_empty() { "ran to the end" } else { &life.how },
+        );
+    }
+    for (kind, text_of) in &facts.bad {
+        text += &format!("bad clients, {kind}: {text_of}\n");
+    }
+    for strange in &facts.strange {
+        text += &format!("strange: {strange}\n");
+    }
+    if let Some(why) = &facts.void {
+        text += &format!("VOID: {why}\n");
+    }
+    text
+}
