--- a/crates/emulator/src/world/balancers.rs
+++ b/crates/emulator/src/world/balancers.rs
@@ -18,7 +18,7 @@
             FromBalancer::Answer(conn, answer) => self.answers(balancer, conn, answer),
             FromBalancer::EndClient(conn, end) => {
                 if self.last_word(balancer, conn) {
-                    self.to_client(conn, Word::Ended(end));
+                    self.send_to_client(conn, Word::Ended(end));
                 }
             }
             FromBalancer::Link { link, node, conn } => self.links_to(balancer, link, node, conn, ear),
@@ -34,7 +34,7 @@
             FromBalancer::Unwatch => self.discovery.unwatch(balancer),
             FromBalancer::Refused(conn) => {
                 if self.last_word(balancer, conn) {
-                    self.to_client(conn, Word::Ended(End::Reset));
+                    self.send_to_client(conn, Word::Ended(End::Reset));
                 }
             }
             // Told to whoever judges; it changes nothing here.
@@ -60,7 +60,7 @@
                     // From before the day: no time passes.
                     return self.at_client(conn, Word::Up(id));
                 }
-                return self.to_client(conn, Word::Up(id));
+                return self.send_to_client(conn, Word::Up(id));
             }
             Answer::Busy(after) => Word::Busy(after),
             Answer::Err | Answer::Other | Answer::Forged => Word::Err,
@@ -71,7 +71,7 @@
             if matches!(answer, Answer::Move) && stood {
                 self.score.moved(self.now);
             }
-            self.to_client(conn, word);
+            self.send_to_client(conn, word);
         }
     }
 
@@ -113,7 +113,7 @@
             }
             None => self.score.probe(now),
         }
-        self.to_node(id, up + leg, if conn.is_some() { AtNode::First } else { AtNode::Probe });
+        self.send_to_node(id, up + leg, if conn.is_some() { AtNode::First } else { AtNode::Probe });
     }
 
     /// A connection from before the day is up at once.
@@ -130,7 +130,7 @@
         ear.to(self.now, b, ToBalancer::NodeSays(theirs, NodeWord::Up));
     }
 
-    fn to_node(&mut self, id: LinkId, at: Micros, what: AtNode) {
+    fn send_to_node(&mut self, id: LinkId, at: Micros, what: AtNode) {
         let Some(l) = self.links.get_mut(id) else { return };
         l.last_at_node = l.last_at_node.max(at);
         self.queue.push(l.last_at_node, Event::Node(id, what));
@@ -147,7 +147,7 @@
             return;
         }
         let leg = self.leg(b, node);
-        self.to_node(id, self.now + leg, AtNode::Ended);
+        self.send_to_node(id, self.now + leg, AtNode::Ended);
     }
 
     /// A link is over at both ends.
@@ -191,7 +191,7 @@
                 ear.to(now, b, ToBalancer::NodeSays(theirs, word));
                 if let (NodeWord::Bye | NodeWord::Move, true, Some(conn)) = (word, was_up, conn) {
                     // Lines on a standing connection pass through.
-                    self.to_client(conn, if word == NodeWord::Bye { Word::Bye } else { Word::Move { by_node: true } });
+                    self.send_to_client(conn, if word == NodeWord::Bye { Word::Bye } else { Word::Move { by_node: true } });
                 }
             }
             OnLink::Ended(end) => {
@@ -254,7 +254,7 @@
             self.conns.iter().filter(|c| c.balancer == b && c.come && !c.done).map(|c| c.ask.conn).collect();
         for conn in held {
             self.last_word(b, conn);
-            self.to_client(conn, Word::Ended(End::Reset));
+            self.send_to_client(conn, Word::Ended(End::Reset));
         }
         let links: Vec<LinkId> = self.links.iter().filter(|(_, l)| l.balancer == b).map(|(id, _)| id).collect();
         links.into_iter().for_each(|id| self.balancer_ends(id));
--- a/crates/emulator/src/world/clients.rs
+++ b/crates/emulator/src/world/clients.rs
@@ -49,36 +49,36 @@
         }
         if balancer.is_none() {
             // Nobody is there to take it: the front resets it.
-            return self.to_client(conn, Word::Ended(End::Reset));
+            return self.send_to_client(conn, Word::Ended(End::Reset));
         }
         if ask.home.is_some() {
             // From before the day: it stands where it stood, and no time passes for that.
-            return self.from_client(conn, FromClient::Asks, ear);
+            return self.client_says(conn, FromClient::Asks, ear);
         }
-        self.to_balancer(conn, FromClient::Asks);
+        self.send_to_balancer(conn, FromClient::Asks);
     }
 
-    fn to_balancer(&mut self, conn: ConnId, what: FromClient) {
+    fn send_to_balancer(&mut self, conn: ConnId, what: FromClient) {
         let Some(c) = self.conns.get_mut(conn) else { return };
         c.last_at_balancer = c.last_at_balancer.max(self.now + self.network.client());
         self.queue.push(c.last_at_balancer, Event::Ask(conn, what));
     }
 
     /// Sends words to a client.
-    pub(super) fn to_client(&mut self, conn: ConnId, word: Word) {
+    pub(super) fn send_to_client(&mut self, conn: ConnId, word: Word) {
         let Some(c) = self.conns.get_mut(conn) else { return };
         c.last_at_client = c.last_at_client.max(self.now + self.network.client());
         self.queue.push(c.last_at_client, Event::Client(conn, word));
     }
 
-    pub(super) fn from_client(&mut self, conn: ConnId, what: FromClient, ear: &mut impl Ear) {
+    pub(super) fn client_says(&mut self, conn: ConnId, what: FromClient, ear: &mut impl Ear) {
         let now = self.now;
         let Some(c) = self.conns.get_mut(conn).filter(|c| !c.done) else { return };
         let balancer = c.balancer;
         match what {
             FromClient::Asks if !self.balancers[balancer.0 as usize].up => {
                 c.done = true;
-                self.to_client(conn, Word::Ended(End::Reset));
+                self.send_to_client(conn, Word::Ended(End::Reset));
             }
             FromClient::Asks => {
                 c.come = true;
@@ -156,7 +156,7 @@
             self.series.refused(self.now, "not answered");
             self.series.forgets(key);
         }
-        self.to_balancer(conn, FromClient::Ends(End::Fin));
+        self.send_to_balancer(conn, FromClient::Ends(End::Fin));
     }
 
     /// A client has had all that it wanted: its node says so and ends, through the balancer.
--- a/crates/emulator/src/world/mod.rs
+++ b/crates/emulator/src/world/mod.rs
@@ -261,7 +261,7 @@
             Event::Node(link, what) => self.at_node(link, what, ear),
             Event::Balancer(link, what) => self.at_balancer(link, what, ear),
             Event::Client(conn, word) => self.at_client(conn, word),
-            Event::Ask(conn, what) => self.from_client(conn, what, ear),
+            Event::Ask(conn, what) => self.client_says(conn, what, ear),
             Event::Line(conn) => self.line_due(conn, ear),
         }
     }
--- a/crates/emulator/src/world/nodes.rs
+++ b/crates/emulator/src/world/nodes.rs
@@ -219,7 +219,7 @@
         let Some(c) = self.conns.get(conn).filter(|c| c.stage == Stage::Standing) else { return };
         let silent = c.link.and_then(|l| self.links.get(l)).is_some_and(|l| self.nodes[l.node.0 as usize].silent);
         if silent {
-            self.from_client(conn, FromClient::Line, ear);
+            self.client_says(conn, FromClient::Line, ear);
         }
     }
 }
