--- a/crates/lab/src/instances/policies.rs
+++ b/crates/lab/src/instances/policies.rs
@@ -17,6 +17,21 @@
 /// With less of its client's time left a request is not tried again.
 const LEAST: Micros = 20_000;
 const WATCH: u64 = 1;
+const RELIEVE: u64 = 2;
+/// How often connections are moved off nodes that are too full.
+const RELIEVE_EVERY: Micros = 500_000;
+/// Beyond this a node takes nothing more, and is relieved down to [`RELIEVED`]: near its capacity messages wait.
+const FULL: f64 = 0.95;
+const RELIEVED: f64 = 0.9;
+/// What refused clients are told to wait.
+const COME_BACK: Micros = 500_000;
+
+/// A node has room for a group's next connection while it is loaded less than this, and only the first so many nodes
+/// of a group's order are asked: a group costs each node that holds any of it. Of three pairs tried on `crash`,
+/// `overload`, `calm` and `release`, 3 nodes up to 0.85 lose 0.03 of G on the first and gain as much on the second,
+/// and 6 nodes up to 0.85 lose up to 0.02 on all.
+const ROOM: f64 = 0.8;
+const NODES_OF_A_GROUP: usize = 4;
 
 /// How a server is picked.
 pub(super) enum Pick {
@@ -30,20 +45,30 @@
     deadline: Micros,
     attempts: u32,
     last: Option<ServerId>,
+    group: u64,
     stands: bool,
 }
 
+/// One round of splitmix64: an order of servers for each group.
+fn mix(x: u64) -> u64 {
+    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
 /// A policy with what it must remember of requests.
 pub(super) struct Policy {
     pick: Pick,
     rng: Pcg64Mcg,
     max_attempts: u32,
-    per_connection: f64,
+    /// A guess at what a connection loads, in cores: the mean of those that the nodes hold.
+    usual: f64,
     ready: BTreeMap<ServerId, Stage>,
     next: usize,
     reqs: HashMap<RequestId, Waiting>,
     /// What it has placed since it saw the nodes' state last.
-    placed: (Micros, HashMap<ServerId, u32>),
+    placed: HashMap<ServerId, u32>,
+    seen: Micros,
 }
 
 impl Policy {
@@ -58,16 +83,20 @@
             pick,
             rng: Pcg64Mcg::seed_from_u64(seed),
             max_attempts: set.max_attempts,
-            per_connection: 0.1,
+            usual: 0.0,
             ready: BTreeMap::new(),
             next: 0,
             reqs: HashMap::new(),
-            placed: (0, HashMap::new()),
+            placed: HashMap::new(),
+            seen: 0,
         };
         policy.listed(true, &known);
         // Balancers that start together don't go round in step.
         policy.next = policy.rng.random_range(0..policy.ready.len().max(1));
         peers.watch();
+        if matches!(policy.pick, Pick::Roomiest(_)) {
+            peers.wake(RELIEVE_EVERY, RELIEVE);
+        }
         policy
     }
 
@@ -77,6 +106,26 @@
         }
     }
 
+    /// Moves connections off nodes that are too full, each balancer its own part. Where no other node has room they
+    /// are refused when they come again: a full node serves nobody well.
+    fn relieve(&mut self, peers: &mut Emulated) {
+        peers.wake(RELIEVE_EVERY, RELIEVE);
+        let Pick::Roomiest(truth) = &self.pick else { return };
+        let truths = truth.read().unwrap_or_else(std::sync::PoisonError::into_inner).clone();
+        let rho = |s: ServerId| peers.truth(s, &truths).filter(|t| t.takes).map(|t| t.load / t.capacity.max(1e-9));
+        let full: Vec<(ServerId, f64)> =
+            self.ready.keys().filter_map(|s| Some((*s, rho(*s).filter(|r| *r > FULL)?))).collect();
+        let mut moves: Vec<RequestId> = Vec::new();
+        for (server, rho) in full {
+            let on = |(id, w): (&RequestId, &Waiting)| (w.stands && w.last == Some(server)).then_some(*id);
+            let mut held: Vec<RequestId> = self.reqs.iter().filter_map(on).collect();
+            held.sort_unstable();
+            let part = (held.len() as f64 * (1.0 - RELIEVED / rho)).ceil() as usize;
+            moves.extend(held.into_iter().take(part));
+        }
+        moves.into_iter().for_each(|id| peers.move_away(id));
+    }
+
     fn listed(&mut self, full: bool, entries: &[ListEntry]) {
         if full {
             self.ready.clear();
@@ -93,14 +142,16 @@
         match happening {
             Happening::Listed { full, entries, .. } => self.listed(full, &entries),
             Happening::DirectorFailed => peers.wake(WATCH_AGAIN, WATCH),
+            Happening::Woken(RELIEVE) => self.relieve(peers),
             Happening::Woken(_) => peers.watch(),
             Happening::Asked(req) => {
-                let waiting = Waiting { deadline: req.deadline, attempts: 0, last: None, stands: false };
+                let waiting = Waiting { deadline: req.deadline, attempts: 0, last: None, group: req.group, stands: false };
                 self.reqs.insert(req.id, waiting);
                 self.try_it(req.id, peers);
             }
             Happening::Carried(req, server) => {
-                let waiting = Waiting { deadline: 0, attempts: 1, last: Some(server), stands: true };
+                let waiting =
+                    Waiting { deadline: 0, attempts: 1, last: Some(server), group: req.group, stands: true };
                 self.reqs.insert(req.id, waiting);
             }
             Happening::Up(id) => {
@@ -124,11 +175,11 @@
     fn try_it(&mut self, id: RequestId, peers: &mut Emulated) {
         let now = peers.now();
         let Some(w) = self.reqs.get(&id) else { return };
-        let (left, last) = (w.deadline.saturating_sub(now), w.last);
+        let (left, last, group) = (w.deadline.saturating_sub(now), w.last, w.group);
         let may = w.attempts < self.max_attempts && left > LEAST;
-        let Some(server) = may.then(|| self.choose(now, last, peers)).flatten() else {
+        let Some(server) = may.then(|| self.choose(now, last, group, peers)).flatten() else {
             self.reqs.remove(&id);
-            return peers.refuse(id, 0);
+            return peers.refuse(id, COME_BACK);
         };
         if let Some(w) = self.reqs.get_mut(&id) {
             w.attempts += 1;
@@ -137,37 +188,54 @@
         peers.fetch(id, server, left);
     }
 
-    fn choose(&mut self, now: Micros, not: Option<ServerId>, peers: &Emulated) -> Option<ServerId> {
+    /// Takes in that the nodes' state is another one than at the last choice.
+    fn looks(&mut self, now: Micros) {
+        let Pick::Roomiest(truth) = &self.pick else { return };
+        if std::mem::replace(&mut self.seen, now) == now {
+            return;
+        }
+        self.placed.clear();
+        let truth = truth.read().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let (load, number) = truth.iter().fold((0.0, 0), |(l, n), t| (l + t.load, n + t.connections));
+        self.usual = load / f64::from(number.max(1));
+    }
+
+    fn choose(&mut self, now: Micros, not: Option<ServerId>, group: u64, peers: &Emulated) -> Option<ServerId> {
+        self.looks(now);
         let n = self.ready.len();
-        let mut others = self.ready.keys().copied().filter(|s| n == 1 || Some(*s) != not);
+        let others = self.ready.keys().copied().filter(|s| n == 1 || Some(*s) != not);
         match &self.pick {
             Pick::Random => {
                 let k = n - usize::from(n > 1 && not.is_some_and(|s| self.ready.contains_key(&s)));
-                if k == 0 { None } else { others.nth(self.rng.random_range(0..k)) }
+                if k == 0 { None } else { { others }.nth(self.rng.random_range(0..k)) }
             }
             Pick::Next => {
                 self.next = (self.next + 1) % n.max(1);
                 let at = self.ready.keys().copied().nth(self.next);
-                if at.is_some() && at == not { others.next() } else { at }
+                if at.is_some() && at == not { { others }.next() } else { at }
             }
             Pick::Roomiest(truth) => {
                 let truth = truth.read().unwrap_or_else(std::sync::PoisonError::into_inner);
-                if self.placed.0 != now {
-                    self.placed.0 = now;
-                    self.placed.1.clear();
-                }
-                let room = |s: &ServerId| {
-                    let t = peers.truth(*s, &truth)?;
-                    let mine = f64::from(self.placed.1.get(s).copied().unwrap_or(0));
-                    let set_ups = mine + f64::from(t.set_ups);
-                    let load = t.load + self.per_connection * set_ups;
-                    // An empty node of any size is at 0; what is piled up counts as load of one second.
-                    t.takes.then(|| (load + t.pile_s * t.capacity) / t.capacity.max(1e-9))
+                let full = |s: ServerId| {
+                    let t = peers.truth(s, &truth).filter(|t| t.takes && t.capacity > 0.0)?;
+                    let mine = f64::from(self.placed.get(&s).copied().unwrap_or(0));
+                    // Set-ups in hand will load it too; what is piled up counts as load of one second.
+                    let coming = self.usual * (mine + f64::from(t.set_ups));
+                    Some((t.load + coming) / t.capacity + t.pile_s)
+                };
+                let emptiest = || {
+                    let all = others.clone().filter_map(|s| Some((full(s)?, s))).filter(|(full, _)| *full < FULL);
+                    all.min_by(|a, b| a.0.total_cmp(&b.0)).map(|best| best.1)
+                };
+                // A group costs each node that holds any of it, so all balancers try nodes in the group's own order.
+                let together = || {
+                    let mut order: Vec<ServerId> = others.clone().collect();
+                    order.sort_unstable_by_key(|s| mix(s.0 ^ group));
+                    order.into_iter().take(NODES_OF_A_GROUP).find(|s| full(*s).is_some_and(|f| f < ROOM))
                 };
-                let best = others.filter_map(|s| Some((room(&s)?, s))).min_by(|a, b| a.0.total_cmp(&b.0));
-                let best = best.map(|b| b.1);
+                let best = if group == 0 { emptiest() } else { together() };
                 if let Some(s) = best {
-                    *self.placed.1.entry(s).or_default() += 1;
+                    *self.placed.entry(s).or_default() += 1;
                 }
                 best
             }
