--- /dev/null
+++ b/crates/balancer/src/net/clients/session.rs
@@ -0,0 +1,326 @@
+//! One client's connection: what it says, what it is told, and how far it has come.
+
+use std::net::SocketAddr;
+
+use shorewharf_decisions::interface::{RequestId, ServerId};
+use shorewharf_driver::{Micros, Req};
+
+use crate::net::link::{End, Link, TooLong};
+use crate::net::pool::{Buffer, Pool};
+
+/// A client that connects has this long for its first line.
+const FIRST_LINE: Micros = 10_000_000;
+/// A line that has begun has this long to end, from the connection's start: a client sends its line at once, and
+/// one that can't is owed an end within 3 s.
+const HALF_LINE: Micros = 2_500_000;
+/// Commands of the front's that are answered in one go; who sends more at a time is no front.
+const PINGS: usize = 16;
+/// After its last words a client may send so much more, which is read and dropped; a close with unread input
+/// would be a reset, and those who send on at full speed get it.
+const LAST_INPUT: usize = 256 << 10;
+/// Rounds of reading what is dropped before other connections get their turn.
+const ROUNDS: usize = 8;
+/// Once a session's end is on its way, the client has this long to take it.
+const LAST_WORDS: Micros = 500_000;
+/// When one side has finished, the other has this long: a connection must be over within a second.
+const HALF_OPEN: Micros = 700_000;
+/// A line of the client's that goes unanswered for so long shows a dead connection: sound ones answer within
+/// milliseconds. Lines come every 2 s, and a dead connection must be left within 7 s.
+const SILENT: Micros = 1_500_000;
+/// A connection from before the start is tried anew after this pause.
+const CARRY_PAUSE: Micros = 500_000;
+
+/// How far a client session has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// Its first line is still to come.
+    Opening,
+    /// It waits for its answer.
+    Waiting,
+    /// It stands: lines are passed on both ways.
+    Open,
+    /// It is to be told to move as soon as a line has ended.
+    Moving,
+    /// Its last words are out; its end is awaited.
+    Ending,
+}
+
+/// What has come from a client whose first line is awaited.
+#[derive(Debug, PartialEq)]
+pub enum First {
+    /// Nothing that is whole.
+    Part,
+    /// Its first line.
+    Line(Vec<u8>),
+    /// Its end.
+    End,
+    /// A line over the limit.
+    TooLong,
+    /// More commands of a front's than a front sends.
+    TooMany,
+}
+
+/// What a client does that waits for its answer.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Patience {
+    /// It waits.
+    Waits,
+    /// It has said something.
+    Spoke,
+    /// It has ended its side.
+    Left,
+}
+
+/// One client's connection.
+#[derive(Debug)]
+pub struct Session {
+    /// The connection itself.
+    pub link: Link,
+    from: SocketAddr,
+    stage: Stage,
+    /// When the stage began, and when it must be over.
+    since: Micros,
+    until: Micros,
+    /// Input dropped after the last words.
+    dropped: usize,
+    /// The id that it opened with.
+    open_id: Option<u64>,
+    /// One side has finished; the rest must be over by then.
+    half_open: Option<Micros>,
+    /// The line it opened with, until it is up.
+    first: Option<Buffer>,
+    /// The server that it stood on before this program started.
+    home: Option<ServerId>,
+    req: Option<Req>,
+    /// When the first line came that its server has answered nothing to.
+    asked: Option<Micros>,
+    /// When to try again to carry on a connection from before the start.
+    carry_again: Option<Micros>,
+}
+
+/// What a session asks for with its first line.
+#[derive(Debug)]
+pub struct Asking<'a> {
+    /// The line.
+    pub line: &'a [u8],
+    /// The id that it names.
+    pub open_id: u64,
+    /// What it asks for.
+    pub req: Req,
+    /// The server that it stood on before this program started.
+    pub home: Option<ServerId>,
+    /// When it must have its answer.
+    pub until: Micros,
+}
+
+impl Session {
+    /// A client that has just connected.
+    pub(super) fn new(link: Link, from: SocketAddr, now: Micros) -> Self {
+        Session {
+            link,
+            from,
+            stage: Stage::Opening,
+            since: now,
+            until: now + FIRST_LINE,
+            dropped: 0,
+            open_id: None,
+            half_open: None,
+            first: None,
+            home: None,
+            req: None,
+            asked: None,
+            carry_again: None,
+        }
+    }
+
+    /// Where it comes from.
+    pub fn from(&self) -> SocketAddr {
+        self.from
+    }
+
+    /// How far it has come.
+    pub fn stage(&self) -> Stage {
+        self.stage
+    }
+
+    /// When this stage began.
+    pub(super) fn since(&self) -> Micros {
+        self.since
+    }
+
+    /// When this stage must be over.
+    pub fn until(&self) -> Micros {
+        self.until
+    }
+
+    /// Whether it waits for its answer.
+    pub fn waits(&self) -> bool {
+        self.stage == Stage::Waiting
+    }
+
+    /// The server that it stood on before this program started.
+    pub fn home(&self) -> Option<ServerId> {
+        self.home
+    }
+
+    /// What it asks for.
+    pub fn req(&self) -> Option<Req> {
+        self.req
+    }
+
+    /// The line it opened with, until it is up.
+    pub fn first_line(&self) -> Option<&[u8]> {
+        self.first.as_ref().map(Buffer::held)
+    }
+
+    /// The id that it opened with, while that is its own.
+    pub(super) fn open_id(&self) -> Option<u64> {
+        self.open_id
+    }
+
+    /// Since when a line of the client's has gone unanswered, to be taken out by whoever answers.
+    pub fn asked(&mut self) -> &mut Option<Micros> {
+        &mut self.asked
+    }
+
+    /// Since when a line of the client's has gone unanswered.
+    pub fn asked_since(&self) -> Option<Micros> {
+        self.asked
+    }
+
+    /// Since when a line has gone unanswered for so long that the connection is dead.
+    pub fn silent_since(&self, now: Micros) -> Option<Micros> {
+        self.asked.filter(|at| now >= at + SILENT)
+    }
+
+    /// Reads on for the first line; a front's commands are answered on the way.
+    pub fn opens(&mut self, now: Micros, pool: &Pool) -> First {
+        for _ in 0..=PINGS {
+            self.link.fill(pool);
+            match self.link.line() {
+                Ok(Some(line)) if line == b"PING" => {
+                    self.until = now + FIRST_LINE;
+                    self.link.say(pool, b"PONG\r\n");
+                }
+                Ok(Some(line)) => return First::Line(line),
+                Ok(None) if self.link.ended.is_some() => return First::End,
+                Ok(None) => {
+                    if !self.link.held().is_empty() {
+                        self.until = self.until.min(self.since + HALF_LINE);
+                    }
+                    return First::Part;
+                }
+                Err(TooLong) => return First::TooLong,
+            }
+        }
+        First::TooMany
+    }
+
+    /// Looks whether a client that waits does nothing else.
+    pub fn waits_on(&mut self, pool: &Pool) -> Patience {
+        self.link.fill(pool);
+        if !self.link.held().is_empty() {
+            Patience::Spoke
+        } else if self.link.ended.is_some() {
+            Patience::Left
+        } else {
+            Patience::Waits
+        }
+    }
+
+    /// Its first line has come, and it waits.
+    pub(super) fn asks(&mut self, now: Micros, pool: &Pool, asking: Asking) {
+        let mut first = pool.take();
+        first.append(asking.line);
+        (self.first, self.req, self.home) = (Some(first), Some(asking.req), asking.home);
+        (self.stage, self.since, self.until) = (Stage::Waiting, now, asking.until);
+        self.open_id = Some(asking.open_id);
+    }
+
+    /// A server has taken it.
+    pub fn stands(&mut self) {
+        self.stage = Stage::Open;
+        self.first = None;
+    }
+
+    /// It is to move; false unless it stands and nobody has said so before.
+    pub fn moves(&mut self) -> bool {
+        let stands = self.stage == Stage::Open;
+        if stands {
+            self.stage = Stage::Moving;
+        }
+        stands
+    }
+
+    /// Takes in the lines that have come on a standing connection, each carried on as it is. Tells whether anything
+    /// came, and whether a line is over the limit.
+    pub fn take_in(&mut self, now: Micros, pool: &Pool) -> (bool, Result<(), TooLong>) {
+        let came = self.half_open.is_none() && self.link.fill(pool);
+        let looked = loop {
+            match self.link.look() {
+                Ok(Some(_)) => self.asked.get_or_insert(now),
+                Ok(None) => break Ok(()),
+                Err(TooLong) => break Err(TooLong),
+            };
+        };
+        if self.link.ended == Some(End::Fin) {
+            self.link.look_at_rest();
+        }
+        (came, looked)
+    }
+
+    /// One side has finished; the rest has a limit from now on.
+    pub fn half_opens(&mut self, now: Micros) {
+        self.half_open.get_or_insert(now + HALF_OPEN);
+    }
+
+    /// Whether what is left after one side's end should be over by now.
+    pub fn half_open_due(&self, now: Micros) -> bool {
+        self.half_open.is_some_and(|by| now >= by)
+    }
+
+    /// An attempt to carry on a connection from before the start has failed; true if it is the first one.
+    pub fn carry_failed(&mut self, now: Micros) -> bool {
+        self.carry_again.replace(now + CARRY_PAUSE).is_none()
+    }
+
+    /// Whether a connection from before the start may be tried again.
+    pub fn carry_due(&self, now: Micros) -> bool {
+        self.carry_again.is_none_or(|at| now >= at)
+    }
+
+    /// Says its last words; its end is awaited from now on. Tells the id that it had opened with, which is free.
+    pub(super) fn ends(&mut self, now: Micros, pool: &Pool, words: &[u8]) -> Option<u64> {
+        (self.stage, self.since, self.until) = (Stage::Ending, now, now + LAST_WORDS);
+        (self.first, self.half_open) = (None, None);
+        self.link.say(pool, words);
+        self.open_id.take()
+    }
+
+    /// Finishes the sending and waits for the client's end, reading on: a close with unread input would become a
+    /// reset and could overtake the last words. True once it is over.
+    pub fn is_over(&mut self, pool: &Pool) -> bool {
+        if self.link.flush() {
+            self.link.shut();
+        }
+        for _ in 0..ROUNDS {
+            let more = self.link.fill(pool);
+            self.dropped += self.link.held().len();
+            self.link.drop_input();
+            if !more || self.dropped > LAST_INPUT {
+                break;
+            }
+        }
+        self.link.ended.is_some() || self.dropped > LAST_INPUT
+    }
+}
+
+/// A number that no session has is looked for from here on.
+pub(super) fn next_free(from: RequestId, in_use: impl Fn(RequestId) -> bool) -> RequestId {
+    let mut id = from;
+    // After four thousand million clients the numbers come round; one that is in use is passed over.
+    while in_use(id) {
+        id.0 = id.0.wrapping_add(1);
+    }
+    id
+}
--- /dev/null
+++ b/crates/balancer/src/net/clients/sessions.rs
@@ -0,0 +1,204 @@
+//! The table of sessions. It keeps which ids clients have opened with, and which sessions ask for nothing, in step
+//! with the stages.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::{SocketAddr, TcpStream};
+
+use shorewharf_decisions::interface::RequestId;
+
+use super::session::{Asking, Session, Stage, next_free};
+use super::unserved::Unserved;
+use crate::net::link::Link;
+use crate::net::poll::Owner;
+use crate::net::turn::Turn;
+
+/// All sessions. An open id belongs to the one session that opened with it, until that has had its last words;
+/// who is opening or ending asks for nothing, and nobody else does.
+#[derive(Debug, Default)]
+pub struct Sessions {
+    table: BTreeMap<RequestId, Session>,
+    open_ids: HashMap<u64, RequestId>,
+    unserved: Unserved,
+    next: u32,
+}
+
+impl Sessions {
+    /// Takes in a client that has connected, under a number that neither a session nor whatever else is `in_use`
+    /// has; none where its connection is gone already or can't be watched.
+    pub fn begin(
+        &mut self,
+        turn: &Turn,
+        stream: TcpStream,
+        from: SocketAddr,
+        in_use: impl Fn(RequestId) -> bool,
+    ) -> Option<RequestId> {
+        let mut link = Link::new(stream).ok()?;
+        let id = next_free(RequestId(self.next), |id| self.table.contains_key(&id) || in_use(id));
+        self.next = id.0.wrapping_add(1);
+        if !turn.poller.watch(&mut link, Owner::Session(id)) {
+            return None;
+        }
+        self.table.insert(id, Session::new(link, from, turn.now));
+        self.unserved.opens(turn.now, id);
+        Some(id)
+    }
+
+    /// A session.
+    pub fn get(&self, id: RequestId) -> Option<&Session> {
+        self.table.get(&id)
+    }
+
+    /// A session, to act on.
+    pub fn get_mut(&mut self, id: RequestId) -> Option<&mut Session> {
+        self.table.get_mut(&id)
+    }
+
+    /// Whether an open request came under this id.
+    pub fn has_open_id(&self, open_id: u64) -> bool {
+        self.open_ids.contains_key(&open_id)
+    }
+
+    /// A session's first line has come, under an id that no other has.
+    pub fn ask(&mut self, turn: &Turn, id: RequestId, asking: Asking) {
+        let Some(s) = self.table.get_mut(&id) else { return };
+        self.unserved.forget(s.since(), id);
+        self.open_ids.insert(asking.open_id, id);
+        s.asks(turn.now, &turn.pool, asking);
+    }
+
+    /// Says a session's last words and awaits its end; false if it had them before.
+    pub fn answer(&mut self, turn: &Turn, id: RequestId, words: &[u8]) -> bool {
+        let Some(s) = self.table.get_mut(&id).filter(|s| s.stage() != Stage::Ending) else { return false };
+        self.unserved.forget(s.since(), id);
+        if let Some(open_id) = s.ends(turn.now, &turn.pool, words) {
+            self.open_ids.remove(&open_id);
+        }
+        self.unserved.ends(turn.now, id);
+        true
+    }
+
+    /// Ends a session's connection, whatever is still on its way.
+    pub fn drop(&mut self, turn: &Turn, id: RequestId) {
+        let Some(s) = self.table.remove(&id) else { return };
+        self.unserved.forget(s.since(), id);
+        if let Some(open_id) = s.open_id() {
+            self.open_ids.remove(&open_id);
+        }
+        turn.poller.close(s.link);
+    }
+
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.table.len()
+    }
+
+    /// How many ask for nothing.
+    pub fn unserved(&self) -> usize {
+        self.unserved.len()
+    }
+
+    /// Ends the one that can best be done without, of those that ask for nothing; false where nobody does.
+    pub fn evict(&mut self, turn: &Turn) -> bool {
+        let oldest = self.unserved.oldest();
+        oldest.inspect(|id| self.drop(turn, *id)).is_some()
+    }
+
+    /// Those of a kind, by number: the order is the one in which they came.
+    pub fn those(&self, of: impl Fn(&Session) -> bool) -> Vec<RequestId> {
+        self.table.iter().filter(|(_, s)| of(s)).map(|(id, _)| *id).collect()
+    }
+
+    /// All of them, by number.
+    pub fn iter(&self) -> impl Iterator<Item = (RequestId, &Session)> {
+        self.table.iter().map(|(id, s)| (*id, s))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::net::clients::session::{First, Patience};
+    use crate::net::turn::tests::{pair, turn, until};
+    use shorewharf_driver::Req;
+    use std::io::{Read, Write};
+
+    fn req(id: RequestId) -> Req {
+        let (class, tenant, key, group) = (0, 0, 0, 0);
+        Req { id, class, tenant, key, deadline: 900, load: None, group, returning: false }
+    }
+
+    fn asking(id: RequestId) -> Asking<'static> {
+        Asking { line: b"OPEN 5 6 c=chat", open_id: 5, req: req(id), home: None, until: 900 }
+    }
+
+    fn begin(sessions: &mut Sessions, turn: &Turn, taken: u32) -> (RequestId, TcpStream) {
+        let (client, stream) = pair();
+        let from = client.local_addr().expect("bound");
+        (sessions.begin(turn, stream, from, |id| id.0 == taken).expect("a session"), client)
+    }
+
+    #[test]
+    fn an_open_id_is_its_sessions_until_the_last_words_or_the_end() {
+        let (turn, mut sessions) = (turn(100), Sessions::default());
+        let (id, _client) = begin(&mut sessions, &turn, u32::MAX);
+        assert_eq!((sessions.has_open_id(5), sessions.unserved()), (false, 1));
+        sessions.ask(&turn, id, asking(id));
+        assert_eq!((sessions.has_open_id(5), sessions.unserved()), (true, 0));
+        assert!(!sessions.evict(&turn), "a client that asks for something went");
+        assert!(sessions.answer(&turn, id, b"BUSY\r\n"));
+        assert!(!sessions.answer(&turn, id, b"ERR\r\n"), "a second answer");
+        assert_eq!((sessions.has_open_id(5), sessions.unserved()), (false, 1));
+        // Its id is another's by now: the first one's end must not free it.
+        let (other, _other) = begin(&mut sessions, &turn, u32::MAX);
+        sessions.ask(&turn, other, asking(other));
+        sessions.drop(&turn, id);
+        assert_eq!((sessions.has_open_id(5), sessions.unserved(), sessions.len()), (true, 0, 1));
+        sessions.drop(&turn, other);
+        assert!(!sessions.has_open_id(5));
+    }
+
+    #[test]
+    fn numbers_in_use_are_passed_over_and_come_round() {
+        let (turn, mut sessions) = (turn(100), Sessions::default());
+        sessions.next = u32::MAX;
+        let begun: Vec<_> = (0..3).map(|_| begin(&mut sessions, &turn, 0)).collect();
+        assert_eq!(begun.iter().map(|(id, _)| id.0).collect::<Vec<_>>(), [u32::MAX, 1, 2]);
+    }
+
+    #[test]
+    fn a_session_hears_its_client_and_takes_its_time_to_end() {
+        let (turn, mut sessions) = (turn(100), Sessions::default());
+        let (id, mut client) = begin(&mut sessions, &turn, u32::MAX);
+        let s = sessions.get_mut(id).expect("begun");
+        client.write_all(b"PING\r\nOPEN 5 6 c=").expect("open");
+        until(|| {
+            s.link.ready(true, false);
+            assert_eq!(s.opens(100, &turn.pool), First::Part);
+            s.until() == 2_500_100 // A line that has begun must end in time.
+        });
+        client.write_all(b"chat\r\n").expect("open");
+        until(|| {
+            s.link.ready(true, false);
+            s.opens(100, &turn.pool) == First::Line(b"OPEN 5 6 c=chat".to_vec())
+        });
+        sessions.ask(&turn, id, asking(id));
+        let s = sessions.get_mut(id).expect("asked");
+        assert_eq!(s.waits_on(&turn.pool), Patience::Waits);
+        client.write_all(b"early").expect("open");
+        until(|| {
+            s.link.ready(true, false);
+            s.waits_on(&turn.pool) == Patience::Spoke
+        });
+        sessions.answer(&turn, id, b"ERR\r\n");
+        assert!(!sessions.get_mut(id).expect("ending").is_over(&turn.pool));
+        let mut heard = String::new();
+        client.read_to_string(&mut heard).expect("its end");
+        assert_eq!(heard, "PONG\r\nERR\r\n");
+        drop(client);
+        let s = sessions.get_mut(id).expect("ending");
+        until(|| {
+            s.link.ready(true, true);
+            s.is_over(&turn.pool)
+        });
+    }
+}
--- /dev/null
+++ b/crates/balancer/src/net/clients/unserved.rs
@@ -0,0 +1,63 @@
+//! Connections that ask for nothing: those whose first line is still to come, and those that have had their last
+//! words.
+
+use std::collections::BTreeSet;
+
+use shorewharf_decisions::interface::RequestId;
+use shorewharf_driver::Micros;
+
+/// Connections that ask for nothing, each with the time since when.
+#[derive(Debug, Default)]
+pub struct Unserved {
+    opening: BTreeSet<(Micros, RequestId)>,
+    ending: BTreeSet<(Micros, RequestId)>,
+}
+
+impl Unserved {
+    /// A connection has come, and its first line has not.
+    pub fn opens(&mut self, since: Micros, id: RequestId) {
+        self.opening.insert((since, id));
+    }
+
+    /// A connection has its last words.
+    pub fn ends(&mut self, since: Micros, id: RequestId) {
+        self.ending.insert((since, id));
+    }
+
+    /// A connection that was told of at this time asks for something now, or is over.
+    pub fn forget(&mut self, since: Micros, id: RequestId) {
+        self.opening.remove(&(since, id));
+        self.ending.remove(&(since, id));
+    }
+
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.opening.len() + self.ending.len()
+    }
+
+    /// The one that can best be done without: those with their last words on the way have been answered and come
+    /// first, then the one that has asked for nothing for longest.
+    pub fn oldest(&self) -> Option<RequestId> {
+        self.ending.first().or(self.opening.first()).map(|(_, id)| *id)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_answered_go_first_and_then_the_oldest() {
+        let mut u = Unserved::default();
+        u.opens(10, RequestId(9));
+        u.opens(10, RequestId(3));
+        u.ends(40, RequestId(5));
+        u.opens(5, RequestId(7));
+        let mut gone = Vec::new();
+        while let Some(id) = u.oldest() {
+            gone.push((u.len(), id.0));
+            [5, 10, 40].into_iter().for_each(|since| u.forget(since, id));
+        }
+        assert_eq!(gone, [(4, 5), (3, 7), (2, 3), (1, 9)]);
+    }
+}
--- /dev/null
+++ b/crates/balancer/src/net/farewell.rs
@@ -0,0 +1,53 @@
+//! The steps of a planned end, in time since SIGTERM.
+
+use shorewharf_driver::Micros;
+
+/// After SIGTERM the front still sends clients for 0.4 s; moved any sooner, they would come back here.
+pub const LEAVE_AFTER: Micros = 450_000;
+/// SIGKILL comes no sooner than this after the longest wait of a client, which counts as 3 s where it is longer.
+const GRACE: Micros = 700_000;
+const GRACE_WAIT: Micros = 3_000_000;
+/// The least time for moving everybody.
+const MOVES: Micros = 100_000;
+
+/// Standing clients stay until near its end: in a rolling restart the balancer before this one may not be back yet,
+/// and clients moved early would find nobody.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Farewell {
+    /// The moves begin; they are spread, as all at once would be a reconnect storm.
+    pub move_from: Micros,
+    /// Everybody has been moved.
+    pub move_until: Micros,
+    /// Who still waits is refused.
+    pub answers: Micros,
+    /// The program ends.
+    pub last: Micros,
+}
+
+impl Farewell {
+    /// The steps where clients of each class wait so long.
+    pub fn new(give_up: &[Micros]) -> Self {
+        let kill = give_up.iter().copied().max().unwrap_or(0).min(GRACE_WAIT) + GRACE;
+        // Clients have 0.5 s for their last words after the last move, and 0.3 s are left for a busy machine.
+        let move_until = kill.saturating_sub(800_000);
+        Farewell {
+            move_from: move_until.saturating_sub(900_000).max(LEAVE_AFTER),
+            move_until: move_until.max(LEAVE_AFTER + MOVES),
+            answers: move_until.saturating_sub(500_000),
+            last: kill - 300_000,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_planned_end_fits_before_sigkill() {
+        let usual = Farewell::new(&[3_200_000]);
+        assert_eq!((usual.move_from, usual.move_until, usual.last), (2_000_000, 2_900_000, 3_400_000));
+        let short = Farewell::new(&[1_000_000]);
+        assert!(short.move_from >= LEAVE_AFTER && short.move_until < short.last && short.last < 1_700_000);
+    }
+}
--- /dev/null
+++ b/crates/balancer/src/net/hub.rs
@@ -0,0 +1,264 @@
+//! All peers together: what the loop has seen goes to the one concerned, and what the driver wants too.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+
+use shorewharf_decisions::interface::{ListEntry, Outcome, RequestId, ServerId};
+use shorewharf_driver::{Happening, Micros, Peers};
+use shorewharf_protocol::list::Listing;
+
+use super::farewell::{Farewell, LEAVE_AFTER};
+use super::link::is_shortage;
+use super::list::director::{Director, News};
+use super::log;
+use super::poll::{Owner, Seen};
+use super::serving::Serving;
+use super::terms::Terms;
+use super::turn::{Due, Turn};
+
+/// How often connections are looked over for ends that are due, silence and a full descriptor table.
+const SWEEP: Micros = 100_000;
+/// How often servers' message delays are reported, as on the simulator's wire.
+const DELAY_PERIOD: Micros = 1_000_000;
+/// Clients accepted in one turn; connections that stand get theirs in between.
+const ACCEPTS: usize = 64;
+
+/// All peers, and the turn that they act in.
+#[derive(Debug)]
+pub struct Net {
+    turn: Turn,
+    listener: TcpListener,
+    can_accept: bool,
+    /// More clients wait to be accepted than one turn takes.
+    more_clients: bool,
+    serving: Serving,
+    director: Director,
+    /// When SIGTERM came.
+    leaving: Option<Micros>,
+    done: bool,
+}
+
+impl Net {
+    /// Peers of a program that listens here and asks discovery there; nobody has come yet.
+    pub fn new(turn: Turn, listener: TcpListener, discovery: SocketAddr, terms: Terms) -> Self {
+        let mut net = Net {
+            turn,
+            listener,
+            can_accept: true,
+            more_clients: false,
+            serving: Serving::new(terms),
+            director: Director::new(discovery),
+            leaving: None,
+            done: false,
+        };
+        net.turn.after(0, Due::Sweep);
+        net.turn.after(DELAY_PERIOD, Due::Delays);
+        net
+    }
+
+    /// The list that the configuration knows: whole, though it may be old.
+    pub fn list_known(&mut self, known: &Listing) -> Vec<ListEntry> {
+        self.director.knows(known.index);
+        self.serving.backends.take_quietly(known, &self.serving.terms.names)
+    }
+
+    /// Where clients connect.
+    pub fn listens_at(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// A turn begins at this time; time never goes back.
+    pub fn begin(&mut self, now: Micros) {
+        self.turn.now = self.turn.now.max(now);
+    }
+
+    /// Puts another configuration's terms in force; connections and the list stay.
+    pub fn take_terms(&mut self, terms: Terms, discovery: SocketAddr) {
+        self.serving.take_terms(terms);
+        let news = self.director.moves(&self.turn, discovery);
+        self.listed(news);
+    }
+
+    /// What the loop has seen of a connection goes to whom it belongs to.
+    pub fn seen(&mut self, seen: Seen) {
+        let turn = &mut self.turn;
+        match seen {
+            Seen::Ready { owner: Owner::Session(id), read, write } => {
+                self.serving.session_ready(turn, id, read, write);
+            }
+            Seen::Ready { owner: Owner::Fetch(id), read, write } => {
+                self.serving.fetch_ready(turn, id, read, write);
+            }
+            Seen::Ready { owner: Owner::Probe(number), read, write } => {
+                self.serving.probes.ready(turn, number, read, write);
+            }
+            Seen::Ready { owner: Owner::Director, read, write } => {
+                let news = self.director.ready(turn, read, write);
+                self.listed(news);
+            }
+            Seen::Clients => {
+                self.can_accept = true;
+                self.accept();
+            }
+            Seen::Stop => self.stop_soon(),
+            // The configuration is not the peers'.
+            Seen::Reload => {}
+        }
+    }
+
+    /// What is due at the end of a turn.
+    pub fn due(&mut self) {
+        self.serving.relay_again(&mut self.turn);
+        if std::mem::take(&mut self.more_clients) {
+            self.accept();
+        }
+        while let Some(due) = self.turn.timers.due(self.turn.now) {
+            let turn = &mut self.turn;
+            match due {
+                Due::Module(token) => turn.tell(Happening::Woken(token)),
+                Due::Connect(id, number) => self.serving.connect_due(turn, id, number),
+                Due::Patience(id, number) => self.serving.patience_due(turn, id, number),
+                Due::Probe(number) => self.serving.probes.end(turn, number, Outcome::TimedOut),
+                Due::Sweep => self.sweep(),
+                Due::Delays => {
+                    self.serving.report_delays(turn);
+                    turn.after(DELAY_PERIOD, Due::Delays);
+                }
+            }
+        }
+    }
+
+    /// When there is something to do again though nothing has come; at once where there is now.
+    pub fn next_due(&self) -> Micros {
+        if self.serving.is_busy() || self.more_clients {
+            return 0;
+        }
+        self.turn.timers.next().unwrap_or(self.turn.now + SWEEP)
+    }
+
+    /// Everybody has left: the program ends.
+    pub fn is_done(&self) -> bool {
+        self.done
+    }
+
+    fn sweep(&mut self) {
+        self.accept();
+        self.serving.look_over(&mut self.turn);
+        let news = self.director.look_over(&self.turn);
+        self.listed(news);
+        if let Some(since) = self.leaving {
+            self.leave(self.turn.now - since);
+        }
+        self.turn.after(SWEEP, Due::Sweep);
+    }
+
+    fn accept(&mut self) {
+        for _ in 0..ACCEPTS {
+            if !self.can_accept {
+                break;
+            }
+            // Out of descriptors, clients wait in the backlog; the sweep looks again.
+            if !self.serving.may_accept(&self.turn) {
+                return self.serving.note_short(true);
+            }
+            match self.listener.accept() {
+                Ok((stream, from)) => self.serving.client_comes(&mut self.turn, stream, from),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.can_accept = false,
+                Err(e) if is_shortage(&e) => return self.serving.note_short(true),
+                // The client gave up while it waited; the next one may be fine.
+                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
+                // Tried again by the sweep: an error that stays must not become a busy loop.
+                Err(e) => return log!("accept-failed error=\"{e}\""),
+            }
+        }
+        if self.serving.has_room() {
+            self.serving.note_short(false);
+            self.more_clients = self.can_accept;
+        }
+    }
+
+    fn listed(&mut self, news: Vec<News>) {
+        for news in news {
+            let happening = match news {
+                News::List(listing) => {
+                    let entries = self.serving.take_list(&listing);
+                    Happening::Listed { full: listing.snapshot, cached: false, entries }
+                }
+                News::Failed => Happening::DirectorFailed,
+            };
+            self.turn.tell(happening);
+        }
+    }
+
+    fn stop_soon(&mut self) {
+        if self.leaving.is_none() {
+            self.leaving = Some(self.turn.now);
+            let (sessions, waiting) = self.serving.close();
+            log!("leaving sessions={sessions} waiting={waiting}");
+        }
+    }
+
+    /// The steps of a planned end: accept and answer, move everybody, refuse who still waits, go.
+    fn leave(&mut self, since: Micros) {
+        let farewell = Farewell::new(&self.serving.terms.give_up);
+        if since >= farewell.answers {
+            self.serving.refuse_all(&mut self.turn);
+        }
+        if since >= farewell.move_from {
+            self.serving.move_some(&mut self.turn, farewell.move_until.saturating_sub(since) / SWEEP);
+        }
+        let clients = self.serving.clients();
+        if since >= farewell.last || (since >= LEAVE_AFTER + SWEEP && clients == 0) {
+            log!("left sessions={clients}");
+            self.done = true;
+        }
+    }
+}
+
+impl Peers for Net {
+    fn now(&self) -> Micros {
+        self.turn.now
+    }
+
+    fn next(&mut self) -> Option<Happening> {
+        self.turn.next()
+    }
+
+    fn fetch(&mut self, req: RequestId, server: ServerId, patience: Micros) {
+        self.serving.fetch(&mut self.turn, req, server, patience);
+    }
+
+    fn call_off(&mut self, req: RequestId) {
+        self.serving.fetch_over(&mut self.turn, req, Outcome::Cancelled);
+    }
+
+    fn refuse(&mut self, req: RequestId, after: Micros) {
+        self.serving.refuse(&mut self.turn, req, after);
+    }
+
+    fn fail(&mut self, req: RequestId) {
+        self.serving.answer_failed(&mut self.turn, req);
+    }
+
+    fn move_away(&mut self, req: RequestId) {
+        self.serving.move_away(&mut self.turn, req);
+    }
+
+    fn probe(&mut self, server: ServerId) {
+        let address = self.serving.backends.address(server).filter(|_| self.serving.has_room());
+        self.serving.probes.begin(&mut self.turn, server, address);
+    }
+
+    fn watch(&mut self) {
+        let news = self.director.watch(&self.turn);
+        self.listed(news);
+    }
+
+    fn wake(&mut self, after: Micros, token: u64) {
+        self.turn.after(after, Due::Module(token));
+    }
+
+    fn log(&mut self, line: &str) {
+        log!("module \"{line}\"");
+    }
+}
--- a/crates/balancer/src/net/link.rs
+++ b/crates/balancer/src/net/link.rs
@@ -254,5 +254,14 @@
 #[derive(Debug, PartialEq, Eq)]
 pub struct TooLong;
 
+/// Whether an error means that descriptors or memory for them have run out (here, or in the whole system).
+pub fn is_shortage(e: &io::Error) -> bool {
+    const ENFILE: i32 = 23;
+    const EMFILE: i32 = 24;
+    const ENOBUFS: i32 = 105;
+    e.kind() == ErrorKind::OutOfMemory
+        || matches!(e.raw_os_error(), Some(ENFILE) | Some(EMFILE) | Some(ENOBUFS))
+}
+
 /// `EINPROGRESS`, which the standard library has no stable name for.
 const IN_PROGRESS: i32 = 115;
--- /dev/null
+++ b/crates/balancer/src/net/list/answer.rs
@@ -0,0 +1,155 @@
+//! The reader of a watch's answer: HTTP/1.1 in, lines of the body out.
+
+/// The longest object read. A longer one fails the watch rather than fill the memory.
+const OBJECT: usize = 1 << 20;
+
+/// What of a chunked body comes next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Body {
+    /// The status line and the headers.
+    Head,
+    /// A chunk's size.
+    Size,
+    /// So many bytes of a chunk.
+    Data(u64),
+    /// The line end behind a chunk.
+    DataEnd,
+    /// A body that isn't chunked lasts until the connection ends.
+    Plain,
+}
+
+/// The reader of a watch's answer: bytes in, lines of the body out.
+#[derive(Debug)]
+pub struct Answer {
+    body: Body,
+    line: Vec<u8>,
+}
+
+impl Answer {
+    /// A reader to which nothing has come.
+    pub fn new() -> Self {
+        Answer { body: Body::Head, line: Vec::new() }
+    }
+
+    /// Whether the call has been answered at all.
+    pub fn has_begun(&self) -> bool {
+        self.body != Body::Head
+    }
+
+    /// Takes in what it can of `bytes` and says how much; each whole line of the body goes to `lines`.
+    pub fn take(&mut self, bytes: &[u8], lines: &mut Vec<Vec<u8>>) -> Result<usize, String> {
+        let mut at = 0;
+        loop {
+            let rest = &bytes[at..];
+            at += match self.body {
+                Body::Head => match self.head(rest)? {
+                    0 => return Ok(at),
+                    n => n,
+                },
+                Body::Size => match httparse::parse_chunk_size(rest) {
+                    Ok(httparse::Status::Complete((_, 0))) => return Err("the watch was ended".into()),
+                    Ok(httparse::Status::Complete((n, size))) => {
+                        self.body = Body::Data(size);
+                        n
+                    }
+                    Ok(httparse::Status::Partial) => return Ok(at),
+                    Err(_) => return Err("bad chunk size".into()),
+                },
+                Body::Data(size) => {
+                    let n = rest.len().min(size.min(usize::MAX as u64) as usize);
+                    self.text(&rest[..n], lines)?;
+                    let left = size - n as u64;
+                    self.body = if left == 0 { Body::DataEnd } else { Body::Data(left) };
+                    if left > 0 {
+                        return Ok(at + n);
+                    }
+                    n
+                }
+                Body::DataEnd => match rest {
+                    [b'\r', b'\n', ..] => {
+                        self.body = Body::Size;
+                        2
+                    }
+                    [] | [b'\r'] => return Ok(at),
+                    _ => return Err("no line end behind a chunk".into()),
+                },
+                Body::Plain => {
+                    self.text(rest, lines)?;
+                    return Ok(bytes.len());
+                }
+            };
+        }
+    }
+
+    fn head(&mut self, bytes: &[u8]) -> Result<usize, String> {
+        let mut headers = [httparse::EMPTY_HEADER; 32];
+        let mut response = httparse::Response::new(&mut headers);
+        let n = match response.parse(bytes) {
+            Ok(httparse::Status::Complete(n)) => n,
+            Ok(httparse::Status::Partial) => return Ok(0),
+            Err(e) => return Err(format!("bad answer: {e}")),
+        };
+        match response.code {
+            Some(200) => {}
+            code => return Err(format!("status {}", code.unwrap_or(0))),
+        }
+        let chunked = response.headers.iter().any(|h| {
+            h.name.eq_ignore_ascii_case("transfer-encoding") && h.value.eq_ignore_ascii_case(b"chunked")
+        });
+        self.body = if chunked { Body::Size } else { Body::Plain };
+        Ok(n)
+    }
+
+    fn text(&mut self, mut bytes: &[u8], lines: &mut Vec<Vec<u8>>) -> Result<(), String> {
+        while let Some(at) = bytes.iter().position(|b| *b == b'\n') {
+            self.line.extend_from_slice(&bytes[..at]);
+            lines.push(std::mem::take(&mut self.line));
+            bytes = &bytes[at + 1..];
+        }
+        if self.line.len() + bytes.len() > OBJECT {
+            return Err("an object over the limit".into());
+        }
+        self.line.extend_from_slice(bytes);
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    /// Feeds an answer in pieces of a size, keeping what was not taken, as the inbox does.
+    fn feed(text: &str, piece: usize) -> Result<Vec<String>, String> {
+        let (mut answer, mut lines, mut held) = (Answer::new(), Vec::new(), Vec::new());
+        for bytes in text.as_bytes().chunks(piece) {
+            held.extend_from_slice(bytes);
+            let n = answer.take(&held, &mut lines)?;
+            held.drain(..n);
+        }
+        Ok(lines.into_iter().map(|l| String::from_utf8(l).expect("text")).collect())
+    }
+
+    #[test]
+    fn lines_come_out_however_the_answer_is_cut() {
+        let text = format!("{HEAD}4\r\n{{}}\n\n\r\n3\r\n{{\"a\r\n6\r\n\":1}}\n\n\r\n");
+        for piece in 1..text.len() + 1 {
+            assert_eq!(feed(&text, piece), Ok(vec!["{}".into(), "".into(), "{\"a\":1}".into(), "".into()]));
+        }
+    }
+
+    #[test]
+    fn what_is_no_watch_fails() {
+        for (text, why) in [
+            ("HTTP/1.1 503 Busy\r\n\r\n".to_owned(), "status 503"),
+            (format!("{HEAD}0\r\n\r\n"), "the watch was ended"),
+            (format!("{HEAD}zz\r\n"), "bad chunk size"),
+            (format!("{HEAD}1\r\nxyz"), "no line end behind a chunk"),
+            (format!("{HEAD}200000\r\n{}", "x".repeat(OBJECT + 1)), "an object over the limit"),
+        ] {
+            assert_eq!(feed(&text, usize::MAX), Err(why.to_owned()));
+        }
+        assert!(feed("SSH-2.0\r\n\r\n", 4).is_err());
+    }
+}
--- /dev/null
+++ b/crates/balancer/src/net/list/mod.rs
@@ -0,0 +1,4 @@
+//! The list of servers, from discovery.
+
+mod answer;
+pub mod director;
--- a/crates/balancer/src/net/delays.rs
+++ b/crates/balancer/src/net/servers/delays.rs
@@ -1,12 +1,7 @@
 //! What messages take at each server, from what its connections see. One connection may fall silent by itself:
 //! only what most of a server's connections see is told of the server.
 
-use std::collections::HashMap;
-
-use super::Net;
-use super::clients::Stage;
-use shorewharf_decisions::interface::{RequestId, ServerId};
-use shorewharf_driver::{Happening, Micros};
+use shorewharf_driver::Micros;
 
 /// An answer says something of its server for so long: clients send a line every 2 s.
 const FRESH: Micros = 2_500_000;
@@ -34,7 +29,7 @@
 
 /// What a figure in a `LOAD` line is.
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum Figure {
+pub enum Figure {
     /// The connection's load, in microseconds of work a second.
     Load,
     /// Milliseconds that a message takes at the server.
@@ -45,7 +40,7 @@
 
 /// What the figures of a server's `LOAD` lines have been.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Figures {
+pub struct Figures {
     /// The last one that was a delay or may have been one.
     last: Option<(Micros, f64)>,
     /// When the last delay came.
@@ -53,7 +48,8 @@
 }
 
 impl Figures {
-    fn read(&mut self, now: Micros, figure: f64) -> Figure {
+    /// What this figure, which has come now, is.
+    pub fn read(&mut self, now: Micros, figure: f64) -> Figure {
         let in_rhythm = |(at, last): (Micros, f64)| {
             RHYTHM.contains(&(now - at)) && figure < last + GROWTH && figure < DELAY_MOST
         };
@@ -70,22 +66,27 @@
         }
         kind
     }
+
+    /// Whether a delay that was told a moment ago still stands.
+    pub fn stands(&self, now: Micros) -> bool {
+        self.delayed.is_some_and(|at| now - at < TOLD)
+    }
 }
 
 /// What one standing connection has seen of its server.
 #[derive(Clone, Copy, Debug)]
-struct Seen {
+pub struct Sight {
     /// Since when a line of the client's has gone unanswered.
-    asked: Option<Micros>,
+    pub asked: Option<Micros>,
     /// When a line was answered last, and how long that took.
-    answered: Option<(Micros, Micros)>,
+    pub answered: Option<(Micros, Micros)>,
 }
 
 /// What a message takes for most of a server's connections; none where too little is known. Waiting counts
 /// from `least` on: an answer that is still out takes at least as long as it has been waited for.
-fn typical(now: Micros, least: Micros, seen: &[Seen]) -> Option<Micros> {
-    let wait = |s: &Seen| s.asked.map(|at| now - at).filter(|w| *w > least);
-    let fresh = |s: &Seen| s.answered.filter(|(at, _)| now - at < FRESH).map(|(_, took)| took);
+pub fn typical(now: Micros, least: Micros, seen: &[Sight]) -> Option<Micros> {
+    let wait = |s: &Sight| s.asked.map(|at| now - at).filter(|w| *w > least);
+    let fresh = |s: &Sight| s.answered.filter(|(at, _)| now - at < FRESH).map(|(_, took)| took);
     let waiting = seen.iter().filter(|s| wait(s).is_some()).count();
     let mut figures: Vec<Micros> = seen.iter().filter_map(|s| wait(s).or_else(|| fresh(s))).collect();
     figures.sort_unstable();
@@ -95,67 +96,18 @@
     (middle < answered || waiting >= WAITING).then(|| figures[middle])
 }
 
-impl Net {
-    /// A `LOAD` line has come on this connection.
-    pub(super) fn figure_told(&mut self, id: RequestId, figure: f64) {
-        let Some(server) = self.fetches.get(&id).map(|f| f.server) else { return };
-        let (now, tells) = (self.now, self.tells_delay);
-        let kind = match self.backends.get_mut(&server) {
-            Some(b) if tells => b.figures.read(now, figure),
-            _ => Figure::Load,
-        };
-        match kind {
-            Figure::Load => self.tell(Happening::Load(id, figure / 1e6)),
-            Figure::Delay => self.tell(Happening::Delay(server, (figure * 1e3) as Micros)),
-            Figure::Unclear => {}
-        }
-    }
-
-    /// Reports what messages take: for each server once a period while that is over a third of the
-    /// shortest aim, and once more when it is back under.
-    pub(super) fn report_delays(&mut self) {
-        let mut seen: HashMap<ServerId, Vec<Seen>> = HashMap::new();
-        for (id, session) in self.sessions.iter().filter(|(_, s)| s.stage() == Stage::Open) {
-            if let Some(fetch) = self.fetches.get(id).filter(|f| f.is_up()) {
-                let (asked, answered) = (session.asked_since(), fetch.answered());
-                seen.entry(fetch.server).or_default().push(Seen { asked, answered });
-            }
-        }
-        let least = self.message_aim / 3;
-        let mut reports = Vec::new();
-        for (server, b) in &mut self.backends {
-            let figure = seen.get(server).and_then(|seen| typical(self.now, least, seen));
-            // What the server tells of itself goes before what its answers take.
-            let told = b.figures.delayed.is_some_and(|at| self.now - at < TOLD);
-            let Some(delay) = figure.filter(|_| !told) else { continue };
-            let slow = delay > least;
-            if slow || b.slow {
-                b.slow = slow;
-                reports.push(Happening::Delay(*server, delay));
-            }
-        }
-        self.happenings.extend(reports);
-    }
-
-    /// Whether this connection's server has said anything to another one since then.
-    pub(super) fn server_lives(&self, id: RequestId, since: Micros) -> bool {
-        let Some(server) = self.fetches.get(&id).map(|f| f.server) else { return false };
-        self.fetches.iter().any(|(other, f)| *other != id && f.server == server && f.heard() > since)
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
 
     const NOW: Micros = 100_000_000;
 
-    fn waits(for_us: Micros) -> Seen {
-        Seen { asked: Some(NOW - for_us), answered: None }
+    fn waits(for_us: Micros) -> Sight {
+        Sight { asked: Some(NOW - for_us), answered: None }
     }
 
-    fn answered(ago: Micros, took: Micros) -> Seen {
-        Seen { asked: None, answered: Some((NOW - ago, took)) }
+    fn answered(ago: Micros, took: Micros) -> Sight {
+        Sight { asked: None, answered: Some((NOW - ago, took)) }
     }
 
     #[test]
--- /dev/null
+++ b/crates/balancer/src/net/servers/probes.rs
@@ -0,0 +1,118 @@
+//! Probes: checks on servers.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use shorewharf_decisions::interface::{Outcome, ServerId};
+use shorewharf_driver::{Happening, Micros};
+
+use crate::net::link::Link;
+use crate::net::poll::Owner;
+use crate::net::turn::{Due, Turn};
+
+/// How long a probe may take.
+const PROBE: Micros = 500_000;
+
+/// A check on a server.
+#[derive(Debug)]
+struct Probe {
+    link: Link,
+    server: ServerId,
+    asked: bool,
+}
+
+/// The table of probes, by number. Each that was begun is told of once, when it is over.
+#[derive(Debug, Default)]
+pub struct Probes {
+    table: BTreeMap<u64, Probe>,
+    begun: u64,
+}
+
+impl Probes {
+    /// Checks on a server; without an address there is nothing to be reached.
+    pub fn begin(&mut self, turn: &mut Turn, server: ServerId, address: Option<SocketAddr>) {
+        self.begun += 1;
+        let number = self.begun;
+        let watched = |mut link| turn.poller.watch(&mut link, Owner::Probe(number)).then_some(link);
+        let Some(link) = address.and_then(|to| Link::connect(to).ok()).and_then(watched) else {
+            return turn.tell(Happening::Probed(server, Outcome::ConnectFailed));
+        };
+        self.table.insert(number, Probe { link, server, asked: false });
+        turn.after(PROBE, Due::Probe(number));
+        self.ready(turn, number, false, false);
+    }
+
+    /// A probe's connection is ready.
+    pub fn ready(&mut self, turn: &mut Turn, number: u64, read: bool, write: bool) {
+        let Some(probe) = self.table.get_mut(&number) else { return };
+        probe.link.ready(read, write);
+        if !probe.asked {
+            match probe.link.connected() {
+                Ok(false) => return,
+                Ok(true) => probe.asked = probe.link.say(&turn.pool, b"PING\r\n"),
+                Err(_) => return self.end(turn, number, Outcome::ConnectFailed),
+            }
+        }
+        probe.link.flush();
+        probe.link.fill(&turn.pool);
+        let ended = probe.link.ended;
+        let outcome = match probe.link.look() {
+            Ok(Some(b"PONG")) => Outcome::Ok,
+            Ok(None) if ended.is_none() => return,
+            Ok(None) => Outcome::Reset,
+            _ => Outcome::Error,
+        };
+        self.end(turn, number, outcome);
+    }
+
+    /// Ends a probe, and tells how; nothing happens where it is over already.
+    pub fn end(&mut self, turn: &mut Turn, number: u64, outcome: Outcome) {
+        if let Some(probe) = self.table.remove(&number) {
+            turn.poller.close(probe.link);
+            turn.tell(Happening::Probed(probe.server, outcome));
+        }
+    }
+
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.table.len()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::net::turn::tests::{turn, until};
+    use std::io::Write;
+    use std::net::TcpListener;
+
+    fn told(turn: &mut Turn) -> Option<Outcome> {
+        turn.next().map(|h| match h {
+            Happening::Probed(ServerId(4), outcome) => outcome,
+            other => panic!("{other:?}"),
+        })
+    }
+
+    #[test]
+    fn a_probe_is_told_of_once_whatever_comes_first() {
+        let (mut turn, mut probes) = (turn(0), Probes::default());
+        probes.begin(&mut turn, ServerId(4), None);
+        assert_eq!(told(&mut turn), Some(Outcome::ConnectFailed), "there is nothing to be reached");
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        for (number, answer, outcome) in [(2, "PONG\r\n", Outcome::Ok), (3, "NO\r\n", Outcome::Error)] {
+            probes.begin(&mut turn, ServerId(4), listener.local_addr().ok());
+            let (mut server, _) = listener.accept().expect("the probe");
+            server.write_all(answer.as_bytes()).expect("open");
+            until(|| {
+                probes.ready(&mut turn, number, true, true);
+                probes.len() == 0
+            });
+            probes.end(&mut turn, number, Outcome::TimedOut);
+            assert_eq!((told(&mut turn), told(&mut turn)), (Some(outcome), None));
+        }
+        probes.begin(&mut turn, ServerId(4), listener.local_addr().ok());
+        assert_eq!(turn.timers.due(PROBE), Some(Due::Probe(2)));
+        probes.end(&mut turn, 4, Outcome::TimedOut);
+        assert_eq!((told(&mut turn), probes.len()), (Some(Outcome::TimedOut), 0));
+    }
+}
--- /dev/null
+++ b/crates/balancer/src/net/serving.rs
@@ -0,0 +1,572 @@
+//! Client sessions and the servers they are brought to: composes the tables of both sides, tells the driver what
+//! happens, and carries out what it wants of them.
+
+use std::net::{SocketAddr, TcpStream};
+
+use shorewharf_decisions::interface::{ListEntry, Outcome, RequestId, ServerId};
+use shorewharf_driver::{Happening, Micros, Req};
+use shorewharf_protocol::list::Listing;
+use shorewharf_protocol::open::parse_open;
+use shorewharf_protocol::words::busy;
+
+use super::budget::Budget;
+use super::clients::session::{Asking, First, Patience, Session, Stage};
+use super::clients::sessions::Sessions;
+use super::complaints::Complaints;
+use super::farewell::LEAVE_AFTER;
+use super::link::End;
+use super::log;
+use super::relay::{Fate, ends, relay};
+use super::servers::backends::{Backends, server_id};
+use super::servers::delays::{Figure, Sight};
+use super::servers::fetches::{self, Answer, Fetches, Hindrance};
+use super::servers::probes::Probes;
+use super::terms::Terms;
+use super::turn::Turn;
+
+/// A connection from before the start has this long to stand again.
+const CARRY: Micros = 38_000_000;
+/// A client that the module has not answered by then is answered all the same.
+const OVERDUE: Micros = 15_000;
+/// The wait told to clients whom the program refuses by itself.
+const COME_BACK: Micros = 300_000;
+
+/// All peers but the director.
+#[derive(Debug)]
+pub struct Serving {
+    /// What the configuration says of them.
+    pub terms: Terms,
+    /// The servers as listed.
+    pub backends: Backends,
+    /// Checks on servers.
+    pub probes: Probes,
+    sessions: Sessions,
+    fetches: Fetches,
+    budget: Budget,
+    complaints: Complaints,
+    /// Connections with more to carry, which let the others have their turn.
+    again: Vec<RequestId>,
+    /// The program is about to end: nobody new is served.
+    closing: bool,
+}
+
+impl Serving {
+    /// Nobody has come yet.
+    pub fn new(terms: Terms) -> Self {
+        Serving {
+            budget: Budget::new(terms.sockets),
+            terms,
+            backends: Backends::default(),
+            probes: Probes::default(),
+            sessions: Sessions::default(),
+            fetches: Fetches::default(),
+            complaints: Complaints::default(),
+            again: Vec::new(),
+            closing: false,
+        }
+    }
+
+    /// Puts other terms in force; peers that are here stay.
+    pub fn take_terms(&mut self, terms: Terms) {
+        self.budget.set_limit(terms.sockets);
+        self.terms = terms;
+    }
+
+    /// Takes in a list from discovery: what the module is told of it.
+    pub fn take_list(&mut self, listing: &Listing) -> Vec<ListEntry> {
+        let fetches = &self.fetches;
+        self.backends.take(listing, &self.terms.names, |server| fetches.any_at(server))
+    }
+}
+
+/// Descriptors.
+impl Serving {
+    fn connections(&self) -> usize {
+        self.sessions.len() + self.fetches.len() + self.probes.len()
+    }
+
+    /// Whether a connection to a server can be had and enough is left to answer clients.
+    pub fn has_room(&self) -> bool {
+        self.budget.has_room(self.connections())
+    }
+
+    /// Has a descriptor for a connection to a server, at the cost of those who ask for nothing.
+    fn make_room(&mut self, turn: &Turn) -> bool {
+        while !self.has_room() {
+            if !self.sessions.evict(turn) {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Whether one more client can be accepted. Guards usual clients against floods: who asks for nothing holds
+    /// a part of the descriptors and no more, and the one that has done so for longest goes first.
+    pub fn may_accept(&mut self, turn: &Turn) -> bool {
+        while self.sessions.unserved() >= self.budget.unserved() || !self.has_room() {
+            if !self.sessions.evict(turn) {
+                break;
+            }
+        }
+        self.budget.may_answer(self.connections())
+    }
+
+    /// Descriptors have run out, or there are some again.
+    pub fn note_short(&mut self, short: bool) {
+        self.budget.note_short(short, self.connections());
+    }
+}
+
+/// Clients, from their first line to their answer.
+impl Serving {
+    /// A client has connected.
+    pub fn client_comes(&mut self, turn: &mut Turn, stream: TcpStream, from: SocketAddr) {
+        let fetches = &self.fetches;
+        if let Some(id) = self.sessions.begin(turn, stream, from, |id| fetches.has(id)) {
+            self.session_ready(turn, id, true, true);
+        }
+    }
+
+    /// A client's connection is ready.
+    pub fn session_ready(&mut self, turn: &mut Turn, id: RequestId, read: bool, write: bool) {
+        let Some(s) = self.sessions.get_mut(id) else { return };
+        s.link.ready(read, write);
+        match s.stage() {
+            Stage::Opening => {
+                let from = s.from();
+                match s.opens(turn.now, &turn.pool) {
+                    First::Part => {}
+                    First::Line(line) => self.req_comes(turn, id, &line),
+                    First::End => self.half_line(turn, id),
+                    First::TooMany => self.malformed(turn, id, "too many commands at a time"),
+                    First::TooLong => {
+                        let text = format_args!("line-too-long peer=client client={from}");
+                        self.complaints.log(turn.now, text);
+                        self.answer_failed(turn, id);
+                    }
+                }
+            }
+            Stage::Waiting => match s.waits_on(&turn.pool) {
+                Patience::Waits => {}
+                // The protocol has it wait. What follows its line belongs to no connection yet: passed on
+                // later, it would make the server close a connection that has just come up.
+                Patience::Spoke => self.malformed(turn, id, "spoke before its answer"),
+                Patience::Left => self.client_leaves(turn, id),
+            },
+            Stage::Open | Stage::Moving => self.relay(turn, id),
+            Stage::Ending => self.session_ends(turn, id),
+        }
+    }
+
+    /// A client ended, or took too long, with its first line unfinished or unsaid.
+    fn half_line(&mut self, turn: &Turn, id: RequestId) {
+        let Some(s) = self.sessions.get(id) else { return };
+        if !s.link.held().is_empty() {
+            let from = s.from();
+            self.complaints.log(turn.now, format_args!("half-line peer={from}"));
+        }
+        self.sessions.drop(turn, id);
+    }
+
+    /// A client said what can't be used: it gets an error, and only its own connection ends.
+    fn malformed(&mut self, turn: &mut Turn, id: RequestId, why: &str) {
+        let Some(s) = self.sessions.get(id) else { return };
+        let (from, waits) = (s.from(), s.waits());
+        self.complaints.log(turn.now, format_args!("malformed client={from} why=\"{why}\""));
+        if waits {
+            turn.tell(Happening::ClientLeft(id));
+            self.fetch_over(turn, id, Outcome::Cancelled);
+        }
+        self.answer_failed(turn, id);
+    }
+
+    fn req_comes(&mut self, turn: &mut Turn, id: RequestId, line: &[u8]) {
+        let open = match parse_open(line, &self.terms.names) {
+            Ok(open) => open,
+            Err(why) => return self.malformed(turn, id, why),
+        };
+        let home = open.home.as_deref().map(server_id);
+        if self.sessions.has_open_id(open.id) {
+            // The id of another client's request. Whoever retries or was moved comes under a new one, and the
+            // one from before was let go with its answer or its MOVE.
+            return self.malformed(turn, id, "the id is in use");
+        }
+        if home.is_some_and(|home| !self.backends.is_listed(home)) {
+            return self.malformed(turn, id, "at= names no server");
+        }
+        let wait = open.patience.or(self.terms.give_up.get(open.class).copied()).unwrap_or(0);
+        let req = Req {
+            id,
+            class: open.class,
+            tenant: open.tenant,
+            key: open.key,
+            deadline: turn.now + wait,
+            load: open.load,
+            group: open.group,
+            returning: open.returning,
+        };
+        let until = if home.is_some() { turn.now + CARRY } else { req.deadline };
+        self.sessions.ask(turn, id, Asking { line, open_id: open.id, req, home, until });
+        if self.closing {
+            // What is taken now would only have to move: the front stops sending here in a moment.
+            return self.refuse(turn, id, LEAVE_AFTER);
+        }
+        if !self.make_room(turn) {
+            // Guards the descriptor limit: refused before a fetch could need one more.
+            self.note_short(true);
+            return self.refuse(turn, id, COME_BACK);
+        }
+        // The client may have left behind its line already, or said more than it should.
+        self.session_ready(turn, id, false, false);
+        if !self.sessions.get(id).is_some_and(Session::waits) {
+            return;
+        }
+        match home {
+            Some(server) => self.fetch(turn, id, server, CARRY),
+            None => turn.tell(Happening::Asked(req)),
+        }
+    }
+
+    /// A client that waited has gone: nobody needs the fetch any more.
+    fn client_leaves(&mut self, turn: &mut Turn, id: RequestId) {
+        turn.tell(Happening::ClientLeft(id));
+        self.sessions.drop(turn, id);
+        self.fetch_over(turn, id, Outcome::Cancelled);
+    }
+
+    fn answer(&mut self, turn: &mut Turn, id: RequestId, words: &[u8]) {
+        if self.sessions.answer(turn, id, words) {
+            self.session_ends(turn, id);
+        }
+    }
+
+    /// Tells a client to come again, after so long if that is more than 0.
+    pub fn refuse(&mut self, turn: &mut Turn, id: RequestId, after: Micros) {
+        self.answer(turn, id, busy(after).to_string().as_bytes());
+    }
+
+    /// Tells a client that it is not served.
+    pub fn answer_failed(&mut self, turn: &mut Turn, id: RequestId) {
+        self.answer(turn, id, b"ERR\r\n");
+    }
+
+    fn session_ends(&mut self, turn: &Turn, id: RequestId) {
+        if self.sessions.get_mut(id).is_some_and(|s| s.is_over(&turn.pool)) {
+            self.sessions.drop(turn, id);
+        }
+    }
+}
+
+/// Fetches, from their beginning to the server's answer.
+impl Serving {
+    /// A standing connection's own server is asked for even while it drains.
+    fn address_for(&self, id: RequestId, server: ServerId) -> Option<SocketAddr> {
+        match self.sessions.get(id).map(Session::home) {
+            Some(Some(home)) if home == server => self.backends.address(server),
+            _ => self.backends.ready_address(server),
+        }
+    }
+
+    /// Begins a fetch; it may take so long.
+    pub fn fetch(&mut self, turn: &mut Turn, id: RequestId, server: ServerId, patience: Micros) {
+        // Guards against two attempts out at once, whatever asked for the second.
+        if self.fetches.has(id) || !self.sessions.get(id).is_some_and(Session::waits) {
+            return;
+        }
+        let address = self.address_for(id, server).filter(|_| self.make_room(turn));
+        let Some(address) = address else {
+            return self.fetch_ended(turn, id, Outcome::NotSent);
+        };
+        match self.fetches.begin(turn, id, (server, address), patience, self.terms.connect_timeout) {
+            Ok(()) => self.fetch_goes_on(turn, id),
+            Err(Hindrance::Shortage) => {
+                self.note_short(true);
+                self.fetch_ended(turn, id, Outcome::NotSent);
+            }
+            Err(Hindrance::Unwatched) => self.fetch_ended(turn, id, Outcome::NotSent),
+            Err(Hindrance::Refused) => self.fetch_ended(turn, id, Outcome::ConnectFailed),
+        }
+    }
+
+    /// Tells how a fetch ended; a carried connection that never came up was never told of.
+    fn fetch_ended(&mut self, turn: &mut Turn, id: RequestId, outcome: Outcome) {
+        match self.sessions.get(id).map(|s| (s.home(), s.waits())) {
+            Some((Some(home), true)) => self.carried_fetch_ended(turn, id, home, outcome),
+            _ => turn.tell(Happening::FetchEnded(id, outcome)),
+        }
+    }
+
+    /// A connection from before the start has not come up: it is tried again while that is harmless.
+    fn carried_fetch_ended(&mut self, turn: &mut Turn, id: RequestId, home: ServerId, outcome: Outcome) {
+        if self.sessions.get_mut(id).is_some_and(|s| s.carry_failed(turn.now)) {
+            log!("carried-not-up server={} outcome={outcome:?}", self.backends.name(Some(home)));
+        }
+        // The sweep tries again what has never run.
+        if !outcome.never_ran() {
+            self.answer_failed(turn, id);
+        }
+    }
+
+    /// Ends the fetch that is out, on the network and for the module.
+    pub fn fetch_over(&mut self, turn: &mut Turn, id: RequestId, outcome: Outcome) {
+        if self.fetches.end(turn, id) {
+            self.fetch_ended(turn, id, outcome);
+        }
+    }
+
+    /// A fetch of this number should be connected by now.
+    pub fn connect_due(&mut self, turn: &mut Turn, id: RequestId, number: u64) {
+        if let Some(outcome) = self.fetches.connect_due(id, number) {
+            self.fetch_over(turn, id, outcome);
+        }
+    }
+
+    /// A fetch of this number should be answered by now.
+    pub fn patience_due(&mut self, turn: &mut Turn, id: RequestId, number: u64) {
+        if let Some(outcome) = self.fetches.patience_due(id, number) {
+            self.fetch_over(turn, id, outcome);
+        }
+    }
+
+    /// A fetch's connection is ready.
+    pub fn fetch_ready(&mut self, turn: &mut Turn, id: RequestId, read: bool, write: bool) {
+        let Some(fetch) = self.fetches.get_mut(id) else { return };
+        fetch.link.ready(read, write);
+        match fetch.stage() {
+            fetches::Stage::Up => self.relay(turn, id),
+            _ => self.fetch_goes_on(turn, id),
+        }
+    }
+
+    fn fetch_goes_on(&mut self, turn: &mut Turn, id: RequestId) {
+        let Some(fetch) = self.fetches.get(id) else { return };
+        if fetch.stage() == fetches::Stage::Connecting {
+            match fetch.link.connected() {
+                Ok(false) => return,
+                Ok(true) => {}
+                Err(_) => return self.fetch_over(turn, id, Outcome::ConnectFailed),
+            }
+            // The server may have begun to leave while the connection came up: it gets nothing new.
+            if self.address_for(id, fetch.server()).is_none() {
+                return self.fetch_over(turn, id, Outcome::NotSent);
+            }
+            let Some(line) = self.sessions.get(id).and_then(Session::first_line) else { return };
+            self.fetches.get_mut(id).into_iter().for_each(|f| f.ask(turn.now, &turn.pool, line));
+        }
+        let Some(fetch) = self.fetches.get_mut(id) else { return };
+        let server = self.backends.name(Some(fetch.server()));
+        let outcome = match fetch.answer(&turn.pool) {
+            None => return,
+            Some(Answer::Up) => return self.fetch_up(turn, id),
+            Some(Answer::Over(outcome)) => outcome,
+            Some(Answer::Odd(line)) => {
+                log!("odd-answer server={server} line={line:?}");
+                Outcome::Error
+            }
+            Some(Answer::TooLong) => {
+                log!("line-too-long peer=server server={server}");
+                Outcome::Error
+            }
+        };
+        self.fetch_over(turn, id, outcome);
+        if outcome == Outcome::Ok {
+            self.answer(turn, id, b"BYE\r\n");
+        }
+    }
+
+    /// A server has taken a client.
+    fn fetch_up(&mut self, turn: &mut Turn, id: RequestId) {
+        let (Some(f), Some(s)) = (self.fetches.get_mut(id), self.sessions.get_mut(id)) else { return };
+        f.stands(turn.now);
+        s.stands();
+        turn.tell(match (s.home(), s.req()) {
+            (Some(server), Some(req)) => Happening::Carried(req, server),
+            _ => Happening::Up(id),
+        });
+        self.relay(turn, id);
+    }
+
+    fn server_name(&self, id: RequestId) -> &str {
+        self.backends.name(self.fetches.server(id))
+    }
+}
+
+/// Standing connections.
+impl Serving {
+    /// Asks a connected client to come again.
+    pub fn move_away(&mut self, turn: &mut Turn, id: RequestId) {
+        if self.sessions.get_mut(id).is_some_and(Session::moves) {
+            self.relay(turn, id);
+        }
+    }
+
+    /// Carries on with those that had more to carry than fits into one turn.
+    pub fn relay_again(&mut self, turn: &mut Turn) {
+        std::mem::take(&mut self.again).into_iter().for_each(|id| self.relay(turn, id));
+    }
+
+    /// Whether any connection has more to carry.
+    pub fn is_busy(&self) -> bool {
+        !self.again.is_empty()
+    }
+
+    fn relay(&mut self, turn: &mut Turn, id: RequestId) {
+        let (Some(s), Some(f)) = (self.sessions.get_mut(id), self.fetches.get_mut(id)) else { return };
+        let relayed = relay(turn.now, &turn.pool, s, f);
+        let (from, server) = (s.from(), f.server());
+        if relayed.more {
+            self.again.push(id);
+        }
+        relayed.told.into_iter().for_each(|figure| self.figure_told(turn, id, server, figure));
+        if let Some(peer) = relayed.too_long {
+            let server = self.backends.name(Some(server));
+            let text = format_args!("line-too-long peer={peer} client={from} server={server}");
+            self.complaints.log(turn.now, text);
+            // Only a server's own fault counts against it.
+            let outcome = if peer == "server" { Outcome::Reset } else { Outcome::Cancelled };
+            return self.end_both(turn, id, End::Reset, outcome);
+        }
+        let (Some(s), Some(f)) = (self.sessions.get_mut(id), self.fetches.get_mut(id)) else { return };
+        match ends(turn.now, s, f) {
+            Fate::Stands => {}
+            Fate::ServerEnded(end, outcome) => self.end_both(turn, id, end, outcome),
+            Fate::ClientBroke => {
+                f.link.break_off();
+                self.sessions.drop(turn, id);
+                self.fetch_over(turn, id, Outcome::Cancelled);
+            }
+            Fate::Moves => {
+                self.fetch_over(turn, id, Outcome::Cancelled);
+                self.answer(turn, id, b"MOVE\r\n");
+            }
+        }
+    }
+
+    /// A `LOAD` line has come on a connection.
+    fn figure_told(&mut self, turn: &mut Turn, id: RequestId, server: ServerId, figure: f64) {
+        let tells = self.terms.tells_delay;
+        let kind = if tells { self.backends.read_figure(turn.now, server, figure) } else { Figure::Load };
+        match kind {
+            Figure::Load => turn.tell(Happening::Load(id, figure / 1e6)),
+            Figure::Delay => turn.tell(Happening::Delay(server, (figure * 1e3) as Micros)),
+            Figure::Unclear => {}
+        }
+    }
+
+    /// Ends a standing connection on both sides, the client's as the server's ended.
+    fn end_both(&mut self, turn: &mut Turn, id: RequestId, end: End, outcome: Outcome) {
+        self.fetch_over(turn, id, outcome);
+        match end {
+            End::Fin => self.answer(turn, id, b""),
+            End::Reset => {
+                self.sessions.get_mut(id).into_iter().for_each(|s| s.link.break_off());
+                self.sessions.drop(turn, id);
+            }
+        }
+    }
+
+    /// The server answers nothing: its client is moved, and the module hears of a drop. One that has answered
+    /// others meanwhile is not blamed: the connection fell silent, not the server.
+    fn silent(&mut self, turn: &mut Turn, id: RequestId, since: Micros) {
+        let lives = self.fetches.server_lives(id, since);
+        self.fetch_over(turn, id, if lives { Outcome::Cancelled } else { Outcome::Reset });
+        if self.sessions.get(id).is_some_and(|s| s.link.between_lines()) {
+            self.answer(turn, id, b"MOVE\r\n");
+        } else {
+            self.end_both(turn, id, End::Reset, Outcome::Reset);
+        }
+    }
+}
+
+/// What is looked at from time to time.
+impl Serving {
+    /// Looks sessions over for what is due.
+    pub fn look_over(&mut self, turn: &mut Turn) {
+        for id in self.sessions.those(|_| true) {
+            self.look_at(turn, id);
+        }
+        self.complaints.due(turn.now);
+    }
+
+    fn look_at(&mut self, turn: &mut Turn, id: RequestId) {
+        let now = turn.now;
+        let Some(s) = self.sessions.get(id) else { return };
+        match s.stage() {
+            Stage::Opening if now >= s.until() => self.half_line(turn, id),
+            Stage::Waiting if s.home().is_some() && now < s.until() => {
+                let due = s.carry_due(now) && !self.fetches.has(id);
+                if let Some(home) = s.home().filter(|_| due) {
+                    self.fetch(turn, id, home, s.until() - now);
+                }
+            }
+            // Guards the rule that every request is answered before its client gives up.
+            Stage::Waiting if now >= s.until() + OVERDUE => {
+                log!("overdue client={}", s.from());
+                turn.tell(Happening::ClientLeft(id));
+                self.fetch_over(turn, id, Outcome::TimedOut);
+                self.refuse(turn, id, COME_BACK);
+            }
+            Stage::Open | Stage::Moving => {
+                if s.half_open_due(now) {
+                    let ended = s.link.ended;
+                    let outcome = if ended.is_some() { Outcome::Cancelled } else { Outcome::Reset };
+                    self.end_both(turn, id, End::Fin, outcome);
+                } else if let Some(since) = s.silent_since(now) {
+                    log!("silent server={} client={}", self.server_name(id), s.from());
+                    self.silent(turn, id, since);
+                } else {
+                    self.relay(turn, id);
+                }
+            }
+            Stage::Ending if now >= s.until() => self.sessions.drop(turn, id),
+            Stage::Ending => self.session_ends(turn, id),
+            _ => {}
+        }
+    }
+
+    /// Reports what messages take: for each server once a period while that is over a third of the
+    /// shortest aim, and once more when it is back under.
+    pub fn report_delays(&mut self, turn: &mut Turn) {
+        let mut seen = std::collections::BTreeMap::<ServerId, Vec<Sight>>::new();
+        for (id, session) in self.sessions.iter().filter(|(_, s)| s.stage() == Stage::Open) {
+            if let Some(fetch) = self.fetches.get(id).filter(|f| f.stage() == fetches::Stage::Up) {
+                let (asked, answered) = (session.asked_since(), fetch.answered());
+                seen.entry(fetch.server()).or_default().push(Sight { asked, answered });
+            }
+        }
+        for (server, delay) in self.backends.delays(turn.now, self.terms.message_aim / 3, &seen) {
+            turn.tell(Happening::Delay(server, delay));
+        }
+    }
+}
+
+/// The planned end.
+impl Serving {
+    /// From now on nobody new is served; tells how many stand, and how many wait.
+    pub fn close(&mut self) -> (usize, usize) {
+        self.closing = true;
+        let stands = |s: &Session| matches!(s.stage(), Stage::Open | Stage::Moving);
+        (self.sessions.those(stands).len(), self.sessions.those(Session::waits).len())
+    }
+
+    /// Clients that are still here.
+    pub fn clients(&self) -> usize {
+        self.sessions.len()
+    }
+
+    /// Moves an even part of the standing sessions, with so many more parts to come.
+    pub fn move_some(&mut self, turn: &mut Turn, parts_left: Micros) {
+        let open = self.sessions.those(|s| s.stage() == Stage::Open);
+        let n = open.len().div_ceil(parts_left as usize + 1);
+        open.into_iter().take(n).for_each(|id| self.move_away(turn, id));
+    }
+
+    /// Refuses everybody who still waits.
+    pub fn refuse_all(&mut self, turn: &mut Turn) {
+        for id in self.sessions.those(Session::waits) {
+            turn.tell(Happening::ClientLeft(id));
+            self.fetch_over(turn, id, Outcome::Cancelled);
+            self.refuse(turn, id, COME_BACK);
+        }
+    }
+}
