Write the log with tracing: time and level on each line, as logfmt or JSON, from a level on

Lines had no time and no level, and nothing but a person could read them for sure: a value could hold anything, and eprintln wrote a line in several pieces.

Event words and keys stay; 'shorewharf: WORD' is now 'event=WORD', what stood behind as plain text has keys (key=, why=, clashes-with=, text=), and half-line names its client as the others do. A line breaks nowhere, whatever a client puts into it. Lines that bad clients cause are bounded as before, 50 a second. New at the level debug: up, answered, fetch-ended.

--- a/crates/balancer/src/config.rs
+++ b/crates/balancer/src/config.rs
@@ -26,6 +26,23 @@
     Form(String, String),
 }
 
+impl ConfigError {
+    /// The key at fault.
+    pub fn key(&self) -> &str {
+        match self {
+            ConfigError::Missing(key, _) => key,
+            ConfigError::File(..) => "ROUTER_CONFIG",
+            ConfigError::Form(key, _) => key,
+        }
+    }
+
+    /// What is wrong with it, and what is allowed.
+    pub fn why(&self) -> String {
+        let text = self.to_string();
+        text.strip_prefix(self.key()).and_then(|t| t.strip_prefix(": ")).unwrap_or(&text).to_owned()
+    }
+}
+
 /// The limits that this machine sets the program.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
 #[serde(default)]
--- a/crates/balancer/src/net/budget.rs
+++ b/crates/balancer/src/net/budget.rs
@@ -1,6 +1,6 @@
 //! How many descriptors may be held at once, and for what.
 
-use super::log;
+use tracing::{info, warn};
 
 /// Descriptors that aren't connections: the loop's own, the listener, the log, and some to spare.
 const OWN_DESCRIPTORS: usize = 16;
@@ -48,9 +48,9 @@
         if std::mem::replace(&mut self.short, short) != short {
             let (held, limit) = (OWN_DESCRIPTORS + connections, self.limit);
             if short {
-                log!("descriptors-short held={held} limit={limit}: new clients are refused or wait");
+                warn!(event = "descriptors-short", held, limit);
             } else {
-                log!("descriptors-enough held={held} limit={limit}");
+                info!(event = "descriptors-enough", held, limit);
             }
         }
     }
--- a/crates/balancer/src/net/complaints.rs
+++ b/crates/balancer/src/net/complaints.rs
@@ -1,11 +1,8 @@
 //! Log lines that clients cause by what they do wrong, bounded: a flood of bad clients must not fill the log or
 //! cost the time that usual clients need.
 
-use std::fmt::Arguments;
-
 use shorewharf_driver::Micros;
-
-use super::log;
+use tracing::warn;
 
 /// Log lines a second that clients may cause.
 const MOST: u32 = 50;
@@ -20,15 +17,9 @@
 }
 
 impl Complaints {
-    /// Logs what a client does wrong, or counts it.
-    pub fn log(&mut self, now: Micros, text: Arguments) {
+    /// Whether what a client has done wrong may be logged now; else it is counted.
+    pub fn may(&mut self, now: Micros) -> bool {
         self.due(now);
-        if self.may_write() {
-            log!("{text}");
-        }
-    }
-
-    fn may_write(&mut self) -> bool {
         let may = self.written < MOST;
         *if may { &mut self.written } else { &mut self.left_out } += 1;
         may
@@ -42,7 +33,7 @@
         let left_out = self.left_out;
         *self = Complaints { began: now, ..Complaints::default() };
         if left_out > 0 {
-            log!("bad-clients left-out={left_out}");
+            warn!(event = "bad-clients", "left-out" = left_out);
         }
         left_out
     }
@@ -56,8 +47,8 @@
     fn a_flood_is_counted_and_the_next_second_is_a_new_one() {
         let mut c = Complaints::default();
         assert_eq!(c.due(SECOND), 0);
-        let written = (0..80).filter(|_| c.may_write()).count();
+        let written = (0..80).filter(|_| c.may(SECOND)).count();
         assert_eq!((written, c.due(2 * SECOND - 1), c.due(2 * SECOND)), (50, 0, 30));
-        assert!(c.may_write());
+        assert!(c.may(2 * SECOND));
     }
 }
--- a/crates/balancer/src/net/hub.rs
+++ b/crates/balancer/src/net/hub.rs
@@ -6,11 +6,11 @@
 use shorewharf_decisions::interface::{ListEntry, Outcome, RequestId, ServerId};
 use shorewharf_driver::{Happening, Micros, Peers};
 use shorewharf_protocol::list::Listing;
+use tracing::{error, info};
 
 use super::farewell::{Farewell, LEAVE_AFTER};
 use super::link::is_shortage;
 use super::list::director::{Director, News};
-use super::log;
 use super::poll::{Owner, Seen};
 use super::serving::Serving;
 use super::terms::Terms;
@@ -168,7 +168,7 @@
                 // The client gave up while it waited; the next one may be fine.
                 Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
                 // Tried again by the sweep: an error that stays must not become a busy loop.
-                Err(e) => return log!("accept-failed error=\"{e}\""),
+                Err(e) => return error!(event = "accept-failed", error = %e),
             }
         }
         if self.serving.has_room() {
@@ -194,7 +194,7 @@
         if self.leaving.is_none() {
             self.leaving = Some(self.turn.now);
             let (sessions, waiting) = self.serving.close();
-            log!("leaving sessions={sessions} waiting={waiting}");
+            info!(event = "leaving", sessions, waiting);
         }
     }
 
@@ -209,7 +209,7 @@
         }
         let clients = self.serving.clients();
         if since >= farewell.last || (since >= LEAVE_AFTER + SWEEP && clients == 0) {
-            log!("left sessions={clients}");
+            info!(event = "left", sessions = clients);
             self.done = true;
         }
     }
@@ -259,6 +259,6 @@
     }
 
     fn log(&mut self, line: &str) {
-        log!("module \"{line}\"");
+        info!(event = "module", text = line);
     }
 }
--- a/crates/balancer/src/net/list/director.rs
+++ b/crates/balancer/src/net/list/director.rs
@@ -4,10 +4,10 @@
 
 use shorewharf_driver::Micros;
 use shorewharf_protocol::list::Listing;
+use tracing::{info, warn};
 
 use super::answer::Answer;
 use crate::net::link::Link;
-use crate::net::log;
 use crate::net::poll::Owner;
 use crate::net::turn::Turn;
 
@@ -140,7 +140,7 @@
 
     fn says(&mut self, listing: Listing) -> News {
         if std::mem::replace(&mut self.failing, false) {
-            log!("discovery-back index={}", listing.index);
+            info!(event = "discovery-back", index = listing.index);
         }
         self.index = listing.index;
         News::List(listing)
@@ -151,7 +151,7 @@
             turn.poller.close(link);
         }
         if !std::mem::replace(&mut self.failing, true) {
-            log!("discovery-failed why=\"{why}\"");
+            warn!(event = "discovery-failed", why);
         }
         news.push(News::Failed);
         news
--- a/crates/balancer/src/net/mod.rs
+++ b/crates/balancer/src/net/mod.rs
@@ -26,6 +26,7 @@
 use calloop::{EventLoop, Interest, Mode, PostAction};
 use shorewharf_driver::{Driver, Micros};
 use socket2::{Domain, Socket, Type};
+use tracing::{error, info};
 
 use crate::config::{Config, ConfigError};
 use hub::Net;
@@ -36,12 +37,6 @@
 /// Connections that the system holds until they are accepted.
 const BACKLOG: i32 = 4096;
 
-/// Writes a line to the log.
-macro_rules! log {
-    ($($text:tt)*) => { eprintln!("shorewharf: {}", format_args!($($text)*)) };
-}
-pub(crate) use log;
-
 /// The program's clock: whole microseconds, moved on by the monotonic clock alone. It is set by Unix time
 /// once, at the start, so that the times in the server list are on it too.
 #[derive(Debug)]
@@ -93,7 +88,7 @@
         let take = |next| reload::take(&mut self.config, next, &mut self.net, &mut self.driver);
         if let Err(e) = (self.reread)().and_then(take) {
             // Nothing of a file that is wrong anywhere is applied.
-            log!("reload-refused {e}");
+            error!(event = "reload-refused", key = e.key(), why = %e.why());
         }
     }
 }
@@ -136,7 +131,7 @@
     let servers = known.len();
     let driver = Driver::start(config.settings.clone(), config.seed, known, &mut net);
     // The address that is bound: the port may have been left to the system.
-    log!("serving name={} listen={} servers={servers}", config.name, net.listens_at()?);
+    info!(event = "serving", name = config.name, listen = %net.listens_at()?, servers);
     let mut balancing = Balancing { net, driver, config, reread: Box::new(reread) };
     let mut notes = Notes::new();
     balancing.turn(clock.read(), notes.drain(..));
--- a/crates/balancer/src/net/reload.rs
+++ b/crates/balancer/src/net/reload.rs
@@ -1,10 +1,10 @@
 //! A new configuration while the program runs: taken whole or not at all.
 
 use super::hub::Net;
-use super::log;
 use super::terms::Terms;
 use crate::config::{Config, ConfigError};
 use shorewharf_driver::Driver;
+use tracing::info;
 
 /// Puts a configuration in force that has been read and checked. Connections, the list of servers and
 /// what the module has learned stay as they are.
@@ -15,11 +15,10 @@
     driver: &mut Driver,
 ) -> Result<(), ConfigError> {
     config.may_become(&next)?;
-    let restart = match config.needs_restart(&next) {
-        keys if keys.is_empty() => String::new(),
-        keys => format!(" restart-needed={}", keys.join(",")),
-    };
-    log!("reloaded discovery={} sockets={}{restart}", next.discovery, next.limits.sockets);
+    let keys = config.needs_restart(&next).join(",");
+    let restart = (!keys.is_empty()).then_some(keys);
+    let sockets = next.limits.sockets;
+    info!(event = "reloaded", discovery = %next.discovery, sockets, "restart-needed" = restart);
     net.take_terms(Terms::from(&next), next.discovery);
     driver.take_settings(next.settings.clone());
     // Name and address are this process's own until it ends.
--- a/crates/balancer/src/net/servers/backends.rs
+++ b/crates/balancer/src/net/servers/backends.rs
@@ -7,9 +7,9 @@
 use shorewharf_driver::Micros;
 use shorewharf_protocol::list::{Endpoint, Listing};
 use shorewharf_protocol::names::Names;
+use tracing::{info, warn};
 
 use super::delays::{Figure, Figures, Sight, typical};
-use crate::net::log;
 
 /// A server as the director listed it last.
 #[derive(Debug)]
@@ -55,8 +55,12 @@
         let entries = self.take_quietly(listing, names);
         // By what has changed in the end: a whole list names every server, most of them as before.
         for (_, b) in self.0.iter().filter(|(id, b)| before.get(id) != Some(&b.stage)) {
-            let stage = format!("{:?}", b.stage).to_lowercase();
-            log!("server-{stage} server={}", b.name);
+            let event = match b.stage {
+                Stage::Ready => "server-ready",
+                Stage::Draining => "server-draining",
+                Stage::Gone => "server-gone",
+            };
+            info!(event, server = b.name);
         }
         self.0.retain(|id, b| b.stage != Stage::Gone || in_use(*id));
         entries
@@ -79,14 +83,14 @@
             _ => Stage::Draining,
         };
         let Ok(address) = e.address.parse() else {
-            log!("bad-endpoint server={} address=\"{}\"", e.name, e.address);
+            warn!(event = "bad-endpoint", server = e.name, address = e.address);
             return None;
         };
         let figures = Figures::default();
         let fresh = || Backend { name: e.name.clone(), address, stage, slow: false, figures };
         let b = self.0.entry(server).or_insert_with(fresh);
         if b.name != e.name {
-            log!("bad-endpoint server={} clashes with {}", e.name, b.name);
+            warn!(event = "bad-endpoint", server = e.name, "clashes-with" = b.name);
             return None;
         }
         (b.address, b.stage) = (address, stage);
--- a/crates/balancer/src/net/serving.rs
+++ b/crates/balancer/src/net/serving.rs
@@ -8,6 +8,7 @@
 use shorewharf_protocol::list::Listing;
 use shorewharf_protocol::open::parse_open;
 use shorewharf_protocol::words::busy;
+use tracing::{debug, error, warn};
 
 use super::budget::Budget;
 use super::clients::session::{Asking, First, Patience, Session, Stage};
@@ -15,7 +16,6 @@
 use super::complaints::Complaints;
 use super::farewell::LEAVE_AFTER;
 use super::link::End;
-use super::log;
 use super::relay::{Fate, ends, relay};
 use super::servers::backends::{Backends, server_id};
 use super::servers::delays::{Figure, Sight};
@@ -140,8 +140,9 @@
                     First::End => self.half_line(turn, id),
                     First::TooMany => self.malformed(turn, id, "too many commands at a time"),
                     First::TooLong => {
-                        let text = format_args!("line-too-long peer=client client={from}");
-                        self.complaints.log(turn.now, text);
+                        if self.complaints.may(turn.now) {
+                            warn!(event = "line-too-long", peer = "client", client = %from);
+                        }
                         self.answer_failed(turn, id);
                     }
                 }
@@ -163,7 +164,9 @@
         let Some(s) = self.sessions.get(id) else { return };
         if !s.link.held().is_empty() {
             let from = s.from();
-            self.complaints.log(turn.now, format_args!("half-line peer={from}"));
+            if self.complaints.may(turn.now) {
+                warn!(event = "half-line", client = %from);
+            }
         }
         self.sessions.drop(turn, id);
     }
@@ -172,7 +175,9 @@
     fn malformed(&mut self, turn: &mut Turn, id: RequestId, why: &str) {
         let Some(s) = self.sessions.get(id) else { return };
         let (from, waits) = (s.from(), s.waits());
-        self.complaints.log(turn.now, format_args!("malformed client={from} why=\"{why}\""));
+        if self.complaints.may(turn.now) {
+            warn!(event = "malformed", client = %from, why);
+        }
         if waits {
             turn.tell(Happening::ClientLeft(id));
             self.fetch_over(turn, id, Outcome::Cancelled);
@@ -236,6 +241,7 @@
 
     fn answer(&mut self, turn: &mut Turn, id: RequestId, words: &[u8]) {
         if self.sessions.answer(turn, id, words) {
+            debug!(event = "answered", req = id.0, words = %words.trim_ascii_end().escape_ascii());
             self.session_ends(turn, id);
         }
     }
@@ -299,7 +305,7 @@
     /// A connection from before the start has not come up: it is tried again while that is harmless.
     fn carried_fetch_ended(&mut self, turn: &mut Turn, id: RequestId, home: ServerId, outcome: Outcome) {
         if self.sessions.get_mut(id).is_some_and(|s| s.carry_failed(turn.now)) {
-            log!("carried-not-up server={} outcome={outcome:?}", self.backends.name(Some(home)));
+            warn!(event = "carried-not-up", server = self.backends.name(Some(home)), ?outcome);
         }
         // The sweep tries again what has never run.
         if !outcome.never_ran() {
@@ -309,7 +315,9 @@
 
     /// Ends the fetch that is out, on the network and for the module.
     pub fn fetch_over(&mut self, turn: &mut Turn, id: RequestId, outcome: Outcome) {
+        let server = self.fetches.server(id);
         if self.fetches.end(turn, id) {
+            debug!(event = "fetch-ended", req = id.0, server = self.backends.name(server), ?outcome);
             self.fetch_ended(turn, id, outcome);
         }
     }
@@ -360,11 +368,11 @@
             Some(Answer::Up) => return self.fetch_up(turn, id),
             Some(Answer::Over(outcome)) => outcome,
             Some(Answer::Odd(line)) => {
-                log!("odd-answer server={server} line={line:?}");
+                warn!(event = "odd-answer", server, line);
                 Outcome::Error
             }
             Some(Answer::TooLong) => {
-                log!("line-too-long peer=server server={server}");
+                warn!(event = "line-too-long", peer = "server", server);
                 Outcome::Error
             }
         };
@@ -377,6 +385,7 @@
     /// A server has taken a client.
     fn fetch_up(&mut self, turn: &mut Turn, id: RequestId) {
         let (Some(f), Some(s)) = (self.fetches.get_mut(id), self.sessions.get_mut(id)) else { return };
+        debug!(event = "up", req = id.0, client = %s.from(), server = self.backends.name(Some(f.server())));
         f.stands(turn.now);
         s.stands();
         turn.tell(match (s.home(), s.req()) {
@@ -419,9 +428,10 @@
         }
         relayed.told.into_iter().for_each(|figure| self.figure_told(turn, id, server, figure));
         if let Some(peer) = relayed.too_long {
-            let server = self.backends.name(Some(server));
-            let text = format_args!("line-too-long peer={peer} client={from} server={server}");
-            self.complaints.log(turn.now, text);
+            if self.complaints.may(turn.now) {
+                let server = self.backends.name(Some(server));
+                warn!(event = "line-too-long", peer, client = %from, server);
+            }
             // Only a server's own fault counts against it.
             let outcome = if peer == "server" { Outcome::Reset } else { Outcome::Cancelled };
             return self.end_both(turn, id, End::Reset, outcome);
@@ -501,7 +511,7 @@
             }
             // Guards the rule that every request is answered before its client gives up.
             Stage::Waiting if now >= s.until() + OVERDUE => {
-                log!("overdue client={}", s.from());
+                error!(event = "overdue", client = %s.from());
                 turn.tell(Happening::ClientLeft(id));
                 self.fetch_over(turn, id, Outcome::TimedOut);
                 self.refuse(turn, id, COME_BACK);
@@ -512,7 +522,7 @@
                     let outcome = if ended.is_some() { Outcome::Cancelled } else { Outcome::Reset };
                     self.end_both(turn, id, End::Fin, outcome);
                 } else if let Some(since) = s.silent_since(now) {
-                    log!("silent server={} client={}", self.server_name(id), s.from());
+                    warn!(event = "silent", server = self.server_name(id), client = %s.from());
                     self.silent(turn, id, since);
                 } else {
                     self.relay(turn, id);
--- a/crates/balancer/tests/sockets/main.rs
+++ b/crates/balancer/tests/sockets/main.rs
@@ -268,9 +268,13 @@
     .to_string();
     watch.put(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
     watch.put(format!("{:x}\r\n{list}\n\r\n", list.len() + 1).as_bytes());
-    let mut lines = [program.logged("server-"), program.logged("server-")];
+    let mut lines = [program.logged("server-"), program.logged("server-")]
+        .map(|l| l[l.find("level").unwrap()..].to_owned());
     lines.sort();
-    assert_eq!(lines, ["shorewharf: server-gone server=s-2", "shorewharf: server-ready server=s-3"]);
+    assert_eq!(
+        lines,
+        ["level=info event=server-gone server=s-2", "level=info event=server-ready server=s-3"]
+    );
     watch.put(b"0\r\n\r\n");
     // Had s-1 been logged too, its line would have come before this one.
     assert!(program.logged("").contains("discovery-failed"));
@@ -515,6 +519,6 @@
         config[key] = value;
         let (code, log) = refused_start(&config);
         assert_eq!((code, log.lines().count()), (Some(2), 1), "{log}");
-        assert!(log.starts_with(&format!("shorewharf: bad-config {key}")), "{log}");
+        assert!(log.contains(&format!("level=error event=bad-config key={key}")), "{log}");
     }
 }
--- a/crates/emulator/src/day.rs
+++ b/crates/emulator/src/day.rs
@@ -36,7 +36,11 @@
 fn micros(x: f64, unit: f64) -> Result<Micros, String> {
     let us = x * unit;
     // A year is more than any day or figure needs, and keeps sums far from their end.
-    if (0.0..3.2e13).contains(&us) { Ok(us.round() as Micros) } else { Err(format!("{x} is no length of time")) }
+    if (0.0..3.2e13).contains(&us) {
+        Ok(us.round() as Micros)
+    } else {
+        Err(format!("{x} is no length of time"))
+    }
 }
 
 /// All figures of one run.
--- a/crates/wire/src/bin/shorewharf-adapter.rs
+++ b/crates/wire/src/bin/shorewharf-adapter.rs
@@ -5,9 +5,20 @@
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::process::ExitCode;
 
+use clap::Parser;
 use shorewharf_decisions::{Action, Balancer, Event};
+use shorewharf_logging::LogArgs;
 use shorewharf_settings::settings;
 use shorewharf_wire::{Decoder, Encoder, MAX_FRAME, Record, WireError};
+use tracing::error;
+
+/// Hosts instances of the decision module on the simulator's wire, on standard input and output
+#[derive(Parser)]
+#[command(name = "shorewharf-adapter", version)]
+struct Cli {
+    #[command(flatten)]
+    log: LogArgs,
+}
 
 #[derive(Default)]
 struct Host {
@@ -107,12 +118,13 @@
 }
 
 fn main() -> ExitCode {
+    Cli::parse().log.start();
     // The panic's text goes out as a fault; the default hook would print it a second time.
-    std::panic::set_hook(Box::new(|info| eprintln!("shorewharf-adapter: {info}")));
+    std::panic::set_hook(Box::new(|info| error!(event = "panic", text = %info)));
     match serve() {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("shorewharf-adapter: {e}");
+            error!(event = "cannot-run", error = %e);
             ExitCode::FAILURE
         }
     }
