--- /dev/null
+++ b/crates/balancer/src/check.rs
@@ -0,0 +1,114 @@
+//! What a configuration file puts in force, as a table for whoever writes it.
+
+use std::fmt::Display;
+
+use comfy_table::{Table, presets};
+use serde_json::Value;
+use shorewharf_decisions::Settings;
+
+use crate::config::{Config, ConfigError};
+
+/// Reads a configuration as the start does, the environment for what it leaves out, and says what is in force by
+/// it: each key with its value, and where that comes from.
+///
+/// # Errors
+/// What the start would refuse.
+pub fn table(text: &[u8], env: impl Fn(&str) -> Option<String>) -> Result<Table, ConfigError> {
+    let config = Config::parse(text, env)?;
+    let file: Value = serde_json::from_slice(text).unwrap_or_default();
+    let mut table = Table::new();
+    table.load_preset(presets::NOTHING).set_header(["key", "in force", "from"]);
+    for (key, value) in rows(&config) {
+        let given = file.pointer(&format!("/{}", key.replace('.', "/"))).is_some_and(|v| !v.is_null());
+        let from = match key.as_str() {
+            _ if given => "the file",
+            "name" => "ROUTER_NAME",
+            "listen" => "ROUTER_LISTEN",
+            "discovery" => "ROUTER_DISCOVERY",
+            _ => "default",
+        };
+        table.add_row([key.as_str(), value.as_str(), from]);
+    }
+    Ok(table)
+}
+
+/// The keys that the program goes by, each with its value and unit.
+fn rows(c: &Config) -> Vec<(String, String)> {
+    let mut rows = Vec::new();
+    let mut row = |key: &str, value: &dyn Display| rows.push((key.to_owned(), value.to_string()));
+    row("name", &c.name);
+    row("listen", &c.listen);
+    row("discovery", &c.discovery);
+    row("seed", &format_args!("{:x}", c.seed));
+    row("limits.sockets", &c.limits.sockets);
+    row("limits.memory_mb", &c.limits.memory_mb);
+    row("limits.cores", &c.limits.cores);
+    row("known", &format_args!("{} servers, version {}", c.known.endpoints.len(), c.known.index));
+    for (i, class) in c.settings.classes.iter().enumerate() {
+        let name = c.names.classes.iter().find(|(_, at)| **at == i).map_or("?", |(name, _)| name);
+        row(&format!("settings.classes.{i}.name"), &name);
+        let (aim, message) = (class.aim, class.message_aim);
+        row(&format!("settings.classes.{i}.promise_s"), &format_args!("{aim} s"));
+        row(&format!("settings.classes.{i}.give_up_s"), &format_args!("{} s", c.give_up[i] as f64 / 1e6));
+        row(&format!("settings.classes.{i}.semantics"), &format_args!("{:?}", class.semantics));
+        row(&format!("settings.specifics.message_aim_s.{i}"), &format_args!("{message} s"));
+    }
+    row("settings.tenants", &in_order(&c.names.tenants));
+    row("settings.zones", &in_order(&c.names.zones));
+    let s = &c.settings;
+    row("settings.me", &format_args!("{} of {} balancers", s.me, s.proxies));
+    row("settings.zone", &s.zone);
+    row("settings.tick_s", &format_args!("{} s", s.tick));
+    row("settings.specifics.tells_delay", &c.tells_delay);
+    row("settings.specifics.groups", &s.groups);
+    row("settings.registry_mode", &if s.ask_registry { "ask" } else { "push" });
+    row("settings.limits.connect_timeout_s", &format_args!("{} s", s.connect_timeout));
+    row("settings.limits.max_attempts", &s.max_attempts);
+    row("settings.limits.may_probe", &s.may_probe);
+    row("settings.limits.cancel", &s.may_cancel);
+    row("settings.limits.retry_after", &waits(s));
+    row("settings.rules.ask_within_s", &format_args!("{} s", s.ask_within));
+    row("settings.rules.start_capacity", &s.start_capacity);
+    row("settings.rules.warm_within_s", &format_args!("{} s", s.warm_within));
+    row("settings.rules.fall_multiple", &s.fall_multiple);
+    rows
+}
+
+fn waits(s: &Settings) -> String {
+    if s.retry_after { format!("up to {} s", s.max_retry_after) } else { "false".into() }
+}
+
+/// Names in the order of their places.
+fn in_order<P: Copy + Ord>(names: &std::collections::HashMap<String, P>) -> String {
+    let mut names: Vec<_> = names.iter().map(|(name, at)| (*at, name.as_str())).collect();
+    names.sort_unstable();
+    let names: Vec<_> = names.into_iter().map(|(_, name)| name).collect();
+    if names.is_empty() { "none".into() } else { names.join(", ") }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_key_stands_with_its_value_and_where_that_comes_from() {
+        let text = br#"{"name": "n3", "discovery": "127.0.0.1:8500", "limits": {"sockets": 96}, "settings":
+            {"classes": [{"name": "chat", "give_up_s": 3.2}], "zones": ["b", "a"], "tick_s": 0.005}}"#;
+        let env = |var: &str| (var == "ROUTER_LISTEN").then(|| "127.0.0.1:0".to_owned());
+        let table = table(text, env).expect("good").to_string();
+        let lines: Vec<Vec<&str>> = table.lines().map(|l| l.split_whitespace().collect()).collect();
+        for line in [
+            "name n3 the file",
+            "listen 127.0.0.1:0 ROUTER_LISTEN",
+            "limits.sockets 96 the file",
+            "limits.cores 1 default",
+            "settings.classes.0.give_up_s 3.2 s the file",
+            "settings.limits.connect_timeout_s 0.25 s default",
+            "settings.zones b, a the file",
+        ] {
+            assert!(lines.contains(&line.split(' ').collect()), "{line} is not in\n{table}");
+        }
+        let bad = super::table(b"{}", env).expect_err("nothing is in it");
+        assert_eq!(bad.key(), "settings");
+    }
+}
--- a/crates/balancer/src/config.rs
+++ b/crates/balancer/src/config.rs
@@ -12,6 +12,11 @@
 use shorewharf_protocol::list::Listing;
 use shorewharf_protocol::names::Names;
 
+/// Lengths of time are shorter than this, in seconds: sums of them stay far from the end of the clock.
+const LONGEST: f64 = 1e6;
+/// Descriptors of the program's own and those kept for refusals leave nothing of fewer.
+const FEWEST_SOCKETS: usize = 32;
+
 /// What is wrong with the configuration; the text names the key at fault.
 #[derive(Debug, Error)]
 pub enum ConfigError {
@@ -19,7 +24,7 @@
     #[error("{0}: missing (neither in the file that ROUTER_CONFIG names nor as {1})")]
     Missing(&'static str, &'static str),
     /// The file can't be read.
-    #[error("ROUTER_CONFIG: {0}: {1}")]
+    #[error("{0}: {1}")]
     File(PathBuf, std::io::Error),
     /// A key has a value of the wrong form.
     #[error("{0}: {1}")]
@@ -139,11 +144,13 @@
         (u, ".") => u.to_owned(),
         (u, p) => format!("{u}.{p}"),
     };
-    form(key, e.into_inner())
+    // The reader names its own types; whoever writes the file knows numbers.
+    let why = e.into_inner().to_string().replace("expected usize", "expected a whole number");
+    form(key, why.replace("expected f64", "expected a number"))
 }
 
 fn address(key: &'static str, text: &str) -> Result<SocketAddr, ConfigError> {
-    text.parse().map_err(|_| form(key, format!("'{text}' is not ADDRESS:PORT")))
+    text.parse().map_err(|_| form(key, format!("'{text}' is not ADDRESS:PORT, such as 127.0.0.1:8000")))
 }
 
 fn places(names: impl IntoIterator<Item = String>) -> HashMap<String, usize> {
@@ -155,7 +162,9 @@
     pub fn read(env: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
         let text = match env("ROUTER_CONFIG") {
             Some(path) => std::fs::read(&path).map_err(|e| ConfigError::File(path.into(), e))?,
-            None => return Err(ConfigError::Missing("settings", "ROUTER_CONFIG")),
+            None => {
+                return Err(form("ROUTER_CONFIG", "missing; it names the JSON file that has the settings"));
+            }
         };
         Config::parse(&text, env)
     }
@@ -163,24 +172,32 @@
     /// Reads the configuration's text, and the environment for what it leaves out.
     pub fn parse(text: &[u8], env: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
         let mut json = serde_json::Deserializer::from_slice(text);
-        let raw: Raw = serde_path_to_error::deserialize(&mut json).map_err(|e| at("", e))?;
+        let raw: Raw =
+            serde_path_to_error::deserialize(&mut json).map_err(|e| match e.inner().is_data() {
+                true => at("", e),
+                false => form("ROUTER_CONFIG", format!("no JSON: {}", e.into_inner())),
+            })?;
         json.end().map_err(|e| form("ROUTER_CONFIG", e))?;
         let or = |given: Option<String>, key: &'static str, var: &'static str| {
             given.or_else(|| env(var)).ok_or(ConfigError::Missing(key, var))
         };
         let seed = match raw.seed {
             Some(hex) => u64::from_str_radix(&hex, 16)
-                .map_err(|_| form("seed", format!("'{hex}' is not a hexadecimal number of 64 bits")))?,
+                .map_err(|_| form("seed", format!("'{hex}' is not up to 16 hexadecimal digits")))?,
             None => 0,
         };
-        let settings = raw.settings.ok_or(ConfigError::Missing("settings", "ROUTER_CONFIG"))?;
+        let settings =
+            raw.settings.ok_or_else(|| form("settings", "missing; an object with the classes is needed"))?;
         let named: RawNames = serde_path_to_error::deserialize(&settings).map_err(|e| at("settings", e))?;
         if named.classes.is_empty() {
             return Err(form("settings.classes", "at least one class is needed"));
         }
         let give_up = named.classes.iter().enumerate().map(|(i, c)| match c.give_up_s.unwrap_or(3.0) {
-            s if s > 0.0 && s < 1e6 => Ok((s * 1e6) as u64),
-            s => Err(form(format!("settings.classes[{i}].give_up_s"), format!("{s} is no length of time"))),
+            s if s > 0.0 && s < LONGEST => Ok((s * 1e6) as u64),
+            s => Err(form(
+                format!("settings.classes[{i}].give_up_s"),
+                format!("{s} s is not over 0 and under {LONGEST} s"),
+            )),
         });
         let give_up = give_up.collect::<Result<_, _>>()?;
         let (set, _) = shorewharf_settings::settings(settings.to_string().as_bytes())
@@ -190,14 +207,14 @@
             ("settings.limits.connect_timeout_s", set.connect_timeout),
             ("settings.rules.ask_within_s", set.ask_within),
         ] {
-            if !(value > 0.0 && value < 1e6) {
-                return Err(form(key, format!("{value} is no length of time")));
+            if !(value > 0.0 && value < LONGEST) {
+                return Err(form(key, format!("{value} s is not over 0 and under {LONGEST} s")));
             }
         }
-        if raw.limits.sockets < 32 {
+        if raw.limits.sockets < FEWEST_SOCKETS {
             return Err(form(
                 "limits.sockets",
-                format!("{} is too few to serve anybody", raw.limits.sockets),
+                format!("{} is too few to serve anybody; at least {FEWEST_SOCKETS}", raw.limits.sockets),
             ));
         }
         Ok(Config {
@@ -305,7 +322,10 @@
             ("listen", fault(|v| v["listen"] = json!("nowhere"))),
             ("discovery", fault(|v| v["discovery"] = Value::Null)),
             ("seed", fault(|v| v["seed"] = json!("xyz"))),
-            ("limits.sockets", fault(|v| v["limits"]["sockets"] = json!("many"))),
+            (
+                "limits.sockets: invalid type: string \"many\", expected a whole number",
+                fault(|v| v["limits"]["sockets"] = json!("many")),
+            ),
             ("limits.sockets", fault(|v| v["limits"]["sockets"] = json!(3))),
             ("known.endpoints[0].name", fault(|v| v["known"] = json!({"endpoints": [{"name": 5}]}))),
             ("settings", fault(|v| v["settings"] = Value::Null)),
@@ -317,7 +337,7 @@
             ("settings.tick_s", fault(|v| v["settings"]["tick_s"] = json!(0))),
             ("settings.rules.ask_within_s", fault(|v| v["settings"]["rules"] = json!({"ask_within_s": "x"}))),
         ] {
-            assert!(message.starts_with(&format!("{key}:")), "{key}: {message}");
+            assert!(message.starts_with(key), "{key}: {message}");
         }
     }
 }
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -1,4 +1,5 @@
 #![doc = include_str!("../../../README.md")]
 
+pub mod check;
 pub mod config;
 pub mod net;
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -1,34 +1,69 @@
 //! The real balancer: reads its configuration, serves, and ends when told to.
 
+use std::io::Write;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use clap::Parser;
-use shorewharf::{config::Config, net};
+use clap::{Parser, Subcommand};
+use shorewharf::config::{Config, ConfigError};
+use shorewharf::{check, net};
 use shorewharf_logging::LogArgs;
 use tracing::error;
 
-/// The configuration can't be used: nothing was started.
+/// The configuration, or the command line, can't be used: nothing was started. clap ends with the same code.
 const BAD_CONFIG: u8 = 2;
 
+const HELP_END: &str = "\
+Without a command it serves, by the JSON file that ROUTER_CONFIG names; ROUTER_NAME, ROUTER_LISTEN and \
+ROUTER_DISCOVERY fill in for what the file leaves out. SIGTERM and SIGINT end it in good order, SIGHUP has it read \
+the file again.
+
+Exit codes:
+  0  it ended as it was told to, or the configuration is good
+  1  it can't listen or go on; the log says why
+  2  the configuration or the command line can't be used; nothing was started";
+
 /// Balances long-lived connections: decides which server a client's connection lives on, and passes its lines
 #[derive(Parser)]
-#[command(name = "shorewharf", version)]
+#[command(name = "shorewharf", version, after_help = HELP_END)]
 struct Cli {
     #[command(flatten)]
     log: LogArgs,
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Reads and checks a configuration as the start does and shows what is in force by it
+    CheckConfig {
+        /// The JSON file
+        file: PathBuf,
+    },
 }
 
 fn main() -> ExitCode {
-    Cli::parse().log.start();
-    let read = || Config::read(|var| std::env::var(var).ok());
-    let config = match read() {
+    let cli = Cli::parse();
+    cli.log.start();
+    match cli.command {
+        None => serve(),
+        Some(Command::CheckConfig { file }) => check_config(&file),
+    }
+}
+
+fn env(var: &str) -> Option<String> {
+    std::env::var(var).ok()
+}
+
+fn serve() -> ExitCode {
+    let config = match Config::read(env) {
         Ok(config) => config,
         Err(e) => {
             error!(event = "bad-config", key = e.key(), why = %e.why());
             return ExitCode::from(BAD_CONFIG);
         }
     };
-    match net::run(config, read) {
+    match net::run(config, || Config::read(env)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             error!(event = "cannot-run", error = %e);
@@ -36,3 +71,18 @@
         }
     }
 }
+
+fn check_config(file: &Path) -> ExitCode {
+    let text = std::fs::read(file).map_err(|e| ConfigError::File(file.into(), e));
+    match text.and_then(|text| check::table(&text, env)) {
+        Ok(table) => {
+            // Whoever reads it may have read enough.
+            let _ = writeln!(std::io::stdout(), "{}", table.trim_fmt());
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::from(BAD_CONFIG)
+        }
+    }
+}
--- /dev/null
+++ b/crates/balancer/tests/sockets/cli.rs
@@ -0,0 +1,39 @@
+//! The command line: what it prints and how it ends.
+
+use std::process::{Command, Output};
+
+use serde_json::json;
+
+use crate::rig::*;
+
+fn run(arguments: &[&str]) -> (Option<i32>, String, String) {
+    let out: Output =
+        Command::new(env!("CARGO_BIN_EXE_shorewharf")).args(arguments).output().expect("it runs");
+    let text = |bytes| String::from_utf8(bytes).expect("text");
+    (out.status.code(), text(out.stdout), text(out.stderr))
+}
+
+#[test]
+fn a_configuration_is_checked_without_a_start() {
+    let good = file_of(&config(&[]).to_string());
+    let (code, table, log) = run(&["check-config", good.to_str().expect("text")]);
+    assert_eq!((code, log.as_str()), (Some(0), ""));
+    assert!(table.lines().any(|l| l.contains("limits.sockets") && l.contains("1024")), "{table}");
+    let mut bad = config(&[]);
+    bad["limits"]["sockets"] = json!(31);
+    let texts = [(bad.to_string(), "limits.sockets: 31 is too few to serve anybody; at least 32\n")];
+    for (text, message) in texts.into_iter().chain([("{".into(), "ROUTER_CONFIG: no JSON: EOF")]) {
+        let (code, table, log) = run(&["check-config", file_of(&text).to_str().expect("text")]);
+        assert_eq!((code, table.as_str()), (Some(2), ""));
+        assert!(log.starts_with(message) && log.lines().count() == 1, "{log}");
+    }
+}
+
+#[test]
+fn a_wrong_command_line_starts_nothing() {
+    for arguments in [&["serve"][..], &["--log-level", "loud"], &["--log-format", "xml"], &["check-config"]] {
+        assert_eq!(run(arguments).0, Some(2), "{arguments:?}");
+    }
+    assert_eq!(run(&["--version"]).1, format!("shorewharf {}\n", env!("CARGO_PKG_VERSION")));
+    assert!(run(&["--help"]).1.contains("Exit codes:"));
+}
--- a/crates/balancer/tests/sockets/main.rs
+++ b/crates/balancer/tests/sockets/main.rs
@@ -1,6 +1,7 @@
 //! The built program on real sockets: what clients, servers, the director and operators see of it.
 
 mod bad;
+mod cli;
 mod model;
 mod reload;
 mod rig;
--- a/crates/balancer/tests/sockets/rig.rs
+++ b/crates/balancer/tests/sockets/rig.rs
@@ -166,12 +166,18 @@
     pub address: SocketAddr,
 }
 
-fn spawn(config: &Value) -> (Child, PathBuf) {
+/// A file with this text, of this test's own.
+pub fn file_of(text: &str) -> PathBuf {
     let dir =
         std::env::temp_dir().join(format!("shorewharf-{}-{:?}", std::process::id(), thread::current().id()));
     std::fs::create_dir_all(&dir).expect("a folder");
     let file = dir.join("config.json");
-    std::fs::write(&file, config.to_string()).expect("a file");
+    std::fs::write(&file, text).expect("a file");
+    file
+}
+
+fn spawn(config: &Value) -> (Child, PathBuf) {
+    let file = file_of(&config.to_string());
     let mut command = Command::new(env!("CARGO_BIN_EXE_shorewharf"));
     let child = command.env("ROUTER_CONFIG", &file).stderr(Stdio::piped()).spawn();
     (child.expect("the program starts"), file)
