Move the stand-ins of the socket tests into the emulator as a small library

What plays a balancer's peers in tests stood in the balancer's tests alone, and every other socket test would have needed a rig of its own.

crates/emulator/src/standin has a scripted node, director (its watch tells lists), client and Program, which starts a given binary with a configuration and kills it by its own id when dropped. It uses protocol, never the balancer. All waits are for events, with 60 s at most; a thread is no longer started for each accept. Two things that could go wrong while suites run at once are gone: addresses at which nobody listens are held now rather than given back, and each test process has loopback addresses of its own, so that no other takes a port of them. Configuration folders go with the program. The balancer's 43 socket tests use the library as a dev-dependency; five hand-written HTTP answers and one hand-written wait for either of two events went.

--- a/crates/balancer/tests/sockets/bad.rs
+++ b/crates/balancer/tests/sockets/bad.rs
@@ -5,18 +5,13 @@
 
 use serde_json::json;
 
-use crate::rig::*;
+use shorewharf_emulator::standin::*;
+
+use crate::start;
 
 /// A bad client is owed an error or an end by then.
 const OWED: Duration = Duration::from_secs(3);
 
-/// The front has been answered: all that was sent before has been taken in.
-fn settled(program: &Program) {
-    let mut front = program.client();
-    front.say("PING");
-    assert_eq!(front.line(), "PONG");
-}
-
 fn served(client: &mut Peer, s: &mut Peer, words: &str) {
     client.say(words);
     assert_eq!(s.line(), words);
@@ -26,8 +21,8 @@
 
 #[test]
 fn each_form_gets_its_error_and_no_server_hears_of_it() {
-    let server = Host::new();
-    let program = Program::start(&config(&[("s-1", server.address())]));
+    let server = Node::new();
+    let program = start(&config(&[("s-1", server.address())]));
     let (mut usual, mut s) = program.stand(&server);
     let open = |list: &str| format!("OPEN 1 2 {list}\r\n").into_bytes();
     let forms: Vec<(&str, Vec<u8>)> = vec![
@@ -67,7 +62,7 @@
 
 #[test]
 fn sixty_megabytes_get_an_end_soon() {
-    let program = Program::start(&config(&[]));
+    let program = start(&config(&[]));
     let mut client = program.client();
     let began = Instant::now();
     let mut line = b"OPEN 1 2 c=chat,t=acme,g=".to_vec();
@@ -75,12 +70,12 @@
     let _ = client.stream().write_all(&line);
     client.hear();
     assert!(began.elapsed() < OWED * 2);
-    settled(&program);
+    program.settled();
 }
 
 #[test]
 fn half_a_command_is_ended_in_time() {
-    let program = Program::start(&config(&[]));
+    let program = start(&config(&[]));
     let mut client = program.client();
     let began = Instant::now();
     client.put(b"OPEN 1 2 c=ch");
@@ -91,12 +86,12 @@
 
 #[test]
 fn an_id_is_free_again_once_its_request_is_over() {
-    let server = Host::new();
-    let program = Program::start(&config(&[("s-1", server.address())]));
+    let server = Node::new();
+    let program = start(&config(&[("s-1", server.address())]));
     // Each of these comes under the id of the one before, which left, was served, moved or refused.
     let (client, s) = program.stand_as(&server, "5");
     drop((client, s));
-    settled(&program);
+    program.settled();
     let (mut client, mut s) = program.stand_as(&server, "5");
     s.say("BYE");
     drop(s);
@@ -106,7 +101,7 @@
     let (mut client, mut silent) = program.stand_as(&server, "5");
     client.say("M 1");
     assert_eq!(silent.line(), "M 1");
-    settled(&program);
+    program.settled();
     served(&mut other, &mut sound, "M 2");
     assert_eq!(client.line(), "MOVE");
     let mut refused = program.open_as("5", ",again=1");
@@ -119,8 +114,8 @@
 
 #[test]
 fn what_servers_can_not_read_is_not_their_fault() {
-    let server = Host::new();
-    let program = Program::start(&config(&[("s-1", server.address())]));
+    let server = Node::new();
+    let program = start(&config(&[("s-1", server.address())]));
     let (mut usual, mut other) = program.stand_as(&server, "1");
     for id in 2..6 {
         let (mut bad, mut s) = program.stand_as(&server, &id.to_string());
@@ -135,10 +130,10 @@
 
 #[test]
 fn connections_that_ask_for_nothing_take_no_room_from_usual_clients() {
-    let server = Host::new();
+    let server = Node::new();
     let mut settings = config(&[("s-1", server.address())]);
     settings["limits"]["sockets"] = json!(96);
-    let program = Program::start(&settings);
+    let program = start(&settings);
     let mut flood = Vec::new();
     let mut stands = Vec::new();
     for id in 0..20 {
--- a/crates/balancer/tests/sockets/cli.rs
+++ b/crates/balancer/tests/sockets/cli.rs
@@ -4,26 +4,34 @@
 
 use serde_json::json;
 
-use crate::rig::*;
+use shorewharf_emulator::standin::*;
+
+use crate::BINARY;
 
 fn run(arguments: &[&str]) -> (Option<i32>, String, String) {
-    let out: Output =
-        Command::new(env!("CARGO_BIN_EXE_shorewharf")).args(arguments).output().expect("it runs");
+    let out: Output = Command::new(BINARY).args(arguments).output().expect("it runs");
     let text = |bytes| String::from_utf8(bytes).expect("text");
     (out.status.code(), text(out.stdout), text(out.stderr))
 }
 
+fn check(config: &str) -> (Option<i32>, String, String) {
+    let file = std::env::temp_dir().join(format!("shorewharf-check-{}.json", std::process::id()));
+    std::fs::write(&file, config).expect("a file");
+    let out = run(&["check-config", file.to_str().expect("text")]);
+    std::fs::remove_file(&file).expect("it is there");
+    out
+}
+
 #[test]
 fn a_configuration_is_checked_without_a_start() {
-    let good = file_of(&config(&[]).to_string());
-    let (code, table, log) = run(&["check-config", good.to_str().expect("text")]);
+    let (code, table, log) = check(&config(&[]).to_string());
     assert_eq!((code, log.as_str()), (Some(0), ""));
     assert!(table.lines().any(|l| l.contains("limits.sockets") && l.contains("1024")), "{table}");
     let mut bad = config(&[]);
     bad["limits"]["sockets"] = json!(31);
     let texts = [(bad.to_string(), "limits.sockets: 31 is too few to serve anybody; at least 32\n")];
     for (text, message) in texts.into_iter().chain([("{".into(), "ROUTER_CONFIG: no JSON: EOF")]) {
-        let (code, table, log) = run(&["check-config", file_of(&text).to_str().expect("text")]);
+        let (code, table, log) = check(&text);
         assert_eq!((code, table.as_str()), (Some(2), ""));
         assert!(log.starts_with(message) && log.lines().count() == 1, "{log}");
     }
--- a/crates/balancer/tests/sockets/main.rs
+++ b/crates/balancer/tests/sockets/main.rs
@@ -4,19 +4,26 @@
 mod cli;
 mod model;
 mod reload;
-mod rig;
 
 use std::io::{ErrorKind, Write};
+use std::net::SocketAddr;
 use std::sync::mpsc::channel;
 use std::time::{Duration, Instant};
 
-use rig::*;
-use serde_json::json;
+use serde_json::{Value, json};
+use shorewharf_emulator::standin::*;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_shorewharf");
+
+/// The built program, serving.
+fn start(config: &Value) -> Program {
+    Program::start(BINARY, config)
+}
 
 #[test]
 fn a_client_is_served_and_lines_pass_both_ways() {
-    let server = Host::new();
-    let program = Program::start(&config(&[("s-1", server.address())]));
+    let server = Node::new();
+    let program = start(&config(&[("s-1", server.address())]));
     let mut client = program.open(",g=5c0f,again=1");
     let mut s = server.accept();
     let first = s.line();
@@ -39,7 +46,7 @@
 
 #[test]
 fn the_front_is_answered() {
-    let program = Program::start(&config(&[]));
+    let program = start(&config(&[]));
     let mut front = program.client();
     front.say("PING");
     assert_eq!(front.line(), "PONG");
@@ -50,8 +57,8 @@
 
 #[test]
 fn an_end_of_the_server_reaches_the_client() {
-    let server = Host::new();
-    let program = Program::start(&config(&[("s-1", server.address())]));
+    let server = Node::new();
+    let program = start(&config(&[("s-1", server.address())]));
     let (mut client, s) = program.stand(&server);
     s.finish();
     assert_eq!(client.hear(), Heard::Fin);
@@ -59,8 +66,8 @@
 
 #[test]
 fn a_reset_of_the_server_reaches_the_client() {
-    let server = Host::new();
-    let program = Program::start(&config(&[("s-1", server.address())]));
+    let server = Node::new();
+    let program = start(&config(&[("s-1", server.address())]));
     let (mut client, s) = program.stand(&server);
     s.reset();
     assert_eq!(client.hear(), Heard::Reset);
@@ -68,8 +75,8 @@
 
 #[test]
 fn a_server_is_not_blamed_for_a_client_that_leaves() {
-    let server = Host::new();
-    let program = Program::start(&config(&[("s-1", server.address())]));
+    let server = Node::new();
+    let program = start(&config(&[("s-1", server.address())]));
     for _ in 0..3 {
         let (client, mut s) = program.stand(&server);
         drop(client);
@@ -79,8 +86,8 @@
 
 #[test]
 fn a_reset_of_the_client_reaches_the_server() {
-    let server = Host::new();
-    let program = Program::start(&config(&[("s-1", server.address())]));
+    let server = Node::new();
+    let program = start(&config(&[("s-1", server.address())]));
     let (client, mut s) = program.stand(&server);
     client.reset();
     assert_eq!(s.hear(), Heard::Reset);
@@ -88,25 +95,25 @@
 
 #[test]
 fn a_failed_connect_is_followed_by_another_server() {
-    let server = Host::new();
-    let program = Program::start(&config(&[("s-1", nobody()), ("s-2", server.address())]));
+    let server = Node::new();
+    let program = start(&config(&[("s-1", nobody()), ("s-2", server.address())]));
     // Whichever of the two comes first, each of these must end up at the one that runs.
     let _stands: Vec<_> = (0..4).map(|_| program.stand(&server)).collect();
 }
 
 #[test]
 fn a_connection_that_never_comes_up_is_followed_by_another_server() {
-    let ((silent, _queue), server) = (full_host(), Host::new());
+    let ((silent, _queue), server) = (Node::full(), Node::new());
     let mut settings = config(&[("s-1", silent.address()), ("s-2", server.address())]);
     settings["settings"]["limits"]["connect_timeout_s"] = json!(0.2);
-    let program = Program::start(&settings);
+    let program = start(&settings);
     let _stands: Vec<_> = (0..4).map(|_| program.stand(&server)).collect();
 }
 
 #[test]
 fn a_client_in_a_hurry_does_not_get_its_server_locked() {
-    let (host, queue) = full_host();
-    let program = Program::start(&config(&[("s-1", host.address())]));
+    let (host, queue) = Node::full();
+    let program = start(&config(&[("s-1", host.address())]));
     let mut hasty = program.client();
     hasty.say("OPEN 1 2 c=chat,t=acme,d=300");
     assert!(hasty.line().starts_with("BUSY"));
@@ -119,22 +126,16 @@
 
 #[test]
 fn a_server_that_begins_to_leave_while_the_connection_comes_up_is_sent_nothing() {
-    let ((leaving, queue), server, director) = (full_host(), Host::new(), Host::new());
+    let ((leaving, queue), server, director) = (Node::full(), Node::new(), Director::new());
     let mut settings = asking(&[("s-1", leaving.address())], &director);
     settings["settings"]["limits"]["connect_timeout_s"] = json!(20.0);
-    let program = Program::start(&settings);
-    let mut watch = director.accept();
-    watch.line();
+    let program = start(&settings);
+    let mut watch = director.watch();
     let mut client = program.open("");
-    // Answered only once the client's line, which came first, has led to a fetch.
-    let mut front = program.client();
-    front.say("PING");
-    assert_eq!(front.line(), "PONG");
-    let change = json!({"index": 42, "snapshot": false, "endpoints": [
-        endpoint("s-1", leaving.address(), "Terminating"), endpoint("s-2", server.address(), "Ready")]})
-    .to_string();
-    watch.put(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-    watch.put(format!("{:x}\r\n{change}\n\r\n", change.len() + 1).as_bytes());
+    // The client's line, which came first, has led to a fetch.
+    program.settled();
+    let one = endpoint("s-1", leaving.address(), "Terminating");
+    watch.tell(42, false, vec![one, endpoint("s-2", server.address(), "Ready")]);
     program.logged("server-draining");
     queue.iter().for_each(|_| drop(leaving.accept()));
     // Now the connection comes up, and must end without a word.
@@ -147,11 +148,11 @@
 
 #[test]
 fn attempts_follow_each_other_and_the_last_refusal_says_when_to_come_back() {
-    let servers = [Host::new(), Host::new()];
-    let program = Program::start(&config(&[("s-1", servers[0].address()), ("s-2", servers[1].address())]));
+    let servers = [Node::new(), Node::new()];
+    let program = start(&config(&[("s-1", servers[0].address()), ("s-2", servers[1].address())]));
     let (sender, attempts) = channel();
     for (i, host) in servers.iter().enumerate() {
-        let (sender, listener) = (sender.clone(), host.0.try_clone().expect("a handle"));
+        let (sender, listener) = (sender.clone(), host.listener());
         std::thread::spawn(move || {
             listener.incoming().flatten().try_for_each(|stream| sender.send((i, Peer::of(stream))))
         });
@@ -178,8 +179,8 @@
 
 #[test]
 fn a_client_that_leaves_takes_its_fetch_along() {
-    let server = Host::new();
-    let program = Program::start(&config(&[("s-1", server.address())]));
+    let server = Node::new();
+    let program = start(&config(&[("s-1", server.address())]));
     let client = program.open("");
     let mut s = server.accept();
     s.line();
@@ -189,8 +190,8 @@
 
 #[test]
 fn a_request_is_answered_before_its_client_gives_up() {
-    let server = Host::new();
-    let program = Program::start(&config(&[("s-1", server.address())]));
+    let server = Node::new();
+    let program = start(&config(&[("s-1", server.address())]));
     let mut client = program.client();
     let began = Instant::now();
     client.say("OPEN 1 2 c=chat,d=700");
@@ -204,8 +205,8 @@
 
 #[test]
 fn a_connection_from_before_goes_to_its_server() {
-    let servers = [Host::new(), Host::new()];
-    let program = Program::start(&config(&[("s-1", servers[0].address()), ("s-2", servers[1].address())]));
+    let servers = [Node::new(), Node::new()];
+    let program = start(&config(&[("s-1", servers[0].address()), ("s-2", servers[1].address())]));
     for (name, host) in [("s-1", &servers[0]), ("s-2", &servers[1]), ("s-1", &servers[0])] {
         let mut client = program.open(&format!(",at={name}"));
         let mut s = host.accept();
@@ -217,21 +218,17 @@
 
 #[test]
 fn clients_move_before_their_server_leaves() {
-    let (servers, director) = ([Host::new(), Host::new()], Host::new());
+    let (servers, director) = ([Node::new(), Node::new()], Director::new());
     let known = [("s-1", servers[0].address()), ("s-2", servers[1].address())];
-    let program = Program::start(&asking(&known, &director));
-    let mut watch = director.accept();
-    assert_eq!(watch.line(), "GET /v1/servers?follow=1&since=41 HTTP/1.1");
+    let program = start(&asking(&known, &director));
+    let mut watch = director.watch();
+    assert_eq!(watch.call(), "GET /v1/servers?follow=1&since=41 HTTP/1.1");
     let mut client = program.open(",at=s-1");
     let mut s = servers[0].accept();
     s.line();
     s.say("UP 1");
     assert_eq!(client.line(), "UP 1");
-    let change = json!({"index": 42, "snapshot": false,
-        "endpoints": [endpoint("s-1", servers[0].address(), "Terminating")]})
-    .to_string();
-    watch.put(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-    watch.put(format!("{:x}\r\n{change}\n\r\n", change.len() + 1).as_bytes());
+    watch.tell(42, false, vec![endpoint("s-1", servers[0].address(), "Terminating")]);
     assert_eq!((client.line(), client.hear()), ("MOVE".into(), Heard::Fin));
     assert_eq!(s.hear(), Heard::Fin);
     let _stands: Vec<_> = (0..4).map(|_| program.stand(&servers[1])).collect();
@@ -240,35 +237,26 @@
 
 #[test]
 fn a_failed_or_silent_watch_is_asked_again() {
-    let director = Host::new();
-    let program = Program::start(&asking(&[], &director));
-    let mut watch = director.accept();
-    watch.line();
-    watch.put(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+    let director = Director::new();
+    let program = start(&asking(&[], &director));
+    let mut watch = director.watch();
+    watch.refuse("503 Busy");
     assert!(program.logged("discovery-failed").contains("status 503"));
-    let mut watch = director.accept();
-    watch.line();
-    watch.put(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3d\r\n");
-    let list = r#"{"index":50,"snapshot":true,"endpoints":[]}"#;
-    watch.put(format!("{list:<60}\n\r\n").as_bytes());
+    let mut watch = director.watch();
+    watch.tell(50, true, Vec::new());
     program.logged("discovery-back");
     // From here on not even blank lines come: the watch is dead though its connection is not.
     assert!(program.logged("discovery-failed").contains("silence"));
-    assert_eq!(director.accept().line(), "GET /v1/servers?follow=1&since=50 HTTP/1.1");
+    assert_eq!(director.watch().since(), 50);
 }
 
 #[test]
 fn a_whole_list_logs_what_has_changed_and_no_more() {
-    let (servers, director) = ([Host::new(), Host::new(), Host::new()], Host::new());
+    let (servers, director) = ([Node::new(), Node::new(), Node::new()], Director::new());
     let at = |i: usize| servers[i].address();
-    let program = Program::start(&asking(&[("s-1", at(0)), ("s-2", at(1))], &director));
-    let mut watch = director.accept();
-    watch.line();
-    let list = json!({"index": 42, "snapshot": true,
-        "endpoints": [endpoint("s-1", at(0), "Ready"), endpoint("s-3", at(2), "Ready")]})
-    .to_string();
-    watch.put(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-    watch.put(format!("{:x}\r\n{list}\n\r\n", list.len() + 1).as_bytes());
+    let program = start(&asking(&[("s-1", at(0)), ("s-2", at(1))], &director));
+    let mut watch = director.watch();
+    watch.tell(42, true, vec![endpoint("s-1", at(0), "Ready"), endpoint("s-3", at(2), "Ready")]);
     let mut lines = [program.logged("server-"), program.logged("server-")]
         .map(|l| l[l.find("level").unwrap()..].to_owned());
     lines.sort();
@@ -276,15 +264,15 @@
         lines,
         ["level=info event=server-gone server=s-2", "level=info event=server-ready server=s-3"]
     );
-    watch.put(b"0\r\n\r\n");
+    watch.end();
     // Had s-1 been logged too, its line would have come before this one.
     assert!(program.logged("").contains("discovery-failed"));
 }
 
 #[test]
 fn a_server_that_answers_nothing_loses_its_client() {
-    let server = Host::new();
-    let program = Program::start(&config(&[("s-1", server.address())]));
+    let server = Node::new();
+    let program = start(&config(&[("s-1", server.address())]));
     let (mut client, _silent) = program.stand(&server);
     let began = Instant::now();
     client.say("M 1");
@@ -294,14 +282,12 @@
 
 #[test]
 fn a_connection_that_falls_silent_is_not_its_servers_fault() {
-    let server = Host::new();
-    let program = Program::start(&config(&[("s-1", server.address())]));
+    let server = Node::new();
+    let program = start(&config(&[("s-1", server.address())]));
     let ((mut client, _silent), (mut other, mut s)) = (program.stand(&server), program.stand(&server));
     client.say("M 1");
     // Once the first line has been taken in for sure, the server answers on its other connection.
-    let mut front = program.client();
-    front.say("PING");
-    assert_eq!(front.line(), "PONG");
+    program.settled();
     other.say("M 2");
     assert_eq!(s.line(), "M 2");
     s.say("M 2");
@@ -317,10 +303,10 @@
 
 #[test]
 fn a_delay_that_a_server_tells_keeps_new_clients_away() {
-    let servers = [Host::new(), Host::new()];
+    let servers = [Node::new(), Node::new()];
     let mut settings = config(&[("s-1", servers[0].address()), ("s-2", servers[1].address())]);
     settings["settings"]["specifics"]["tells_delay"] = json!(true);
-    let program = Program::start(&settings);
+    let program = start(&settings);
     let mut client = program.open(",at=s-1");
     let mut s = servers[0].accept();
     s.line();
@@ -335,8 +321,8 @@
 
 #[test]
 fn a_planned_end_moves_everybody_and_refuses_who_comes() {
-    let server = Host::new();
-    let mut program = Program::start(&config(&[("s-1", server.address())]));
+    let server = Node::new();
+    let mut program = start(&config(&[("s-1", server.address())]));
     let mut stands: Vec<_> = (0..6).map(|_| program.stand(&server)).collect();
     let mut waiting = program.open("");
     let mut late = server.accept();
@@ -362,23 +348,25 @@
 
 #[test]
 fn a_killed_balancer_comes_back_under_its_address() {
-    let server = Host::new();
+    let server = Node::new();
     let mut settings = config(&[("s-1", server.address())]);
-    let program = Program::start(&settings);
+    // Nobody else takes ports of this address, so that the one it had is free again.
+    settings["listen"] = json!(SocketAddr::from((loopback(1), 0)));
+    let program = start(&settings);
     let (mut client, mut s) = program.stand(&server);
-    settings["listen"] = json!(program.address.to_string());
+    settings["listen"] = json!(program.address());
     // Killed outright: its connections break, and what is left of them must not keep the address.
     drop(program);
     assert!(matches!(client.hear(), Heard::Fin | Heard::Reset));
     assert!(matches!(s.hear(), Heard::Fin | Heard::Reset));
-    let program = Program::start(&settings);
+    let program = start(&settings);
     program.stand(&server);
 }
 
 #[test]
 fn what_is_malformed_ends_its_own_connection_only() {
-    let server = Host::new();
-    let mut program = Program::start(&config(&[("s-1", server.address())]));
+    let server = Node::new();
+    let mut program = start(&config(&[("s-1", server.address())]));
     for line in ["HELLO", "", "OPEN", "OPEN 1 2 c=none", "OPEN 1 2 c=chat,d=x", "OPEN  1 2 c=chat"] {
         let mut client = program.client();
         client.say(line);
@@ -400,8 +388,8 @@
 
 #[test]
 fn a_line_over_the_limit_from_a_server_ends_its_connection() {
-    let server = Host::new();
-    let mut program = Program::start(&config(&[("s-1", server.address())]));
+    let server = Node::new();
+    let mut program = start(&config(&[("s-1", server.address())]));
     let (mut client, mut s) = program.stand(&server);
     s.put(&[b'x'; 5000]);
     assert_eq!(client.hear(), Heard::Reset);
@@ -411,8 +399,8 @@
 
 #[test]
 fn a_line_over_the_limit_from_a_client_is_not_its_servers_fault() {
-    let server = Host::new();
-    let program = Program::start(&config(&[("s-1", server.address())]));
+    let server = Node::new();
+    let program = start(&config(&[("s-1", server.address())]));
     let (mut client, _s) = program.stand(&server);
     client.put(&[b'x'; 5000]);
     program.logged("line-too-long");
@@ -422,8 +410,8 @@
 
 #[test]
 fn an_answer_that_no_server_should_give_is_logged_and_counts_as_an_error() {
-    let server = Host::new();
-    let program = Program::start(&config(&[("s-1", server.address())]));
+    let server = Node::new();
+    let program = start(&config(&[("s-1", server.address())]));
     let mut client = program.open("");
     let mut s = server.accept();
     s.line();
@@ -434,16 +422,16 @@
 
 #[test]
 fn without_descriptors_clients_are_refused_and_the_program_goes_on() {
-    let server = Host::new();
+    let server = Node::new();
     let mut settings = config(&[("s-1", server.address())]);
     settings["limits"]["sockets"] = json!(40);
-    let mut program = Program::start(&settings);
+    let mut program = start(&settings);
     // Room is kept for answers: 40 less 16 of the program's own and 16 to spare leaves four standing ones.
     let mut stands = Vec::new();
     let refusal = loop {
         assert!(stands.len() < 40, "the limit does not bind");
         let mut client = program.open("");
-        let mut s = match program_calls(&server, &mut client) {
+        let mut s = match server.accept_or_hear(&mut client) {
             Ok(s) => s,
             Err(answer) => break answer,
         };
@@ -452,7 +440,7 @@
         assert_eq!(client.line(), "UP 1");
         stands.push((client, s));
     };
-    assert!(refusal.starts_with("BUSY "), "{refusal}");
+    assert!(matches!(&refusal, Heard::Line(line) if line.starts_with("BUSY ")), "{refusal:?}");
     program.logged("descriptors-short");
     for (_client, mut s) in stands {
         s.say("BYE");
@@ -462,31 +450,10 @@
     assert!(program.is_running());
 }
 
-/// The fetch that a client's request leads to, or what the client is told instead.
-fn program_calls(server: &Host, client: &mut Peer) -> Result<Peer, String> {
-    let began = Instant::now();
-    client.stream().set_read_timeout(Some(Duration::from_millis(20))).expect("a time-out");
-    server.0.set_nonblocking(true).expect("a flag");
-    let found = loop {
-        assert!(began.elapsed() < LIMIT, "neither a fetch nor an answer");
-        if let Ok((stream, _)) = server.0.accept() {
-            break Ok(stream);
-        }
-        let mut byte = [0];
-        match client.stream().peek(&mut byte) {
-            Ok(_) => break Err(()),
-            Err(e) => assert!(matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut), "{e}"),
-        }
-    };
-    server.0.set_nonblocking(false).expect("a flag");
-    client.stream().set_read_timeout(Some(LIMIT)).expect("a time-out");
-    found.map(Peer::of).map_err(|()| client.line())
-}
-
 #[test]
 fn an_unread_peer_slows_its_other_side_and_nothing_is_lost() {
-    let server = Host::new();
-    let program = Program::start(&config(&[("s-1", server.address())]));
+    let server = Node::new();
+    let program = start(&config(&[("s-1", server.address())]));
     let (mut client, mut s) = program.stand(&server);
     s.stream().set_write_timeout(Some(Duration::from_millis(700))).expect("a time-out");
     let line = [b"L ".as_slice(), &[b'x'; 996], b"\r\n"].concat();
@@ -518,7 +485,7 @@
     {
         let mut config = config(&[]);
         config[key] = value;
-        let (code, log) = refused_start(&config);
+        let (code, log) = refused_start(BINARY, &config);
         assert_eq!((code, log.lines().count()), (Some(2), 1), "{log}");
         assert!(log.contains(&format!("level=error event=bad-config key={key}")), "{log}");
     }
--- a/crates/balancer/tests/sockets/model.rs
+++ b/crates/balancer/tests/sockets/model.rs
@@ -4,7 +4,9 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
-use crate::rig::*;
+use shorewharf_emulator::standin::*;
+
+use crate::start;
 
 #[derive(Clone, Debug)]
 enum Step {
@@ -47,8 +49,8 @@
 
 /// Lets one connection live through the steps.
 fn live(steps: &[Step]) {
-    let server = Host::new();
-    let program = Program::start(&config(&[("s-1", server.address())]));
+    let server = Node::new();
+    let program = start(&config(&[("s-1", server.address())]));
     let (mut client, mut s) = (program.open(""), server.accept());
     s.line();
     let mut state = State::Waiting;
--- a/crates/balancer/tests/sockets/reload.rs
+++ b/crates/balancer/tests/sockets/reload.rs
@@ -4,31 +4,30 @@
 
 use serde_json::json;
 
-use crate::rig::*;
+use shorewharf_emulator::standin::*;
+
+use crate::start;
 
 #[test]
 fn a_new_discovery_address_is_watched_at_once_and_all_else_lives_on() {
-    let (servers, old, new) = ([Host::new(), Host::new()], Host::new(), Host::new());
+    let (servers, old, new) = ([Node::new(), Node::new()], Director::new(), Director::new());
     let mut settings = asking(&[("s-1", servers[0].address())], &old);
-    let mut program = Program::start(&settings);
-    let mut watch = old.accept();
-    watch.line();
-    watch.put(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+    let mut program = start(&settings);
+    let mut watch = old.watch();
+    watch.blank();
     let (mut client, mut s) = program.stand(&servers[0]);
-    settings["discovery"] = json!(new.address().to_string());
+    settings["discovery"] = json!(new.address());
     program.reconfigure(&settings.to_string());
     program.logged("reloaded");
     // The new watch goes on from the list that is held; the old one is over.
-    let mut watch = new.accept();
-    assert_eq!(watch.line(), "GET /v1/servers?follow=1&since=41 HTTP/1.1");
-    let change = json!({"index": 42, "snapshot": false, "endpoints": [
-        endpoint("s-1", servers[0].address(), "Terminating"), endpoint("s-2", servers[1].address(), "Ready")]});
+    let mut watch = new.watch();
+    assert_eq!(watch.since(), 41);
     client.say("M 1");
     assert_eq!(s.line(), "M 1");
     s.say("M 1");
     assert_eq!(client.line(), "M 1");
-    watch.put(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-    watch.put(format!("{:x}\r\n{change}\n\r\n", change.to_string().len() + 1).as_bytes());
+    let one = endpoint("s-1", servers[0].address(), "Terminating");
+    watch.tell(42, false, vec![one, endpoint("s-2", servers[1].address(), "Ready")]);
     assert_eq!(client.line(), "MOVE");
     program.stand(&servers[1]);
     assert!(program.is_running());
@@ -36,12 +35,12 @@
 
 #[test]
 fn a_bad_file_changes_nothing_and_is_logged_once() {
-    let (server, old, new) = (Host::new(), Host::new(), Host::new());
+    let (server, old, new) = (Node::new(), Director::new(), Director::new());
     let settings = asking(&[("s-1", server.address())], &old);
-    let mut program = Program::start(&settings);
-    old.accept().line();
+    let mut program = start(&settings);
+    old.watch();
     let mut next = settings.clone();
-    next["discovery"] = json!(new.address().to_string());
+    next["discovery"] = json!(new.address());
     next["settings"]["classes"] = json!([{"name": "feed", "semantics": "read_like"}]);
     let mut bad = settings.clone();
     (bad["discovery"], bad["limits"]["sockets"]) = (next["discovery"].clone(), json!(-1));
@@ -59,27 +58,27 @@
 
 #[test]
 fn reloads_that_come_close_together_leave_the_last_file_in_force() {
-    let (server, hosts) = (Host::new(), [Host::new(), Host::new(), Host::new()]);
+    let (server, hosts) = (Node::new(), [Director::new(), Director::new(), Director::new()]);
     let mut settings = asking(&[("s-1", server.address())], &hosts[0]);
-    let mut program = Program::start(&settings);
-    hosts[0].accept().line();
+    let mut program = start(&settings);
+    hosts[0].watch();
     for host in [&hosts[1], &hosts[0], &hosts[2]] {
-        settings["discovery"] = json!(host.address().to_string());
+        settings["discovery"] = json!(host.address());
         program.reconfigure(&settings.to_string());
     }
-    assert!(hosts[2].accept().line().starts_with("GET /v1/servers?follow=1"));
+    assert_eq!(hosts[2].watch().since(), 41);
     program.stand(&server);
     assert!(program.is_running());
 }
 
 #[test]
 fn new_classes_and_limits_are_in_force_and_a_new_address_to_listen_at_is_not() {
-    let server = Host::new();
+    let server = Node::new();
     let mut settings = config(&[("s-1", server.address())]);
-    let program = Program::start(&settings);
+    let program = start(&settings);
     let classes = settings["settings"]["classes"].as_array_mut().expect("classes");
     classes.push(json!({"name": "feed", "semantics": "read_like", "promise_s": 1.0, "give_up_s": 20.0}));
-    settings["listen"] = json!(nobody().to_string());
+    settings["listen"] = json!(nobody());
     program.reconfigure(&settings.to_string());
     assert!(program.logged("reloaded").contains("restart-needed=listen"));
     let mut client = program.client();
@@ -93,18 +92,16 @@
 
 #[test]
 fn a_new_address_that_says_nothing_is_asked_again_in_time() {
-    let (old, new) = (Host::new(), Host::new());
+    let (old, new) = (Director::new(), Director::new());
     let mut settings = asking(&[], &old);
-    let program = Program::start(&settings);
-    let mut watch = old.accept();
-    watch.line();
-    settings["discovery"] = json!(new.address().to_string());
+    let program = start(&settings);
+    let _watch = old.watch();
+    settings["discovery"] = json!(new.address());
     program.reconfigure(&settings.to_string());
-    let mut silent = new.accept();
-    silent.line();
+    let _silent = new.watch();
     let began = Instant::now();
     assert!(program.logged("discovery-failed").contains("silence"));
     // What discovery tells after SIGHUP is to be in force within 4 s.
     assert!(began.elapsed() < Duration::from_millis(2500));
-    assert!(new.accept().line().starts_with("GET /v1/servers?follow=1"));
+    assert_eq!(new.watch().since(), 41);
 }
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod day;
 pub mod edge;
+pub mod standin;
 
 /// Whole microseconds since the day's start.
 pub type Micros = shorewharf_protocol::Micros;
--- /dev/null
+++ b/crates/emulator/src/standin/peer.rs
@@ -0,0 +1,106 @@
+//! One end of a connection, played line by line.
+
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::time::Duration;
+
+use shorewharf_protocol::open::OpenLine;
+
+use super::LIMIT;
+
+/// What comes next from the other end.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Heard {
+    /// A line, without its end.
+    Line(String),
+    /// It has finished its sending.
+    Fin,
+    /// It has broken the connection off.
+    Reset,
+}
+
+/// One end of a connection with the program. Its words go out at once.
+#[derive(Debug)]
+pub struct Peer(BufReader<TcpStream>);
+
+impl Peer {
+    /// This end of a connection.
+    pub fn of(stream: TcpStream) -> Self {
+        stream.set_read_timeout(Some(LIMIT)).expect("a time-out");
+        stream.set_nodelay(true).expect("no delay");
+        Peer(BufReader::new(stream))
+    }
+
+    /// A client that has connected and said nothing yet.
+    pub fn connect(to: SocketAddr) -> Self {
+        Peer::of(TcpStream::connect(to).expect("the program listens"))
+    }
+
+    /// A client that has said its first line.
+    pub fn open(to: SocketAddr, line: &OpenLine) -> Self {
+        let mut client = Peer::connect(to);
+        client.put(line.to_string().as_bytes());
+        client
+    }
+
+    /// Says a line; its end is added.
+    pub fn say(&mut self, line: &str) {
+        self.put(format!("{line}\r\n").as_bytes());
+    }
+
+    /// Writes bytes as they are.
+    pub fn put(&mut self, bytes: &[u8]) {
+        self.0.get_mut().write_all(bytes).expect("the program reads");
+    }
+
+    /// Waits for what comes next.
+    pub fn hear(&mut self) -> Heard {
+        let mut bytes = Vec::new();
+        match self.0.read_until(b'\n', &mut bytes) {
+            Ok(0) => Heard::Fin,
+            Ok(_) => Heard::Line(String::from_utf8(bytes).expect("text").trim_end_matches("\r\n").to_owned()),
+            Err(e) if e.kind() == ErrorKind::ConnectionReset => Heard::Reset,
+            Err(e) => panic!("nothing was heard: {e}"),
+        }
+    }
+
+    /// Waits for a line, which must come next.
+    pub fn line(&mut self) -> String {
+        match self.hear() {
+            Heard::Line(line) => line,
+            other => panic!("a line was expected, not {other:?}"),
+        }
+    }
+
+    /// Waits for so many bytes.
+    pub fn read_exactly(&mut self, n: usize) -> Vec<u8> {
+        let mut bytes = vec![0; n];
+        self.0.read_exact(&mut bytes).expect("as much as was sent");
+        bytes
+    }
+
+    /// Whether anything has come that was not heard yet, the end included. Looks for `within` at most.
+    pub fn has_word(&self, within: Duration) -> bool {
+        self.stream().set_read_timeout(Some(within)).expect("a time-out");
+        let seen = self.stream().peek(&mut [0]);
+        self.stream().set_read_timeout(Some(LIMIT)).expect("a time-out");
+        let waits = |e: &std::io::Error| matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut);
+        !self.0.buffer().is_empty() || !seen.is_err_and(|e| waits(&e))
+    }
+
+    /// The connection itself.
+    pub fn stream(&self) -> &TcpStream {
+        self.0.get_ref()
+    }
+
+    /// Finishes the sending; what the other end says can still be heard.
+    pub fn finish(&self) {
+        self.stream().shutdown(Shutdown::Write).expect("open");
+    }
+
+    /// Breaks the connection off.
+    pub fn reset(self) {
+        let socket = socket2::SockRef::from(self.0.get_ref());
+        socket.set_linger(Some(Duration::ZERO)).expect("linger");
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/standin/program.rs
@@ -0,0 +1,215 @@
+//! The program under test: started with a configuration, heard through its log, told by signals, and killed when the
+//! test drops it.
+
+use std::cell::{Cell, RefCell};
+use std::ffi::OsStr;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, channel};
+use std::thread;
+
+use serde_json::{Value, json};
+use shorewharf_protocol::list::Endpoint;
+
+use super::{Director, LIMIT, Node, Peer, loopback, nobody};
+
+/// One server as discovery lists it.
+pub fn endpoint(name: &str, address: SocketAddr, status: &str) -> Endpoint {
+    let (zone, kind) = ("a".to_owned(), "m".to_owned());
+    let (name, address, status) = (name.to_owned(), address.to_string(), status.to_owned());
+    Endpoint { name, address, zone, kind, group: 1, status, weight: 1.0, since_ms: 0.0 }
+}
+
+/// A configuration with these servers, which are all that the program will ever know of: it asks nobody. One class
+/// (`chat`) whose clients wait 20 s, one tenant (`acme`), up to five attempts, probes allowed.
+pub fn config(servers: &[(&str, SocketAddr)]) -> Value {
+    let known: Vec<Endpoint> = servers.iter().map(|(name, at)| endpoint(name, *at, "Ready")).collect();
+    json!({"name": "n1", "listen": SocketAddr::from((loopback(0), 0)), "discovery": nobody(), "seed": "5",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": {"index": 41, "snapshot": true, "endpoints": known},
+        "settings": {
+            "classes": [{"name": "chat", "semantics": "read_like", "promise_s": 1.0, "give_up_s": 20.0}],
+            "tenants": [{"name": "acme"}], "zones": ["a", "b"], "zone": 0, "me": 0, "group_size": 1,
+            "registry_mode": "push", "tick_s": 0.005, "weights": "nominal",
+            "specifics": {"groups": true, "message_aim_s": [0.05], "mode": "proxy"},
+            "limits": {"cancel": true, "connect_timeout_s": 2.0, "max_attempts": 5, "max_retry_after_s": 1.5,
+                "retry_after": true, "may_probe": true},
+            "rules": {"ask_within_s": 10.0, "start_capacity": 0.13, "warm_within_s": 22.0, "fall_multiple": 3.0}}})
+}
+
+/// The same, with a director that is asked soon.
+pub fn asking(servers: &[(&str, SocketAddr)], director: &Director) -> Value {
+    let mut config = config(servers);
+    config["discovery"] = json!(director.address());
+    config["settings"]["registry_mode"] = json!("ask");
+    config["settings"]["rules"]["ask_within_s"] = json!(1.0);
+    config
+}
+
+/// A folder of a test's own, gone with it.
+#[derive(Debug)]
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new() -> Self {
+        static MADE: AtomicU64 = AtomicU64::new(0);
+        let name = format!("shorewharf-{}-{}", std::process::id(), MADE.fetch_add(1, Ordering::Relaxed));
+        let path = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&path).expect("a folder");
+        Folder(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        // What is left over harms nobody.
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// A program that has been started and may have failed to.
+struct Started {
+    child: Child,
+    folder: Folder,
+}
+
+impl Started {
+    fn new(binary: &OsStr, config: &str) -> Self {
+        let folder = Folder::new();
+        let file = folder.0.join(CONFIG);
+        std::fs::write(&file, config).expect("a file");
+        let mut command = Command::new(binary);
+        let child = command.env("ROUTER_CONFIG", &file).stdin(Stdio::null()).stderr(Stdio::piped()).spawn();
+        Started { child: child.expect("the program starts"), folder }
+    }
+}
+
+impl Drop for Started {
+    fn drop(&mut self) {
+        // Already over where the test awaited its end.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// The configuration's file in its folder.
+const CONFIG: &str = "config.json";
+
+/// Starts a program on a configuration that it must refuse: its exit code and its log.
+pub fn refused_start(binary: impl AsRef<OsStr>, config: &Value) -> (Option<i32>, String) {
+    let mut started = Started::new(binary.as_ref(), &config.to_string());
+    let stderr = started.child.stderr.take().expect("piped");
+    let log = std::io::read_to_string(stderr).expect("text");
+    (started.child.wait().expect("it ends").code(), log)
+}
+
+/// The program, killed by its own id when it is dropped, whether the test has passed or not.
+pub struct Program {
+    started: Started,
+    next_id: Cell<u64>,
+    log: Receiver<String>,
+    heard: RefCell<Vec<String>>,
+    address: SocketAddr,
+}
+
+impl Program {
+    /// Starts a program on a configuration and waits until it serves.
+    pub fn start(binary: impl AsRef<OsStr>, config: &Value) -> Self {
+        let mut started = Started::new(binary.as_ref(), &config.to_string());
+        let stderr = BufReader::new(started.child.stderr.take().expect("piped"));
+        let (sender, log) = channel();
+        thread::spawn(move || stderr.lines().map_while(Result::ok).try_for_each(|line| sender.send(line)));
+        let (next_id, heard) = (Cell::new(0x9b1f), RefCell::default());
+        let mut program = Program { started, next_id, log, heard, address: nobody() };
+        let line = program.logged("event=serving");
+        let address = line.split("listen=").nth(1).and_then(|t| t.split(' ').next());
+        program.address = address.and_then(|t| t.parse().ok()).expect("an address");
+        program
+    }
+
+    /// Where it serves clients.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Waits for the next log line that has these words; those before it are passed over.
+    pub fn logged(&self, words: &str) -> String {
+        loop {
+            let Ok(line) = self.log.recv_timeout(LIMIT) else {
+                panic!("no log line '{words}' after:\n{}", self.heard.borrow().join("\n"));
+            };
+            self.heard.borrow_mut().push(line.clone());
+            if line.contains(words) {
+                return line;
+            }
+        }
+    }
+
+    /// A client that has connected and said nothing yet.
+    pub fn client(&self) -> Peer {
+        Peer::connect(self.address)
+    }
+
+    /// A client that has said its first line, under an id of its own: 9b1f and up.
+    pub fn open(&self, more: &str) -> Peer {
+        let id = self.next_id.get();
+        self.next_id.set(id + 1);
+        self.open_as(&format!("{id:x}"), more)
+    }
+
+    /// The same under this id.
+    pub fn open_as(&self, id: &str, more: &str) -> Peer {
+        let mut client = self.client();
+        client.say(&format!("OPEN {id} 7f3a c=chat,t=acme,d=20000{more}"));
+        client
+    }
+
+    /// A standing connection: client and node.
+    pub fn stand(&self, node: &Node) -> (Peer, Peer) {
+        node.stand(self.open(""))
+    }
+
+    /// The same under this id.
+    pub fn stand_as(&self, node: &Node, id: &str) -> (Peer, Peer) {
+        node.stand(self.open_as(id, ""))
+    }
+
+    /// Waits until the program has taken in all that was sent to it before: it answers in turn.
+    pub fn settled(&self) {
+        let mut front = self.client();
+        front.say("PING");
+        assert_eq!(front.line(), "PONG");
+    }
+
+    /// Tells it to end.
+    pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Replaces the configuration file and has it read again.
+    pub fn reconfigure(&self, text: &str) {
+        let file = self.started.folder.0.join(CONFIG);
+        let next = file.with_extension("next");
+        std::fs::write(&next, text).expect("a file");
+        std::fs::rename(&next, &file).expect("the same folder");
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, signal: &str) {
+        let pid = self.started.child.id().to_string();
+        assert!(Command::new("kill").args([signal, &pid]).status().expect("kill runs").success());
+    }
+
+    /// Waits for its end.
+    pub fn wait(&mut self) -> ExitStatus {
+        self.started.child.wait().expect("it ends")
+    }
+
+    /// Whether it has not ended.
+    pub fn is_running(&mut self) -> bool {
+        self.started.child.try_wait().expect("it can be asked").is_none()
+    }
+}
