Accept clients one at a time after those who are here, and drop none whose line is on its way

The program accepted up to 64 clients in one step before the module heard of the first. A process that was held up between two accepts read a server's delay note and the next client's request into one batch: the module was told of the delay, then of the request, and only then of the end of the connection that it had just moved away, so all it saw was jammed and it refused. Before each accept the program ended connections that ask for nothing wherever descriptors were short, also when nobody was waiting to be accepted and when it made no room: a client of a full balancer whose line came a moment after its connection was dropped without an answer. Now someone goes only after another has come, and only where that helps; sixteen descriptors are for those who are yet to ask.

--- a/crates/balancer/src/net/budget.rs
+++ b/crates/balancer/src/net/budget.rs
@@ -4,13 +4,22 @@
 
 /// Descriptors that aren't connections: the loop's own, the listener, the log, and some to spare.
 const OWN_DESCRIPTORS: usize = 16;
-/// Descriptors kept for clients that are only told to come again.
+/// Descriptors kept for clients that are only told to come again, and for those whose first line is on its way.
 const SPARE: usize = 16;
 /// Connections that ask for nothing may hold this part of the descriptors: usual clients need two each, one to
 /// their server, and hold two thirds at most.
 const UNSERVED_PART: usize = 4;
 
-/// The descriptors that the process may hold. Its questions are put with the number of connections held.
+/// The connections that are held.
+#[derive(Clone, Copy, Debug)]
+pub struct Held {
+    /// All of them: clients', fetches and probes.
+    pub all: usize,
+    /// Of these, those that ask for nothing.
+    pub unserved: usize,
+}
+
+/// The descriptors that the process may hold.
 #[derive(Debug)]
 pub struct Budget {
     limit: usize,
@@ -28,25 +37,31 @@
         self.limit = limit;
     }
 
-    /// Whether a connection to a server can be had and enough is left to answer clients.
-    pub fn has_room(&self, connections: usize) -> bool {
-        OWN_DESCRIPTORS + connections + SPARE < self.limit
+    /// Whether a connection to a server can be had and enough is left to answer clients. Those who ask for nothing
+    /// are in the part that is kept for them, as far as it goes.
+    pub fn has_room(&self, held: Held) -> bool {
+        OWN_DESCRIPTORS + (held.all - held.unserved) + held.unserved.max(SPARE) < self.limit
+    }
+
+    /// Whether there would be more room if one went who asks for nothing.
+    pub fn can_make_room(&self, held: Held) -> bool {
+        held.unserved > SPARE
     }
 
-    /// Whether one more client can be held, if only to be answered.
-    pub fn may_answer(&self, connections: usize) -> bool {
-        OWN_DESCRIPTORS + connections < self.limit
+    /// Whether one more client can be held, if only to be answered, where someone may have to go for it.
+    pub fn may_accept(&self, held: Held) -> bool {
+        OWN_DESCRIPTORS + held.all < self.limit || held.unserved > 0
     }
 
-    /// So many connections may ask for nothing.
-    pub fn unserved(&self) -> usize {
-        self.limit / UNSERVED_PART
+    /// Whether one must go who asks for nothing. Guards usual clients against floods: those hold a part and no more.
+    pub fn is_over(&self, held: Held) -> bool {
+        held.unserved > self.limit / UNSERVED_PART || OWN_DESCRIPTORS + held.all > self.limit
     }
 
     /// Says once that descriptors have run out, and once that there are some again.
-    pub fn note_short(&mut self, short: bool, connections: usize) {
+    pub fn note_short(&mut self, short: bool, held: Held) {
         if std::mem::replace(&mut self.short, short) != short {
-            let (held, limit) = (OWN_DESCRIPTORS + connections, self.limit);
+            let (held, limit) = (OWN_DESCRIPTORS + held.all, self.limit);
             if short {
                 warn!(event = "descriptors-short", held, limit);
             } else {
@@ -55,3 +70,22 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn who_asks_for_nothing_takes_no_room_and_goes_only_where_that_helps() {
+        let b = Budget::new(100);
+        let held = |all, unserved| Held { all, unserved };
+        // 100 less 16 of the program's own and 16 to spare leaves 68, the last of them for the asking client.
+        assert_eq!([67, 68].map(|n| b.has_room(held(n, 0))), [true, false]);
+        assert_eq!([67, 68].map(|n| b.has_room(held(n + 16, 16))), [true, false]);
+        assert!(!b.has_room(held(67 + 17, 17)) && b.can_make_room(held(67 + 17, 17)));
+        assert!(!b.can_make_room(held(68 + 16, 16)), "they would go in vain");
+        assert!(b.may_accept(held(83, 0)) && !b.may_accept(held(84, 0)) && b.may_accept(held(84, 1)));
+        assert_eq!([25, 26].map(|n| b.is_over(held(n, n))), [false, true]);
+        assert_eq!([84, 85].map(|n| b.is_over(held(n, 1))), [false, true]);
+    }
+}
--- a/crates/balancer/src/net/clients/session.rs
+++ b/crates/balancer/src/net/clients/session.rs
@@ -324,3 +324,20 @@
     }
     id
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::net::turn::tests::pair;
+
+    #[test]
+    fn a_line_unanswered_for_a_second_and_a_half_shows_a_dead_connection() {
+        let (client, stream) = pair();
+        let from = client.local_addr().expect("bound");
+        let mut s = Session::new(Link::new(stream).expect("open"), from, 0);
+        assert_eq!(s.silent_since(9_000_000), None);
+        *s.asked() = Some(1_000_000);
+        // Clients say a line every 2 s, and a dead connection must be left within 7 s.
+        assert_eq!((s.silent_since(2_499_999), s.silent_since(2_500_000)), (None, Some(1_000_000)));
+    }
+}
--- a/crates/balancer/src/net/hub.rs
+++ b/crates/balancer/src/net/hub.rs
@@ -28,9 +28,10 @@
 pub struct Net {
     turn: Turn,
     listener: TcpListener,
+    /// Clients may wait to be accepted: the last look did not show that none does.
     can_accept: bool,
-    /// More clients wait to be accepted than one turn takes.
-    more_clients: bool,
+    /// They are to be accepted in this turn, or the next where there are more than one turn takes.
+    accepts: bool,
     serving: Serving,
     director: Director,
     /// When SIGTERM came.
@@ -45,7 +46,7 @@
             turn,
             listener,
             can_accept: true,
-            more_clients: false,
+            accepts: true,
             serving: Serving::new(terms),
             director: Director::new(discovery),
             leaving: None,
@@ -96,41 +97,49 @@
                 let news = self.director.ready(turn, read, write);
                 self.listed(news);
             }
-            Seen::Clients => {
-                self.can_accept = true;
-                self.accept();
-            }
+            // Those who are here come first: what they do may make room, and the module should know of it.
+            Seen::Clients => (self.can_accept, self.accepts) = (true, true),
             Seen::Stop => self.stop_soon(),
             // The configuration is not the peers'.
             Seen::Reload => {}
         }
     }
 
-    /// What is due at the end of a turn.
-    pub fn due(&mut self) {
-        self.serving.relay_again(&mut self.turn);
-        if std::mem::take(&mut self.more_clients) {
-            self.accept();
+    /// What is to be done at the end of a turn, whatever has come. `heard` is called after each step, so that the
+    /// module hears of one, and what it wants is done, before the next: a client that is accepted must not be placed
+    /// by what was so before the one ahead of it.
+    pub fn finish(&mut self, mut heard: impl FnMut(&mut Self)) {
+        for id in self.serving.take_again() {
+            self.serving.relay(&mut self.turn, id);
+            heard(self);
         }
         while let Some(due) = self.turn.timers.due(self.turn.now) {
-            let turn = &mut self.turn;
-            match due {
-                Due::Module(token) => turn.tell(Happening::Woken(token)),
-                Due::Connect(id, number) => self.serving.connect_due(turn, id, number),
-                Due::Patience(id, number) => self.serving.patience_due(turn, id, number),
-                Due::Probe(number) => self.serving.probes.end(turn, number, Outcome::TimedOut),
-                Due::Sweep => self.sweep(),
-                Due::Delays => {
-                    self.serving.report_delays(turn);
-                    turn.after(DELAY_PERIOD, Due::Delays);
-                }
+            self.due(due);
+            heard(self);
+        }
+        if std::mem::take(&mut self.accepts) {
+            self.accept(heard);
+        }
+    }
+
+    fn due(&mut self, due: Due) {
+        let turn = &mut self.turn;
+        match due {
+            Due::Module(token) => turn.tell(Happening::Woken(token)),
+            Due::Connect(id, number) => self.serving.connect_due(turn, id, number),
+            Due::Patience(id, number) => self.serving.patience_due(turn, id, number),
+            Due::Probe(number) => self.serving.probes.end(turn, number, Outcome::TimedOut),
+            Due::Sweep => self.sweep(),
+            Due::Delays => {
+                self.serving.report_delays(turn);
+                turn.after(DELAY_PERIOD, Due::Delays);
             }
         }
     }
 
     /// When there is something to do again though nothing has come; at once where there is now.
     pub fn next_due(&self) -> Micros {
-        if self.serving.is_busy() || self.more_clients {
+        if self.serving.is_busy() || self.accepts {
             return 0;
         }
         self.turn.timers.next().unwrap_or(self.turn.now + SWEEP)
@@ -142,7 +151,10 @@
     }
 
     fn sweep(&mut self) {
-        self.accept();
+        self.accepts = self.can_accept;
+        if self.serving.has_room() {
+            self.serving.note_short(false);
+        }
         self.serving.look_over(&mut self.turn);
         let news = self.director.look_over(&self.turn);
         self.listed(news);
@@ -152,17 +164,20 @@
         self.turn.after(SWEEP, Due::Sweep);
     }
 
-    fn accept(&mut self) {
+    fn accept(&mut self, mut heard: impl FnMut(&mut Self)) {
         for _ in 0..ACCEPTS {
             if !self.can_accept {
                 break;
             }
             // Out of descriptors, clients wait in the backlog; the sweep looks again.
-            if !self.serving.may_accept(&self.turn) {
+            if !self.serving.may_accept() {
                 return self.serving.note_short(true);
             }
             match self.listener.accept() {
-                Ok((stream, from)) => self.serving.client_comes(&mut self.turn, stream, from),
+                Ok((stream, from)) => {
+                    self.serving.client_comes(&mut self.turn, stream, from);
+                    heard(self);
+                }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.can_accept = false,
                 Err(e) if is_shortage(&e) => return self.serving.note_short(true),
                 // The client gave up while it waited; the next one may be fine.
@@ -171,10 +186,8 @@
                 Err(e) => return error!(event = "accept-failed", error = %e),
             }
         }
-        if self.serving.has_room() {
-            self.serving.note_short(false);
-            self.more_clients = self.can_accept;
-        }
+        // Without room the sweep looks again: a flood must not keep the loop busy with turning clients away.
+        self.accepts = self.can_accept && self.serving.has_room();
     }
 
     fn listed(&mut self, news: Vec<News>) {
--- a/crates/balancer/src/net/list/director.rs
+++ b/crates/balancer/src/net/list/director.rs
@@ -166,3 +166,38 @@
         Vec::new()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::net::turn::tests::{turn, until};
+    use std::io::Write;
+    use std::net::TcpListener;
+
+    #[test]
+    fn a_silent_address_is_given_up_in_time_for_another_call() {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let mut director = Director::new(listener.local_addr().expect("bound"));
+        let mut turn = turn(1_000_000);
+        assert_eq!(director.watch(&turn), []);
+        turn.now += ANSWER - 1;
+        assert_eq!(director.look_over(&turn), []);
+        turn.now += 1;
+        // What discovery tells after a reload counts as told within 4 s, so two calls must fit.
+        const { assert!(2 * ANSWER < 4_000_000) };
+        assert_eq!(director.look_over(&turn), [News::Failed]);
+        assert_eq!((director.look_over(&turn), director.watch(&turn)), (vec![], vec![]));
+        let (_first, (mut second, _)) = (listener.accept(), listener.accept().expect("a second call"));
+        second.write_all(b"HTTP/1.1 200 OK\r\n\r\n{\"index\":7}\n").expect("open");
+        let mut news = Vec::new();
+        until(|| {
+            news.extend(director.ready(&turn, true, true));
+            !news.is_empty()
+        });
+        assert!(matches!(&news[..], [News::List(listing)] if listing.index == 7));
+        turn.now += SILENT - 1;
+        assert_eq!(director.look_over(&turn), []);
+        turn.now += 1;
+        assert_eq!(director.look_over(&turn), [News::Failed]);
+    }
+}
--- a/crates/balancer/src/net/mod.rs
+++ b/crates/balancer/src/net/mod.rs
@@ -79,8 +79,8 @@
             }
             self.driver.settle(&mut self.net);
         }
-        self.net.due();
-        self.driver.settle(&mut self.net);
+        let driver = &mut self.driver;
+        self.net.finish(|net| driver.settle(net));
     }
 
     /// SIGHUP has come. Several close together may come as one: the file is read as it is now.
--- a/crates/balancer/src/net/serving.rs
+++ b/crates/balancer/src/net/serving.rs
@@ -10,7 +10,7 @@
 use shorewharf_protocol::words::busy;
 use tracing::{debug, error, warn};
 
-use super::budget::Budget;
+use super::budget::{Budget, Held};
 use super::clients::session::{Asking, First, Patience, Session, Stage};
 use super::clients::sessions::Sessions;
 use super::complaints::Complaints;
@@ -81,39 +81,34 @@
 
 /// Descriptors.
 impl Serving {
-    fn connections(&self) -> usize {
-        self.sessions.len() + self.fetches.len() + self.probes.len()
+    fn held(&self) -> Held {
+        let all = self.sessions.len() + self.fetches.len() + self.probes.len();
+        Held { all, unserved: self.sessions.unserved() }
     }
 
     /// Whether a connection to a server can be had and enough is left to answer clients.
     pub fn has_room(&self) -> bool {
-        self.budget.has_room(self.connections())
+        self.budget.has_room(self.held())
     }
 
     /// Has a descriptor for a connection to a server, at the cost of those who ask for nothing.
     fn make_room(&mut self, turn: &Turn) -> bool {
         while !self.has_room() {
-            if !self.sessions.evict(turn) {
+            if !self.budget.can_make_room(self.held()) || !self.sessions.evict(turn) {
                 return false;
             }
         }
         true
     }
 
-    /// Whether one more client can be accepted. Guards usual clients against floods: who asks for nothing holds
-    /// a part of the descriptors and no more, and the one that has done so for longest goes first.
-    pub fn may_accept(&mut self, turn: &Turn) -> bool {
-        while self.sessions.unserved() >= self.budget.unserved() || !self.has_room() {
-            if !self.sessions.evict(turn) {
-                break;
-            }
-        }
-        self.budget.may_answer(self.connections())
+    /// Whether one more client can be accepted. Nobody goes for it before it has come.
+    pub fn may_accept(&self) -> bool {
+        self.budget.may_accept(self.held())
     }
 
     /// Descriptors have run out, or there are some again.
     pub fn note_short(&mut self, short: bool) {
-        self.budget.note_short(short, self.connections());
+        self.budget.note_short(short, self.held());
     }
 }
 
@@ -122,9 +117,10 @@
     /// A client has connected.
     pub fn client_comes(&mut self, turn: &mut Turn, stream: TcpStream, from: SocketAddr) {
         let fetches = &self.fetches;
-        if let Some(id) = self.sessions.begin(turn, stream, from, |id| fetches.has(id)) {
-            self.session_ready(turn, id, true, true);
-        }
+        let Some(id) = self.sessions.begin(turn, stream, from, |id| fetches.has(id)) else { return };
+        // Who has asked for nothing for longest goes first: the one that has just come is the last.
+        while self.budget.is_over(self.held()) && self.sessions.evict(turn) {}
+        self.session_ready(turn, id, true, true);
     }
 
     /// A client's connection is ready.
@@ -409,9 +405,9 @@
         }
     }
 
-    /// Carries on with those that had more to carry than fits into one turn.
-    pub fn relay_again(&mut self, turn: &mut Turn) {
-        std::mem::take(&mut self.again).into_iter().for_each(|id| self.relay(turn, id));
+    /// Takes out those that had more to carry, for [`Serving::relay`].
+    pub fn take_again(&mut self) -> Vec<RequestId> {
+        std::mem::take(&mut self.again)
     }
 
     /// Whether any connection has more to carry.
@@ -419,7 +415,8 @@
         !self.again.is_empty()
     }
 
-    fn relay(&mut self, turn: &mut Turn, id: RequestId) {
+    /// Passes on what has come on a standing connection, and its ends.
+    pub fn relay(&mut self, turn: &mut Turn, id: RequestId) {
         let (Some(s), Some(f)) = (self.sessions.get_mut(id), self.fetches.get_mut(id)) else { return };
         let relayed = relay(turn.now, &turn.pool, s, f);
         let (from, server) = (s.from(), f.server());
--- a/crates/emulator/src/standin/director.rs
+++ b/crates/emulator/src/standin/director.rs
@@ -22,6 +22,7 @@
     }
 
     /// Waits for the next watch to be asked for.
+    #[track_caller]
     pub fn watch(&self) -> Watch {
         let mut peer = self.0.accept();
         let call = peer.line();
@@ -49,6 +50,7 @@
     }
 
     /// The version that the watch goes on from.
+    #[track_caller]
     pub fn since(&self) -> u64 {
         let since = self.call.strip_prefix("GET /v1/servers?follow=1&since=");
         let since = since.and_then(|rest| rest.strip_suffix(" HTTP/1.1")).and_then(|n| n.parse().ok());
--- a/crates/emulator/src/standin/node.rs
+++ b/crates/emulator/src/standin/node.rs
@@ -52,6 +52,7 @@
     }
 
     /// Waits for the next connection.
+    #[track_caller]
     pub fn accept(&self) -> Peer {
         self.accept_within(LIMIT).expect("the program connects")
     }
@@ -63,6 +64,7 @@
     }
 
     /// Waits for the next connection, or for what a client is told instead.
+    #[track_caller]
     pub fn accept_or_hear(&self, client: &mut Peer) -> Result<Peer, Heard> {
         let turn = Duration::from_millis(20);
         for _ in 0..LIMIT.as_millis() / turn.as_millis() {
@@ -77,6 +79,7 @@
     }
 
     /// Takes the next client, whose first line is dropped: both ends of what stands now.
+    #[track_caller]
     pub fn stand(&self, mut client: Peer) -> (Peer, Peer) {
         let mut server = self.accept();
         server.line();
--- a/crates/emulator/src/standin/peer.rs
+++ b/crates/emulator/src/standin/peer.rs
@@ -32,11 +32,13 @@
     }
 
     /// A client that has connected and said nothing yet.
+    #[track_caller]
     pub fn connect(to: SocketAddr) -> Self {
         Peer::of(TcpStream::connect(to).expect("the program listens"))
     }
 
     /// A client that has said its first line.
+    #[track_caller]
     pub fn open(to: SocketAddr, line: &OpenLine) -> Self {
         let mut client = Peer::connect(to);
         client.put(line.to_string().as_bytes());
@@ -44,16 +46,19 @@
     }
 
     /// Says a line; its end is added.
+    #[track_caller]
     pub fn say(&mut self, line: &str) {
         self.put(format!("{line}\r\n").as_bytes());
     }
 
     /// Writes bytes as they are.
+    #[track_caller]
     pub fn put(&mut self, bytes: &[u8]) {
         self.0.get_mut().write_all(bytes).expect("the program reads");
     }
 
     /// Waits for what comes next.
+    #[track_caller]
     pub fn hear(&mut self) -> Heard {
         let mut bytes = Vec::new();
         match self.0.read_until(b'\n', &mut bytes) {
@@ -65,6 +70,7 @@
     }
 
     /// Waits for a line, which must come next.
+    #[track_caller]
     pub fn line(&mut self) -> String {
         match self.hear() {
             Heard::Line(line) => line,
@@ -73,6 +79,7 @@
     }
 
     /// Waits for so many bytes.
+    #[track_caller]
     pub fn read_exactly(&mut self, n: usize) -> Vec<u8> {
         let mut bytes = vec![0; n];
         self.0.read_exact(&mut bytes).expect("as much as was sent");
