--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod edge;
 pub mod people;
 pub mod score;
+pub mod standin;
 
 /// Whole microseconds since the day's start.
 pub type Micros = shorewharf_protocol::Micros;
