--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -271,9 +271,9 @@
     /// Nodes behind the balancer
     #[arg(long, default_value_t = 8, value_name = "N")]
     pub nodes: u32,
-    /// Descriptors that the balancer may hold: two for each connection
-    #[arg(long, default_value_t = 65_536, value_name = "N")]
-    pub sockets: u32,
+    /// Descriptors that the balancer may hold (two for each connection); what this system allows if left out
+    #[arg(long, value_name = "N")]
+    pub sockets: Option<u32>,
     /// Memory that the balancer may hold
     #[arg(long, default_value_t = 1024.0, value_name = "MB")]
     pub memory_mb: f64,
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -11,6 +11,7 @@
 use crate::cli::Demo;
 use crate::error::{Done, Failure};
 use crate::run;
+use crate::runner;
 use crate::scenario;
 use crate::sockets;
 use crate::style::{Style, say};
@@ -58,7 +59,12 @@
 
 fn on(day: &Day, now: Micros) -> Vec<String> {
     let faults = day.faults.iter().filter(|f| (f.at..f.at + f.len).contains(&now));
-    faults.map(|f| format!("{} of node {:?}", format!("{:?}", f.kind).to_lowercase(), f.on)).collect()
+    faults
+        .map(|f| {
+            let nodes: Vec<String> = f.on.iter().map(u32::to_string).collect();
+            format!("{} of node {}", runner::word(&f.kind), nodes.join(", "))
+        })
+        .collect()
 }
 
 /// A second in one line.
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -13,6 +13,9 @@
 use crate::files;
 use crate::style::{Style, say};
 
+// A balancer's tables of descriptors are this long at most where systems are left as they come.
+const MOST_SOCKETS: u32 = 1 << 20;
+
 fn us(seconds: f64) -> u64 {
     (seconds.clamp(0.0, 1e9) * 1e6) as u64
 }
@@ -22,7 +25,12 @@
     let path = balancer::find(args.balancer.as_deref())?;
     let descriptors = raise_descriptors();
     tracing::info!(descriptors, program = %path.display(), "loading");
-    let limits = ProcessLimits { sockets: args.sockets, memory_mb: args.memory_mb };
+    let most = u32::try_from(descriptors).unwrap_or(u32::MAX).min(MOST_SOCKETS);
+    let sockets = args.sockets.unwrap_or(most);
+    if sockets > most {
+        return Err(Failure::Input(format!("--sockets {sockets}: this system allows {most}")));
+    }
+    let limits = ProcessLimits { sockets, memory_mb: args.memory_mb };
     let options = Options {
         program: Program { path, args: Vec::new(), limits },
         set_ups_per_s: args.set_ups,
--- a/crates/lab/src/runner.rs
+++ b/crates/lab/src/runner.rs
@@ -93,7 +93,7 @@
 }
 
 /// The word that a name has in files, with blanks.
-fn word(name: &impl serde::Serialize) -> String {
+pub fn word(name: &impl serde::Serialize) -> String {
     let text = serde_json::to_value(name).ok().and_then(|v| v.as_str().map(str::to_owned));
     text.unwrap_or_default().replace('-', " ")
 }
--- a/crates/lab/src/style.rs
+++ b/crates/lab/src/style.rs
@@ -29,7 +29,7 @@
     }
 
     fn paint(&self, code: &str, text: &str) -> String {
-        if self.colours { format!("\x1b[{code}m{text}\x1b[0m") } else { text.to_owned() }
+        if self.colours && !text.is_empty() { format!("\x1b[{code}m{text}\x1b[0m") } else { text.to_owned() }
     }
 
     /// What went well.
