--- a/crates/balancer/src/check.rs
+++ b/crates/balancer/src/check.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Display;
 
-use comfy_table::{Table, presets};
+use comfy_table::{Table, TableStyle};
 use serde_json::Value;
 use shorewharf_decisions::Settings;
 
@@ -17,7 +17,7 @@
     let config = Config::parse(text, env)?;
     let file: Value = serde_json::from_slice(text).unwrap_or_default();
     let mut table = Table::new();
-    table.load_preset(presets::NOTHING).set_header(["key", "in force", "from"]);
+    table.load_style(TableStyle::new()).set_header(["key", "in force", "from"]);
     for (key, value) in rows(&config) {
         let given = file.pointer(&format!("/{}", key.replace('.', "/"))).is_some_and(|v| !v.is_null());
         let from = match key.as_str() {
