--- a/crates/balancer/tests/platform/script.rs
+++ b/crates/balancer/tests/platform/script.rs
@@ -1,4 +1,5 @@
-//! A simple platform: nodes that take everybody at once, clients that come evenly, stay, and come again.
+//! A simple platform: nodes that take everybody, clients that come evenly, stay, and come again when they are sent
+//! away or cut off. A balancer that has ended comes back.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -13,8 +14,10 @@
 
 /// A node takes a connection after this.
 const SET_UP: Micros = 3 * MS;
-/// A client that was turned away or cut off comes again after this.
+/// A client that was turned away or cut off, and a balancer that has ended, come again after this.
 const AGAIN: Micros = 100 * MS;
+/// Nothing that is waited for takes so long, on any machine.
+const LIMIT: Micros = 60 * S;
 
 /// What a test has happen.
 #[derive(Clone, Debug)]
@@ -22,14 +25,12 @@
     Say(BalancerId, ToBalancer),
     Start(BalancerId),
     Reach(NodeId, Reach),
-    /// The node's process dies: what it holds breaks.
+    /// The node's process dies: what it holds breaks, and the list says so.
     Dies(NodeId),
-    /// The list says this of it from now on.
-    Lists(NodeId, Stage_),
+    /// It comes back under its address.
+    Reborn(NodeId),
 }
 
-pub type Stage_ = shorewharf_emulator::edge::Stage;
-
 #[derive(Debug)]
 enum Event {
     Arrive,
@@ -40,74 +41,75 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum Now {
+enum State {
     Waits,
     Stands(LinkId),
-    Moved,
-    Gone,
-}
-
-#[derive(Debug)]
-struct Conn {
-    who: BalancerId,
-    now: Now,
-    asked: Micros,
+    Over,
 }
 
 /// What came of it.
 #[derive(Debug, Default)]
 pub struct Tally {
-    pub asked: u64,
     pub up: u64,
     pub busy: u64,
-    pub err: u64,
     pub moved: u64,
-    /// Refused by the machine of a balancer that is gone.
-    pub unreached: u64,
-    /// Ended without an answer.
+    /// `ERR`, or a line that is no answer.
+    pub failed: u64,
+    pub forged: u64,
+    /// Ended without an answer by a balancer that lives.
     pub unanswered: u64,
     /// Cut off without a move though node and balancer lived.
     pub cut: u64,
-    pub forged: u64,
     pub exits: u64,
     pub ready: u64,
     pub watches: u64,
-    /// Links by node.
-    pub by_node: BTreeMap<u32, u64>,
+    pub unwatched: u64,
+    /// Links that came at a node which was dead or cut off.
+    pub through_shut: u64,
+    /// Links by node since it was reborn, or cut off no longer.
+    pub since_back: BTreeMap<u32, u64>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Post {
+    alive: bool,
+    ready: bool,
+    watched: bool,
 }
 
 pub struct Script {
-    length: Micros,
     every: Micros,
-    balancers: u32,
-    nodes: u32,
     standing: u32,
+    /// The day is over once this holds.
+    until: fn(&Tally, Micros) -> bool,
+    now: Micros,
     events: BinaryHeap<Reverse<(Micros, u64)>>,
     what: BTreeMap<u64, Event>,
     serial: u64,
-    conns: BTreeMap<ConnId, Conn>,
-    links: BTreeMap<LinkId, (BalancerId, NodeId, Option<ConnId>)>,
+    conns: BTreeMap<ConnId, (BalancerId, State)>,
+    links: BTreeMap<LinkId, (BalancerId, NodeId)>,
     next: u64,
-    dealt: u32,
+    dealt: usize,
+    posts: Vec<Post>,
     reach: Vec<Reach>,
     listed: Vec<Listed>,
-    watched: Vec<bool>,
-    alive: Vec<bool>,
-    ready: Vec<bool>,
     pub tally: Tally,
 }
 
 impl Script {
     /// Clients come this often; so many stand from before.
-    pub fn new(day: &Day, every: Micros, standing: u32) -> Self {
-        let (b, n) = (day.balancers.len(), day.nodes.len());
-        let listed = |node| Listed { node: NodeId(node), stage: Stage_::Ready, born: None };
+    pub fn new(day: &Day, every: Micros, standing: u32, until: fn(&Tally, Micros) -> bool) -> Self {
+        let nodes = day.nodes.len();
+        let listed = |n: usize| Listed {
+            node: NodeId(n as u32),
+            stage: shorewharf_emulator::edge::Stage::Ready,
+            born: None,
+        };
         let mut script = Script {
-            length: day.length,
             every,
-            balancers: b as u32,
-            nodes: n as u32,
             standing,
+            until,
+            now: 0,
             events: BinaryHeap::new(),
             what: BTreeMap::new(),
             serial: 0,
@@ -115,15 +117,13 @@
             links: BTreeMap::new(),
             next: 1,
             dealt: 0,
-            reach: vec![Reach::Open; n],
-            listed: (0..n as u32).map(listed).collect(),
-            watched: vec![false; b],
-            alive: vec![false; b],
-            ready: vec![false; b],
+            posts: vec![Post::default(); day.balancers.len()],
+            reach: vec![Reach::Open; nodes],
+            listed: (0..nodes).map(listed).collect(),
             tally: Tally::default(),
         };
         script.at(every, Event::Arrive);
-        (0..b as u32).for_each(|who| script.act(0, Act::Start(BalancerId(who))));
+        (0..day.balancers.len()).for_each(|who| script.act(0, Act::Start(BalancerId(who as u32))));
         script
     }
 
@@ -138,71 +138,104 @@
         self.serial += 1;
     }
 
-    pub fn standing_now(&self) -> usize {
-        self.conns.values().filter(|c| matches!(c.now, Now::Stands(_))).count()
-    }
-
     fn ask(&mut self, key: u64, home: Option<NodeId>) -> Ask {
         let conn = ConnId(self.next.wrapping_mul(0x9e37_79b9_7f4a_7c15));
         self.next += 1;
-        let patience = 3 * S;
-        let (hint, again) = (Some(0.01), false);
-        Ask { conn, key, class: 0, tenant: 0, group: key % 50 + 1, patience, hint, retry: false, again, home }
+        let (patience, hint) = (3 * S, Some(0.01));
+        Ask {
+            conn,
+            key,
+            class: 0,
+            tenant: 0,
+            group: key % 50 + 1,
+            patience,
+            hint,
+            retry: false,
+            again: false,
+            home,
+        }
     }
 
-    fn comes(&mut self, now: Micros, key: u64, said: &mut Said) {
-        if now >= self.length {
-            return;
-        }
-        // The front: the next balancer that was ready once.
-        let Some(who) =
-            (0..self.balancers).map(|i| (self.dealt + i) % self.balancers).find(|w| self.ready[*w as usize])
+    fn comes(&mut self, key: u64, said: &mut Said) {
+        let count = self.posts.len();
+        let Some(who) = (0..count).map(|i| (self.dealt + i) % count).find(|who| self.posts[*who].ready)
         else {
-            return self.at(now + AGAIN, Event::Again(key));
+            return self.at(self.now + AGAIN, Event::Again(key));
         };
         self.dealt = who + 1;
-        let ask = self.ask(key, None);
-        self.tally.asked += 1;
-        self.conns.insert(ask.conn, Conn { who: BalancerId(who), now: Now::Waits, asked: now });
-        said.push((BalancerId(who), ToBalancer::Asked { ask, left: ask.patience }));
+        let (ask, who) = (self.ask(key, None), BalancerId(who as u32));
+        self.conns.insert(ask.conn, (who, State::Waits));
+        said.push((who, ToBalancer::Asked { ask, left: ask.patience }));
+    }
+
+    fn post(&mut self, who: BalancerId) -> &mut Post {
+        &mut self.posts[who.0 as usize]
+    }
+
+    fn lists(
+        &mut self,
+        node: NodeId,
+        stage: shorewharf_emulator::edge::Stage,
+        born: Option<Micros>,
+        said: &mut Said,
+    ) {
+        let entry = Listed { node, stage, born };
+        self.listed[node.0 as usize] = entry;
+        for who in (0..self.posts.len()).filter(|who| self.posts[*who].watched) {
+            said.push((BalancerId(who as u32), ToBalancer::List { full: false, entries: vec![entry] }));
+        }
     }
 
     fn acts(&mut self, act: Act, said: &mut Said) {
+        use shorewharf_emulator::edge::Stage::{Gone, Ready};
         match act {
             Act::Start(who) => {
-                self.alive[who.0 as usize] = true;
+                self.post(who).alive = true;
                 said.push((who, ToBalancer::Start { seed: self.serial, known: self.listed.clone() }));
             }
             Act::Say(who, what) => {
-                if what == ToBalancer::Kill {
-                    self.alive[who.0 as usize] = false;
-                    self.watched[who.0 as usize] = false;
-                }
-                if matches!(what, ToBalancer::Kill | ToBalancer::Terminate) {
-                    self.ready[who.0 as usize] = false;
+                match what {
+                    ToBalancer::Kill => {
+                        *self.post(who) = Post::default();
+                        self.act(self.now + AGAIN, Act::Start(who));
+                    }
+                    ToBalancer::Terminate => self.post(who).ready = false,
+                    _ => {}
                 }
                 said.push((who, what));
             }
-            Act::Reach(node, reach) => self.reach[node.0 as usize] = reach,
+            Act::Reach(node, reach) => {
+                self.reach[node.0 as usize] = reach;
+                self.tally.since_back.insert(node.0, 0);
+            }
             Act::Dies(node) => {
                 self.reach[node.0 as usize] = Reach::Refused;
-                let of = self.links.iter().filter(|(_, l)| l.1 == node);
-                let of: Vec<(LinkId, BalancerId)> = of.map(|(id, l)| (*id, l.0)).collect();
-                for (id, who) in of {
-                    self.links.remove(&id);
+                let held: Vec<LinkId> =
+                    self.links.iter().filter(|(_, l)| l.1 == node).map(|(id, _)| *id).collect();
+                for id in held {
+                    let (who, _) = self.links.remove(&id).expect("it was just there");
                     said.push((who, ToBalancer::NodeEnded(id, End::Reset)));
                 }
+                self.lists(node, Gone, None, said);
             }
-            Act::Lists(node, stage) => {
-                let entry = &mut self.listed[node.0 as usize];
-                entry.stage = stage;
-                let entries = vec![*entry];
-                for who in (0..self.balancers).filter(|w| self.watched[*w as usize]) {
-                    said.push((BalancerId(who), ToBalancer::List { full: false, entries: entries.clone() }));
-                }
+            Act::Reborn(node) => {
+                self.acts(Act::Reach(node, Reach::Open), said);
+                self.lists(node, Ready, Some(self.now), said);
             }
         }
     }
+
+    /// A client's connection has ended.
+    fn ended(&mut self, conn: ConnId, refused: bool) {
+        let Some((who, state)) = self.conns.insert(conn, (BalancerId(0), State::Over)) else { return };
+        let alive = self.post(who).alive;
+        match state {
+            State::Over => return,
+            State::Stands(link) => self.tally.cut += u64::from(alive && self.links.contains_key(&link)),
+            State::Waits => self.tally.unanswered += u64::from(alive && !refused),
+        }
+        self.at(self.now + AGAIN, Event::Again(conn.0));
+    }
 }
 
 impl Stage for Script {
@@ -213,34 +246,40 @@
     fn advance(&mut self, now: Micros, said: &mut Said) {
         while let Some(Reverse((at, serial))) = self.events.peek().copied().filter(|e| e.0.0 <= now) {
             self.events.pop();
+            self.now = at;
             match self.what.remove(&serial).expect("every time has its event") {
                 Event::Arrive => {
-                    let key = self.next << 20 | 7;
-                    self.comes(at, key, said);
+                    self.comes(self.next << 20, said);
                     self.at(at + self.every, Event::Arrive);
                 }
-                Event::Again(key) => self.comes(at, key, said),
+                Event::Again(key) => self.comes(key, said),
                 Event::Node(link, word) => {
-                    if let Some((who, node, _)) = self.links.get(&link) {
+                    if let Some((who, node)) = self.links.get(&link) {
                         if self.reach[node.0 as usize] == Reach::Open {
                             said.push((*who, ToBalancer::NodeSays(link, word)));
                         }
                     }
                 }
                 Event::List(who) => {
-                    let entries = self.listed.iter().filter(|e| e.stage != Stage_::Gone).copied().collect();
+                    let gone = shorewharf_emulator::edge::Stage::Gone;
+                    let entries = self.listed.iter().filter(|e| e.stage != gone).copied().collect();
                     said.push((who, ToBalancer::List { full: true, entries }));
                 }
                 Event::Act(act) => self.acts(act, said),
             }
         }
+        self.now = now;
     }
 
     fn did(&mut self, now: Micros, who: BalancerId, what: FromBalancer, _: &mut Said) {
         match what {
-            FromBalancer::Link { link, node, conn } => {
-                self.links.insert(link, (who, node, conn));
-                *self.tally.by_node.entry(node.0).or_default() += 1;
+            FromBalancer::Link { link, node, .. } => {
+                self.links.insert(link, (who, node));
+                let shut = matches!(self.reach[node.0 as usize], Reach::Refused | Reach::Silent);
+                self.tally.through_shut += u64::from(shut);
+                if let Some(count) = self.tally.since_back.get_mut(&node.0) {
+                    *count += 1;
+                }
             }
             FromBalancer::Forward { link, .. } => self.at(now + SET_UP, Event::Node(link, NodeWord::Up)),
             FromBalancer::Probe(link) => self.at(now + MS, Event::Node(link, NodeWord::Pong)),
@@ -248,50 +287,42 @@
                 self.links.remove(&link);
             }
             FromBalancer::Answer(conn, answer) => {
-                let Some(c) = self.conns.get_mut(&conn) else { return };
-                let stood = matches!(c.now, Now::Stands(_));
-                match answer {
-                    Answer::Up(link) => {
-                        self.tally.up += 1;
-                        c.now = Now::Stands(link);
-                        return;
-                    }
-                    Answer::Busy(_) => self.tally.busy += 1,
-                    Answer::Move if stood => self.tally.moved += 1,
-                    Answer::Forged => self.tally.forged += 1,
-                    _ => self.tally.err += 1,
-                }
-                c.now = Now::Moved;
-                self.at(now + AGAIN, Event::Again(conn.0));
-            }
-            FromBalancer::EndClient(conn, _) | FromBalancer::Refused(conn) => {
-                let Some(c) = self.conns.get_mut(&conn) else { return };
-                let (before, asked) = (std::mem::replace(&mut c.now, Now::Gone), c.asked);
-                let alive = self.alive[c.who.0 as usize];
-                match before {
-                    Now::Moved | Now::Gone => return,
-                    Now::Stands(link) => self.tally.cut += u64::from(alive && self.links.contains_key(&link)),
-                    Now::Waits if matches!(what, FromBalancer::Refused(_)) => self.tally.unreached += 1,
-                    Now::Waits => self.tally.unanswered += u64::from(alive && asked + S < self.length),
+                let Some((_, state)) = self.conns.get_mut(&conn) else { return };
+                let stood = matches!(state, State::Stands(_));
+                *state = if let Answer::Up(link) = answer { State::Stands(link) } else { State::Over };
+                let count = match answer {
+                    Answer::Up(_) => &mut self.tally.up,
+                    Answer::Busy(_) => &mut self.tally.busy,
+                    Answer::Move if stood => &mut self.tally.moved,
+                    Answer::Forged => &mut self.tally.forged,
+                    _ => &mut self.tally.failed,
+                };
+                *count += 1;
+                if !matches!(answer, Answer::Up(_)) {
+                    self.at(now + AGAIN, Event::Again(conn.0));
                 }
-                self.at(now + AGAIN, Event::Again(conn.0));
             }
+            FromBalancer::EndClient(conn, _) => self.ended(conn, false),
+            FromBalancer::Refused(conn) => self.ended(conn, true),
             FromBalancer::Watch => {
                 self.tally.watches += 1;
-                self.watched[who.0 as usize] = true;
+                self.post(who).watched = true;
                 self.at(now + 5 * MS, Event::List(who));
             }
-            FromBalancer::Unwatch => self.watched[who.0 as usize] = false,
+            FromBalancer::Unwatch => {
+                self.tally.unwatched += 1;
+                self.post(who).watched = false;
+            }
             FromBalancer::Ready => {
                 self.tally.ready += 1;
-                self.ready[who.0 as usize] = true;
+                self.post(who).ready = true;
             }
             FromBalancer::Exited => {
                 self.tally.exits += 1;
-                (self.alive[who.0 as usize], self.ready[who.0 as usize]) = (false, false);
-                self.watched[who.0 as usize] = false;
+                *self.post(who) = Post::default();
+                self.act(now + AGAIN, Act::Start(who));
             }
-            _ => {}
+            FromBalancer::Pass(_) | FromBalancer::Syntax(_) => {}
         }
     }
 
@@ -300,26 +331,25 @@
     }
 
     fn standing(&mut self) -> Vec<(BalancerId, Ask)> {
-        let mut all = Vec::new();
-        for i in 0..self.standing {
-            let who = BalancerId(i % self.balancers);
-            let ask = self.ask(u64::from(i) << 20 | 9, Some(NodeId(i % self.nodes)));
-            self.conns.insert(ask.conn, Conn { who, now: Now::Waits, asked: 0 });
-            all.push((who, ask));
-        }
-        all
+        let (balancers, nodes) = (self.posts.len() as u32, self.reach.len() as u32);
+        let count = self.standing;
+        let stands = |i: u32| {
+            let who = BalancerId(i % balancers);
+            let ask = self.ask(u64::from(i) << 20, Some(NodeId(i % nodes)));
+            self.conns.insert(ask.conn, (who, State::Waits));
+            (who, ask)
+        };
+        (0..count).map(stands).collect()
     }
 
     fn carried(&mut self, up: BTreeMap<ConnId, (BalancerId, LinkId, NodeId)>) {
         for (conn, (who, link, node)) in up {
-            self.links.insert(link, (who, node, Some(conn)));
-            if let Some(c) = self.conns.get_mut(&conn) {
-                c.now = Now::Stands(link);
-            }
+            self.links.insert(link, (who, node));
+            self.conns.insert(conn, (who, State::Stands(link)));
         }
     }
 
     fn is_over(&self, now: Micros) -> bool {
-        now >= self.length + S
+        now >= LIMIT || (self.until)(&self.tally, now)
     }
 }
--- a/crates/emulator/src/sockets/fleet.rs
+++ b/crates/emulator/src/sockets/fleet.rs
@@ -27,6 +27,8 @@
 const ASK_AGAIN: Micros = 20_000;
 /// Memory, time on a core and descriptors are looked at this often.
 const LOOK: Micros = 250_000;
+/// SIGHUP comes no sooner after a balancer was ready: before, it may not listen for it and would die of it.
+const NO_SIGHUP: Micros = 1_000_000;
 
 /// One life of a balancer's process, times on the driver's clock.
 #[derive(Clone, Debug, Serialize)]
@@ -74,7 +76,10 @@
     process: Process,
     key: DefaultKey,
     ordered: Ordered,
-    ready: bool,
+    /// It answered then that it is ready.
+    ready: Option<Micros>,
+    /// It has been told to read its configuration again, and the signal is still to go.
+    stale: bool,
     /// The question whether it is ready, while it is out.
     ping: Option<Wire>,
     /// The next thing to do: to ask again, or to look at what it uses.
@@ -83,6 +88,15 @@
     life: usize,
 }
 
+impl Running {
+    fn signal_reload(&mut self, now: Micros) {
+        if self.stale && self.ready.is_some_and(|ready| now >= ready + NO_SIGHUP) {
+            self.stale = false;
+            self.process.hang_up();
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Post {
     desk: Desk,
@@ -137,7 +151,7 @@
 
     /// Whether a balancer runs and has answered that it is ready.
     pub fn is_ready(&self, who: BalancerId) -> bool {
-        self.posts[who.0 as usize].running.as_ref().is_some_and(|r| r.ready)
+        self.posts[who.0 as usize].running.as_ref().is_some_and(|r| r.ready.is_some())
     }
 
     /// Where a balancer's log is.
@@ -185,7 +199,8 @@
         let key = watched.map_err(|e| ProcessError::Watch(process.id(), e))?;
         let life = self.lives.len();
         let ordered = Ordered::Nothing;
-        post.running = Some(Running { process, key, ordered, ready: false, ping: None, due: now, life });
+        post.running =
+            Some(Running { process, key, ordered, ready: None, stale: false, ping: None, due: now, life });
         self.lives.push(Life {
             balancer: who.0,
             began: now,
@@ -212,18 +227,25 @@
         let Some(running) = &mut self.posts[who.0 as usize].running else { return };
         running.process.look();
         running.ordered = Ordered::Kill;
-        running.ready = false;
+        running.ready = None;
         running.due = Micros::MAX;
         running.process.kill();
     }
 
-    /// Replaces the configuration with one that names this address of discovery, and sends SIGHUP.
-    pub fn reload(&mut self, who: BalancerId, discovery: SocketAddr) -> Result<(), ProcessError> {
+    /// Replaces the configuration with one that names this address of discovery, and sends SIGHUP, in its first
+    /// second a little later.
+    pub fn reload(
+        &mut self,
+        now: Micros,
+        who: BalancerId,
+        discovery: SocketAddr,
+    ) -> Result<(), ProcessError> {
         let post = &mut self.posts[who.0 as usize];
-        let Some(running) = &post.running else { return Ok(()) };
+        let Some(running) = &mut post.running else { return Ok(()) };
         post.config["discovery"] = json!(discovery);
         post.desk.configure(&post.config)?;
-        running.process.hang_up();
+        running.stale = true;
+        running.signal_reload(now);
         Ok(())
     }
 
@@ -264,7 +286,7 @@
         ping.ready(net, ready);
         let answered = matches!(ping.line(), Ok(Some(b"PONG")));
         if answered {
-            running.ready = true;
+            running.ready = Some(now);
             self.lives[running.life].ready = Some(now);
             did.push((who, FromBalancer::Ready.into()));
         }
@@ -284,8 +306,9 @@
         for (who, post) in self.posts.iter_mut().enumerate() {
             let Some(running) = post.running.as_mut().filter(|r| r.due <= now) else { continue };
             late.record(now - running.due);
-            if running.ready {
+            if running.ready.is_some() {
                 running.due = now + LOOK;
+                running.signal_reload(now);
                 if running.process.look() {
                     self.faults.push(format!("{} over its memory, killed", post.desk.name()));
                     running.process.kill();
--- a/crates/emulator/src/sockets/run.rs
+++ b/crates/emulator/src/sockets/run.rs
@@ -487,7 +487,7 @@
                 if moved {
                     self.discovery.moves(net, now, who)?;
                 }
-                self.fleet.reload(who, self.discovery.address(who))?;
+                self.fleet.reload(now, who, self.discovery.address(who))?;
             }
             ToBalancer::Asked { ask, left } => self.asks(who, &ask, left),
             ToBalancer::ClientEnded(conn, how) => self.clients.leaves(net, now, conn, how),
