--- a/crates/emulator/src/audit/judging.rs
+++ b/crates/emulator/src/audit/judging.rs
@@ -5,6 +5,8 @@
 
 /// Every time limit is so much longer on sockets: what the other side sees is late by its own scheduling.
 const SOCKETS_EXTRA: Micros = 50_000;
+/// A process with a thousand connections takes the system tens of milliseconds to end, more on a busy machine.
+const PROCESS: Micros = 500_000;
 /// Whatever discovery has to tell counts as told so long after, on sockets.
 const TOLD_AFTER: Micros = 6_000_000;
 /// And so long after SIGHUP, on sockets.
@@ -23,6 +25,9 @@
     pub learn: Micros,
     /// Two attempts seen out at once for no longer than this were read in the wrong order, not sent so.
     pub overlap: Micros,
+    /// The system closes the sockets of a process that ends before its end is seen: so long an end of a connection may
+    /// be part of that.
+    pub process: Micros,
     /// Attempts of one request.
     pub max_attempts: u32,
     /// Sends to a node are a break so long after its end was told.
@@ -56,6 +61,7 @@
             answer_slack: day.rules.answer_slack,
             learn: 0,
             overlap: 0,
+            process: 0,
             max_attempts: day.limits.max_attempts,
             drain_grace: day.rules.drain_grace,
             ask_within: day.rules.ask_within,
@@ -85,6 +91,7 @@
             answer_slack: rules.answer_slack + SOCKETS_EXTRA,
             learn: SOCKETS_EXTRA,
             overlap: SOCKETS_EXTRA,
+            process: PROCESS,
             drain_grace: rules.drain_grace + SOCKETS_EXTRA,
             told_after: Some(TOLD_AFTER),
             told_after_reload: Some(TOLD_AFTER_RELOAD),
--- a/crates/emulator/src/audit/table.rs
+++ b/crates/emulator/src/audit/table.rs
@@ -3,7 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
 
-use super::request::Request;
+use super::request::{Finding, Request};
 use super::standing::{Lines, Standing};
 use super::trace::Ring;
 use crate::Micros;
@@ -32,6 +32,8 @@
     /// Which looks are booked, so that each kind is booked once at most.
     booked: [bool; 3],
     links: Vec<LinkId>,
+    /// What its end looks like, unless its whole process turns out to have ended.
+    pub doubt: Option<Finding>,
     pub ring: Ring,
 }
 
@@ -49,6 +51,7 @@
             to_client: Lines::default(),
             booked: [false; 3],
             links: Vec::new(),
+            doubt: None,
             ring: Ring::default(),
         }
     }
@@ -95,6 +98,7 @@
     NodeEnded,
     Severed,
     Copy(LinkId, Micros),
+    Doubt,
     Forget,
 }
 
--- a/crates/emulator/src/sockets/clients.rs
+++ b/crates/emulator/src/sockets/clients.rs
@@ -193,7 +193,8 @@
                     }
                     _ => {
                         self.facts.foreign += 1;
-                        did.push((who, Sight::Changed(conn).into()));
+                        let sight = if line.ends_with(b"MOVE") { Sight::MoveInLine } else { Sight::Changed };
+                        did.push((who, sight(conn).into()));
                     }
                 },
                 _ => {}
--- a/crates/emulator/src/sockets/platform.rs
+++ b/crates/emulator/src/sockets/platform.rs
@@ -153,6 +153,7 @@
             Sight::AtNode(conn) => Seen::Passed(conn, Way::ToNode),
             Sight::AtClient(conn) => Seen::Passed(conn, Way::ToClient),
             Sight::Changed(conn) => Seen::Garbled(conn, Garble::Changed),
+            Sight::MoveInLine(conn) => Seen::Garbled(conn, Garble::MoveInLine),
             Sight::BadServed(conn) => {
                 self.auditor.see(now, Seen::Bad(who, conn));
                 seen = FromBalancer::Answer(conn, Answer::Forged);
--- a/crates/emulator/src/sockets/stage.rs
+++ b/crates/emulator/src/sockets/stage.rs
@@ -48,6 +48,8 @@
     AtClient(ConnId),
     /// A client has read a line that its node has not written.
     Changed(ConnId),
+    /// A client has read `MOVE` after a part of a line.
+    MoveInLine(ConnId),
     /// A bad client has been served.
     BadServed(ConnId),
 }
