--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod places;
 pub mod score;
 pub mod sockets;
+pub mod standin;
 pub mod virtual_time;
 pub mod world;
 
--- a/crates/emulator/src/world/mod.rs
+++ b/crates/emulator/src/world/mod.rs
@@ -307,7 +307,7 @@
     }
 
     fn account(&mut self) {
-        let nodes = &mut self.nodes;
+        let nodes = &self.nodes;
         let now = self.now;
         self.score.tick(now, &mut |node, class| nodes[node.0 as usize].model.served(class));
     }
