--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -21,6 +21,9 @@
     }
     let (record, note) = match args.how.clock {
         Clock::Virtual => {
+            if !scenario.day.bad_clients.is_empty() {
+                tracing::warn!("bad clients send bytes and come on sockets only: --clock sockets");
+            }
             let (record, took) = runner::one(&scenario.day, &args.how.policy, args.how.threads)?;
             let note = runner::speed(&record, took);
             (record, note)
--- a/crates/lab/src/scenario/validate.rs
+++ b/crates/lab/src/scenario/validate.rs
@@ -3,6 +3,7 @@
 
 use shorewharf_emulator::Micros;
 use shorewharf_emulator::day::*;
+use shorewharf_emulator::sockets::bad::Bads;
 
 /// What was found, each with the path of its key.
 #[derive(Default)]
@@ -328,6 +329,10 @@
             f.odd(key("at_s"), "it begins after the last arrival");
         }
     }
+    // Only they know their names.
+    if let Err(e) = Bads::new(day) {
+        f.wrong("bad_clients", e.to_string().trim_start_matches("bad_clients: "));
+    }
     for (i, bad) in day.bad_clients.iter().enumerate() {
         f.within(format!("bad_clients[{i}].per_s"), bad.per_s, 0.0, 1e5);
     }
