--- a/crates/lab/src/instances/policies.rs
+++ b/crates/lab/src/instances/policies.rs
@@ -112,7 +112,8 @@
         peers.wake(RELIEVE_EVERY, RELIEVE);
         let Pick::Roomiest(truth) = &self.pick else { return };
         let truths = truth.read().unwrap_or_else(std::sync::PoisonError::into_inner).clone();
-        let rho = |s: ServerId| peers.truth(s, &truths).filter(|t| t.takes).map(|t| t.load / t.capacity.max(1e-9));
+        let rho =
+            |s: ServerId| peers.truth(s, &truths).filter(|t| t.takes).map(|t| t.load / t.capacity.max(1e-9));
         let full: Vec<(ServerId, f64)> =
             self.ready.keys().filter_map(|s| Some((*s, rho(*s).filter(|r| *r > FULL)?))).collect();
         let mut moves: Vec<RequestId> = Vec::new();
@@ -145,7 +146,13 @@
             Happening::Woken(RELIEVE) => self.relieve(peers),
             Happening::Woken(_) => peers.watch(),
             Happening::Asked(req) => {
-                let waiting = Waiting { deadline: req.deadline, attempts: 0, last: None, group: req.group, stands: false };
+                let waiting = Waiting {
+                    deadline: req.deadline,
+                    attempts: 0,
+                    last: None,
+                    group: req.group,
+                    stands: false,
+                };
                 self.reqs.insert(req.id, waiting);
                 self.try_it(req.id, peers);
             }
@@ -200,7 +207,13 @@
         self.usual = load / f64::from(number.max(1));
     }
 
-    fn choose(&mut self, now: Micros, not: Option<ServerId>, group: u64, peers: &Emulated) -> Option<ServerId> {
+    fn choose(
+        &mut self,
+        now: Micros,
+        not: Option<ServerId>,
+        group: u64,
+        peers: &Emulated,
+    ) -> Option<ServerId> {
         self.looks(now);
         let n = self.ready.len();
         let others = self.ready.keys().copied().filter(|s| n == 1 || Some(*s) != not);
@@ -224,7 +237,8 @@
                     Some((t.load + coming) / t.capacity + t.pile_s)
                 };
                 let emptiest = || {
-                    let all = others.clone().filter_map(|s| Some((full(s)?, s))).filter(|(full, _)| *full < FULL);
+                    let all =
+                        others.clone().filter_map(|s| Some((full(s)?, s))).filter(|(full, _)| *full < FULL);
                     all.min_by(|a, b| a.0.total_cmp(&b.0)).map(|best| best.1)
                 };
                 // A group costs each node that holds any of it, so all balancers try nodes in the group's own order.
