Meet the lints of Rust 1.90 all over the workspace

Need: some libraries of the lab want a newer Rust than 1.85, and its lints ask for let-chains. No behaviour is changed.

--- a/crates/balancer/tests/platform/main.rs
+++ b/crates/balancer/tests/platform/main.rs
@@ -71,7 +71,11 @@
     let report = run(&day, &mut script);
     let tally = &script.tally;
     assert!(!report.crashed());
-    assert_eq!((tally.through_shut, tally.exits), (0, 0), "a node that is gone or cut off is reached by nobody");
+    assert_eq!(
+        (tally.through_shut, tally.exits),
+        (0, 0),
+        "a node that is gone or cut off is reached by nobody"
+    );
     assert!((0..2).all(|n| tally.since_back[&n] > 0), "a node that is back is reached again: {tally:?}");
 }
 
@@ -79,7 +83,8 @@
 fn bad_clients_are_never_served() {
     let mut day = small_day(1, 5 * S);
     let bad = |kind: &str, per_s| BadClients { kind: kind.to_owned(), per_s };
-    let kinds = "endless-line huge-value wrong-number unknown-class bad-deadline no-id stolen-id half commands again";
+    let kinds =
+        "endless-line huge-value wrong-number unknown-class bad-deadline no-id stolen-id half commands again";
     day.bad_clients = kinds.split(' ').map(|kind| bad(kind, 2.0)).collect();
     day.bad_clients.push(bad("silent", 50.0));
     let mut script = Script::new(&day, 20 * MS, 20, |_, now| now > 6 * S);
@@ -105,7 +110,8 @@
         glances += 1;
         assert_eq!((glance.nodes.len(), glance.balancers.len()), (4, 2));
     };
-    let run = platform::run(&day, &options(env!("CARGO_BIN_EXE_shorewharf")), &mut watch).expect("it is played");
+    let run =
+        platform::run(&day, &options(env!("CARGO_BIN_EXE_shorewharf")), &mut watch).expect("it is played");
     let (result, report) = (run.result, run.report);
     assert!(!report.crashed() && report.syntax == 0 && report.clients.forged == 0, "{report:?}");
     let ups: u32 = result.series.seconds.iter().map(|s| s.ups).sum();
--- a/crates/balancer/tests/platform/script.rs
+++ b/crates/balancer/tests/platform/script.rs
@@ -254,10 +254,10 @@
                 }
                 Event::Again(key) => self.comes(key, said),
                 Event::Node(link, word) => {
-                    if let Some((who, node)) = self.links.get(&link) {
-                        if self.reach[node.0 as usize] == Reach::Open {
-                            said.push((*who, ToBalancer::NodeSays(link, word)));
-                        }
+                    if let Some((who, node)) = self.links.get(&link)
+                        && self.reach[node.0 as usize] == Reach::Open
+                    {
+                        said.push((*who, ToBalancer::NodeSays(link, word)));
                     }
                 }
                 Event::List(who) => {
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -288,10 +288,10 @@
                 && b.may_send(c, s, now)
                 && !c.tried.contains(&s.entry.server)
         };
-        if let Some(r) = self.reserved.get(&c.request.key).filter(|_| c.request.key != 0) {
-            if self.servers.get(&r.server).is_some_and(|s| self.in_service(s, now) && usable(self, s)) {
-                return Some(r.server);
-            }
+        if let Some(r) = self.reserved.get(&c.request.key).filter(|_| c.request.key != 0)
+            && self.servers.get(&r.server).is_some_and(|s| self.in_service(s, now) && usable(self, s))
+        {
+            return Some(r.server);
         }
         let group = self.group_of(&c.request);
         let far = |s: &Server| self.far(s);
--- a/crates/decisions/tests/random.rs
+++ b/crates/decisions/tests/random.rs
@@ -91,7 +91,7 @@
 
 impl World {
     fn new(seed: u64) -> Self {
-        let set = Settings { classes: classes(), ask_registry: seed % 2 == 0, ..settings() };
+        let set = Settings { classes: classes(), ask_registry: seed.is_multiple_of(2), ..settings() };
         let mut w = World {
             p: Proxy { module: Balancer::new(set, seed), now: 100.0 },
             timers: Vec::new(),
--- a/crates/emulator/src/audit/tests.rs
+++ b/crates/emulator/src/audit/tests.rs
@@ -442,10 +442,13 @@
     let all: Vec<(Micros, Fact)> = (1..=3).flat_map(|conn| moved(conn, 11 * S)).collect();
     assert_eq!(end(std::slice::from_ref(&kill)), []);
     assert_eq!(end(&[term.clone(), kill.clone()]), [(Reason::HeldAtKill, 3)]);
-    assert_eq!(end(&[&[term.clone()], &all[..], &[(12 * S, From(F::Exited))]].concat()), []);
-    assert_eq!(end(&[&[term.clone()], &all[..4], &[kill.clone()]].concat()), [(Reason::HeldAtKill, 1)]);
+    assert_eq!(end(&[std::slice::from_ref(&term), &all[..], &[(12 * S, From(F::Exited))]].concat()), []);
     assert_eq!(
-        end(&[&[term.clone(), cut.clone()], &all[2..], &[kill.clone()]].concat()),
+        end(&[std::slice::from_ref(&term), &all[..4], std::slice::from_ref(&kill)].concat()),
+        [(Reason::HeldAtKill, 1)]
+    );
+    assert_eq!(
+        end(&[&[term.clone(), cut.clone()], &all[2..], std::slice::from_ref(&kill)].concat()),
         [(Reason::CutOffAtRestart, 1)]
     );
     assert_eq!(end(&[term.clone(), (12 * S, From(F::Exited)), kill]), [(Reason::CutOffAtRestart, 3)]);
--- a/crates/emulator/src/sockets/discovery.rs
+++ b/crates/emulator/src/sockets/discovery.rs
@@ -346,7 +346,7 @@
                 }
                 Stand::Over => {}
                 _ => {
-                    let how = if self.failed % 3 == 0 { End::Reset } else { End::Fin };
+                    let how = if self.failed.is_multiple_of(3) { End::Reset } else { End::Fin };
                     let call = self.calls.remove(&id).expect("it was just there");
                     net.close(call.wire, how);
                 }
--- a/crates/emulator/src/sockets/fleet.rs
+++ b/crates/emulator/src/sockets/fleet.rs
@@ -316,11 +316,11 @@
                 continue;
             }
             running.due = now + ASK_AGAIN;
-            if running.ping.is_none() {
-                if let Ok(mut wire) = net.connect(post.listen, Role::Ping(BalancerId(who as u32))) {
-                    wire.say(net, b"PING\r\n");
-                    running.ping = Some(wire);
-                }
+            if running.ping.is_none()
+                && let Ok(mut wire) = net.connect(post.listen, Role::Ping(BalancerId(who as u32)))
+            {
+                wire.say(net, b"PING\r\n");
+                running.ping = Some(wire);
             }
         }
     }
--- a/crates/emulator/src/sockets/load.rs
+++ b/crates/emulator/src/sockets/load.rs
@@ -486,12 +486,12 @@
                 if !client.stays {
                     self.ends.push_back((now + self.hold, id));
                 }
-            } else if let Some((due, number)) = client.out.front().copied() {
-                if line == format!("M {id:x} {number}").as_bytes() {
-                    client.out.pop_front();
-                    if due >= self.counted {
-                        way.line.record(now - due);
-                    }
+            } else if let Some((due, number)) = client.out.front().copied()
+                && line == format!("M {id:x} {number}").as_bytes()
+            {
+                client.out.pop_front();
+                if due >= self.counted {
+                    way.line.record(now - due);
                 }
             }
         }
--- a/crates/emulator/src/world/balancers.rs
+++ b/crates/emulator/src/world/balancers.rs
@@ -52,9 +52,10 @@
     fn answers(&mut self, balancer: BalancerId, conn: ConnId, answer: Answer) {
         let word = match answer {
             Answer::Up(theirs) => {
-                let stands = self.links.of(balancer, theirs).filter(|id| {
-                    self.links.get(*id).is_some_and(|l| l.conn == Some(conn) && l.at == At::Up)
-                });
+                let stands = self
+                    .links
+                    .of(balancer, theirs)
+                    .filter(|id| self.links.get(*id).is_some_and(|l| l.conn == Some(conn) && l.at == At::Up));
                 let Some(id) = stands else { return };
                 if self.now == 0 {
                     // From before the day: no time passes.
@@ -75,7 +76,14 @@
         }
     }
 
-    fn links_to(&mut self, b: BalancerId, theirs: LinkId, node: NodeId, conn: Option<ConnId>, ear: &mut impl Ear) {
+    fn links_to(
+        &mut self,
+        b: BalancerId,
+        theirs: LinkId,
+        node: NodeId,
+        conn: Option<ConnId>,
+        ear: &mut impl Ear,
+    ) {
         let now = self.now;
         let link = Link {
             balancer: b,
@@ -191,7 +199,10 @@
                 ear.to(now, b, ToBalancer::NodeSays(theirs, word));
                 if let (NodeWord::Bye | NodeWord::Move, true, Some(conn)) = (word, was_up, conn) {
                     // Lines on a standing connection pass through.
-                    self.send_to_client(conn, if word == NodeWord::Bye { Word::Bye } else { Word::Move { by_node: true } });
+                    self.send_to_client(
+                        conn,
+                        if word == NodeWord::Bye { Word::Bye } else { Word::Move { by_node: true } },
+                    );
                 }
             }
             OnLink::Ended(end) => {
@@ -256,7 +267,8 @@
             self.last_word(b, conn);
             self.send_to_client(conn, Word::Ended(End::Reset));
         }
-        let links: Vec<LinkId> = self.links.iter().filter(|(_, l)| l.balancer == b).map(|(id, _)| id).collect();
+        let links: Vec<LinkId> =
+            self.links.iter().filter(|(_, l)| l.balancer == b).map(|(id, _)| id).collect();
         links.into_iter().for_each(|id| self.balancer_ends(id));
         self.pairs.broke(Some(b), None);
     }
--- a/crates/emulator/src/world/clients.rs
+++ b/crates/emulator/src/world/clients.rs
@@ -1,8 +1,8 @@
 //! Between clients and their balancers.
 
 use super::conns::{Conn, Stage};
-use crate::people::Heard;
 use super::*;
+use crate::people::Heard;
 
 impl World {
     pub(super) fn clients_act(&mut self, ear: &mut impl Ear) {
@@ -149,7 +149,9 @@
 
     /// A client has left by itself.
     fn client_leaves(&mut self, conn: ConnId) {
-        let Some(key) = self.conns.get(conn).filter(|c| c.stage != Stage::Over).map(|c| c.ask.key) else { return };
+        let Some(key) = self.conns.get(conn).filter(|c| c.stage != Stage::Over).map(|c| c.ask.key) else {
+            return;
+        };
         if self.over(conn) {
             self.series.ends(self.now, "left");
         } else {
--- a/crates/emulator/src/world/mod.rs
+++ b/crates/emulator/src/world/mod.rs
@@ -20,18 +20,18 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::Micros;
+use crate::audit::{Seen, Verdict};
 use crate::day::Day;
 use crate::edge::*;
 use crate::node::{Node, NodeOut};
 use crate::people::{Cell, LoadProfile, People, PeopleOut};
 use crate::places::{Discovery, Front, Happens, Network, Schedule};
 use crate::score::Score;
+use crate::virtual_time::{RunResult, Truth};
 use conns::Conns;
 pub use ear::Ear;
 use links::Links;
 use pairs::Pairs;
-use crate::virtual_time::{RunResult, Truth};
-use crate::audit::{Seen, Verdict};
 use queue::Queue;
 use series::Series;
 
@@ -49,7 +49,9 @@
 /// A generator for the draws of one model: the same for the same day, and independent of all others.
 pub fn rng(seed: u64, model: &str, place: u64) -> Pcg64Mcg {
     // FNV-1a over the model's name, so that new models shift nobody's draws.
-    let name = model.bytes().fold(0xcbf2_9ce4_8422_2325, |h: u64, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
+    let name = model
+        .bytes()
+        .fold(0xcbf2_9ce4_8422_2325, |h: u64, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
     Pcg64Mcg::seed_from_u64(seed ^ name.rotate_left(17) ^ place.wrapping_mul(0x9e37_79b9_7f4a_7c15))
 }
 
@@ -177,7 +179,8 @@
             wake: None,
             silent: false,
         };
-        let balancer = |b: &crate::day::Balancer| BalancerAt { zone: b.zone, up: false, terminating: false, lives: 0 };
+        let balancer =
+            |b: &crate::day::Balancer| BalancerAt { zone: b.zone, up: false, terminating: false, lives: 0 };
         let mut world = World {
             mode,
             now: 0,
@@ -219,7 +222,12 @@
 
     /// When something is due next.
     pub fn next_due(&self) -> Option<Micros> {
-        let models = [self.schedule.next_due(), self.score.next_due(), self.discovery.next_due(), self.people.next_due()];
+        let models = [
+            self.schedule.next_due(),
+            self.score.next_due(),
+            self.discovery.next_due(),
+            self.people.next_due(),
+        ];
         models.into_iter().flatten().chain(self.queue.next_due()).min()
     }
 
--- a/crates/emulator/src/world/nodes.rs
+++ b/crates/emulator/src/world/nodes.rs
@@ -78,10 +78,10 @@
     /// A standing client's node has dropped it.
     fn broken_by_node(&mut self, id: LinkId) {
         let Some(l) = self.links.get(id) else { return };
-        if let (Some(conn), At::Up) = (l.conn, l.at) {
-            if self.conns.get(conn).is_some_and(|c| c.link == Some(id) && c.stage == Stage::Standing) {
-                self.stands_no_more(conn);
-            }
+        if let (Some(conn), At::Up) = (l.conn, l.at)
+            && self.conns.get(conn).is_some_and(|c| c.link == Some(id) && c.stage == Stage::Standing)
+        {
+            self.stands_no_more(conn);
         }
     }
 
@@ -101,7 +101,9 @@
     }
 
     fn on_its_way(&mut self, id: LinkId, what: OnLink) {
-        let Some((b, node)) = self.links.get(id).filter(|l| !l.left).map(|l| (l.balancer, l.node)) else { return };
+        let Some((b, node)) = self.links.get(id).filter(|l| !l.left).map(|l| (l.balancer, l.node)) else {
+            return;
+        };
         let leg = self.leg(b, node);
         if let Some(l) = self.links.get_mut(id) {
             l.last_at_balancer = l.last_at_balancer.max(self.now + leg);
@@ -147,7 +149,13 @@
                         None => NodeIn::Probe { link: id },
                         Some(c) => {
                             let patience = (c.sent + c.ask.patience).saturating_sub(now);
-                            NodeIn::Open { link: id, by: l.balancer, ask: c.ask, profile: c.profile, patience }
+                            NodeIn::Open {
+                                link: id,
+                                by: l.balancer,
+                                ask: c.ask,
+                                profile: c.profile,
+                                patience,
+                            }
                         }
                     };
                     self.node_hears(node, heard, ear);
@@ -217,7 +225,8 @@
     /// A standing client's line is due; it is an event only while the client's node is silent.
     pub(super) fn line_due(&mut self, conn: ConnId, ear: &mut impl Ear) {
         let Some(c) = self.conns.get(conn).filter(|c| c.stage == Stage::Standing) else { return };
-        let silent = c.link.and_then(|l| self.links.get(l)).is_some_and(|l| self.nodes[l.node.0 as usize].silent);
+        let silent =
+            c.link.and_then(|l| self.links.get(l)).is_some_and(|l| self.nodes[l.node.0 as usize].silent);
         if silent {
             self.client_says(conn, FromClient::Line, ear);
         }
--- a/crates/emulator/src/world/series.rs
+++ b/crates/emulator/src/world/series.rs
@@ -83,7 +83,8 @@
             answers: Causes::new(),
             refused_by: BTreeMap::new(),
             ends: Causes::new(),
-            set_up: Histogram::new_with_bounds(1, LONGEST, 3).expect("three digits and a range are in bounds"),
+            set_up: Histogram::new_with_bounds(1, LONGEST, 3)
+                .expect("three digits and a range are in bounds"),
             waiting: HashMap::new(),
         }
     }
--- a/crates/emulator/src/world/settings.rs
+++ b/crates/emulator/src/world/settings.rs
@@ -21,9 +21,7 @@
             "semantics": "read_like", "group": "all", "window_s": 5.0, "streamed": true, "worth": c.worth,
         })
     };
-    let tenant = |t: &crate::day::Tenant| {
-        json!({"name": t.name, "fraction": t.share, "quota_per_s": (t.quota * rate).round().max(1.0)})
-    };
+    let tenant = |t: &crate::day::Tenant| json!({"name": t.name, "fraction": t.share, "quota_per_s": (t.quota * rate).round().max(1.0)});
     let quotas: Vec<f64> = day.tenants.iter().map(|t| (t.quota * connections).round().max(1.0)).collect();
     let aims: Vec<f64> = day.classes.iter().map(|c| s(c.message_aim)).collect();
     let kinds: Vec<&str> = day.kinds.iter().map(|k| k.name.as_str()).collect();
--- a/crates/lab/src/instances/peers.rs
+++ b/crates/lab/src/instances/peers.rs
@@ -190,11 +190,9 @@
                 self.tell(Happening::Listed { full: *full, cached: false, entries });
             }
             ToBalancer::ListFailed => self.tell(Happening::DirectorFailed),
-            ToBalancer::Terminate => {
-                if self.leaving.is_none() {
-                    self.leaving = Some(self.now);
-                    self.at(self.now + SWEEP, Due::Leave);
-                }
+            ToBalancer::Terminate if self.leaving.is_none() => {
+                self.leaving = Some(self.now);
+                self.at(self.now + SWEEP, Due::Leave);
             }
             _ => {}
         }
