--- a/crates/emulator/src/sockets/plain.rs
+++ b/crates/emulator/src/sockets/plain.rs
@@ -7,8 +7,8 @@
 const MS: Micros = 1_000;
 const S: Micros = 1_000_000;
 
-/// So many balancers with these limits, so many nodes, and this length. Nodes are large enough that balancers see no
-/// reason to turn anybody away.
+/// So many balancers with these limits, so many nodes, and this length. Nodes are large, and what is wanted of them is
+/// modest, so that balancers see no reason to turn anybody away, not even on a machine that stalls for a while.
 pub fn day(balancers: u32, nodes: u32, length: Micros, memory_mb: f64, sockets: u32) -> Day {
     let node = Node { zone: 0, kind: 0, cell: 0, speed: 1.0, weight: 1.0, up: true };
     Day {
@@ -59,10 +59,10 @@
             set_up: MS,
             set_up_cv: 0.0,
             attempt_noise: 0.0,
-            aim: 800 * MS,
-            give_up: 3_200 * MS,
+            aim: 5 * S,
+            give_up: 10 * S,
             worth: 1.0,
-            message_aim: 50 * MS,
+            message_aim: 5 * S,
             load: 1.0,
             life: 1.0,
             load_sigma: 0.0,
--- a/crates/emulator/src/sockets/process.rs
+++ b/crates/emulator/src/sockets/process.rs
@@ -62,7 +62,7 @@
     pub cpu_ms: f64,
     /// The most memory it has held (resident), MB.
     pub memory_mb: f64,
-    /// Descriptors that it holds now.
+    /// The most descriptors that it was seen to hold.
     pub descriptors: usize,
 }
 
@@ -220,7 +220,7 @@
             self.usage.cpu_ms = ns / 1e6;
         }
         if let Ok(entries) = fs::read_dir(format!("/proc/{}/fd", self.child.id())) {
-            self.usage.descriptors = entries.count();
+            self.usage.descriptors = self.usage.descriptors.max(entries.count());
         }
         resident > self.memory
     }
--- a/crates/emulator/src/sockets/run.rs
+++ b/crates/emulator/src/sockets/run.rs
@@ -301,13 +301,11 @@
             if let Some(due) = self.stage.next_due().filter(|due| *due <= time) {
                 self.late.record(time - due);
             }
-            self.advance(now);
-            self.reaches()?;
+            self.advance(now)?;
             if time >= self.second {
                 self.glance(time);
             }
         }
-        self.deliver()?;
         self.fleet.due(&mut self.net, now, &mut self.late);
         self.discovery.due(&mut self.net, now, &mut self.did);
         self.clients.due(&mut self.net, now, &mut self.late, &mut self.did);
@@ -318,18 +316,16 @@
         let next = self.next_due().min(now + BEAT);
         let mut ready = std::mem::take(&mut self.ready);
         self.net.wait(until(now, next), &mut ready)?;
-        let (before, woke) = (std::mem::replace(&mut self.woke, self.clock.now()), self.clock.now());
+        let woke = self.clock.now();
+        let before = std::mem::replace(&mut self.woke, woke);
         if ready.is_empty() {
             self.late.record(woke.saturating_sub(next));
-        }
-        for one in &ready {
-            self.handle(*one);
-        }
-        if !self.did.is_empty() && self.start.is_some() {
-            self.advance(self.clock.now());
-        }
-        self.tell()?;
-        if !ready.is_empty() {
+        } else {
+            if self.start.is_some() {
+                self.advance(woke)?;
+            }
+            ready.iter().for_each(|one| self.handle(*one));
+            self.tell()?;
             // If the wait was none, what came may have come at any time since the last one.
             let since = if woke > now + 50 { woke } else { before };
             self.handled.record(self.clock.now() - since);
@@ -357,13 +353,6 @@
         });
     }
 
-    fn reaches(&mut self) -> Result<(), RunError> {
-        for node in (0..self.day.nodes.len() as u32).map(NodeId) {
-            self.nodes.reach(&mut self.net, node, self.stage.reach(node), &mut self.did)?;
-        }
-        Ok(())
-    }
-
     fn handle(&mut self, one: Ready) {
         let now = self.clock.now();
         let (net, did) = (&mut self.net, &mut self.did);
@@ -382,11 +371,15 @@
         }
     }
 
-    /// Moves the stage on to now. Whatever it is told until the next time is told as of now, so that nothing is told
-    /// before what was due earlier.
-    fn advance(&mut self, now: Micros) {
+    /// Moves the stage on to now, and the sockets to where it is then: what is heard on them next is heard of a
+    /// platform that both agree on, and told as of now, so that nothing is told before what was due earlier.
+    fn advance(&mut self, now: Micros) -> Result<(), RunError> {
         self.told = self.time(now);
         self.stage.advance(self.told, &mut self.said);
+        for node in (0..self.day.nodes.len() as u32).map(NodeId) {
+            self.nodes.reach(&mut self.net, node, self.stage.reach(node), &mut self.did)?;
+        }
+        self.deliver()
     }
 
     fn glance(&mut self, time: Micros) {
