--- a/crates/emulator/src/world/mod.rs
+++ b/crates/emulator/src/world/mod.rs
@@ -261,7 +261,7 @@
             Event::Node(link, what) => self.at_node(link, what, ear),
             Event::Balancer(link, what) => self.at_balancer(link, what, ear),
             Event::Client(conn, word) => self.at_client(conn, word),
-            Event::Ask(conn, what) => self.from_client(conn, what, ear),
+            Event::Ask(conn, what) => self.client_says(conn, what, ear),
             Event::Line(conn) => self.line_due(conn, ear),
         }
     }
@@ -307,9 +307,9 @@
     }
 
     fn account(&mut self) {
-        let nodes = &mut self.nodes;
+        let nodes = &self.nodes;
         let now = self.now;
-        self.score.tick(now, &mut |node, class| nodes[node.0 as usize].model.served(now, class));
+        self.score.tick(now, &mut |node, class| nodes[node.0 as usize].model.served(class));
     }
 
     /// The true state of all nodes.
