--- a/crates/lab/src/page.rs
+++ b/crates/lab/src/page.rs
@@ -75,6 +75,10 @@
     }
     html += &tables(record);
     html += &breaks(record);
+    if let Some(facts) = &record.sockets {
+        let note = escaped(&crate::sockets::note(facts));
+        html += &format!("<section><h2>In real time</h2><pre>{note}</pre></section>\n");
+    }
     html + "</main>\n</body>\n</html>\n"
 }
 
--- a/crates/lab/tests/commands.rs
+++ b/crates/lab/tests/commands.rs
@@ -157,6 +157,8 @@
         (&["run", &calm, "--policy", "luck"], 2, "random"),
         (&["run", &calm, "--set", "traffic.load=0.1,0.2"], 2, "sweep plays several"),
         (&["sweep", &calm, "--seeds", "9..1"], 2, "9..1"),
+        (&["demo", "--balancer", &nowhere], 2, "no such program"),
+        (&["load", "--balancer", &broken, "--set-ups", "0"], 2, "set-ups a second"),
         (&["run", &calm, "--set", "length_s=1", "--json", &nowhere], 3, "no/such/folder"),
     ];
     for (args, code, word) in cases {
