--- a/crates/lab/src/bin/shorewharf-mutant.rs
+++ b/crates/lab/src/bin/shorewharf-mutant.rs
@@ -230,7 +230,8 @@
                 }
                 line.clear();
             }
-            if !wrong("keeps-ended") && !(wrong("keeps-severed") && struck_now.load(Ordering::Relaxed)) {
+            let keeps = wrong("keeps-ended") || wrong("keeps-severed") && struck_now.load(Ordering::Relaxed);
+            if !keeps {
                 client.shutdown(Shutdown::Write).ok();
             }
             Ok(())
