--- a/crates/emulator/src/world/nodes.rs
+++ b/crates/emulator/src/world/nodes.rs
@@ -78,10 +78,10 @@
     /// A standing client's node has dropped it.
     fn broken_by_node(&mut self, id: LinkId) {
         let Some(l) = self.links.get(id) else { return };
-        if let (Some(conn), At::Up) = (l.conn, l.at) {
-            if self.conns.get(conn).is_some_and(|c| c.link == Some(id) && c.stage == Stage::Standing) {
-                self.stands_no_more(conn);
-            }
+        if let (Some(conn), At::Up) = (l.conn, l.at)
+            && self.conns.get(conn).is_some_and(|c| c.link == Some(id) && c.stage == Stage::Standing)
+        {
+            self.stands_no_more(conn);
         }
     }
 
