--- a/crates/emulator/src/sockets/fleet.rs
+++ b/crates/emulator/src/sockets/fleet.rs
@@ -195,9 +195,9 @@
         });
         post.desk.configure(&post.config)?;
         let process = Process::start(&self.program, &post.desk, post.listen, start.discovery)?;
-        let watched = net.watch(process.end(), Role::Exit(who));
-        let key = watched.map_err(|e| ProcessError::Watch(process.id(), e))?;
         let life = self.lives.len();
+        let watched = net.watch(process.end(), Role::Exit(who, life));
+        let key = watched.map_err(|e| ProcessError::Watch(process.id(), e))?;
         let ordered = Ordered::Nothing;
         post.running =
             Some(Running { process, key, ordered, ready: None, stale: false, ping: None, due: now, life });
@@ -249,10 +249,12 @@
         Ok(())
     }
 
-    /// A process has ended; tells the world if that was not its order to kill.
-    pub fn exited(&mut self, net: &mut Net, now: Micros, who: BalancerId, did: &mut Did) {
-        let running = self.posts[who.0 as usize].running.as_ref();
-        if running.is_some_and(|r| r.ordered != Ordered::Kill) {
+    /// A balancer's process has ended in this life; tells the world if that was not its order to kill.
+    pub fn exited(&mut self, net: &mut Net, now: Micros, who: BalancerId, life: usize, did: &mut Did) {
+        // The next life may have begun meanwhile.
+        let running = self.posts[who.0 as usize].running.as_ref().filter(|r| r.life == life);
+        let Some(ordered) = running.map(|r| r.ordered) else { return };
+        if ordered != Ordered::Kill {
             did.push((who, FromBalancer::Exited.into()));
         }
         self.over(net, now, who);
--- a/crates/emulator/src/sockets/load.rs
+++ b/crates/emulator/src/sockets/load.rs
@@ -458,7 +458,7 @@
             Role::Call(id) => self.discovery.ready(net, now, id, one, &self.dir, did),
             Role::DirectorEar(who, moves) => self.discovery.called(net, now, (who, moves), &self.dir, did),
             Role::Ping(who) => self.fleet.pinged(net, now, who, one, did),
-            Role::Exit(who) => self.fleet.exited(net, now, who, did),
+            Role::Exit(who, life) => self.fleet.exited(net, now, who, life, did),
             Role::Client(_) | Role::Bad(_) | Role::Timer => {}
         }
     }
--- a/crates/emulator/src/sockets/net.rs
+++ b/crates/emulator/src/sockets/net.rs
@@ -49,8 +49,8 @@
     NodeEar(BalancerId, NodeId),
     /// Discovery listens to a balancer, after so many moves.
     DirectorEar(BalancerId, u32),
-    /// A balancer's process ends.
-    Exit(BalancerId),
+    /// A balancer's process ends, in its life of this number.
+    Exit(BalancerId, usize),
     /// A part of the load engine, by its own number.
     Load(u32),
     /// The driver's own timer.
--- a/crates/emulator/src/sockets/run.rs
+++ b/crates/emulator/src/sockets/run.rs
@@ -366,7 +366,7 @@
             Role::Ping(who) => self.fleet.pinged(net, now, who, one, did),
             Role::NodeEar(who, node) => self.nodes.called(net, who, node, &mut self.book, did),
             Role::DirectorEar(who, moves) => self.discovery.called(net, now, (who, moves), &self.dir, did),
-            Role::Exit(who) => self.fleet.exited(net, now, who, did),
+            Role::Exit(who, life) => self.fleet.exited(net, now, who, life, did),
             Role::Load(_) | Role::Timer => {}
         }
     }
