--- a/crates/balancer/tests/platform/main.rs
+++ b/crates/balancer/tests/platform/main.rs
@@ -142,7 +142,7 @@
         (100, 10),
         "{outcome}"
     );
-    assert!(through.set_up.len() > 0 && through.line.len() > 100 && outcome.stood >= 40, "{outcome}");
+    assert!(!through.set_up.is_empty() && through.line.len() > 100 && outcome.stood >= 40, "{outcome}");
     let none = load::Options { set_ups_per_s: 0.0, ..options };
     let told = load::run(&none, folder.path()).expect_err("no load");
     assert_eq!(told.to_string(), "set-ups a second: 0 is not above 0");
--- a/crates/emulator/src/sockets/discovery.rs
+++ b/crates/emulator/src/sockets/discovery.rs
@@ -208,7 +208,7 @@
         let side = &self.sides[who.0 as usize];
         let Some(ear) = side.ear.as_ref().filter(|_| side.moves == moves) else { return };
         let mut came = Vec::new();
-        while let Some(stream) = ear.accept() {
+        while let Some(stream) = net.accept(ear) {
             came.push(stream);
         }
         for stream in came {
--- a/crates/emulator/src/sockets/load.rs
+++ b/crates/emulator/src/sockets/load.rs
@@ -356,13 +356,20 @@
         let [through, past] = self.ways;
         let seconds = options.length as f64 / 1e6;
         let late = self.late.at(0.99);
+        let void = if late > LATE {
+            Some(format!("the lab was late: p99 {:.1} ms", late as f64 / 1e3))
+        } else {
+            self.net
+                .was_short()
+                .then(|| "the lab's descriptors ran out: it holds two for each connection".to_owned())
+        };
         Outcome {
             set_ups_per_s: through.set_up.len() as f64 / seconds,
             lines_per_s: through.line.len() as f64 / seconds,
             stood: self.stood,
             cores: used_ms / 1e3 / seconds,
             life: self.fleet.lives.remove(0),
-            void: (late > LATE).then(|| format!("the lab was late: p99 {:.1} ms", late as f64 / 1e3)),
+            void,
             late: self.late,
             through,
             past,
--- a/crates/emulator/src/sockets/net.rs
+++ b/crates/emulator/src/sockets/net.rs
@@ -86,6 +86,8 @@
     spare: Vec<Vec<u8>>,
     /// Owners with something left to read, though the system will not say so again.
     again: Vec<Role>,
+    /// Descriptors, or memory for them, have run out at least once.
+    short: bool,
     /// Ends a wait to the microsecond; the poll's own limit counts whole milliseconds.
     timer: OwnedFd,
 }
@@ -102,6 +104,7 @@
             scratch: vec![0; READ],
             spare: Vec::new(),
             again: Vec::new(),
+            short: false,
             timer,
         };
         let fd = net.timer.as_raw_fd();
@@ -139,10 +142,31 @@
 
     /// Begins a connection.
     pub fn connect(&mut self, to: SocketAddr, role: Role) -> io::Result<Wire> {
-        let stream = TcpStream::connect(to)?;
+        let stream = TcpStream::connect(to).inspect_err(|e| self.short |= is_shortage(e))?;
         self.adopt(stream, role)
     }
 
+    /// The next connection that waits at a listener, if one does.
+    pub fn accept(&mut self, ear: &Ear) -> Option<TcpStream> {
+        loop {
+            match ear.listener.accept() {
+                Ok((stream, _)) => return Some(stream),
+                // The peer gave up while it waited; the next one may be fine.
+                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => {
+                    self.short |= is_shortage(&e);
+                    return None;
+                }
+            }
+        }
+    }
+
+    /// Whether descriptors have run out at least once: what came then has been lost, and not by the balancers.
+    pub fn was_short(&self) -> bool {
+        self.short
+    }
+
     /// Takes over a connection.
     pub fn adopt(&mut self, mut stream: TcpStream, role: Role) -> io::Result<Wire> {
         // Lines are short and wanted at once.
@@ -235,20 +259,6 @@
         self.listener.local_addr().expect("a bound listener has an address")
     }
 
-    /// The next connection that waits, if one does.
-    pub fn accept(&self) -> Option<TcpStream> {
-        loop {
-            match self.listener.accept() {
-                Ok((stream, _)) => return Some(stream),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return None,
-                // The peer gave up while it waited; the next one may be fine.
-                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => return None,
-            }
-        }
-    }
-
     /// From now on connections neither come up nor fail, as at a machine that is cut off: the queue of those that
     /// wait is cut to one and filled, and the system drops what comes beyond. The filling is returned.
     pub fn fall_silent(&self) -> io::Result<Vec<std::net::TcpStream>> {
@@ -270,3 +280,11 @@
         SockRef::from(&self.listener).listen(BACKLOG)
     }
 }
+
+/// Whether an error means that this process, or the system, has no descriptor left.
+fn is_shortage(e: &io::Error) -> bool {
+    use rustix::io::Errno;
+    [Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM]
+        .iter()
+        .any(|n| e.raw_os_error() == Some(n.raw_os_error()))
+}
--- a/crates/emulator/src/sockets/nodes.rs
+++ b/crates/emulator/src/sockets/nodes.rs
@@ -160,7 +160,7 @@
             return;
         }
         let mut came = Vec::new();
-        while let Some(stream) = seat.ears[who.0 as usize].as_ref().and_then(Ear::accept) {
+        while let Some(stream) = seat.ears[who.0 as usize].as_ref().and_then(|ear| net.accept(ear)) {
             came.push(stream);
         }
         for stream in came {
--- a/crates/emulator/src/sockets/run.rs
+++ b/crates/emulator/src/sockets/run.rs
@@ -36,6 +36,8 @@
 const STANDING: Micros = 40_000_000;
 /// Connections from before the day that are opened at once; more would only wait in queues.
 const AT_ONCE: usize = 128;
+/// What it costs if none of the bad clients gets what it is owed.
+const BAD_COST: f64 = 0.3;
 /// The loop turns at least this often, so that lateness is measured also while nothing happens.
 const BEAT: Micros = 5_000;
 
@@ -105,6 +107,12 @@
     pub fn crashed(&self) -> bool {
         self.lives.iter().any(|l| l.crashed)
     }
+
+    /// What is taken off the result for bad clients that got neither an error nor a close in time.
+    pub fn bad_cost(&self) -> f64 {
+        let (came, neither) = self.bad.iter().fold((0, 0), |sum, (_, f)| (sum.0 + f.came, sum.1 + f.neither));
+        if came == 0 { 0.0 } else { BAD_COST * neither as f64 / came as f64 }
+    }
 }
 
 /// Connections from before the day while they are opened.
@@ -266,6 +274,8 @@
                 worst as f64 / 1e3,
                 LATE as f64 / 1e3
             ))
+        } else if self.net.was_short() {
+            Some("the driver's descriptors ran out: a day holds two for each connection".to_owned())
         } else if self.syntax > 0 {
             Some(format!("{} first lines in a form no client sent", self.syntax))
         } else {
