--- a/crates/lab/src/runner.rs
+++ b/crates/lab/src/runner.rs
@@ -13,7 +13,9 @@
 
 use crate::error::Failure;
 use crate::instances::{Hosts, Who};
-use crate::record::{Band, Break, NodeName, NodeSeries, Part, Price, Record, Series, SetUp, Verdict, Window, round};
+use crate::record::{
+    Band, Break, NodeName, NodeSeries, Part, Price, Record, Series, SetUp, Verdict, Window, round,
+};
 
 /// Cores of this machine that the process may use.
 pub fn cores() -> usize {
@@ -91,7 +93,7 @@
 }
 
 /// The word that a name has in files, with blanks.
-fn word(name: &impl serde::Serialize) -> String {
+pub fn word(name: &impl serde::Serialize) -> String {
     let text = serde_json::to_value(name).ok().and_then(|v| v.as_str().map(str::to_owned));
     text.unwrap_or_default().replace('-', " ")
 }
@@ -160,6 +162,7 @@
             })
             .collect(),
         series: series(result),
+        sockets: None,
     }
 }
 
