--- a/crates/emulator/src/audit/auditor.rs
+++ b/crates/emulator/src/audit/auditor.rs
@@ -216,7 +216,7 @@
                 continue;
             }
             let finding = match (look, conn.standing.as_ref()) {
-                (Look::Doubt, _) => conn.doubt.take(),
+                (Look::Doubt, _) => conn.doubt.take().map(|f| *f),
                 (Look::Copy(link, sent), _) => conn.request.second_copy(link, sent),
                 (_, None) => None,
                 (Look::ToNode, Some(s)) if !self.nodes.of(s.node).sound_for(at, self.judging.held) => None,
@@ -491,7 +491,7 @@
             None => None,
         };
         conn.cut = conn.cut.or(Some(now));
-        conn.doubt = finding.or(conn.doubt.take());
+        conn.doubt = finding.map(Box::new).or(conn.doubt.take());
         match self.judging.process {
             0 => self.no_doubt(id),
             while_in_doubt => self.table.book(now + while_in_doubt, id, Look::Doubt),
@@ -501,7 +501,7 @@
     /// It was no part of its process's end, or of one that makes no difference.
     fn no_doubt(&mut self, id: ConnId) {
         if let Some(finding) = self.table.conn(id).and_then(|c| c.doubt.take()) {
-            self.found(id, finding);
+            self.found(id, *finding);
         }
     }
 
--- a/crates/emulator/src/audit/nodes.rs
+++ b/crates/emulator/src/audit/nodes.rs
@@ -61,7 +61,7 @@
 
 impl NodeSeen {
     fn is(&mut self, now: Micros, health: Health) {
-        self.ring.note(now, What::Is(health.text()));
+        self.ring.note(now, What::Is(health));
         match health {
             Health::Started => {
                 (self.started, self.well_since, self.over) = (Some(now), None, false);
--- a/crates/emulator/src/audit/table.rs
+++ b/crates/emulator/src/audit/table.rs
@@ -1,7 +1,9 @@
 //! The connections and links that are remembered, and what falls due on them.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::BinaryHeap;
+
+use rustc_hash::FxHashMap;
 
 use super::request::{Finding, Request};
 use super::standing::{Lines, Standing};
@@ -33,7 +35,7 @@
     booked: [bool; 3],
     links: Vec<LinkId>,
     /// What its end looks like, unless its whole process turns out to have ended.
-    pub doubt: Option<Finding>,
+    pub doubt: Option<Box<Finding>>,
     pub ring: Ring,
 }
 
@@ -105,21 +107,22 @@
 /// All that is remembered.
 #[derive(Debug, Default)]
 pub(super) struct Table {
-    conns: HashMap<ConnId, Conn>,
-    links: HashMap<(BalancerId, LinkId), Link>,
+    /// Boxed, as the table grows by doubling.
+    conns: FxHashMap<ConnId, Box<Conn>>,
+    links: FxHashMap<(BalancerId, LinkId), Link>,
     looks: BinaryHeap<Reverse<(Micros, ConnId, Look)>>,
 }
 
 impl Table {
     pub fn conn(&mut self, id: ConnId) -> Option<&mut Conn> {
-        self.conns.get_mut(&id)
+        self.conns.get_mut(&id).map(Box::as_mut)
     }
 
     /// A new connection; false if the id is in use.
     pub fn open(&mut self, id: ConnId, conn: Conn) -> bool {
         let fresh = !self.conns.contains_key(&id);
         if fresh {
-            self.conns.insert(id, conn);
+            self.conns.insert(id, Box::new(conn));
         }
         fresh
     }
--- a/crates/emulator/src/audit/trace.rs
+++ b/crates/emulator/src/audit/trace.rs
@@ -4,6 +4,7 @@
 
 use serde::Serialize;
 
+use super::Health;
 use crate::Micros;
 use crate::edge::{Answer, End, NodeId, NodeWord, Stage};
 
@@ -29,40 +30,72 @@
     LinkFailed(NodeId),
     LinkUp(NodeId),
     Stands(NodeId),
-    Said(NodeId, &'static str),
+    Said(NodeId, Spoken),
     NodeEnded(NodeId, End),
     LinkEnded(NodeId, End),
-    Answered(&'static str),
+    Answered(Spoken),
     ClientCut(End),
     ClientEnded(End),
     // Of nodes.
     Listed(Stage),
-    Is(&'static str),
+    Is(Health),
+}
+
+/// A word without its figures.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Spoken {
+    Up,
+    Busy,
+    Err,
+    Move,
+    Bye,
+    Load,
+    Reply,
+    Pong,
+    Junk,
+    Forged,
+}
+
+impl Spoken {
+    fn text(self) -> &'static str {
+        match self {
+            Spoken::Up => "UP",
+            Spoken::Busy => "BUSY",
+            Spoken::Err => "ERR",
+            Spoken::Move => "MOVE",
+            Spoken::Bye => "BYE",
+            Spoken::Load => "LOAD",
+            Spoken::Reply => "a reply",
+            Spoken::Pong => "PONG",
+            Spoken::Junk => "nonsense",
+            Spoken::Forged => "UP that no node made",
+        }
+    }
 }
 
 impl What {
     pub fn answered(answer: Answer) -> Self {
         What::Answered(match answer {
-            Answer::Up(_) => "UP",
-            Answer::Busy(_) => "BUSY",
-            Answer::Err => "ERR",
-            Answer::Move => "MOVE",
-            Answer::Forged => "UP that no node made",
-            Answer::Other => "what is no answer",
+            Answer::Up(_) => Spoken::Up,
+            Answer::Busy(_) => Spoken::Busy,
+            Answer::Err => Spoken::Err,
+            Answer::Move => Spoken::Move,
+            Answer::Forged => Spoken::Forged,
+            Answer::Other => Spoken::Junk,
         })
     }
 
     pub fn said(node: NodeId, word: NodeWord) -> Self {
         let word = match word {
-            NodeWord::Up => "UP",
-            NodeWord::Busy => "BUSY",
-            NodeWord::Err => "ERR",
-            NodeWord::Move => "MOVE",
-            NodeWord::Bye => "BYE",
-            NodeWord::Load(_) | NodeWord::Delay(_) => "LOAD",
-            NodeWord::Reply => "a reply",
-            NodeWord::Pong => "PONG",
-            NodeWord::Junk => "nonsense",
+            NodeWord::Up => Spoken::Up,
+            NodeWord::Busy => Spoken::Busy,
+            NodeWord::Err => Spoken::Err,
+            NodeWord::Move => Spoken::Move,
+            NodeWord::Bye => Spoken::Bye,
+            NodeWord::Load(_) | NodeWord::Delay(_) => Spoken::Load,
+            NodeWord::Reply => Spoken::Reply,
+            NodeWord::Pong => Spoken::Pong,
+            NodeWord::Junk => Spoken::Junk,
         };
         What::Said(node, word)
     }
@@ -91,14 +124,14 @@
             What::LinkFailed(n) => write!(f, "link to node {} failed", n.0),
             What::LinkUp(n) => write!(f, "link to node {} is up", n.0),
             What::Stands(n) => write!(f, "stands at node {} from before the run", n.0),
-            What::Said(n, word) => write!(f, "node {} says {word}", n.0),
+            What::Said(n, word) => write!(f, "node {} says {}", n.0, word.text()),
             What::NodeEnded(n, e) => write!(f, "link {} by node {}", end(e), n.0),
             What::LinkEnded(n, e) => write!(f, "link to node {} {} by the balancer", n.0, end(e)),
-            What::Answered(word) => write!(f, "client is told {word}"),
+            What::Answered(word) => write!(f, "client is told {}", word.text()),
             What::ClientCut(e) => write!(f, "client's connection {} by the balancer", end(e)),
             What::ClientEnded(e) => write!(f, "client's connection {} by the client", end(e)),
             What::Listed(s) => write!(f, "discovery lists it as {}", stage(s)),
-            What::Is(word) => write!(f, "it {word}"),
+            What::Is(health) => write!(f, "it {}", health.text()),
         }
     }
 }
