--- a/crates/emulator/src/sockets/load.rs
+++ b/crates/emulator/src/sockets/load.rs
@@ -226,7 +226,7 @@
 impl Load {
     fn begin(options: &Options, day: &Day, folder: &Path) -> Result<Self, LoadError> {
         let mut net = Net::new()?;
-        let addresses = Addresses::new(std::process::id());
+        let addresses = Addresses::of_next_run();
         let nodes = Nodes::new(&mut net, addresses, 2, options.nodes)?;
         let dir = Directory::new(day, nodes.addresses(2));
         let mut discovery = Discovery::new(&mut net, addresses, 1)?;
@@ -356,13 +356,20 @@
         let [through, past] = self.ways;
         let seconds = options.length as f64 / 1e6;
         let late = self.late.at(0.99);
+        let void = if late > LATE {
+            Some(format!("the lab was late: p99 {:.1} ms", late as f64 / 1e3))
+        } else {
+            self.net
+                .was_short()
+                .then(|| "the lab's descriptors ran out: it holds two for each connection".to_owned())
+        };
         Outcome {
             set_ups_per_s: through.set_up.len() as f64 / seconds,
             lines_per_s: through.line.len() as f64 / seconds,
             stood: self.stood,
             cores: used_ms / 1e3 / seconds,
             life: self.fleet.lives.remove(0),
-            void: (late > LATE).then(|| format!("the lab was late: p99 {:.1} ms", late as f64 / 1e3)),
+            void,
             late: self.late,
             through,
             past,
@@ -458,7 +465,7 @@
             Role::Call(id) => self.discovery.ready(net, now, id, one, &self.dir, did),
             Role::DirectorEar(who, moves) => self.discovery.called(net, now, (who, moves), &self.dir, did),
             Role::Ping(who) => self.fleet.pinged(net, now, who, one, did),
-            Role::Exit(who) => self.fleet.exited(net, now, who, did),
+            Role::Exit(who, life) => self.fleet.exited(net, now, who, life, did),
             Role::Client(_) | Role::Bad(_) | Role::Timer => {}
         }
     }
