--- a/crates/emulator/src/node/mod.rs
+++ b/crates/emulator/src/node/mod.rs
@@ -32,7 +32,7 @@
 use standing::Standing;
 
 /// Length of a step.
-const STEP: Micros = 250_000;
+pub(crate) const STEP: Micros = 250_000;
 /// Steps between two looks at what a message takes.
 const LOOK_EVERY: u64 = 4;
 /// A full node drops connections until its load is down to this share of its capacity.
--- a/crates/emulator/src/score/mod.rs
+++ b/crates/emulator/src/score/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! What is asked for and what stands is kept as counts, never client by client: a change costs a few additions, and
 //! a second of 100,000 standing connections costs one look at each node. Sums are taken up to each full second, so
-//! that the worst ten seconds can be found, and nothing after the day's length counts.
+//! that the worst ten seconds can be found, and nothing after the day's last whole step counts.
 
 mod ledger;
 mod outcome;
@@ -41,6 +41,8 @@
 pub struct Score {
     day: Day,
     cells: usize,
+    /// Nothing counts from here on.
+    end: Micros,
     /// Clients that want a connection, by account.
     wanting: Vec<Level>,
     /// By node and account.
@@ -60,32 +62,35 @@
     /// Empty books.
     pub fn new(day: &Day) -> Score {
         let cells = day.classes.len().max(1) * day.tenants.len().max(1) * 2;
+        // Nodes' shares are known by whole steps; what is asked for after the last one could not be earned.
+        let end = day.length - day.length % crate::node::STEP;
         Score {
             cells,
+            end,
             wanting: vec![Level::default(); cells],
             standing: vec![Standing::default(); cells * day.nodes.len()],
             crossing: Level::default(),
             open: Level::default(),
             seconds: Vec::new(),
             counts: Counts::default(),
-            due: SECOND.min(day.length),
+            due: SECOND.min(end),
             day: day.clone(),
         }
     }
 
     fn counts_now(&self, now: Micros) -> bool {
-        now < self.day.length
+        now < self.end
     }
 
     /// A client wants a connection from now on; `first` if it is a new client.
     pub fn wants(&mut self, now: Micros, cell: Cell, first: bool) {
         self.counts.clients += u64::from(first && self.counts_now(now));
-        self.wanting[cell.0 as usize].add(now.min(self.day.length), 1.0);
+        self.wanting[cell.0 as usize].add(now.min(self.end), 1.0);
     }
 
     /// A client wants none any more.
     pub fn wants_no_more(&mut self, now: Micros, cell: Cell) {
-        self.wanting[cell.0 as usize].add(now.min(self.day.length), -1.0);
+        self.wanting[cell.0 as usize].add(now.min(self.end), -1.0);
     }
 
     /// A connection stands from now on. `served`: the seconds that the node has served well so far, for its class.
@@ -112,7 +117,7 @@
 
     /// When sums are to be taken next: each full second, and the end of the day.
     pub fn next_due(&self) -> Option<Micros> {
-        (self.due <= self.day.length).then_some(self.due)
+        (self.due <= self.end).then_some(self.due)
     }
 
     /// Takes the sums up to now, which is [`Self::next_due`]. `served` tells the seconds that a node has served well
@@ -121,7 +126,7 @@
         if self.next_due().is_none_or(|due| now < due) {
             return;
         }
-        let now = now.min(self.day.length);
+        let now = now.min(self.end);
         let mut row: Vec<(f64, f64)> = self.wanting.iter_mut().map(|w| (w.take(now), 0.0)).collect();
         let tenants = self.day.tenants.len();
         for (i, s) in self.standing.iter_mut().enumerate() {
@@ -137,9 +142,9 @@
         self.seconds.push(row);
         self.crossing.run_to(now);
         self.open.run_to(now);
-        self.due = match now == self.day.length {
+        self.due = match now == self.end {
             true => Micros::MAX,
-            false => (now / SECOND * SECOND + SECOND).min(self.day.length),
+            false => (now / SECOND * SECOND + SECOND).min(self.end),
         };
     }
 
@@ -155,7 +160,7 @@
 
     /// So many pairs of balancer and node have an open connection from now on.
     pub fn pairs(&mut self, now: Micros, open: u32) {
-        self.open.set(now.min(self.day.length), f64::from(open));
+        self.open.set(now.min(self.end), f64::from(open));
     }
 
     /// A balancer sends a probe.
--- a/crates/emulator/src/score/outcome.rs
+++ b/crates/emulator/src/score/outcome.rs
@@ -153,7 +153,7 @@
         seconds.push(second);
     }
     let whole = all.share();
-    let full = (day.length / super::SECOND) as usize;
+    let full = (score.end / super::SECOND) as usize;
     let worst_window = worst_window(&seconds[..full.min(seconds.len())], whole);
     let (worst_tenant, worst_class) = (worst(&by_tenant), worst(&by_class));
     let prices = prices(score, wanted_s);
@@ -203,7 +203,7 @@
     let per = |n: f64, of: f64| if of > 0.0 { n / of } else { 0.0 };
     let price = |rate: f64, each: f64| Price { rate, cost: rate * each };
     let clients = counts.clients as f64;
-    let mean_open = score.open.area() / (day.length as f64 / 1e6).max(f64::MIN_POSITIVE);
+    let mean_open = score.open.area() / (score.end as f64 / 1e6).max(f64::MIN_POSITIVE);
     Prices {
         cross_zone: price(per(score.crossing.area(), wanted_s), day.prices.cross_zone),
         handshake: price(per(counts.handshakes as f64, clients), day.prices.handshake),
