--- a/crates/lab/src/instances/mod.rs
+++ b/crates/lab/src/instances/mod.rs
@@ -148,10 +148,9 @@
                     self.life = Some((peers, brain));
                 }
                 ToBalancer::Kill => {
-                    if let Some((mut peers, _)) = self.life.take() {
+                    // What it would have done at the end of this tick it did not live to do.
+                    if let Some((peers, _)) = self.life.take() {
                         self.next_link = peers.next_link();
-                        // What it did before it died, in this turn, was done.
-                        peers.hand_over(out);
                     }
                 }
                 what => {
--- a/crates/lab/src/instances/peers.rs
+++ b/crates/lab/src/instances/peers.rs
@@ -1,6 +1,8 @@
 //! The peers of an emulated balancer: what the real program does on sockets with clients, servers and discovery,
 //! done with the words of the emulator's edge. Time limits are the real program's; decisions are none of them.
 
+mod leaving;
+
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 
@@ -24,12 +26,6 @@
 const OVERDUE: Micros = 15_000;
 /// The wait told to clients whom the program refuses by itself.
 const COME_BACK: Micros = 300_000;
-/// After SIGTERM the front still sends clients for 0.4 s; moved any sooner, they would come back here.
-const LEAVE_AFTER: Micros = 450_000;
-/// SIGKILL comes no sooner than this after the longest wait of a client, which counts as 3 s where it is longer.
-const GRACE: Micros = 700_000;
-const GRACE_WAIT: Micros = 3_000_000;
-
 /// What a timer is for. Those of a fetch carry its link: it may be over when they come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
@@ -95,6 +91,7 @@
     probes: HashMap<LinkId, ServerId>,
     stages: Vec<Option<Stage>>,
     heard: Vec<Option<Heard>>,
+    watching: bool,
     leaving: Option<Micros>,
     exited: bool,
     did: Vec<FromBalancer>,
@@ -119,6 +116,7 @@
             probes: HashMap::new(),
             stages: vec![None; nodes],
             heard: vec![None; nodes],
+            watching: false,
             leaving: None,
             exited: false,
             did: Vec::new(),
@@ -189,7 +187,14 @@
                 let entries = self.listed(*full, entries);
                 self.tell(Happening::Listed { full: *full, cached: false, entries });
             }
-            ToBalancer::ListFailed => self.tell(Happening::DirectorFailed),
+            ToBalancer::ListFailed => {
+                self.watching = false;
+                self.tell(Happening::DirectorFailed);
+            }
+            // Guards against an old list: the watch at the address before may live on and tell nothing.
+            ToBalancer::Reload { moved: true } if self.watching => {
+                self.did.extend([FromBalancer::Unwatch, FromBalancer::Watch]);
+            }
             ToBalancer::Terminate if self.leaving.is_none() => {
                 self.leaving = Some(self.now);
                 self.at(self.now + SWEEP, Due::Leave);
@@ -239,7 +244,7 @@
             returning: ask.retry || ask.again,
         };
         if self.leaving.is_some() {
-            return self.did.push(FromBalancer::Answer(ask.conn, Answer::Busy(LEAVE_AFTER)));
+            return self.did.push(FromBalancer::Answer(ask.conn, Answer::Busy(leaving::LEAVE_AFTER)));
         }
         let home = ask.home.map(|n| self.places.server(n));
         let until = self.now + if home.is_some() { CARRY } else { left };
@@ -492,41 +497,6 @@
             self.tell(Happening::Probed(server, outcome));
         }
     }
-
-    /// The steps of a planned end: accept and answer, move everybody, refuse who still waits, go.
-    fn leave(&mut self) {
-        let Some(from) = self.leaving else { return };
-        let since = self.now - from;
-        let longest = self.places.longest_wait().min(GRACE_WAIT) + GRACE;
-        // Clients have 0.5 s for their last words after the last move, and 0.3 s are left for a busy machine.
-        let move_until = longest.saturating_sub(800_000);
-        let move_from = move_until.saturating_sub(900_000).max(LEAVE_AFTER);
-        let (answers, last) = (move_until.saturating_sub(500_000), longest - 300_000);
-        let move_until = move_until.max(LEAVE_AFTER + SWEEP);
-        let mut ids: Vec<(RequestId, At)> = self.sessions.iter().map(|(id, s)| (*id, s.at)).collect();
-        ids.sort_unstable_by_key(|(id, _)| *id);
-        if since >= answers {
-            for &(id, _) in ids.iter().filter(|(_, at)| *at == At::Waiting) {
-                self.tell(Happening::ClientLeft(id));
-                self.fetch_over(id, Outcome::Cancelled);
-                self.answer(id, Answer::Busy(COME_BACK));
-            }
-        }
-        if since >= move_from {
-            let open: Vec<RequestId> =
-                ids.iter().filter(|(_, at)| *at == At::Open).map(|(id, _)| *id).collect();
-            let parts = move_until.saturating_sub(since) / SWEEP;
-            let n = open.len().div_ceil(parts as usize + 1);
-            open.into_iter().take(n).for_each(|id| self.move_away(id));
-        }
-        if since >= last || (since >= LEAVE_AFTER + SWEEP && self.sessions.is_empty()) {
-            if !std::mem::replace(&mut self.exited, true) {
-                self.did.push(FromBalancer::Exited);
-            }
-            return;
-        }
-        self.at(self.now + SWEEP, Due::Leave);
-    }
 }
 
 impl Peers for Emulated {
@@ -574,7 +544,9 @@
     }
 
     fn watch(&mut self) {
-        self.did.push(FromBalancer::Watch);
+        if !std::mem::replace(&mut self.watching, true) {
+            self.did.push(FromBalancer::Watch);
+        }
     }
 
     fn wake(&mut self, after: Micros, token: u64) {
