--- a/crates/store/src/calls/mod.rs
+++ b/crates/store/src/calls/mod.rs
@@ -215,7 +215,9 @@
         let mut view = View::new(store, now);
         let mut done = Vec::new();
         for request in requests {
-            if matches!(request.call, Call::Count(_)) {
+            // Usage has groups of its own; a class is removed only after a look at all that is written.
+            let alone = matches!(request.call, Call::RemoveClass { .. }) && view.writes();
+            if alone || matches!(request.call, Call::Count(_)) {
                 break;
             }
             match decide(&mut view, request) {
@@ -248,14 +250,7 @@
 
 /// Gives all who were to be answered well the error instead; who was refused stays refused.
 fn refuse(done: Vec<Result<Done, StoreError>>, e: StoreError) -> Vec<Result<Done, StoreError>> {
-    let again = e.to_string();
-    let mut first = Some(e);
-    let other = |d: Result<Done, StoreError>| match d {
-        Err(e) => Err(e),
-        Ok(done) if done.repeated => Ok(done),
-        Ok(_) => Err(first.take().unwrap_or_else(|| StoreError::Io { what: "store".into(), cause: again.clone() })),
-    };
-    done.into_iter().map(other).collect()
+    done.into_iter().map(|d| d.and_then(|done| if done.repeated { Ok(done) } else { Err(e.clone()) })).collect()
 }
 
 /// Decides one call, with the answer that was kept for it if it comes again.
--- a/crates/store/src/calls/view.rs
+++ b/crates/store/src/calls/view.rs
@@ -23,13 +23,15 @@
     /// The time of the group.
     pub(super) now: Micros,
     seen: BTreeMap<Key, Option<Entry>>,
+    /// What the last call was the first to see.
+    fresh: Vec<Key>,
     settled: Writes,
     draft: Writes,
 }
 
 impl<'s> View<'s> {
     pub(super) fn new(store: &'s mut dyn Store, now: Micros) -> View<'s> {
-        View { store, now, seen: BTreeMap::new(), settled: BTreeMap::new(), draft: BTreeMap::new() }
+        View { store, now, seen: BTreeMap::new(), fresh: Vec::new(), settled: BTreeMap::new(), draft: BTreeMap::new() }
     }
 
     /// A record's bytes and version.
@@ -40,6 +42,7 @@
         if !self.seen.contains_key(key) {
             let entry = self.store.get(key, self.now)?;
             self.seen.insert(key.clone(), entry);
+            self.fresh.push(key.clone());
         }
         Ok(self.seen[key].as_ref().map(|e| (e.revision, e.value.clone())))
     }
@@ -112,16 +115,21 @@
         let fits = room(self.settled.len(), self.draft.len(), Batch::LARGEST)
             && room(weigh(&self.settled), weigh(&self.draft), Batch::HEAVIEST)
             && (self.settled.is_empty() || self.seen.len() <= Batch::LARGEST);
-        if fits {
-            self.settled.append(&mut self.draft);
+        if !fits {
+            self.drop_draft();
+            return false;
         }
-        self.draft.clear();
-        fits
+        self.settled.append(&mut self.draft);
+        self.fresh.clear();
+        true
     }
 
-    /// Forgets what the last call wrote.
+    /// Forgets what the last call wrote, and what only that call has seen.
     pub(super) fn drop_draft(&mut self) {
         self.draft.clear();
+        for key in self.fresh.drain(..) {
+            self.seen.remove(&key);
+        }
     }
 
     /// Whether the group writes anything.
--- a/crates/store/src/embedded/file.rs
+++ b/crates/store/src/embedded/file.rs
@@ -25,6 +25,9 @@
     IfMissing,
     /// It must be there.
     Never,
+    /// It must not be there, and is made to take the place of one that was lost: its revisions go on after the
+    /// last that was acknowledged. For restoring a backup.
+    Anew,
 }
 
 /// Why the engine gave no answer.
@@ -104,16 +107,24 @@
     /// For a file; makes it if that is wanted.
     pub(super) fn file(path: &Path, create: Create) -> Result<Opener, StoreError> {
         let what = path.display().to_string();
-        match fs::metadata(path) {
+        let opener = Opener::File(path.to_path_buf());
+        let missing = match fs::metadata(path) {
             Ok(about) if about.len() == 0 => return Err(StoreError::damaged(what, "the file is empty")),
-            Ok(_) => {}
-            Err(e) if e.kind() == io::ErrorKind::NotFound && create == Create::IfMissing => {
-                make(path, |db| Rows::begin(db, Revision(0)))?;
-            }
-            Err(e) if e.kind() == io::ErrorKind::NotFound => return Err(StoreError::Missing { key: what }),
+            Ok(_) => false,
+            Err(e) if e.kind() == io::ErrorKind::NotFound => true,
             Err(e) => return Err(io_error(&what, &e)),
+        };
+        let lost = Head::of(&opener).read();
+        match (create, missing, lost) {
+            (Create::Anew, false, _) => return Err(StoreError::Exists { key: what }),
+            (_, false, _) => {}
+            (Create::Never, true, _) => return Err(StoreError::Missing { key: what }),
+            (Create::IfMissing, true, Some(lost)) => {
+                return Err(StoreError::damaged(what, format!("the file is gone, though {lost} was acknowledged")));
+            }
+            (_, true, lost) => make(path, |db| Rows::begin(db, lost.unwrap_or_default()))?,
         }
-        Ok(Opener::File(path.to_path_buf()))
+        Ok(opener)
     }
 
     pub(super) fn on(make: Backend) -> Opener {
@@ -249,15 +260,6 @@
     }
 }
 
-/// Removes what is known of the head, where another file takes the store's place.
-pub(crate) fn forget_head(path: &Path) -> Result<(), StoreError> {
-    let head = beside(path, "head");
-    match fs::remove_file(&head) {
-        Err(e) if e.kind() != io::ErrorKind::NotFound => Err(io_error(&head.display().to_string(), &e)),
-        _ => Ok(()),
-    }
-}
-
 /// Writes a file whole or not at all.
 pub(crate) fn write_whole(path: &Path, text: &[u8]) -> Result<(), StoreError> {
     let part = beside(path, "part");
--- a/crates/store/src/embedded/mod.rs
+++ b/crates/store/src/embedded/mod.rs
@@ -11,9 +11,12 @@
 //!   [`StoreError::Damaged`], and the file is closed and opened anew, with all checks, at the next call.
 
 mod file;
+mod memory;
 mod rows;
 
+pub(crate) use file::{beside, io_error, put_in_place, write_whole};
 pub use file::{Backend, Create};
+pub(crate) use memory::{Memory, fill};
 
 use crate::error::StoreError;
 use crate::key::{Key, Space};
--- a/crates/store/src/embedded/rows.rs
+++ b/crates/store/src/embedded/rows.rs
@@ -253,6 +253,39 @@
     }
 }
 
+/// Fills a new database with records that keep their revisions.
+pub(super) struct Filler {
+    txn: WriteTransaction,
+    counts: BTreeMap<Space, u64>,
+}
+
+impl Filler {
+    pub(super) fn new(db: &Database) -> Result<Filler, Failed> {
+        Ok(Filler { txn: begin_write(db)?, counts: BTreeMap::new() })
+    }
+
+    pub(super) fn put(&mut self, entry: &Entry) -> Result<(), Failed> {
+        let text = entry.key.text();
+        let row = row(&text, entry.revision, &entry.value);
+        self.txn.open_table(RECORDS)?.insert(text.as_str(), row.as_slice())?;
+        *self.counts.entry(entry.key.space).or_default() += 1;
+        Ok(())
+    }
+
+    pub(super) fn done(self, revision: Revision) -> Result<(), Failed> {
+        {
+            self.txn.open_table(CHANGES)?;
+            let mut numbers = self.txn.open_table(NUMBERS)?;
+            numbers.insert(REVISION, revision.0)?;
+            numbers.insert(SCHEMA, u64::from(migrate::SCHEMA))?;
+            for (space, count) in &self.counts {
+                numbers.insert(space.as_str(), count)?;
+            }
+        }
+        Ok(self.txn.commit()?)
+    }
+}
+
 fn begin_write(db: &Database) -> Result<WriteTransaction, Failed> {
     let mut txn = db.begin_write()?;
     // With one synced step a damaged last commit looks like one that was never finished, and would be undone in
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -7,7 +7,7 @@
 /// An answer from a store that is not what was asked for.
 ///
 /// Nothing was changed, except after [`StoreError::Unsure`], which says that this is not known.
-#[derive(Debug, Error)]
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum StoreError {
     /// No record stands under the key.
     #[error("{key}: not there")]
--- a/crates/store/src/migrate.rs
+++ b/crates/store/src/migrate.rs
@@ -45,7 +45,7 @@
 }
 
 /// Schema 1 had no index of how names look, so look-alikes were not seen.
-fn index_looks(records: &Records, _now: Micros) -> Result<Writes, StoreError> {
+pub(crate) fn index_looks(records: &Records, _now: Micros) -> Result<Writes, StoreError> {
     let mut looks: BTreeMap<String, BTreeMap<String, String>> = BTreeMap::new();
     for (key, value) in records.iter().filter(|(key, _)| key.space == Space::Tenant) {
         let tenant: TenantRecord = read(key, value)?;
