--- /dev/null
+++ b/crates/store/tests/crash.rs
@@ -0,0 +1,159 @@
+//! A process that is killed at a random moment loses no change that it acknowledged and leaves none half there.
+//!
+//! A child of this very program makes changes and tells each on its standard output once the store has answered;
+//! the parent kills it (SIGKILL) after a random number of told changes and some microseconds, opens the file
+//! and looks. `STORE_KILLS` says how often (40 unless told otherwise), `STORE_SEED` from which seed.
+
+mod rig;
+
+use rand::{Rng, RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use rig::{NOW, make, name, report};
+use shorewharf_store::calls::{Answer, Call, Found, Question, Request, answer, run};
+use shorewharf_store::check::check;
+use shorewharf_store::embedded::{Create, Embedded};
+use shorewharf_store::error::StoreError;
+use shorewharf_store::key::Space;
+use shorewharf_store::name::Name;
+use shorewharf_store::record::{Actor, AuditEntry, Limits, NewTenant, Place, TenantChange, Weight};
+use shorewharf_store::store::{Entry, Store};
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Write};
+use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
+
+fn env(name: &str, default: u64) -> u64 {
+    std::env::var(name).ok().and_then(|v| v.parse().ok()).unwrap_or(default)
+}
+
+/// Makes changes until it is killed. Tells `ack NAME WEIGHT REVISION` (weight 0: removed) and `use MINUTE`.
+#[test]
+#[ignore = "the child that the parent starts and kills"]
+fn child() {
+    let Ok(path) = std::env::var("STORE_CHILD") else { return };
+    let mut rng = Pcg64Mcg::seed_from_u64(env("STORE_SEED", 0));
+    let mut store = Embedded::open(path, Create::IfMissing, NOW).unwrap();
+    let mut out = std::io::stdout().lock();
+    let mut minute = env("STORE_MINUTE", 0);
+    loop {
+        // Groups of changes, as the store's thread makes them; a tenant's limits tell its weight again.
+        let calls: Vec<(Name, u32, Call)> = (0..rng.random_range(1..6))
+            .map(|_| {
+                let name = name(&format!("t{}", rng.random_range(0..12)));
+                let n = rng.random_range(1..100_000);
+                let weight = Weight::new(n).unwrap();
+                let limits = Limits { connections: Some(n), ..Limits::default() };
+                let call = match rng.random_range(0..4) {
+                    0 => Call::CreateTenant(NewTenant { weight, limits, ..NewTenant::named(name.clone()) }),
+                    1 => return (name.clone(), 0, Call::RemoveTenant { name, expected: None }),
+                    _ => {
+                        let change = TenantChange { weight: Some(weight), limits: Some(limits), ..Default::default() };
+                        Call::ChangeTenant { name: name.clone(), expected: None, change }
+                    }
+                };
+                (name, n, call)
+            })
+            .collect();
+        let requests: Vec<_> = calls.iter().map(|(_, _, c)| Request::new(Actor::File, c.clone())).collect();
+        for ((name, weight, _), done) in calls.iter().zip(run(&mut store, &requests, NOW)) {
+            let version = match done.map(|d| d.answer) {
+                Ok(Answer::Tenant(kept)) => kept.version.0,
+                Ok(_) => 0,
+                Err(StoreError::Missing { .. } | StoreError::Exists { .. }) => continue,
+                Err(e) => panic!("{e}"),
+            };
+            writeln!(out, "ack {name} {weight} {version}").unwrap();
+        }
+        make(&mut store, report("child", minute, &[(1, 1), (70, 1)]), NOW).unwrap();
+        writeln!(out, "use {minute}").unwrap();
+        out.flush().unwrap();
+        minute += 1;
+    }
+}
+
+#[test]
+fn what_was_acknowledged_outlives_kill_9() {
+    let dir = tempfile::tempdir().unwrap();
+    let path = dir.path().join("store");
+    let mut rng = Pcg64Mcg::seed_from_u64(env("STORE_SEED", 1));
+    let (mut minute, mut acks, mut untold) = (0, 0, 0);
+    let mut acknowledged: BTreeMap<(u64, String, u64), usize> = BTreeMap::new();
+    for round in 0..env("STORE_KILLS", 40) {
+        let mut child = Command::new(std::env::current_exe().unwrap())
+            .args(["--exact", "child", "--ignored", "--nocapture"])
+            .env("STORE_CHILD", &path)
+            .env("STORE_SEED", rng.next_u64().to_string())
+            .env("STORE_MINUTE", minute.to_string())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
+        // Some children are killed while they open the file, or after a few changes; then at any moment of one.
+        let told = rng.random_range(0..30);
+        let later = Duration::from_micros(rng.random_range(0..3000));
+        let mut heard: Vec<String> =
+            lines.by_ref().map(|l| l.unwrap()).filter(|l| l.starts_with("ack") || l.starts_with("use")).take(told).collect();
+        let until = Instant::now() + later;
+        while Instant::now() < until {
+            std::hint::spin_loop();
+        }
+        child.kill().unwrap();
+        child.wait().unwrap();
+        // What it had told and nobody had read yet was acknowledged too; a last line without an end was not.
+        heard.extend(lines.map_while(Result::ok).filter(|l| l.starts_with("ack") || l.starts_with("use")));
+        acks += heard.len();
+
+        if !path.exists() {
+            continue;
+        }
+        let mut store = Embedded::open(&path, Create::Never, NOW).unwrap_or_else(|e| panic!("round {round}: {e}"));
+        assert_eq!(check(&mut store, NOW).unwrap(), [], "round {round}");
+        // Each change's entry of the trail was written with it: the trail tells what must be there.
+        let mut trail: BTreeMap<(u64, String, u64), usize> = BTreeMap::new();
+        let mut state: BTreeMap<String, Option<serde_json::Value>> = BTreeMap::new();
+        let each = &mut |entry: Entry| {
+            let AuditEntry { target, after, .. } = entry.read()?;
+            let weight = after.as_ref().map_or(0, |a| a["weight"].as_u64().unwrap());
+            let version = if weight == 0 { 0 } else { entry.revision.0 };
+            *trail.entry((version, target.clone(), weight)).or_default() += 1;
+            state.insert(target, after);
+            Ok(())
+        };
+        store.visit(&[Space::Audit], NOW, each).unwrap();
+        for line in &heard {
+            match line.split(' ').collect::<Vec<_>>()[..] {
+                ["ack", name, weight, version] => {
+                    let (weight, version) = (weight.parse().unwrap(), version.parse().unwrap());
+                    let told = (version, format!("tenant/{name}"), weight);
+                    *acknowledged.entry(told).or_default() += 1;
+                }
+                ["use", told] => minute = told.parse::<u64>().unwrap() + 1,
+                _ => {}
+            }
+        }
+        for (change, times) in &acknowledged {
+            let kept = trail.get(change).copied().unwrap_or_default();
+            assert!(kept >= *times, "round {round}: lost {change:?}: {kept} of {times} times in the trail");
+        }
+        untold = trail.values().sum::<usize>() - acknowledged.values().sum::<usize>();
+        for (target, after) in state {
+            let name = name(target.strip_prefix("tenant/").unwrap());
+            let kept = match answer(&mut store, &Question::Tenant(name), NOW) {
+                Ok(Found::Tenant(kept)) => Some(serde_json::to_value(kept.record).unwrap()),
+                Err(StoreError::Missing { .. }) => None,
+                other => panic!("round {round}: {other:?}"),
+            };
+            assert_eq!(kept, after, "round {round}: {target} is half changed");
+        }
+        // Counted once: each of the minutes that were told, and perhaps one more.
+        let level = shorewharf_store::calls::Level::Day;
+        let ask = Question::Usage { place: Place(70), level, from: 0, to: u64::MAX };
+        let Found::Usage(rows, _) = answer(&mut store, &ask, NOW).unwrap() else { panic!() };
+        let counted: u64 = rows.iter().map(|r| r.usage.set_ups).sum();
+        assert!(counted == minute || counted == minute + 1, "round {round}: {counted} of {minute}");
+        minute = counted;
+    }
+    println!("{acks} lines told; {untold} changes were kept whose child was killed before it told them");
+    assert!(acks > 0);
+}
