--- a/crates/store/src/embedded/file.rs
+++ b/crates/store/src/embedded/file.rs
@@ -1,5 +1,6 @@
 //! The file of the embedded engine: how it is made, opened and locked, and what its failures mean.
 
+use super::guarded::Guarded;
 use super::rows::Rows;
 use crate::error::StoreError;
 use crate::store::Revision;
@@ -140,18 +141,25 @@
 
     /// Opens and verifies every page.
     pub(super) fn open(&mut self) -> Result<Database, Failed> {
-        match self {
-            Opener::File(path) => Ok(builder().open(path)?),
+        let io = |e| Failed::Engine(redb::Error::Io(e));
+        let (storage, new): (Box<dyn StorageBackend>, bool) = match self {
+            Opener::File(path) => {
+                let file = OpenOptions::new().read(true).write(true).open(path).map_err(io)?;
+                (Box::new(FileBackend::new(file)?), false)
+            }
             Opener::On(make) => {
-                let storage = make().map_err(|e| Failed::Engine(redb::Error::Io(e)))?;
-                let new = storage.len().map_err(|e| Failed::Engine(redb::Error::Io(e)))? == 0;
-                let db = builder().create_with_backend(Boxed(storage))?;
-                if new {
-                    Rows::begin(&db, Revision(0))?;
-                }
-                Ok(db)
+                let storage = make().map_err(io)?;
+                let new = storage.len().map_err(io)? == 0;
+                (storage, new)
             }
+        };
+        let mut builder = Builder::new();
+        builder.set_cache_size(CACHE).set_check_integrity_on_open(true);
+        let db = builder.create_with_backend(Guarded::new(storage).map_err(io)?)?;
+        if new {
+            Rows::begin(&db, Revision(0))?;
         }
+        Ok(db)
     }
 
     /// Keeps a copy of the file, as it was with an older schema.
@@ -162,12 +170,6 @@
     }
 }
 
-fn builder() -> Builder {
-    let mut builder = Builder::new();
-    builder.set_cache_size(CACHE).set_check_integrity_on_open(true);
-    builder
-}
-
 /// The path of a file that belongs to another one: its name, a dot and more.
 pub(crate) fn beside(path: &Path, more: &str) -> PathBuf {
     let mut name = path.as_os_str().to_owned();
@@ -278,28 +280,3 @@
     }
     written
 }
-
-/// A storage of any kind.
-#[derive(Debug)]
-struct Boxed(Box<dyn StorageBackend>);
-
-impl StorageBackend for Boxed {
-    fn len(&self) -> io::Result<u64> {
-        self.0.len()
-    }
-    fn read(&self, offset: u64, out: &mut [u8]) -> io::Result<()> {
-        self.0.read(offset, out)
-    }
-    fn set_len(&self, len: u64) -> io::Result<()> {
-        self.0.set_len(len)
-    }
-    fn sync_data(&self) -> io::Result<()> {
-        self.0.sync_data()
-    }
-    fn write(&self, offset: u64, data: &[u8]) -> io::Result<()> {
-        self.0.write(offset, data)
-    }
-    fn close(&self) -> io::Result<()> {
-        self.0.close()
-    }
-}
--- a/crates/store/src/embedded/mod.rs
+++ b/crates/store/src/embedded/mod.rs
@@ -7,10 +7,13 @@
 //!   revision and text, verified each time it is read; records are counted by space;
 //! - beside the file stands `FILE.head`, the last revision that was acknowledged. A file that has fallen behind
 //!   it (a damaged switch, an old copy put in its place) is refused, not served as if nothing had been lost;
+//! - the checksum of every block that was verified or written is remembered, so that damage under the running
+//!   store is refused too, not read;
 //! - redb trusts what it reads and may panic on damaged pages. No panic leaves this module: it becomes
 //!   [`StoreError::Damaged`], and the file is closed and opened anew, with all checks, at the next call.
 
 mod file;
+mod guarded;
 mod memory;
 mod rows;
 
--- /dev/null
+++ b/crates/store/tests/damage.rs
@@ -0,0 +1,294 @@
+//! Full disks and damaged files: each is refused by name, nothing is half read, and nothing panics out of the
+//! crate. Seeds are pinned; `STORE_DAMAGES` says how many places are damaged (60 unless told otherwise).
+
+mod rig;
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use redb::StorageBackend;
+use redb::backends::InMemoryBackend;
+use rig::{NOW, create, make, name, report};
+use shorewharf_store::backup::{backup, restore, restore_anew};
+use shorewharf_store::calls::Call;
+use shorewharf_store::check::check;
+use shorewharf_store::embedded::{Backend, Create, Embedded};
+use shorewharf_store::error::StoreError;
+use shorewharf_store::key::Space;
+use shorewharf_store::record::{Actor, TenantChange};
+use shorewharf_store::store::Store;
+use std::collections::BTreeMap;
+use std::io;
+use std::path::Path;
+use std::process::Command;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
+use std::sync::Arc;
+
+type Records = BTreeMap<String, (u64, Vec<u8>)>;
+
+fn records(store: &mut dyn Store) -> Result<Records, StoreError> {
+    let mut all = Records::new();
+    store.visit(&Space::ALL, NOW, &mut |entry| {
+        all.insert(entry.key.text(), (entry.revision.0, entry.value));
+        Ok(())
+    })?;
+    Ok(all)
+}
+
+fn weigh(store: &mut dyn Store, tenant: &str, weight: u32) -> Result<(), StoreError> {
+    let change = TenantChange { weight: Some(weight.try_into().unwrap()), ..TenantChange::default() };
+    make(store, Call::ChangeTenant { name: name(tenant), expected: None, change }, NOW).map(drop)
+}
+
+/// A store with enough in it for trees of some depth.
+fn filled(path: &Path) -> Records {
+    let mut store = Embedded::open(path, Create::IfMissing, NOW).unwrap();
+    for i in 0..150 {
+        create(&mut store, &format!("tenant-{i}")).unwrap();
+        make(&mut store, report("a@1", i, &[(i as u32, 5), (99, 3)]), NOW).unwrap();
+    }
+    records(&mut store).unwrap()
+}
+
+#[test]
+fn a_file_damaged_anywhere_is_refused_by_name_or_reads_as_it_was_written() {
+    let dir = tempfile::tempdir().unwrap();
+    let (whole, path) = (dir.path().join("whole"), dir.path().join("store"));
+    let written = filled(&whole);
+    let bytes = std::fs::read(&whole).unwrap();
+    let head = std::fs::read(dir.path().join("whole.head")).unwrap();
+    let damages = std::env::var("STORE_DAMAGES").ok().and_then(|v| v.parse().ok()).unwrap_or(60);
+    let (mut refused, mut same) = (0, 0);
+    for seed in 0..damages {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let mut bad = bytes.clone();
+        // Every third time within the part of the file that says where all else is.
+        let within = if seed % 3 == 0 { 4096 } else { bad.len() };
+        match rng.random_range(0..4) {
+            0 => bad[rng.random_range(0..within)] ^= 1 << rng.random_range(0..8),
+            1 => {
+                let page = rng.random_range(0..within / 512) * 512;
+                rng.fill(&mut bad[page..page + 512]);
+            }
+            2 => {
+                let page = rng.random_range(0..within / 512) * 512;
+                bad[page..page + 512].fill(0);
+            }
+            _ => bad.truncate(rng.random_range(0..within)),
+        }
+        std::fs::write(&path, &bad).unwrap();
+        std::fs::write(dir.path().join("store.head"), &head).unwrap();
+        let read = Embedded::open(&path, Create::Never, NOW).and_then(|mut s| records(&mut s));
+        match read {
+            Ok(read) => {
+                assert_eq!(read, written, "seed {seed}: half read");
+                same += 1;
+            }
+            Err(e) => {
+                let text = e.to_string();
+                assert!(matches!(e, StoreError::Damaged { .. } | StoreError::NewerSchema { .. }), "seed {seed}: {text}");
+                assert!(text.contains("store"), "seed {seed}: {text}");
+                refused += 1;
+            }
+        }
+    }
+    println!("{refused} damaged files were refused, {same} read as they were written");
+    assert!(refused > damages / 4);
+}
+
+#[test]
+fn damage_under_a_running_store_is_never_read_as_something_else() {
+    let dir = tempfile::tempdir().unwrap();
+    let path = dir.path().join("store");
+    let written = filled(&path);
+    let bytes = std::fs::read(&path).unwrap();
+    for seed in 0..20 {
+        let memory = Arc::new(Shared::default());
+        memory.0.set_len(bytes.len() as u64).unwrap();
+        memory.0.write(0, &bytes).unwrap();
+        let mut store = Embedded::open_on(memory.clone().backend(), NOW).unwrap();
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let place = rng.random_range(4096..bytes.len() - 512) as u64;
+        memory.0.write(place, &[0xa5; 512]).unwrap();
+        // What is in the engine's cache may be served as it was; what comes from the storage is checked.
+        for key in written.keys().step_by(3) {
+            let (space, name) = key.split_once('/').unwrap();
+            let key = shorewharf_store::key::Key::new(Space::parse(space).unwrap(), name);
+            match store.get(&key, NOW) {
+                Ok(Some(entry)) => assert_eq!(written[&key.text()], (entry.revision.0, entry.value), "seed {seed}"),
+                Ok(None) => panic!("seed {seed}: {key} is lost in silence"),
+                Err(e) => assert!(matches!(e, StoreError::Damaged { .. }), "seed {seed}: {e}"),
+            }
+        }
+        match store.verify(NOW) {
+            Ok(()) => assert_eq!(records(&mut store).unwrap(), written, "seed {seed}"),
+            Err(e) => assert!(matches!(e, StoreError::Damaged { .. }), "seed {seed}: {e}"),
+        }
+    }
+}
+
+#[test]
+fn an_old_copy_in_place_of_the_file_is_not_served_as_if_nothing_had_been_lost() {
+    let dir = tempfile::tempdir().unwrap();
+    let (path, old, moved) = (dir.path().join("store"), dir.path().join("backup"), dir.path().join("moved"));
+    let mut store = Embedded::open(&path, Create::IfMissing, NOW).unwrap();
+    create(&mut store, "early").unwrap();
+    backup(&mut store, &old, NOW).unwrap();
+    let late = create(&mut store, "late").unwrap();
+    drop(store);
+    std::fs::rename(&path, &moved).unwrap();
+    std::fs::copy(&old, &path).unwrap();
+    let refused = Embedded::open(&path, Create::Never, NOW).map(drop).unwrap_err().to_string();
+    assert!(refused.ends_with("ends at revision 1, though revision 2 was acknowledged"), "{refused}");
+    std::fs::remove_file(&path).unwrap();
+    let refused = Embedded::open(&path, Create::IfMissing, NOW).map(drop).unwrap_err().to_string();
+    assert!(refused.ends_with("the file is gone, though revision 2 was acknowledged"), "{refused}");
+    // Restored on purpose: places that the lost store gave after the backup are not given again.
+    let who = Actor::console("operator").unwrap();
+    let taken = restore_anew(&path, &old, &who, NOW).unwrap();
+    let mut store = Embedded::open(&path, Create::Never, NOW).unwrap();
+    assert!(taken.revision > late.version);
+    assert!(create(&mut store, "next").unwrap().record.place > late.record.place);
+    assert_eq!(check(&mut store, NOW).unwrap(), []);
+    // A store that still stands knows what it gave.
+    restore(&mut store, &old, &who, NOW).unwrap();
+    let next = create(&mut store, "late").unwrap();
+    assert_eq!(next.record.place.0, 65_536 + 2, "the backup's one, those left out, and \"next\"");
+}
+
+/// Storage with so much room, and a number of writes after which everything fails.
+#[derive(Debug, Default)]
+struct Shared(InMemoryBackend, AtomicU64, AtomicU64, AtomicBool);
+
+impl Shared {
+    /// `room` in bytes; `writes` before the storage is full altogether.
+    fn limited(room: u64, writes: u64) -> Arc<Shared> {
+        let shared = Shared::default();
+        shared.1.store(room, SeqCst);
+        shared.2.store(writes, SeqCst);
+        shared.3.store(true, SeqCst);
+        Arc::new(shared)
+    }
+
+    fn backend(self: Arc<Shared>) -> Backend {
+        Box::new(move || Ok(Box::new(Storage(self.clone()))))
+    }
+}
+
+#[derive(Debug)]
+struct Storage(Arc<Shared>);
+
+impl Storage {
+    fn room(&self, end: u64) -> io::Result<()> {
+        let Shared(_, room, writes, limited) = &*self.0;
+        let left = writes.load(SeqCst);
+        if !limited.load(SeqCst) || (end <= room.load(SeqCst) && left > 0) {
+            writes.store(left.saturating_sub(1), SeqCst);
+            return Ok(());
+        }
+        Err(io::ErrorKind::StorageFull.into())
+    }
+}
+
+impl StorageBackend for Storage {
+    fn len(&self) -> io::Result<u64> {
+        self.0.0.len()
+    }
+    fn read(&self, offset: u64, out: &mut [u8]) -> io::Result<()> {
+        self.0.0.read(offset, out)
+    }
+    fn set_len(&self, len: u64) -> io::Result<()> {
+        self.room(len)?;
+        self.0.0.set_len(len)
+    }
+    fn sync_data(&self) -> io::Result<()> {
+        self.room(0)
+    }
+    fn write(&self, offset: u64, data: &[u8]) -> io::Result<()> {
+        self.room(offset + data.len() as u64)?;
+        self.0.0.write(offset, data)
+    }
+}
+
+#[test]
+fn a_disk_that_fills_at_any_moment_refuses_changes_and_keeps_what_it_acknowledged() {
+    let (mut full, mut unsure) = (0, 0);
+    for seed in 0..60 {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let shared = Shared::limited(u64::MAX, u64::MAX);
+        let mut store = Embedded::open_on(shared.clone().backend(), NOW).unwrap();
+        create(&mut store, "grad").unwrap();
+        shared.2.store(rng.random_range(0..400), SeqCst);
+        let (mut kept, mut weight) = (100, 100);
+        let mut failed = false;
+        for _ in 0..60 {
+            weight += 1;
+            match weigh(&mut store, "grad", weight) {
+                Ok(()) => {
+                    assert!(!failed, "seed {seed}: a full disk took a change");
+                    kept = weight;
+                }
+                Err(e) => {
+                    assert!(e.passes(), "seed {seed}: {e}");
+                    assert!(e.to_string().starts_with("storage: "), "seed {seed}: {e}");
+                    match e {
+                        StoreError::Full { .. } => full += 1,
+                        StoreError::Unsure { .. } => unsure += 1,
+                        StoreError::Io { .. } => {}
+                        other => panic!("seed {seed}: {other}"),
+                    }
+                    failed = true;
+                }
+            }
+        }
+        // There is room again: what was acknowledged is there, or the one change that nobody knew of.
+        shared.3.store(false, SeqCst);
+        let all = records(&mut store).unwrap_or_else(|e| panic!("seed {seed}: {e}"));
+        let found = serde_json::from_slice::<serde_json::Value>(&all["tenant/grad"].1).unwrap()["weight"].clone();
+        assert!(found == kept || failed && found == kept + 1, "seed {seed}: {found} for {kept}");
+        assert_eq!(check(&mut store, NOW).unwrap(), [], "seed {seed}");
+        weigh(&mut store, "grad", 77).unwrap();
+        drop(store);
+        let mut again = Embedded::open_on(shared.backend(), NOW).unwrap();
+        assert!(String::from_utf8_lossy(&records(&mut again).unwrap()["tenant/grad"].1).contains("\"weight\":77"));
+    }
+    println!("{full} changes refused for want of space, {unsure} of which it was not known");
+    assert!(full > 0);
+}
+
+/// Grows the store until the system refuses; tells how far it came.
+#[test]
+#[ignore = "the child that runs under a limit of the system"]
+fn child() {
+    let Ok(path) = std::env::var("STORE_CHILD") else { return };
+    let mut store = Embedded::open(&path, Create::Never, NOW).unwrap();
+    let mut made = 0;
+    let e = loop {
+        match create(&mut store, &format!("{made}-{}", "x".repeat(3000))) {
+            Ok(_) => made += 1,
+            Err(e) => break e,
+        }
+    };
+    println!("\nmade {made}\nerror {e}");
+    assert_eq!(records(&mut store).unwrap().keys().filter(|k| k.starts_with("tenant/")).count(), made);
+}
+
+#[test]
+fn a_file_that_may_not_grow_refuses_by_name_and_goes_on_reading() {
+    let dir = tempfile::tempdir().unwrap();
+    let path = dir.path().join("store");
+    drop(Embedded::open(&path, Create::IfMissing, NOW).unwrap());
+    let limit = std::fs::metadata(&path).unwrap().len() / 1024 + 256;
+    let script = format!("trap '' XFSZ; ulimit -f {limit}; exec \"$0\" --exact child --ignored --nocapture");
+    let mut shell = Command::new("bash");
+    let shell = shell.args(["-c", &script]).arg(std::env::current_exe().unwrap());
+    let output = shell.env("STORE_CHILD", &path).output().unwrap();
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert!(output.status.success(), "{text}{}", String::from_utf8_lossy(&output.stderr));
+    let line = |word: &str| text.lines().find_map(|l| l.strip_prefix(word)).unwrap_or_else(|| panic!("{text}"));
+    assert!(line("error ").starts_with(&format!("{}: ", path.display())), "{text}");
+    assert!(line("error ").contains("File too large"), "{text}");
+    let made: usize = line("made ").parse().unwrap();
+    let mut store = Embedded::open(&path, Create::Never, NOW).unwrap();
+    let kept = records(&mut store).unwrap().keys().filter(|k| k.starts_with("tenant/")).count();
+    assert!(made > 0 && kept == made, "{kept} of {made}");
+}
