--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -12,5 +12,8 @@
 mod migrate;
 pub mod name;
 pub mod record;
+pub mod replicated;
 pub mod service;
+#[cfg(feature = "standin")]
+pub mod standin;
 pub mod store;
