--- a/crates/store/tests/life.rs
+++ b/crates/store/tests/life.rs
@@ -1,198 +1,100 @@
-//! What callers are promised by every engine: the same story is told to the embedded and the replicated one.
+//! What callers are promised, in one file and through the store's thread.
 
 mod rig;
 
-use rig::{NOW, create, make, name, report};
-use shorewharf_store::calls::{Answer, Call, Found, Level, Question, Request, answer, run};
+use rig::story::story;
+use rig::{NOW, create, name};
+use shorewharf_store::calls::{Answer, Call, Found, Question, Request};
 use shorewharf_store::check::check;
 use shorewharf_store::embedded::{Create, Embedded};
 use shorewharf_store::error::StoreError;
-use shorewharf_store::name::ClassName;
-use shorewharf_store::record::{
-    Actor, ClassRecord, Limits, NewTenant, NewToken, OnceKey, Place, Role, Semantics, ServiceLimits, TenantChange, TenantState,
-    TokenRecord, TokenSeed,
-};
-use shorewharf_store::store::{Revision, Store};
+use shorewharf_store::known::Known;
+use shorewharf_store::record::{Actor, NewTenant, NewToken, Place, Role, TokenSeed};
+use shorewharf_store::service::{Options, Service, Told};
+use std::sync::mpsc::{Receiver, channel};
+use std::time::Duration;
 
-fn told(store: &mut dyn Store, question: Question) -> Found {
-    answer(store, &question, NOW).unwrap()
-}
-
-fn two_people_change_one_tenant_and_the_second_is_told(store: &mut dyn Store) {
-    let made = create(store, "grad-uprava").unwrap();
-    let weight = |w: u32| TenantChange { weight: Some(w.try_into().unwrap()), ..TenantChange::default() };
-    let change = |w, expected| Call::ChangeTenant { name: name("GRAD-uprava"), expected: Some(expected), change: weight(w) };
-    // Both have read the same version, and both calls wait when the store's thread looks.
-    let both = [change(200, made.version), change(300, made.version)].map(|c| Request::new(Actor::File, c));
-    let done = run(store, &both, NOW + 1);
-    let Ok(Answer::Tenant(first)) = done[0].as_ref().map(|d| &d.answer) else { panic!("{done:?}") };
-    assert!(first.version > made.version && first.record.weight.get() == 200);
-    assert!(matches!(&done[1], Err(StoreError::Conflict { key, .. }) if key == "tenant/grad-uprava"), "{done:?}");
-    let third = make(store, change(300, first.version), NOW + 2).unwrap();
-    let Answer::Tenant(third) = third.answer else { panic!() };
-    assert_eq!(told(store, Question::Tenant(name("grad-uprava"))), Found::Tenant(third));
-}
-
-fn a_tenant_made_anew_under_its_name_gets_another_place(store: &mut dyn Store) {
-    let before = create(store, "bolnica-sjever").unwrap();
-    let remove = || Call::RemoveTenant { name: name("bolnica-sjever"), expected: None };
-    let anew = [remove(), Call::CreateTenant(NewTenant::named(name("Bolnica-Sjever")))];
-    let done = run(store, &anew.map(|c| Request::new(Actor::File, c)), NOW + 5);
-    assert_eq!(done[0].as_ref().unwrap().answer, Answer::Removed(before.record.place));
-    let Answer::Tenant(after) = &done[1].as_ref().unwrap().answer else { panic!() };
-    assert!(after.record.place > before.record.place && after.version > before.version);
-    let Found::Place(old) = told(store, Question::Place(before.record.place)) else { panic!() };
-    assert_eq!((old.removed, old.name.as_str()), (Some(NOW + 5), "bolnica-sjever"));
-    assert!(matches!(create(store, "BOLNICA-SJEVER"), Err(StoreError::Exists { .. })));
-}
-
-fn names_that_look_alike_in_two_scripts_are_refused_until_the_first_is_gone(store: &mut dyn Store) {
-    create(store, "pay").unwrap();
-    assert!(matches!(create(store, "рау"), Err(StoreError::LooksLike { like, .. }) if like == "pay"));
-    make(store, Call::RemoveTenant { name: name("pay"), expected: None }, NOW).unwrap();
-    create(store, "рау").unwrap();
-    assert!(matches!(create(store, "PAY"), Err(StoreError::LooksLike { .. })));
-    for long in ["x".repeat(4096), "長".repeat(1365), "я".into()] {
-        let kept = create(store, &long).unwrap();
-        assert_eq!(told(store, Question::Tenant(name(&long))), Found::Tenant(kept));
-    }
-}
+/// Far beyond what anything here takes.
+const LONG: Duration = Duration::from_secs(30);
 
-fn a_repeated_call_gets_its_answer_again_and_changes_nothing(store: &mut dyn Store) {
-    let call = |tenant: &str| Call::CreateTenant(NewTenant::named(name(tenant)));
-    let once = |body: &[u8]| Some(OnceKey::new("token-1", "key-1", body, NOW + 1000).unwrap());
-    let ask = |c, body| Request { who: Actor::File, call: c, once: once(body) };
-    let first = run(store, &[ask(call("knjiznica"), b"a")], NOW).remove(0).unwrap();
-    let again = run(store, &[ask(call("knjiznica"), b"a")], NOW + 10).remove(0).unwrap();
-    assert!(!first.repeated && again.repeated);
-    assert_eq!(first.answer, again.answer);
-    let other = run(store, &[ask(call("other"), b"b")], NOW + 10).remove(0);
-    assert_eq!(other, Err(StoreError::KeyReused { made: NOW }));
-    let late = run(store, &[ask(call("knjiznica"), b"a")], NOW + 1000).remove(0);
-    assert!(matches!(late, Err(StoreError::Exists { .. })), "{late:?}");
-}
-
-fn classes_and_limits_hold_for_tenants_made_later(store: &mut dyn Store) {
-    let class = ClassName::new("ticket-stream").unwrap();
-    let record = |worth| ClassRecord::new(class.clone(), 800.0, 50.0, worth, Semantics::Safe).unwrap();
-    let mut new = NewTenant::named(name("desk"));
-    new.classes = Some([class.clone()].into());
-    let unknown = make(store, Call::CreateTenant(new.clone()), NOW).unwrap_err();
-    assert_eq!(unknown.to_string(), "classes[0]: there is no class ticket-stream");
-    make(store, Call::PutClass { class: record(1.0), expected: Some(Revision(0)) }, NOW).unwrap();
-    new.limits = Limits { connections: Some(5), ..Limits::default() };
-    make(store, Call::CreateTenant(new), NOW).unwrap();
-    let Answer::Class(changed) =
-        make(store, Call::PutClass { class: record(2.0), expected: None }, NOW).unwrap().answer
-    else {
-        panic!()
-    };
-    assert_eq!((changed.record.place(), changed.record.worth()), (Place(0), 2.0));
-    let named = make(store, Call::RemoveClass { name: class.clone(), expected: None }, NOW).unwrap_err();
-    assert_eq!(named.to_string(), "class/ticket-stream: tenant \"desk\" names it");
-    let Found::Tenants(all, None) =
-        told(store, Question::Tenants { prefix: String::new(), after: None, limit: 1000 })
-    else {
-        panic!()
-    };
-    let limits = ServiceLimits { tenants: Some(all.len() as u32), ..ServiceLimits::default() };
-    make(store, Call::SetLimits { limits, expected: Some(Revision(0)) }, NOW).unwrap();
-    assert!(matches!(create(store, "one-too-many"), Err(StoreError::TooMuch { .. })));
-    let frozen = TenantChange { state: Some(TenantState::Frozen), classes: Some(None), ..TenantChange::default() };
-    make(store, Call::ChangeTenant { name: name("desk"), expected: None, change: frozen }, NOW).unwrap();
-    make(store, Call::RemoveClass { name: class, expected: None }, NOW).unwrap();
-}
-
-fn a_token_is_kept_as_a_hash_and_ends_when_it_is_revoked(store: &mut dyn Store) {
-    let new = NewToken { role: Role::Viewer, label: "night shift".into(), expires: Some(NOW + 100) };
-    let Answer::Token { token, text: Some(text) } =
-        make(store, Call::CreateToken { new, seed: TokenSeed([7; 40]) }, NOW).unwrap().answer
-    else {
-        panic!()
-    };
-    let (id, secret) = TokenRecord::split(&text).unwrap();
-    let mut all = Vec::new();
-    let put = &mut |e: shorewharf_store::store::Entry| {
-        all.extend(e.value);
-        Ok(())
-    };
-    store.visit(&shorewharf_store::key::Space::ALL, NOW, put).unwrap();
-    assert!(!String::from_utf8_lossy(&all).contains(secret), "the secret is nowhere in the store");
-    let record = token.record;
-    assert!(record.admits(secret, NOW + 99) && !record.admits(secret, NOW + 100) && !record.admits("x", NOW));
-    make(store, Call::RevokeToken { id: id.clone() }, NOW + 1).unwrap();
-    let Found::Token(kept) = told(store, Question::Token(id)) else { panic!() };
-    assert!(!kept.record.admits(secret, NOW + 2));
-    let nobody = NewToken { role: Role::TenantAdmin(Place(9999)), label: String::new(), expires: None };
-    let refused = make(store, Call::CreateToken { new: nobody, seed: TokenSeed([8; 40]) }, NOW).unwrap_err();
-    assert_eq!(refused.to_string(), "place: no tenant stands at place 9999");
-}
-
-fn usage_is_counted_once_whatever_comes_again(store: &mut dyn Store) {
-    let day = 20_000 * 24 * 60;
-    // A chunk's border lies between 63 and 64, and 6,000 places are more chunks than one batch takes.
-    let many: Vec<(u32, u64)> = (0..6000).step_by(3).map(|p| (p, u64::from(p) + 1)).collect();
-    for (instance, minute) in [("a@1", day + 59), ("a@1", day + 60), ("b@1", day + 59)] {
-        assert_eq!(make(store, report(instance, minute, &many), NOW).unwrap().answer, Answer::Counted { new: true });
-        assert_eq!(make(store, report(instance, minute, &many), NOW).unwrap().answer, Answer::Counted { new: false });
-    }
-    let other = make(store, report("a@1", day + 59, &[(63, 1)]), NOW);
-    assert_eq!(other, Err(StoreError::Counted { instance: "a@1".into(), minute: day + 59 }));
-    let minute = 60_000_000;
-    let mut rows = |place, level| {
-        let (from, to) = (day * minute, (day + 120) * minute + Level::Day.micros());
-        let Found::Usage(rows, None) = told(store, Question::Usage { place: Place(place), level, from, to }) else { panic!() };
-        rows.iter().map(|r| (r.start / minute - day, r.usage.set_ups, r.usage.refusals["quota"])).collect::<Vec<_>>()
-    };
-    assert_eq!(rows(63, Level::Minute), [(59, 128, 64), (60, 64, 32)]);
-    assert_eq!(rows(63, Level::Hour), [(0, 128, 64), (60, 64, 32)]);
-    assert_eq!(rows(5997, Level::Day), [(0, 3 * 5998, 3 * 2999)]);
-    assert_eq!(rows(64, Level::Day), []);
-    // Long after, the minutes are tidied away; what comes again even then is seen.
-    let later = (day + 5 * 24 * 60) * minute;
-    for place in 0..130 {
-        create(store, &format!("filler-{place}")).unwrap();
-    }
-    while let Answer::Tidied { more: true, .. } = make(store, Call::Tidy, later).unwrap().answer {}
-    let again = make(store, report("b@1", day + 59, &many), later).unwrap().answer;
-    assert_eq!(again, Answer::Counted { new: false });
+#[test]
+fn the_story_holds_in_one_file() {
+    let dir = tempfile::tempdir().unwrap();
+    let path = dir.path().join("store");
+    story(&mut Embedded::open(&path, Create::IfMissing, NOW).unwrap());
+    let mut store = Embedded::open(&path, Create::Never, NOW).unwrap();
+    assert_eq!(check(&mut store, NOW).unwrap(), []);
+    let second = Embedded::open(&path, Create::Never, NOW).map(drop);
+    assert!(matches!(second, Err(StoreError::InUse { path: p }) if p == path), "two processes wrote one file");
 }
 
-fn every_change_is_in_the_trail_with_what_was_before(store: &mut dyn Store) {
-    let mut entries = Vec::new();
-    let mut before = None;
+/// Looks until something is found.
+fn until<T>(service: &mut Service, woken: &Receiver<()>, mut find: impl FnMut(Told) -> Option<T>) -> T {
     loop {
-        let Found::Audit(page, next) = told(store, Question::Audit { before, limit: 7 }) else { panic!() };
-        entries.extend(page);
-        match next {
-            Some(_) => before = next,
-            None => break,
+        let found: Vec<T> = service.look().into_iter().filter_map(&mut find).collect();
+        if let Some(found) = found.into_iter().next() {
+            return found;
         }
+        woken.recv_timeout(LONG).expect("the store's thread told nothing");
     }
-    let numbers: Vec<u64> = entries.iter().map(|e| e.number).collect();
-    assert_eq!(numbers, (1..=numbers[0]).rev().collect::<Vec<_>>());
-    let last = entries.iter().rfind(|e| e.target == "tenant/grad-uprava" && e.before.is_some()).unwrap();
-    assert_eq!(last.before.as_ref().unwrap()["weight"], 100);
-    assert_eq!(last.after.as_ref().unwrap()["weight"], 200);
-    assert!(entries.iter().all(|e| !e.after.as_ref().is_some_and(|a| a.to_string().contains("hash"))));
-}
-
-fn story(store: &mut dyn Store) {
-    two_people_change_one_tenant_and_the_second_is_told(store);
-    a_tenant_made_anew_under_its_name_gets_another_place(store);
-    names_that_look_alike_in_two_scripts_are_refused_until_the_first_is_gone(store);
-    a_repeated_call_gets_its_answer_again_and_changes_nothing(store);
-    a_token_is_kept_as_a_hash_and_ends_when_it_is_revoked(store);
-    usage_is_counted_once_whatever_comes_again(store);
-    classes_and_limits_hold_for_tenants_made_later(store);
-    every_change_is_in_the_trail_with_what_was_before(store);
-    assert_eq!(check(store, NOW).unwrap(), []);
 }
 
 #[test]
-fn the_story_holds_in_one_file() {
+fn a_loop_is_told_what_changed_and_never_waits() {
     let dir = tempfile::tempdir().unwrap();
-    let path = dir.path().join("store");
-    story(&mut Embedded::open(&path, Create::IfMissing, NOW).unwrap());
-    assert_eq!(check(&mut Embedded::open(&path, Create::Never, NOW).unwrap(), NOW).unwrap(), []);
+    let store = Embedded::open(dir.path().join("store"), Create::IfMissing, NOW).unwrap();
+    let (wake, woken) = channel();
+    let wake = Box::new(move || wake.send(()).unwrap_or_default());
+    let options = Options { queue: 32, ..Options::default() };
+    let mut service = Service::start(Box::new(store), options, Box::new(|| NOW), wake).unwrap();
+    // A burst: what the queue can't hold is refused at once, and the rest is written together.
+    let tenant = |i| Call::CreateTenant(NewTenant::named(name(&format!("t{i}"))));
+    let asked: Vec<_> = (0..40).map(|i| service.change(Request::new(Actor::File, tenant(i)))).collect();
+    assert!(asked[..32].iter().all(Result::is_ok));
+    assert_eq!(asked[32..].iter().filter(|a| **a == Err(StoreError::Busy { waiting: 32 })).count(), 8);
+    let mut known = Known::default();
+    let mut done = 0;
+    until(&mut service, &woken, |told| {
+        match told {
+            Told::Done(_, answer) => done += usize::from(answer.is_ok()),
+            Told::News(news) => assert_eq!(known.take(&news), []),
+            other => panic!("{other:?}"),
+        }
+        (done == 32 && known.tenants().count() == 32).then_some(())
+    });
+    let token = NewToken { role: Role::TenantAdmin(Place(3)), label: String::new(), expires: None };
+    let seed = TokenSeed([9; 40]);
+    service.change(Request::new(Actor::File, Call::CreateToken { new: token, seed })).unwrap();
+    let mut text = None;
+    let id = until(&mut service, &woken, |told| match told {
+        Told::Done(_, Ok(done)) => {
+            let Answer::Token { token, text: made } = done.answer else { panic!() };
+            text = made;
+            Some(token.record.id)
+        }
+        Told::News(news) => known.take(&news).pop().map(|e| panic!("{e}")),
+        _ => None,
+    });
+    let text = text.unwrap();
+    // The tenant goes, and its admin with it, whoever holds the token; its place is nobody's.
+    let gone = Call::RemoveTenant { name: name("T3"), expected: None };
+    service.change(Request::new(Actor::File, gone)).unwrap();
+    until(&mut service, &woken, |told| match told {
+        Told::News(news) => {
+            known.take(&news);
+            (known.tenant(&name("t3")).is_none()).then_some(())
+        }
+        _ => None,
+    });
+    assert!(known.token(&id, NOW).is_some() && known.bearer(&text, NOW).is_none());
+    assert!(known.tenant_at(Place(3)).is_none() && known.place(Place(3)).unwrap().removed.is_some());
+    assert_eq!((known.limits().version.0, known.classes().count(), known.age(NOW + 5)), (0, 0, Some(5)));
+    let ticket = service.ask(Question::Audit { before: None, limit: 1 }).unwrap();
+    let last = service.close().into_iter().find_map(|told| match told {
+        Told::Found(t, Ok(Found::Audit(entries, _))) if t == ticket => entries.into_iter().next(),
+        _ => None,
+    });
+    assert_eq!(last.unwrap().target, "tenant/t3", "what waits is done before the thread ends");
+    let mut again = Embedded::open(dir.path().join("store"), Create::Never, NOW).unwrap();
+    assert!(create(&mut again, "t3").unwrap().record.place > Place(31));
 }
--- /dev/null
+++ b/crates/store/tests/replicated.rs
@@ -0,0 +1,283 @@
+//! The replicated engine through its faults, on a stand-in over real HTTP. Time is the tests' own: a round is the
+//! 200 ms after which the store's thread looks anew, and two seconds are ten rounds.
+
+mod rig;
+
+use rig::story::story;
+use rig::{NOW, create, make, name};
+use shorewharf_store::backup::{backup, open, restore};
+use shorewharf_store::cached::Cached;
+use shorewharf_store::calls::{Call, Found, Question, answer};
+use shorewharf_store::check::check;
+use shorewharf_store::error::StoreError;
+use shorewharf_store::key::{Key, Space};
+use shorewharf_store::known::Known;
+use shorewharf_store::record::{Actor, TenantChange};
+use shorewharf_store::replicated::{Options, Replicated};
+use shorewharf_store::standin::{Cluster, Fault, Member};
+use shorewharf_store::store::Store;
+use std::time::Duration;
+
+const ROUND: u64 = 200_000;
+
+/// So long that a loaded machine does not make a healthy member look ill.
+const CALL: Duration = Duration::from_secs(5);
+
+fn speak(members: &[&Member], instance: &str) -> Replicated {
+    let endpoints = members.iter().map(|m| m.endpoint()).collect();
+    Replicated::new(&Options { call: CALL, ..Options::new(endpoints, "shorewharf", instance, 7) }).unwrap()
+}
+
+/// Speaks, but gives up soon, for members that are known not to answer.
+fn hasty(members: &[&Member], instance: &str) -> Replicated {
+    let endpoints = members.iter().map(|m| m.endpoint()).collect();
+    let call = Duration::from_millis(100);
+    Replicated::new(&Options { call, ..Options::new(endpoints, "shorewharf", instance, 7) }).unwrap()
+}
+
+fn weigh(store: &mut dyn Store, tenant: &str, weight: u32, now: u64) -> Result<(), StoreError> {
+    let change = TenantChange { weight: Some(weight.try_into().unwrap()), ..TenantChange::default() };
+    make(store, Call::ChangeTenant { name: name(tenant), expected: None, change }, now).map(drop)
+}
+
+#[test]
+fn the_story_holds_in_the_replicated_engine() {
+    let cluster = Cluster::new();
+    let (a, b) = (cluster.member().unwrap(), cluster.member().unwrap());
+    story(&mut speak(&[&a, &b], "n1"));
+}
+
+/// An instance as it runs: a copy, and what its loop knows.
+struct Instance {
+    cached: Cached,
+    known: Known,
+}
+
+impl Instance {
+    fn new(store: Replicated) -> Instance {
+        Instance { cached: Cached::new(Box::new(store), None), known: Known::default() }
+    }
+
+    fn round(&mut self, now: u64) -> Result<(), StoreError> {
+        let news = self.cached.refresh(now)?;
+        assert_eq!(self.known.take(&news), []);
+        Ok(())
+    }
+
+    fn weights(&self) -> Vec<(String, u32)> {
+        self.known.tenants().map(|t| (t.record.name.to_string(), t.record.weight.get())).collect()
+    }
+}
+
+#[test]
+fn two_instances_agree_within_two_seconds_of_the_engines_return() {
+    let cluster = Cluster::new();
+    let (a, b) = (cluster.member().unwrap(), cluster.member().unwrap());
+    let mut first = Instance::new(speak(&[&a], "n1"));
+    create(&mut first.cached, "grad").unwrap();
+    let mut now = NOW;
+    let mut worst = 0;
+    let stale = Fault::Stale(cluster.revision());
+    for (fault, compacted) in [
+        (Fault::Refuses, false),
+        (Fault::Silent, false),
+        (Fault::Fails(503, 14), false),
+        (stale, false),
+        (Fault::Refuses, true),
+        (Fault::Slow(Duration::from_secs(20)), true),
+    ] {
+        // A second instance that has come up well, and then loses its member.
+        let mut second = Instance::new(hasty(&[&b], "n2"));
+        while second.round(now).is_err() {
+            now += ROUND;
+        }
+        first.round(now).unwrap();
+        let before = second.weights();
+        assert_eq!(before, first.weights());
+        b.set(fault);
+        let lost = now;
+        for i in 0..20 {
+            now += ROUND;
+            weigh(&mut first.cached, "grad", 200 + i, now).unwrap();
+            if i < 3 {
+                create(&mut first.cached, &format!("made-{}", cluster.revision())).unwrap();
+            }
+            first.round(now).unwrap();
+            second.round(now).expect_err("a member that is away answered");
+        }
+        // It goes on with what it last knew, and says how old that is.
+        assert_eq!(second.weights(), before);
+        assert_eq!(second.known.age(now), Some(now - lost), "{fault:?}");
+        assert_eq!(second.cached.age(now), Some(now - lost));
+        let found = answer(&mut second.cached, &Question::Tenant(name("grad")), now).unwrap();
+        assert!(matches!(found, Found::Tenant(kept) if kept.record.weight.get() == before[0].1));
+        let refused = weigh(&mut second.cached, "grad", 999, now).unwrap_err();
+        assert!(refused.passes(), "{fault:?}: {refused}");
+        if compacted {
+            cluster.compact(cluster.revision());
+        }
+        b.set(Fault::None);
+        let back = now;
+        while second.weights() != first.weights() {
+            now += ROUND;
+            let _ = second.round(now);
+            assert!(now - back <= 2_000_000, "{fault:?}: not within 2 s");
+        }
+        worst = worst.max(now - back);
+        now += ROUND;
+    }
+    println!("agreed at most {} ms after the return", worst / 1000);
+}
+
+#[test]
+fn a_change_whose_answer_is_lost_is_made_once_and_told_truly() {
+    let cluster = Cluster::new();
+    let (a, b) = (cluster.member().unwrap(), cluster.member().unwrap());
+    let mut store = speak(&[&a, &b], "n1");
+    create(&mut store, "grad").unwrap();
+    let mut other = speak(&[&b], "n2");
+    let weight = |store: &mut Replicated| {
+        let Found::Tenant(kept) = answer(store, &Question::Tenant(name("grad")), NOW).unwrap() else { panic!() };
+        kept.record.weight.get()
+    };
+    // Done, and the answer lost: the other member tells that it was done.
+    a.set(Fault::LosesAnswers);
+    weigh(&mut store, "grad", 7, NOW + 1).unwrap();
+    assert_eq!(weight(&mut other), 7);
+    a.set(Fault::None);
+    // On its way for long: it is given up, made sure of, and made anew by the other member. Meanwhile somebody else
+    // changes the tenant; the old request arrives after that and must do nothing.
+    let mut store = hasty(&[&a, &b], "n3");
+    weigh(&mut store, "grad", 8, NOW + 2).unwrap();
+    a.set(Fault::Delays);
+    weigh(&mut store, "grad", 9, NOW + 3).unwrap();
+    weigh(&mut other, "grad", 10, NOW + 4).unwrap();
+    let revision = cluster.revision();
+    a.set(Fault::None);
+    create(&mut store, "bolnica").unwrap();
+    assert_eq!(weight(&mut other), 10);
+    assert_eq!(cluster.revision(), revision + 1, "a request that was given up was done after all");
+    // With nobody to ask it is not known; the next call finds out first.
+    let mut alone = hasty(&[&a], "n4");
+    weigh(&mut alone, "grad", 11, NOW + 5).unwrap();
+    a.set(Fault::LosesAnswers);
+    assert!(matches!(weigh(&mut alone, "grad", 12, NOW + 6), Err(e) if e.passes()));
+    a.set(Fault::None);
+    weigh(&mut alone, "grad", 13, NOW + 1_000_000).unwrap();
+    let Found::Audit(entries, _) = answer(&mut other, &Question::Audit { before: None, limit: 100 }, NOW).unwrap()
+    else {
+        panic!()
+    };
+    let weights: Vec<u64> = entries.iter().rev().filter_map(|e| e.after.as_ref()?["weight"].as_u64()).collect();
+    let twelve = weights.iter().filter(|w| **w == 12).count();
+    assert!(twelve <= 1);
+    let others: Vec<u64> = weights.into_iter().filter(|w| *w != 12).collect();
+    assert_eq!(others, [100, 7, 8, 9, 10, 100, 11, 13], "each change once, in the order of the calls");
+    assert_eq!(check(&mut other, NOW).unwrap(), []);
+}
+
+#[test]
+fn a_store_of_another_cluster_or_a_newer_program_is_refused_by_name() {
+    let cluster = Cluster::new();
+    let a = cluster.member().unwrap();
+    let mut store = speak(&[&a], "n1");
+    create(&mut store, "grad").unwrap();
+    let (about, value) = cluster.contents().into_iter().find(|(key, _)| key.ends_with("engine/about")).unwrap();
+    // A newer program takes the store over: this one, which runs, can neither read nor write from then on.
+    cluster.put(&about, &value.replace("\"schema\":2", "\"schema\":3"));
+    for e in [weigh(&mut store, "grad", 5, NOW).unwrap_err(), store.get(&Key::new(Space::Tenant, "grad"), NOW).unwrap_err()] {
+        let text = "shorewharf/engine/about: has schema 3; this program knows schemas up to 2";
+        assert_eq!(e.to_string(), text);
+    }
+    cluster.wipe();
+    let e = store.get(&Key::new(Space::Tenant, "grad"), NOW + 1_000_000).unwrap_err();
+    assert!(matches!(&e, StoreError::Damaged { .. }) && e.to_string().contains("belongs to cluster decaf"), "{e}");
+    let other = Options::new(vec!["udp://x".into()], "shorewharf", "n1", 1);
+    assert_eq!(Replicated::new(&other).map(drop).unwrap_err().field, "endpoints[0]");
+}
+
+#[test]
+fn an_old_schema_moves_forward_while_others_run_and_a_backup_moves_between_engines() {
+    let cluster = Cluster::new();
+    let a = cluster.member().unwrap();
+    let mut store = speak(&[&a], "n1");
+    let mut other = Instance::new(speak(&[&a], "n2"));
+    for i in 0..250 {
+        create(&mut store, &format!("tenant-{i}")).unwrap();
+    }
+    other.round(NOW).unwrap();
+    // As an older program would have left it: no index of looks, and its own number.
+    let (about, value) = cluster.contents().into_iter().find(|(key, _)| key.ends_with("engine/about")).unwrap();
+    let looks: Vec<Key> = store.list(&shorewharf_store::store::Ask::of(Space::Look), NOW).unwrap().entries.into_iter().map(|e| e.key).collect();
+    for looks in looks.chunks(100) {
+        let writes = looks.iter().map(|key| (key.clone(), None)).collect();
+        store.apply(&shorewharf_store::store::Batch { conditions: vec![], writes }, NOW).unwrap();
+    }
+    cluster.put(&about, &value.replace("\"schema\":2", "\"schema\":1"));
+    let mut next = speak(&[&a], "n3");
+    assert_eq!(check(&mut next, NOW).unwrap(), []);
+    assert!(matches!(create(&mut next, "tеnant-7"), Err(StoreError::LooksLike { .. })), "with a Cyrillic letter");
+    // Who ran meanwhile goes on in the new generation.
+    weigh(&mut store, "tenant-7", 77, NOW).unwrap();
+    other.round(NOW + ROUND).unwrap();
+    assert_eq!(other.weights().iter().filter(|(_, w)| *w == 77).count(), 1);
+
+    let dir = tempfile::tempdir().unwrap();
+    let file = dir.path().join("backup");
+    let taken = backup(&mut store, &file, NOW).unwrap();
+    assert_eq!(check(&mut open(&file, NOW).unwrap(), NOW).unwrap(), []);
+    weigh(&mut store, "tenant-8", 88, NOW).unwrap();
+    let late = create(&mut store, "late").unwrap();
+    let who = Actor::console("operator").unwrap();
+    let restored = restore(&mut store, &file, &who, NOW).unwrap();
+    assert!(restored.revision > taken.revision);
+    other.round(NOW + 2 * ROUND).unwrap();
+    let weights = other.weights();
+    assert_eq!(weights.iter().filter(|(_, w)| *w == 88).count(), 0);
+    assert!(weights.len() == 250 && !weights.iter().any(|(name, _)| name == "late"));
+    assert!(create(&mut store, "late").unwrap().record.place > late.record.place);
+    let generations: std::collections::BTreeSet<_> =
+        cluster.contents().iter().filter_map(|(k, _)| Some(k.split('/').nth(1)?.to_string())).collect();
+    assert_eq!(generations.len(), 2, "the engine's own keys and one generation: {generations:?}");
+}
+
+#[test]
+fn an_instance_that_starts_without_its_engine_goes_on_from_its_copy() {
+    let cluster = Cluster::new();
+    let a = cluster.member().unwrap();
+    let dir = tempfile::tempdir().unwrap();
+    let file = dir.path().join("copy");
+    let mut before = Cached::new(Box::new(speak(&[&a], "n1")), Some(file.clone()));
+    create(&mut before, "grad").unwrap();
+    before.refresh(NOW).unwrap();
+    drop(before);
+    a.set(Fault::Refuses);
+    let start = |file: &std::path::Path| Cached::new(Box::new(hasty(&[&a], "n1")), Some(file.to_path_buf()));
+    let mut known = Known::default();
+    let mut after = start(&file);
+    known.take(&after.refresh(NOW + 60_000_000).unwrap());
+    assert_eq!(known.age(NOW + 60_000_000), Some(60_000_000));
+    assert!(known.tenant(&name("grad")).is_some());
+    // A copy that is damaged is not believed.
+    let mut bytes = std::fs::read(&file).unwrap();
+    let last = bytes.len() - 20;
+    bytes[last] ^= 1;
+    std::fs::write(&file, bytes).unwrap();
+    assert!(start(&file).refresh(NOW).unwrap_err().passes());
+    a.set(Fault::None);
+    let mut now = NOW + 60_000_000;
+    while known.age(now) != Some(0) {
+        now += ROUND;
+        after.refresh(now).map(|news| known.take(&news)).ok();
+        assert!(now < NOW + 63_000_000);
+    }
+    // A member that is away costs few calls: they are spaced out, not repeated at once.
+    a.set(Fault::Fails(503, 14));
+    let calls = cluster.calls();
+    for _ in 0..100 {
+        now += 10_000;
+        after.refresh(now).unwrap_err();
+    }
+    let cost = cluster.calls() - calls;
+    assert!((2..=12).contains(&cost), "{cost} calls within a second");
+}
--- a/crates/store/tests/rig/mod.rs
+++ b/crates/store/tests/rig/mod.rs
@@ -1,6 +1,8 @@
 //! What the tests of the store share.
 #![allow(dead_code, reason = "each test program uses its part")]
 
+pub mod story;
+
 use shorewharf_store::calls::{Answer, Call, Done, Kept, Request, run};
 use shorewharf_store::error::StoreError;
 use shorewharf_store::name::Name;
