--- a/crates/store/src/backup.rs
+++ b/crates/store/src/backup.rs
@@ -60,7 +60,9 @@
 fn named(e: StoreError, file: &str) -> StoreError {
     match e {
         StoreError::Damaged { cause, .. } => StoreError::damaged(file, cause),
-        StoreError::NewerSchema { found, known, .. } => StoreError::NewerSchema { what: file.into(), found, known },
+        StoreError::NewerSchema { found, known, .. } => {
+            StoreError::NewerSchema { what: file.into(), found, known }
+        }
         e => e,
     }
 }
--- a/crates/store/src/cached.rs
+++ b/crates/store/src/cached.rs
@@ -67,7 +67,7 @@
                 self.keep_file(now);
                 Ok(news)
             }
-            Err(e) if e.passes() && self.as_of.is_none() => self.from_file().map_err(|_| e),
+            Err(e) if e.passes() && self.as_of.is_none() => self.take_file().map_err(|_| e),
             Err(e) => Err(e),
         }
     }
@@ -83,7 +83,8 @@
     }
 
     fn told_whole(&self, upto: Revision, as_of: Micros) -> News {
-        let told = |e: &Entry| Change { key: e.key.clone(), revision: e.revision, value: Some(e.value.clone()) };
+        let told =
+            |e: &Entry| Change { key: e.key.clone(), revision: e.revision, value: Some(e.value.clone()) };
         News { whole: true, changes: self.entries.values().map(told).collect(), upto, as_of }
     }
 
@@ -135,7 +136,7 @@
         }
     }
 
-    fn from_file(&mut self) -> Result<News, StoreError> {
+    fn take_file(&mut self) -> Result<News, StoreError> {
         let Some(path) = &self.file else { return Err(StoreError::Missing { key: "copy".into() }) };
         let what = path.display().to_string();
         let bad = |cause: &str| StoreError::damaged(&what, cause);
--- a/crates/store/src/calls/ask.rs
+++ b/crates/store/src/calls/ask.rs
@@ -6,8 +6,8 @@
 use crate::key::{Key, Space};
 use crate::name::{ClassName, Name};
 use crate::record::{
-    AuditEntry, ClassRecord, Day, Hour, MINUTE, Micros, Place, PlaceRecord, ServiceLimits, TenantRecord, TokenId, TokenRecord,
-    Usage,
+    AuditEntry, ClassRecord, Day, Hour, MINUTE, Micros, Place, PlaceRecord, ServiceLimits, TenantRecord,
+    TokenId, TokenRecord, Usage,
 };
 use crate::store::{Ask, Entry, Store};
 use serde::de::DeserializeOwned;
--- a/crates/store/src/calls/classes.rs
+++ b/crates/store/src/calls/classes.rs
@@ -47,7 +47,9 @@
         for entry in &page.entries {
             let tenant: TenantRecord = entry.read()?;
             if tenant.classes.is_some_and(|classes| classes.contains(name)) {
-                return Err(Invalid::new(key.text(), format!("tenant {:?} names it", tenant.name.as_str())).into());
+                return Err(
+                    Invalid::new(key.text(), format!("tenant {:?} names it", tenant.name.as_str())).into()
+                );
             }
         }
         match page.entries.last() {
--- a/crates/store/src/calls/mod.rs
+++ b/crates/store/src/calls/mod.rs
@@ -16,8 +16,8 @@
 use crate::key::{Key, Space};
 use crate::name::{ClassName, Name};
 use crate::record::{
-    Actor, ClassRecord, Deed, Micros, NewTenant, NewToken, OnceKey, OnceRecord, Place, ServiceLimits, TenantChange,
-    TenantRecord, TokenId, TokenRecord, TokenSeed, UsageReport,
+    Actor, ClassRecord, Deed, Micros, NewTenant, NewToken, OnceKey, OnceRecord, Place, ServiceLimits,
+    TenantChange, TenantRecord, TokenId, TokenRecord, TokenSeed, UsageReport,
 };
 use crate::store::{Revision, Store};
 use serde::{Deserialize, Serialize};
@@ -250,7 +250,9 @@
 
 /// Gives all who were to be answered well the error instead; who was refused stays refused.
 fn refuse(done: Vec<Result<Done, StoreError>>, e: StoreError) -> Vec<Result<Done, StoreError>> {
-    done.into_iter().map(|d| d.and_then(|done| if done.repeated { Ok(done) } else { Err(e.clone()) })).collect()
+    done.into_iter()
+        .map(|d| d.and_then(|done| if done.repeated { Ok(done) } else { Err(e.clone()) }))
+        .collect()
 }
 
 /// Decides one call, with the answer that was kept for it if it comes again.
@@ -270,7 +272,8 @@
     }
     let answer = make(view, request)?;
     let value = serde_json::to_value(&answer).map_err(|e| StoreError::damaged(&key, e))?;
-    let record = OnceRecord { print: once.print.clone(), answer: value, made: view.now, expires: once.expires };
+    let record =
+        OnceRecord { print: once.print.clone(), answer: value, made: view.now, expires: once.expires };
     view.put(&key, &record)?;
     Ok(Done { answer, repeated: false })
 }
--- a/crates/store/src/calls/tenants.rs
+++ b/crates/store/src/calls/tenants.rs
@@ -16,11 +16,8 @@
 pub(super) fn next_place(view: &mut View<'_>, counter: &str) -> Result<Place, StoreError> {
     let next = view.counter(counter)?;
     let place = u32::try_from(next).ok().filter(|&p| p < u32::MAX);
-    let place = place.ok_or(StoreError::TooMuch {
-        what: counter.into(),
-        found: next,
-        limit: u64::from(u32::MAX),
-    })?;
+    let place =
+        place.ok_or(StoreError::TooMuch { what: counter.into(), found: next, limit: u64::from(u32::MAX) })?;
     view.set_counter(counter, next + 1)?;
     Ok(Place(place))
 }
@@ -91,7 +88,10 @@
         changed: view.now,
     };
     view.put(&key, &record)?;
-    view.put(&place_key(place), &PlaceRecord { place, name: new.name.clone(), given: view.now, removed: None })?;
+    view.put(
+        &place_key(place),
+        &PlaceRecord { place, name: new.name.clone(), given: view.now, removed: None },
+    )?;
     view.set_counter(TENANTS, count + 1)?;
     view.audit(who, Deed::TenantCreate, key.text(), None, shown(&Some(&record)))?;
     Ok(Answer::Tenant(Kept { version: PENDING, record }))
@@ -109,7 +109,9 @@
     let mut record = before.clone();
     if let Some(name) = &change.name {
         if name.unique() != key.name {
-            return Err(Invalid::new("name", format!("{name:?} is another name, not another spelling")).into());
+            return Err(
+                Invalid::new("name", format!("{name:?} is another name, not another spelling")).into()
+            );
         }
         record.name = name.clone();
     }
--- a/crates/store/src/calls/tokens.rs
+++ b/crates/store/src/calls/tokens.rs
@@ -14,7 +14,7 @@
 ) -> Result<Answer, StoreError> {
     if let Role::TenantAdmin(place) = new.role {
         let given = view.get::<PlaceRecord>(&Key::new(Space::Place, place.key()))?;
-        if !given.is_some_and(|(_, p)| p.removed.is_none()) {
+        if given.is_none_or(|(_, p)| p.removed.is_some()) {
             return Err(Invalid::new("place", format!("no tenant stands at {place}")).into());
         }
     }
--- a/crates/store/src/calls/view.rs
+++ b/crates/store/src/calls/view.rs
@@ -31,7 +31,14 @@
 
 impl<'s> View<'s> {
     pub(super) fn new(store: &'s mut dyn Store, now: Micros) -> View<'s> {
-        View { store, now, seen: BTreeMap::new(), fresh: Vec::new(), settled: BTreeMap::new(), draft: BTreeMap::new() }
+        View {
+            store,
+            now,
+            seen: BTreeMap::new(),
+            fresh: Vec::new(),
+            settled: BTreeMap::new(),
+            draft: BTreeMap::new(),
+        }
     }
 
     /// A record's bytes and version.
@@ -48,7 +55,10 @@
     }
 
     /// A record and its version.
-    pub(super) fn get<T: DeserializeOwned>(&mut self, key: &Key) -> Result<Option<(Revision, T)>, StoreError> {
+    pub(super) fn get<T: DeserializeOwned>(
+        &mut self,
+        key: &Key,
+    ) -> Result<Option<(Revision, T)>, StoreError> {
         let Some((version, value)) = self.bytes(key)? else { return Ok(None) };
         Ok(Some((version, read(key, &value)?)))
     }
--- a/crates/store/src/check.rs
+++ b/crates/store/src/check.rs
@@ -6,8 +6,8 @@
 use crate::key::{Key, Space};
 use crate::migrate::Records;
 use crate::record::{
-    AuditEntry, ClassRecord, Day, Hour, InstanceName, Micros, OnceRecord, PlaceRecord, ServiceLimits, TenantRecord,
-    TokenRecord, Usage,
+    AuditEntry, ClassRecord, Day, Hour, InstanceName, Micros, OnceRecord, PlaceRecord, ServiceLimits,
+    TenantRecord, TokenRecord, Usage,
 };
 use crate::store::{Store, read};
 use serde::de::DeserializeOwned;
@@ -21,7 +21,10 @@
 pub fn check(store: &mut dyn Store, now: Micros) -> Result<Vec<Invalid>, StoreError> {
     store.verify(now)?;
     let (records, _) = all(store, now)?;
-    Ok(faults(&records).into_iter().map(|(key, fault)| Invalid::new(format!("{key}: {}", fault.field), fault.cause)).collect())
+    Ok(faults(&records)
+        .into_iter()
+        .map(|(key, fault)| Invalid::new(format!("{key}: {}", fault.field), fault.cause))
+        .collect())
 }
 
 /// All records, and the revision that they are of.
@@ -104,8 +107,11 @@
     let tenants: Vec<(&Key, TenantRecord)> = faults.of(Space::Tenant);
     let places: BTreeMap<_, _> =
         faults.of::<PlaceRecord>(Space::Place).into_iter().map(|(k, p)| (p.place, (k, p))).collect();
-    let looks: BTreeMap<_, _> =
-        faults.of::<BTreeMap<String, String>>(Space::Look).into_iter().map(|(k, n)| (k.name.clone(), n)).collect();
+    let looks: BTreeMap<_, _> = faults
+        .of::<BTreeMap<String, String>>(Space::Look)
+        .into_iter()
+        .map(|(k, n)| (k.name.clone(), n))
+        .collect();
     let mut standing = BTreeMap::new();
     for (key, tenant) in &tenants {
         faults.must(key.name == tenant.name.unique(), key, "name", "is another name than the record's key");
@@ -131,7 +137,12 @@
     let indexed: usize = looks.values().map(BTreeMap::len).sum();
     let meta = Key::new(Space::Meta, TENANTS);
     faults.must(indexed == tenants.len(), &meta, "", "looks are indexed of tenants that are not there");
-    faults.must(count == tenants.len() as u64, &meta, "", &format!("is {count} with {} tenants", tenants.len()));
+    faults.must(
+        count == tenants.len() as u64,
+        &meta,
+        "",
+        &format!("is {count} with {} tenants", tenants.len()),
+    );
 }
 
 fn classes(faults: &mut Faults<'_>) {
@@ -158,18 +169,29 @@
     let last = faults.counter(AUDIT);
     let mut expected = 1;
     for (key, entry) in faults.of::<AuditEntry>(Space::Audit) {
-        faults.must(key.name == AuditEntry::name(entry.number), key, "number", "is another than the record's key");
+        faults.must(
+            key.name == AuditEntry::name(entry.number),
+            key,
+            "number",
+            "is another than the record's key",
+        );
         if entry.number != expected {
             faults.add(key, "number", format!("{expected} should come here"));
         }
         expected = entry.number.saturating_add(1);
     }
     let meta = Key::new(Space::Meta, AUDIT);
-    faults.must(last + 1 == expected, &meta, "", &format!("is {last}, but the trail ends at {}", expected - 1));
+    faults.must(
+        last + 1 == expected,
+        &meta,
+        "",
+        &format!("is {last}, but the trail ends at {}", expected - 1),
+    );
 }
 
 fn usage(faults: &mut Faults<'_>) {
-    let within = faults.records.range(Key::new(Space::Usage, "")..).take_while(|(key, _)| key.space == Space::Usage);
+    let within =
+        faults.records.range(Key::new(Space::Usage, "")..).take_while(|(key, _)| key.space == Space::Usage);
     for (key, value) in within {
         let parts: Vec<&str> = key.name.split('/').collect();
         let told = match parts[..] {
--- a/crates/store/src/embedded/file.rs
+++ b/crates/store/src/embedded/file.rs
@@ -32,6 +32,7 @@
 }
 
 /// Why the engine gave no answer.
+#[derive(Debug)]
 pub(super) enum Failed {
     /// The store refuses; the engine is well.
     Refused(StoreError),
@@ -121,7 +122,10 @@
             (_, false, _) => {}
             (Create::Never, true, _) => return Err(StoreError::Missing { key: what }),
             (Create::IfMissing, true, Some(lost)) => {
-                return Err(StoreError::damaged(what, format!("the file is gone, though {lost} was acknowledged")));
+                return Err(StoreError::damaged(
+                    what,
+                    format!("the file is gone, though {lost} was acknowledged"),
+                ));
             }
             (_, true, lost) => make(path, |db| Rows::begin(db, lost.unwrap_or_default()))?,
         }
@@ -187,7 +191,8 @@
     let what = part.display().to_string();
     let result = guard(|| {
         let io = |e| Failed::Engine(redb::Error::Io(e));
-        let file = OpenOptions::new().read(true).write(true).create(true).truncate(true).mode(0o600).open(&part);
+        let file =
+            OpenOptions::new().read(true).write(true).create(true).truncate(true).mode(0o600).open(&part);
         let storage = FileBackend::new(file.map_err(io)?)?;
         let db = Builder::new().create_with_backend(storage)?;
         fill(&db)?;
@@ -253,7 +258,8 @@
     pub(super) fn write(&mut self, revision: Revision) {
         let Some(path) = &self.path else { return };
         if self.file.is_none() {
-            self.file = OpenOptions::new().write(true).create(true).truncate(false).mode(0o600).open(path).ok();
+            self.file =
+                OpenOptions::new().write(true).create(true).truncate(false).mode(0o600).open(path).ok();
         }
         let Some(file) = &self.file else { return };
         let bytes = revision.0.to_le_bytes();
--- a/crates/store/src/embedded/guarded.rs
+++ b/crates/store/src/embedded/guarded.rs
@@ -40,8 +40,11 @@
 
     /// Reads whole blocks that cover a range, and checks each; where they begin, and their bytes.
     fn whole(&self, blocks: &mut Blocks, offset: u64, length: u64) -> io::Result<(u64, Vec<u8>)> {
+        if offset + length > blocks.length {
+            return Err(io::Error::new(io::ErrorKind::UnexpectedEof, "ends before what should stand there"));
+        }
         let from = offset / BLOCK * BLOCK;
-        let to = (offset + length).next_multiple_of(BLOCK).min(blocks.length.max(offset + length));
+        let to = (offset + length).next_multiple_of(BLOCK).min(blocks.length);
         let mut bytes = vec![0; (to - from) as usize];
         self.storage.read(from, &mut bytes)?;
         for (i, block) in (from / BLOCK..).zip(bytes.chunks(BLOCK as usize)) {
@@ -85,7 +88,7 @@
     fn write(&self, offset: u64, data: &[u8]) -> io::Result<()> {
         let blocks = &mut *self.blocks();
         let end = offset + data.len() as u64;
-        let whole = offset % BLOCK == 0 && (end % BLOCK == 0 || end >= blocks.length);
+        let whole = offset.is_multiple_of(BLOCK) && (end.is_multiple_of(BLOCK) || end >= blocks.length);
         let (from, bytes) = match whole {
             true => (offset, data.to_vec()),
             false => {
--- a/crates/store/src/embedded/memory.rs
+++ b/crates/store/src/embedded/memory.rs
@@ -1,9 +1,9 @@
 //! Databases that are not the store's own file: a backup being written, and one being read without touching it.
 
 use super::file::{Backend, io_error, make, put_in_place};
-use super::rows::Filler;
+use super::rows::{self, Put};
 use crate::error::StoreError;
-use crate::store::{Entry, Revision};
+use crate::store::Revision;
 use redb::StorageBackend;
 use redb::backends::InMemoryBackend;
 use std::fs;
@@ -37,9 +37,6 @@
     }
 }
 
-/// Puts one record into a backup.
-pub(crate) type Put<'a> = &'a mut dyn FnMut(Entry) -> Result<(), StoreError>;
-
 /// Makes a file with the records that `each` puts, which tells their revision. The file is checked under another
 /// name before it gets its own.
 pub(crate) fn fill<T>(
@@ -50,10 +47,7 @@
     let what = fresh.display().to_string();
     let mut told = None;
     make(&fresh, |db| {
-        let mut filler = Filler::new(db)?;
-        let (revision, answer) = each(&mut |entry| filler.put(&entry).map_err(|e| e.told(&what)))?;
-        filler.done(revision)?;
-        told = Some(answer);
+        told = Some(rows::fill(db, &what, each)?);
         Ok(())
     })?;
     let checked = Memory::of_file(&fresh).and_then(|memory| {
--- a/crates/store/src/embedded/mod.rs
+++ b/crates/store/src/embedded/mod.rs
@@ -17,8 +17,8 @@
 mod memory;
 mod rows;
 
-pub(crate) use file::{beside, io_error, put_in_place, write_whole};
 pub use file::{Backend, Create};
+pub(crate) use file::{beside, io_error, put_in_place, write_whole};
 pub(crate) use memory::{Memory, fill};
 
 use crate::error::StoreError;
--- a/crates/store/src/embedded/rows.rs
+++ b/crates/store/src/embedded/rows.rs
@@ -7,7 +7,8 @@
 use crate::record::Micros;
 use crate::store::{Batch, Condition, Entry, Revision};
 use redb::{
-    Database, ReadOnlyTable, ReadTransaction, ReadableTable, ReadableTableMetadata, Table, TableDefinition, WriteTransaction,
+    Database, ReadOnlyTable, ReadTransaction, ReadableTable, ReadableTableMetadata, Table, TableDefinition,
+    WriteTransaction,
 };
 use std::collections::BTreeMap;
 use std::ops::Bound;
@@ -54,6 +55,9 @@
     }
 }
 
+/// A revision and the texts of the keys that it changed.
+type Changed = (Revision, Vec<String>);
+
 /// What a file holds in all.
 #[derive(Clone, Copy)]
 pub(super) struct Found {
@@ -148,11 +152,7 @@
     }
 
     /// The keys that were changed, by revision, and whether more come.
-    pub(super) fn changed(
-        &self,
-        since: Revision,
-        limit: usize,
-    ) -> Result<(Vec<(Revision, Vec<String>)>, bool), Failed> {
+    pub(super) fn changed(&self, since: Revision, limit: usize) -> Result<(Vec<Changed>, bool), Failed> {
         let mut told = Vec::new();
         for row in self.changes.range((Bound::Excluded(since.0), Bound::Unbounded))? {
             if told.len() == limit {
@@ -253,37 +253,37 @@
     }
 }
 
-/// Fills a new database with records that keep their revisions.
-pub(super) struct Filler {
-    txn: WriteTransaction,
-    counts: BTreeMap<Space, u64>,
-}
-
-impl Filler {
-    pub(super) fn new(db: &Database) -> Result<Filler, Failed> {
-        Ok(Filler { txn: begin_write(db)?, counts: BTreeMap::new() })
-    }
+/// Puts one record into a backup.
+pub(crate) type Put<'a> = &'a mut dyn FnMut(Entry) -> Result<(), StoreError>;
 
-    pub(super) fn put(&mut self, entry: &Entry) -> Result<(), Failed> {
-        let text = entry.key.text();
-        let row = row(&text, entry.revision, &entry.value);
-        self.txn.open_table(RECORDS)?.insert(text.as_str(), row.as_slice())?;
-        *self.counts.entry(entry.key.space).or_default() += 1;
-        Ok(())
-    }
-
-    pub(super) fn done(self, revision: Revision) -> Result<(), Failed> {
-        {
-            self.txn.open_table(CHANGES)?;
-            let mut numbers = self.txn.open_table(NUMBERS)?;
-            numbers.insert(REVISION, revision.0)?;
-            numbers.insert(SCHEMA, u64::from(migrate::SCHEMA))?;
-            for (space, count) in &self.counts {
-                numbers.insert(space.as_str(), count)?;
-            }
+/// Fills a new database with the records that `each` puts, which keep their revisions.
+pub(super) fn fill<T>(
+    db: &Database,
+    what: &str,
+    each: impl FnOnce(Put<'_>) -> Result<(Revision, T), StoreError>,
+) -> Result<T, Failed> {
+    let txn = begin_write(db)?;
+    let mut counts: BTreeMap<Space, u64> = BTreeMap::new();
+    let answer = {
+        let mut records = txn.open_table(RECORDS)?;
+        let (revision, answer) = each(&mut |entry| {
+            let text = entry.key.text();
+            let row = row(&text, entry.revision, &entry.value);
+            records.insert(text.as_str(), row.as_slice()).map_err(|e| Failed::from(e).told(what))?;
+            *counts.entry(entry.key.space).or_default() += 1;
+            Ok(())
+        })?;
+        let mut numbers = txn.open_table(NUMBERS)?;
+        numbers.insert(REVISION, revision.0)?;
+        numbers.insert(SCHEMA, u64::from(migrate::SCHEMA))?;
+        for (space, count) in &counts {
+            numbers.insert(space.as_str(), count)?;
         }
-        Ok(self.txn.commit()?)
-    }
+        txn.open_table(CHANGES)?;
+        answer
+    };
+    txn.commit()?;
+    Ok(answer)
 }
 
 fn begin_write(db: &Database) -> Result<WriteTransaction, Failed> {
@@ -334,7 +334,8 @@
     for (space, by) in grown.into_iter().filter(|(_, by)| *by != 0) {
         let count = numbers.get(space.as_str())?.map_or(0, |n| n.value());
         let count = count.checked_add_signed(by);
-        let count = count.ok_or_else(|| distrust(StoreError::damaged(space.as_str(), "fewer records than none")))?;
+        let count =
+            count.ok_or_else(|| distrust(StoreError::damaged(space.as_str(), "fewer records than none")))?;
         numbers.insert(space.as_str(), count)?;
     }
     numbers.insert(REVISION, next.0)?;
@@ -346,3 +347,46 @@
     }
     Ok(())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::calls::{Call, Request, run};
+    use crate::embedded::{Create, Embedded};
+    use crate::name::Name;
+    use crate::record::{Actor, NewTenant};
+    use crate::store::{Ask, Store};
+
+    fn set_schema(path: &std::path::Path, schema: u64) {
+        let db = Database::create(path).unwrap();
+        let txn = begin_write(&db).unwrap();
+        txn.open_table(NUMBERS).unwrap().insert(SCHEMA, schema).unwrap();
+        txn.commit().unwrap();
+    }
+
+    #[test]
+    fn a_file_of_an_older_program_moves_forward_and_one_of_a_newer_is_refused_by_name() {
+        let dir = tempfile::tempdir().unwrap();
+        let path = dir.path().join("store");
+        let mut store = Embedded::open(&path, Create::IfMissing, 0).unwrap();
+        let create = |store: &mut Embedded, name| {
+            let call = Call::CreateTenant(NewTenant::named(Name::new(name).unwrap()));
+            run(store, &[Request::new(Actor::File, call)], 0).remove(0)
+        };
+        create(&mut store, "pay").unwrap();
+        // As schema 1 was: without an index of looks.
+        let looks = store.list(&Ask::of(Space::Look), 0).unwrap().entries;
+        let writes = looks.into_iter().map(|entry| (entry.key, None)).collect();
+        store.apply(&Batch { conditions: vec![], writes }, 0).unwrap();
+        drop(store);
+        set_schema(&path, 1);
+        let mut store = Embedded::open(&path, Create::Never, 0).unwrap();
+        assert!(matches!(create(&mut store, "рау"), Err(StoreError::LooksLike { .. })));
+        assert_eq!(crate::check::check(&mut store, 0).unwrap(), []);
+        drop(store);
+        assert!(dir.path().join("store.schema-1").exists(), "no copy of the old file was kept");
+        set_schema(&path, 3);
+        let e = Embedded::open(&path, Create::Never, 0).map(drop).unwrap_err().to_string();
+        assert!(e.ends_with("store: has schema 3; this program knows schemas up to 2"), "{e}");
+    }
+}
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -147,7 +147,10 @@
     /// Whether the same call may succeed later without anybody changing anything.
     pub fn passes(&self) -> bool {
         use StoreError::*;
-        matches!(self, Full { .. } | Io { .. } | Unavailable { .. } | Unsure { .. } | Stale { .. } | Busy { .. })
+        matches!(
+            self,
+            Full { .. } | Io { .. } | Unavailable { .. } | Unsure { .. } | Stale { .. } | Busy { .. }
+        )
     }
 
     pub(crate) fn damaged(what: impl ToString, cause: impl ToString) -> StoreError {
--- a/crates/store/src/exchange.rs
+++ b/crates/store/src/exchange.rs
@@ -10,7 +10,8 @@
 use crate::key::{Key, Space};
 use crate::migrate::{Records, SCHEMA};
 use crate::record::{
-    Actor, AuditEntry, ClassRecord, Deed, InstanceName, Micros, PlaceRecord, ServiceLimits, TenantRecord, TokenRecord,
+    Actor, AuditEntry, ClassRecord, Deed, InstanceName, Micros, PlaceRecord, ServiceLimits, TenantRecord,
+    TokenRecord,
 };
 use crate::store::{Entry, Store, write};
 use serde::Serialize;
@@ -52,6 +53,7 @@
     let told = |e: io::Error| crate::embedded::io_error("export", &e);
     let mut records = 0;
     let mut open: Option<Space> = None;
+    let mut lists = Vec::new();
     let mut counters = BTreeMap::new();
     let mut limits = Value::Null;
     writeln!(to, "{{\n\"format\": {FORMAT:?},\n\"schema\": {SCHEMA},\n\"exported\": {now},").map_err(told)?;
@@ -65,6 +67,9 @@
                     false if open.is_some() => format!("\n],\n{name:?}: [\n"),
                     false => format!("{name:?}: [\n"),
                 };
+                if open != Some(*space) {
+                    lists.push(*space);
+                }
                 open = Some(*space);
                 to.write_all(begin.as_bytes()).map_err(told)?;
                 to.write_all(&item(&entry)?).map_err(told)
@@ -81,10 +86,16 @@
         }
     })?;
     let end = if open.is_some() { "\n],\n" } else { "" };
+    let empty = LISTS.iter().filter(|(space, _)| !lists.contains(space));
+    let empty: String = empty.map(|(_, name)| format!("{name:?}: [],\n")).collect();
     let (counters, limits) = (json!(counters), json!(limits));
-    writeln!(to, "{end}\"limits\": {limits},\n\"counters\": {counters},\n\"revision\": {}\n}}", revision.0)
-        .and_then(|()| to.flush())
-        .map_err(told)?;
+    writeln!(
+        to,
+        "{end}{empty}\"limits\": {limits},\n\"counters\": {counters},\n\"revision\": {}\n}}",
+        revision.0
+    )
+    .and_then(|()| to.flush())
+    .map_err(told)?;
     Ok(Taken { revision, records })
 }
 
--- a/crates/store/src/name.rs
+++ b/crates/store/src/name.rs
@@ -73,7 +73,9 @@
             return bad(format!("has {} bytes where at most {LONGEST_NAME} may be", text.len()));
         }
         let shown: String = text.nfc().collect();
-        if let Some(c) = shown.chars().find(|&c| c.is_control() || turns(c) || matches!(c, '\u{2028}' | '\u{2029}')) {
+        if let Some(c) =
+            shown.chars().find(|&c| c.is_control() || turns(c) || matches!(c, '\u{2028}' | '\u{2029}'))
+        {
             return bad(format!("has the character U+{:04X}, which no name may have", u32::from(c)));
         }
         if shown.trim() != shown {
@@ -174,7 +176,9 @@
             && bytes.iter().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(b));
         match fits {
             true => Ok(ClassName(text.into())),
-            false => Err(Invalid::new("class", format!("{text:?} is not 1 to 64 of A-Z, a-z, 0-9, '-', '_', '.'"))),
+            false => {
+                Err(Invalid::new("class", format!("{text:?} is not 1 to 64 of A-Z, a-z, 0-9, '-', '_', '.'")))
+            }
         }
     }
 
@@ -225,11 +229,15 @@
 
     #[test]
     fn names_of_one_byte_and_of_four_kibibytes_are_taken_and_what_breaks_a_line_is_not() {
-        for good in ["a".to_string(), "長".repeat(1365), "۱ تذكرة".into(), "a/b?c#d%41".into(), "x".repeat(4096)] {
+        for good in
+            ["a".to_string(), "長".repeat(1365), "۱ تذكرة".into(), "a/b?c#d%41".into(), "x".repeat(4096)]
+        {
             assert_eq!(Name::new(&good).unwrap().as_str(), good);
         }
         // The last but one grows eighteenfold where it is folded.
-        for bad in ["", " a", "a\n", "a\u{202e}b", ".", "..", "\u{200b}", &"x".repeat(4097), &"ﷺ".repeat(300), "a\0"] {
+        for bad in
+            ["", " a", "a\n", "a\u{202e}b", ".", "..", "\u{200b}", &"x".repeat(4097), &"ﷺ".repeat(300), "a\0"]
+        {
             assert_eq!(Name::new(bad).unwrap_err().field, "name", "{bad:?}");
         }
     }
--- a/crates/store/src/record/tenant.rs
+++ b/crates/store/src/record/tenant.rs
@@ -41,7 +41,9 @@
     pub fn new(weight: u32) -> Result<Weight, Invalid> {
         match (1..=Weight::LARGEST).contains(&weight) {
             true => Ok(Weight(weight)),
-            false => Err(Invalid::new("weight", format!("{weight} is not between 1 and {}", Weight::LARGEST))),
+            false => {
+                Err(Invalid::new("weight", format!("{weight} is not between 1 and {}", Weight::LARGEST)))
+            }
         }
     }
 
--- a/crates/store/src/record/usage.rs
+++ b/crates/store/src/record/usage.rs
@@ -74,7 +74,9 @@
         let fits = |b: u8| b.is_ascii_alphanumeric() || b"-_.@:".contains(&b);
         match (1..=64).contains(&text.len()) && text.bytes().all(fits) {
             true => Ok(InstanceName(text.into())),
-            false => Err(Invalid::new("instance", format!("{text:?} is not 1 to 64 of A-Z, a-z, 0-9, '-_.@:'"))),
+            false => {
+                Err(Invalid::new("instance", format!("{text:?} is not 1 to 64 of A-Z, a-z, 0-9, '-_.@:'")))
+            }
         }
     }
 
@@ -116,13 +118,22 @@
     pub const LAST_MINUTE: u64 = 4_223_376_000;
 
     /// The figures of `minute` (whole minutes since 1970) by place. Refuses causes that no refusal may have.
-    pub fn new(instance: InstanceName, minute: u64, places: BTreeMap<u32, Usage>) -> Result<UsageReport, Invalid> {
+    pub fn new(
+        instance: InstanceName,
+        minute: u64,
+        places: BTreeMap<u32, Usage>,
+    ) -> Result<UsageReport, Invalid> {
         if minute > UsageReport::LAST_MINUTE {
             return Err(Invalid::new("minute", "is after the year 9999"));
         }
-        let odd = |cause: &&String| cause.is_empty() || cause.len() > 64 || !cause.bytes().all(|b| b.is_ascii_graphic());
+        let odd = |cause: &&String| {
+            cause.is_empty() || cause.len() > 64 || !cause.bytes().all(|b| b.is_ascii_graphic())
+        };
         if let Some(cause) = places.values().flat_map(|u| u.refusals.keys()).find(odd) {
-            return Err(Invalid::new("refusals", format!("{cause:?} is not 1 to 64 visible ASCII characters")));
+            return Err(Invalid::new(
+                "refusals",
+                format!("{cause:?} is not 1 to 64 visible ASCII characters"),
+            ));
         }
         Ok(UsageReport { instance, minute, places })
     }
@@ -139,7 +150,7 @@
 }
 
 /// One instance's day, for some places.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Day {
     /// Which minutes of each hour are in, a bit for each.
@@ -147,9 +158,3 @@
     /// Figures by place.
     pub places: BTreeMap<u32, Usage>,
 }
-
-impl Default for Day {
-    fn default() -> Day {
-        Day { minutes: [0; 24], places: BTreeMap::new() }
-    }
-}
--- a/crates/store/src/replicated/link.rs
+++ b/crates/store/src/replicated/link.rs
@@ -90,7 +90,8 @@
             .timeout_connect(Some(call / 2))
             .max_redirects(0)
             .build();
-        let member = |e: &String| Member { endpoint: e.trim_end_matches('/').into(), failures: 0, not_before: 0 };
+        let member =
+            |e: &String| Member { endpoint: e.trim_end_matches('/').into(), failures: 0, not_before: 0 };
         Ok(Link {
             agent: config.into(),
             members: endpoints.iter().map(member).collect(),
@@ -239,7 +240,9 @@
         let body = serde_json::to_vec(body).map_err(|e| unsure(endpoint, e))?;
         let request = self.agent.post(format!("{endpoint}{path}")).content_type("application/json");
         let mut response = request.send(&body[..]).map_err(|e| match e {
-            ureq::Error::Io(io) if io.kind() == std::io::ErrorKind::ConnectionRefused => not_done(endpoint, io),
+            ureq::Error::Io(io) if io.kind() == std::io::ErrorKind::ConnectionRefused => {
+                not_done(endpoint, io)
+            }
             e @ (ureq::Error::HostNotFound
             | ureq::Error::ConnectionFailed
             | ureq::Error::Timeout(ureq::Timeout::Connect | ureq::Timeout::Resolve)) => not_done(endpoint, e),
--- a/crates/store/src/replicated/mod.rs
+++ b/crates/store/src/replicated/mod.rs
@@ -29,7 +29,8 @@
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 use wire::{
-    Bytes, Compare, Kv, Num, Op, RangeAnswer, RangeRequest, TxnAnswer, TxnRequest, WatchCreate, WatchLine, WatchRequest,
+    Bytes, Compare, Kv, Num, Op, RangeAnswer, RangeRequest, TxnAnswer, TxnRequest, WatchCreate, WatchLine,
+    WatchRequest,
 };
 
 /// The most revisions that one answer about changes covers.
@@ -139,7 +140,7 @@
             let Some(kv) = found.kvs.into_iter().next() else {
                 let first = About { schema: SCHEMA, generation: format!("g1-{:016x}", self.nonce) };
                 let value = serde_json::to_vec(&first).map_err(|e| StoreError::damaged("engine/about", e))?;
-                let put = |key, value| Op::RequestPut { key, value };
+                let put = |key, value| Op::Put { key, value };
                 let begin = TxnRequest {
                     compare: vec![Compare::absent(key.clone())],
                     success: vec![put(key, Bytes(value)), put(self.own("head"), Bytes(b"begin".into()))],
@@ -173,7 +174,13 @@
 
     /// Reads one key, or from there on those that begin with `within`, under the condition that the generation
     /// still stands.
-    fn read(&mut self, now: Micros, mut range: RangeRequest, key: &str, within: Option<&str>) -> Result<RangeAnswer, StoreError> {
+    fn read(
+        &mut self,
+        now: Micros,
+        mut range: RangeRequest,
+        key: &str,
+        within: Option<&str>,
+    ) -> Result<RangeAnswer, StoreError> {
         for _ in 0..TRIES {
             let (about, value) = self.about(now)?;
             range.key = self.place(&about, key);
@@ -181,7 +188,7 @@
             range.range_end = within.map(|w| Bytes([&self.place(&about, w).0[..], b"\xff"].concat()));
             let ask = TxnRequest {
                 compare: vec![Compare::is(self.own("about"), Bytes(value))],
-                success: vec![Op::RequestRange(range.clone())],
+                success: vec![Op::Range(range.clone())],
                 failure: vec![],
             };
             let answer: TxnAnswer = self.link.call("/v3/kv/txn", &ask, true, now).map_err(Failure::told)?;
@@ -191,7 +198,8 @@
             }
             let revision = answer.header.revision;
             let found = answer.responses.into_iter().next().and_then(|r| r.response_range);
-            let mut found = found.ok_or_else(|| StoreError::damaged(key, "the engine answers something else"))?;
+            let mut found =
+                found.ok_or_else(|| StoreError::damaged(key, "the engine answers something else"))?;
             found.header.revision = revision;
             return Ok(found);
         }
@@ -240,7 +248,7 @@
         let fence = self.next_mark();
         let ask = TxnRequest {
             compare: vec![self.mark_is(&before)],
-            success: vec![Op::RequestPut { key: self.mark_key(), value: Bytes(fence.clone().into_bytes()) }],
+            success: vec![Op::Put { key: self.mark_key(), value: Bytes(fence.clone().into_bytes()) }],
             failure: vec![Op::read(self.mark_key())],
         };
         if urgent {
@@ -271,7 +279,8 @@
 
     /// Why a transaction's conditions did not hold; `None` if it is to be tried anew with what is known now.
     fn refused(&mut self, batch: &Batch, about: &[u8], answer: TxnAnswer) -> Option<StoreError> {
-        let mut found = answer.responses.into_iter().map(|r| r.response_range.and_then(|r| r.kvs.into_iter().next()));
+        let mut found =
+            answer.responses.into_iter().map(|r| r.response_range.and_then(|r| r.kvs.into_iter().next()));
         let now_about = found.next().flatten();
         let now_mark = found.next().flatten();
         if now_about.is_none_or(|kv| kv.value.0 != about) {
@@ -286,7 +295,9 @@
         for (condition, kv) in batch.conditions.iter().zip(found) {
             let found = kv.map_or(Revision(0), |kv| Revision(kv.mod_revision.0));
             match condition {
-                Condition::Absent(key) if found > Revision(0) => return Some(StoreError::Exists { key: key.text() }),
+                Condition::Absent(key) if found > Revision(0) => {
+                    return Some(StoreError::Exists { key: key.text() });
+                }
                 Condition::At(key, expected) if found != *expected => {
                     return Some(StoreError::Conflict { key: key.text(), expected: *expected, found });
                 }
@@ -296,9 +307,15 @@
         None
     }
 
-    fn transaction(&self, batch: &Batch, about: &(About, Vec<u8>), before: &Option<String>, mark: &str) -> TxnRequest {
+    fn transaction(
+        &self,
+        batch: &Batch,
+        about: &(About, Vec<u8>),
+        before: &Option<String>,
+        mark: &str,
+    ) -> TxnRequest {
         let place = |key: &Key| self.place(&about.0, &key.text());
-        let put = |key, value| Op::RequestPut { key, value };
+        let put = |key, value| Op::Put { key, value };
         let mut compare = vec![Compare::is(self.own("about"), Bytes(about.1.clone())), self.mark_is(before)];
         let mut failure = vec![Op::read(self.own("about")), Op::read(self.mark_key())];
         for condition in &batch.conditions {
@@ -314,7 +331,7 @@
             .iter()
             .map(|(key, value)| match value {
                 Some(value) => put(place(key), Bytes(value.clone())),
-                None => Op::RequestDeleteRange { key: place(key), range_end: None },
+                None => Op::Remove { key: place(key), range_end: None },
             })
             .collect();
         success.push(put(self.own("head"), Bytes(mark.as_bytes().to_vec())));
@@ -333,7 +350,10 @@
     fn watch(&mut self, since: Revision, head: Revision, now: Micros) -> Result<Changes, StoreError> {
         let (about, _) = self.about(now)?;
         let start = Num(since.0 + 1);
-        let (key, range_end) = (Bytes(format!("{}/", self.prefix).into_bytes()), Bytes(format!("{}0", self.prefix).into_bytes()));
+        let (key, range_end) = (
+            Bytes(format!("{}/", self.prefix).into_bytes()),
+            Bytes(format!("{}0", self.prefix).into_bytes()),
+        );
         let ask = WatchRequest { create_request: WatchCreate { key, range_end, start_revision: start } };
         let (head_key, about_key) = (self.own("head"), self.own("about"));
         let within = format!("{}/{}/", self.prefix, about.generation);
--- a/crates/store/src/replicated/whole.rs
+++ b/crates/store/src/replicated/whole.rs
@@ -68,7 +68,8 @@
         now: Micros,
     ) -> Result<Revision, StoreError> {
         self.sequence += 1;
-        let generation = format!("g{}-{:016x}", self.link.seen().0 + 1, self.nonce.wrapping_add(self.sequence));
+        let generation =
+            format!("g{}-{:016x}", self.link.seen().0 + 1, self.nonce.wrapping_add(self.sequence));
         let next = About { schema: SCHEMA, generation };
         let mut puts: Vec<Op> = Vec::new();
         let mut weight = 0;
@@ -78,13 +79,13 @@
                 weight = key.name.len() + value.len();
                 self.put_all(std::mem::take(&mut puts), now)?;
             }
-            puts.push(Op::RequestPut { key: self.place(&next, &key.text()), value: Bytes(value) });
+            puts.push(Op::Put { key: self.place(&next, &key.text()), value: Bytes(value) });
         }
         self.put_all(puts, now)?;
         let value = serde_json::to_vec(&next).map_err(|e| StoreError::damaged("engine/about", e))?;
         let mut compare = vec![Compare::is(self.own("about"), Bytes(about.1.clone()))];
         compare.extend(head.map(|head| Compare::at(self.own("head"), head.0)));
-        let put = |key, value| Op::RequestPut { key, value };
+        let put = |key, value| Op::Put { key, value };
         let switch = TxnRequest {
             compare,
             success: vec![
@@ -99,7 +100,8 @@
             Failure::Unsure(e) => StoreError::Unsure { what: self.prefix.clone(), cause: e.to_string() },
             e => e.told(),
         })?;
-        let found = answer.responses.first().and_then(|r| r.response_range.as_ref()).and_then(|r| r.kvs.first());
+        let found =
+            answer.responses.first().and_then(|r| r.response_range.as_ref()).and_then(|r| r.kvs.first());
         let revision = match (answer.succeeded, found) {
             (true, _) => Revision(answer.header.revision.0),
             (false, Some(kv)) if kv.value.0 == value => Revision(kv.mod_revision.0),
@@ -111,7 +113,7 @@
         let mine = format!("{}/{}/", self.prefix, next.generation);
         let after = format!("{}/{}0", self.prefix, next.generation);
         let bytes = |text: String| Bytes(text.into_bytes());
-        let remove = |from: String, to: String| Op::RequestDeleteRange { key: bytes(from), range_end: Some(bytes(to)) };
+        let remove = |from: String, to: String| Op::Remove { key: bytes(from), range_end: Some(bytes(to)) };
         let _ = self.put_all(vec![remove(first, mine), remove(after, last)], now);
         Ok(revision)
     }
--- a/crates/store/src/replicated/wire.rs
+++ b/crates/store/src/replicated/wire.rs
@@ -120,16 +120,18 @@
 }
 
 #[derive(Clone, Debug, Serialize)]
-#[serde(rename_all = "snake_case")]
 pub(super) enum Op {
-    RequestRange(RangeRequest),
-    RequestPut { key: Bytes, value: Bytes },
-    RequestDeleteRange { key: Bytes, range_end: Option<Bytes> },
+    #[serde(rename = "request_range")]
+    Range(RangeRequest),
+    #[serde(rename = "request_put")]
+    Put { key: Bytes, value: Bytes },
+    #[serde(rename = "request_delete_range")]
+    Remove { key: Bytes, range_end: Option<Bytes> },
 }
 
 impl Op {
     pub(super) fn read(key: Bytes) -> Op {
-        Op::RequestRange(RangeRequest { key, ..RangeRequest::default() })
+        Op::Range(RangeRequest { key, ..RangeRequest::default() })
     }
 }
 
--- a/crates/store/src/service.rs
+++ b/crates/store/src/service.rs
@@ -135,13 +135,26 @@
 
 impl Service {
     /// Starts the thread. `wake` is called whenever there is something new to look at.
-    pub fn start(store: Box<dyn Store>, options: Options, clock: Clock, wake: Wake) -> Result<Service, StoreError> {
+    pub fn start(
+        store: Box<dyn Store>,
+        options: Options,
+        clock: Clock,
+        wake: Wake,
+    ) -> Result<Service, StoreError> {
         let (orders, queue) = sync_channel(options.queue.max(1));
         let outbox = Arc::new(Mutex::new(Outbox::default()));
         let limit = options.queue.max(1);
         let cached = Cached::new(store, options.copy.clone());
-        let mut worker =
-            Worker { cached, queue, outbox: outbox.clone(), options, clock, wake, next: Instant::now(), trouble: None };
+        let mut worker = Worker {
+            cached,
+            queue,
+            outbox: outbox.clone(),
+            options,
+            clock,
+            wake,
+            next: Instant::now(),
+            trouble: None,
+        };
         let thread = std::thread::Builder::new().name("store".into()).spawn(move || worker.run());
         let thread = thread.map_err(|e| StoreError::Io { what: "store".into(), cause: e.to_string() })?;
         Ok(Service { orders: Some(orders), outbox, thread: Some(thread), next: 0, waiting: 0, limit })
--- a/crates/store/src/standin/http.rs
+++ b/crates/store/src/standin/http.rs
@@ -15,7 +15,9 @@
             Answer::Whole(status, value) => {
                 let body = value.to_string();
                 let length = body.len();
-                let head = format!("HTTP/1.1 {status} Said\r\ncontent-type: application/json\r\ncontent-length: {length}\r\n\r\n");
+                let head = format!(
+                    "HTTP/1.1 {status} Said\r\ncontent-type: application/json\r\ncontent-length: {length}\r\n\r\n"
+                );
                 stream.write_all((head + &body).as_bytes())?;
             }
             Answer::Watch(mut watch) => {
--- a/crates/store/src/standin/keys.rs
+++ b/crates/store/src/standin/keys.rs
@@ -184,7 +184,9 @@
                 let there: Vec<_> = keys.into_iter().filter(|k| self.at(k, u64::MAX).is_some()).collect();
                 let deleted = there.len().to_string();
                 there.iter().for_each(|key| self.write(key, None));
-                responses.push(json!({"response_delete_range": {"header": self.header(stale), "deleted": deleted}}));
+                responses.push(
+                    json!({"response_delete_range": {"header": self.header(stale), "deleted": deleted}}),
+                );
             } else {
                 return Err("the stand-in can't do that".into());
             }
--- a/crates/store/src/standin/mod.rs
+++ b/crates/store/src/standin/mod.rs
@@ -294,7 +294,8 @@
             }
             if watch.next <= keys.compacted() {
                 let compacted = keys.compacted().to_string();
-                let result = json!({"header": keys.header(None), "canceled": true, "compact_revision": compacted});
+                let result =
+                    json!({"header": keys.header(None), "canceled": true, "compact_revision": compacted});
                 line = Some(Some(json!({"result": result})));
                 return true;
             }
--- a/crates/store/tests/crash.rs
+++ b/crates/store/tests/crash.rs
@@ -47,7 +47,8 @@
                     0 => Call::CreateTenant(NewTenant { weight, limits, ..NewTenant::named(name.clone()) }),
                     1 => return (name.clone(), 0, Call::RemoveTenant { name, expected: None }),
                     _ => {
-                        let change = TenantChange { weight: Some(weight), limits: Some(limits), ..Default::default() };
+                        let change =
+                            TenantChange { weight: Some(weight), limits: Some(limits), ..Default::default() };
                         Call::ChangeTenant { name: name.clone(), expected: None, change }
                     }
                 };
@@ -92,8 +93,12 @@
         // Some children are killed while they open the file, or after a few changes; then at any moment of one.
         let told = rng.random_range(0..30);
         let later = Duration::from_micros(rng.random_range(0..3000));
-        let mut heard: Vec<String> =
-            lines.by_ref().map(|l| l.unwrap()).filter(|l| l.starts_with("ack") || l.starts_with("use")).take(told).collect();
+        let mut heard: Vec<String> = lines
+            .by_ref()
+            .map(|l| l.unwrap())
+            .filter(|l| l.starts_with("ack") || l.starts_with("use"))
+            .take(told)
+            .collect();
         let until = Instant::now() + later;
         while Instant::now() < until {
             std::hint::spin_loop();
@@ -107,7 +112,8 @@
         if !path.exists() {
             continue;
         }
-        let mut store = Embedded::open(&path, Create::Never, NOW).unwrap_or_else(|e| panic!("round {round}: {e}"));
+        let mut store =
+            Embedded::open(&path, Create::Never, NOW).unwrap_or_else(|e| panic!("round {round}: {e}"));
         assert_eq!(check(&mut store, NOW).unwrap(), [], "round {round}");
         // Each change's entry of the trail was written with it: the trail tells what must be there.
         let mut trail: BTreeMap<(u64, String, u64), usize> = BTreeMap::new();
--- a/crates/store/tests/damage.rs
+++ b/crates/store/tests/damage.rs
@@ -20,8 +20,8 @@
 use std::io;
 use std::path::Path;
 use std::process::Command;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
 
 type Records = BTreeMap<String, (u64, Vec<u8>)>;
 
@@ -85,7 +85,10 @@
             }
             Err(e) => {
                 let text = e.to_string();
-                assert!(matches!(e, StoreError::Damaged { .. } | StoreError::NewerSchema { .. }), "seed {seed}: {text}");
+                assert!(
+                    matches!(e, StoreError::Damaged { .. } | StoreError::NewerSchema { .. }),
+                    "seed {seed}: {text}"
+                );
                 assert!(text.contains("store"), "seed {seed}: {text}");
                 refused += 1;
             }
@@ -114,7 +117,9 @@
             let (space, name) = key.split_once('/').unwrap();
             let key = shorewharf_store::key::Key::new(Space::parse(space).unwrap(), name);
             match store.get(&key, NOW) {
-                Ok(Some(entry)) => assert_eq!(written[&key.text()], (entry.revision.0, entry.value), "seed {seed}"),
+                Ok(Some(entry)) => {
+                    assert_eq!(written[&key.text()], (entry.revision.0, entry.value), "seed {seed}")
+                }
                 Ok(None) => panic!("seed {seed}: {key} is lost in silence"),
                 Err(e) => assert!(matches!(e, StoreError::Damaged { .. }), "seed {seed}: {e}"),
             }
@@ -243,13 +248,16 @@
         // There is room again: what was acknowledged is there, or the one change that nobody knew of.
         shared.3.store(false, SeqCst);
         let all = records(&mut store).unwrap_or_else(|e| panic!("seed {seed}: {e}"));
-        let found = serde_json::from_slice::<serde_json::Value>(&all["tenant/grad"].1).unwrap()["weight"].clone();
+        let found =
+            serde_json::from_slice::<serde_json::Value>(&all["tenant/grad"].1).unwrap()["weight"].clone();
         assert!(found == kept || failed && found == kept + 1, "seed {seed}: {found} for {kept}");
         assert_eq!(check(&mut store, NOW).unwrap(), [], "seed {seed}");
         weigh(&mut store, "grad", 77).unwrap();
         drop(store);
         let mut again = Embedded::open_on(shared.backend(), NOW).unwrap();
-        assert!(String::from_utf8_lossy(&records(&mut again).unwrap()["tenant/grad"].1).contains("\"weight\":77"));
+        assert!(
+            String::from_utf8_lossy(&records(&mut again).unwrap()["tenant/grad"].1).contains("\"weight\":77")
+        );
     }
     println!("{full} changes refused for want of space, {unsure} of which it was not known");
     assert!(full > 0);
@@ -284,7 +292,8 @@
     let output = shell.env("STORE_CHILD", &path).output().unwrap();
     let text = String::from_utf8_lossy(&output.stdout).into_owned();
     assert!(output.status.success(), "{text}{}", String::from_utf8_lossy(&output.stderr));
-    let line = |word: &str| text.lines().find_map(|l| l.strip_prefix(word)).unwrap_or_else(|| panic!("{text}"));
+    let line =
+        |word: &str| text.lines().find_map(|l| l.strip_prefix(word)).unwrap_or_else(|| panic!("{text}"));
     assert!(line("error ").starts_with(&format!("{}: ", path.display())), "{text}");
     assert!(line("error ").contains("File too large"), "{text}");
     let made: usize = line("made ").parse().unwrap();
--- a/crates/store/tests/life.rs
+++ b/crates/store/tests/life.rs
@@ -25,7 +25,10 @@
     let mut store = Embedded::open(&path, Create::Never, NOW).unwrap();
     assert_eq!(check(&mut store, NOW).unwrap(), []);
     let second = Embedded::open(&path, Create::Never, NOW).map(drop);
-    assert!(matches!(second, Err(StoreError::InUse { path: p }) if p == path), "two processes wrote one file");
+    assert!(
+        matches!(second, Err(StoreError::InUse { path: p }) if p == path),
+        "two processes wrote one file"
+    );
 }
 
 /// Looks until something is found.
--- a/crates/store/tests/replicated.rs
+++ b/crates/store/tests/replicated.rs
@@ -137,7 +137,9 @@
     create(&mut store, "grad").unwrap();
     let mut other = speak(&[&b], "n2");
     let weight = |store: &mut Replicated| {
-        let Found::Tenant(kept) = answer(store, &Question::Tenant(name("grad")), NOW).unwrap() else { panic!() };
+        let Found::Tenant(kept) = answer(store, &Question::Tenant(name("grad")), NOW).unwrap() else {
+            panic!()
+        };
         kept.record.weight.get()
     };
     // Done, and the answer lost: the other member tells that it was done.
@@ -164,11 +166,13 @@
     assert!(matches!(weigh(&mut alone, "grad", 12, NOW + 6), Err(e) if e.passes()));
     a.set(Fault::None);
     weigh(&mut alone, "grad", 13, NOW + 1_000_000).unwrap();
-    let Found::Audit(entries, _) = answer(&mut other, &Question::Audit { before: None, limit: 100 }, NOW).unwrap()
+    let Found::Audit(entries, _) =
+        answer(&mut other, &Question::Audit { before: None, limit: 100 }, NOW).unwrap()
     else {
         panic!()
     };
-    let weights: Vec<u64> = entries.iter().rev().filter_map(|e| e.after.as_ref()?["weight"].as_u64()).collect();
+    let weights: Vec<u64> =
+        entries.iter().rev().filter_map(|e| e.after.as_ref()?["weight"].as_u64()).collect();
     let twelve = weights.iter().filter(|w| **w == 12).count();
     assert!(twelve <= 1);
     let others: Vec<u64> = weights.into_iter().filter(|w| *w != 12).collect();
@@ -182,16 +186,23 @@
     let a = cluster.member().unwrap();
     let mut store = speak(&[&a], "n1");
     create(&mut store, "grad").unwrap();
-    let (about, value) = cluster.contents().into_iter().find(|(key, _)| key.ends_with("engine/about")).unwrap();
+    let (about, value) =
+        cluster.contents().into_iter().find(|(key, _)| key.ends_with("engine/about")).unwrap();
     // A newer program takes the store over: this one, which runs, can neither read nor write from then on.
     cluster.put(&about, &value.replace("\"schema\":2", "\"schema\":3"));
-    for e in [weigh(&mut store, "grad", 5, NOW).unwrap_err(), store.get(&Key::new(Space::Tenant, "grad"), NOW).unwrap_err()] {
+    for e in [
+        weigh(&mut store, "grad", 5, NOW).unwrap_err(),
+        store.get(&Key::new(Space::Tenant, "grad"), NOW).unwrap_err(),
+    ] {
         let text = "shorewharf/engine/about: has schema 3; this program knows schemas up to 2";
         assert_eq!(e.to_string(), text);
     }
     cluster.wipe();
     let e = store.get(&Key::new(Space::Tenant, "grad"), NOW + 1_000_000).unwrap_err();
-    assert!(matches!(&e, StoreError::Damaged { .. }) && e.to_string().contains("belongs to cluster decaf"), "{e}");
+    assert!(
+        matches!(&e, StoreError::Damaged { .. }) && e.to_string().contains("belongs to cluster decaf"),
+        "{e}"
+    );
     let other = Options::new(vec!["udp://x".into()], "shorewharf", "n1", 1);
     assert_eq!(Replicated::new(&other).map(drop).unwrap_err().field, "endpoints[0]");
 }
@@ -207,8 +218,15 @@
     }
     other.round(NOW).unwrap();
     // As an older program would have left it: no index of looks, and its own number.
-    let (about, value) = cluster.contents().into_iter().find(|(key, _)| key.ends_with("engine/about")).unwrap();
-    let looks: Vec<Key> = store.list(&shorewharf_store::store::Ask::of(Space::Look), NOW).unwrap().entries.into_iter().map(|e| e.key).collect();
+    let (about, value) =
+        cluster.contents().into_iter().find(|(key, _)| key.ends_with("engine/about")).unwrap();
+    let looks: Vec<Key> = store
+        .list(&shorewharf_store::store::Ask::of(Space::Look), NOW)
+        .unwrap()
+        .entries
+        .into_iter()
+        .map(|e| e.key)
+        .collect();
     for looks in looks.chunks(100) {
         let writes = looks.iter().map(|key| (key.clone(), None)).collect();
         store.apply(&shorewharf_store::store::Batch { conditions: vec![], writes }, NOW).unwrap();
@@ -216,7 +234,10 @@
     cluster.put(&about, &value.replace("\"schema\":2", "\"schema\":1"));
     let mut next = speak(&[&a], "n3");
     assert_eq!(check(&mut next, NOW).unwrap(), []);
-    assert!(matches!(create(&mut next, "tеnant-7"), Err(StoreError::LooksLike { .. })), "with a Cyrillic letter");
+    assert!(
+        matches!(create(&mut next, "tеnant-7"), Err(StoreError::LooksLike { .. })),
+        "with a Cyrillic letter"
+    );
     // Who ran meanwhile goes on in the new generation.
     weigh(&mut store, "tenant-7", 77, NOW).unwrap();
     other.round(NOW + ROUND).unwrap();
--- a/crates/store/tests/rig/mod.rs
+++ b/crates/store/tests/rig/mod.rs
@@ -29,7 +29,11 @@
 }
 
 pub fn report(instance: &str, minute: u64, of: &[(u32, u64)]) -> Call {
-    let usage = |set_ups| Usage { set_ups, refusals: [("quota".to_string(), set_ups / 2)].into(), ..Usage::default() };
+    let usage = |set_ups| Usage {
+        set_ups,
+        refusals: [("quota".to_string(), set_ups / 2)].into(),
+        ..Usage::default()
+    };
     let places: BTreeMap<u32, Usage> = of.iter().map(|(place, n)| (*place, usage(*n))).collect();
     Call::Count(UsageReport::new(InstanceName::new(instance).unwrap(), minute, places).unwrap())
 }
--- a/crates/store/tests/rig/story.rs
+++ b/crates/store/tests/rig/story.rs
@@ -6,8 +6,8 @@
 use shorewharf_store::error::StoreError;
 use shorewharf_store::name::ClassName;
 use shorewharf_store::record::{
-    Actor, ClassRecord, Limits, NewTenant, NewToken, OnceKey, Place, Role, Semantics, ServiceLimits, TenantChange, TenantState,
-    TokenRecord, TokenSeed,
+    Actor, ClassRecord, Limits, NewTenant, NewToken, OnceKey, Place, Role, Semantics, ServiceLimits,
+    TenantChange, TenantState, TokenRecord, TokenSeed,
 };
 use shorewharf_store::store::{Revision, Store};
 
@@ -18,13 +18,20 @@
 fn two_people_change_one_tenant_and_the_second_is_told(store: &mut dyn Store) {
     let made = create(store, "grad-uprava").unwrap();
     let weight = |w: u32| TenantChange { weight: Some(w.try_into().unwrap()), ..TenantChange::default() };
-    let change = |w, expected| Call::ChangeTenant { name: name("GRAD-uprava"), expected: Some(expected), change: weight(w) };
+    let change = |w, expected| Call::ChangeTenant {
+        name: name("GRAD-uprava"),
+        expected: Some(expected),
+        change: weight(w),
+    };
     // Both have read the same version, and both calls wait when the store's thread looks.
     let both = [change(200, made.version), change(300, made.version)].map(|c| Request::new(Actor::File, c));
     let done = run(store, &both, NOW + 1);
     let Ok(Answer::Tenant(first)) = done[0].as_ref().map(|d| &d.answer) else { panic!("{done:?}") };
     assert!(first.version > made.version && first.record.weight.get() == 200);
-    assert!(matches!(&done[1], Err(StoreError::Conflict { key, .. }) if key == "tenant/grad-uprava"), "{done:?}");
+    assert!(
+        matches!(&done[1], Err(StoreError::Conflict { key, .. }) if key == "tenant/grad-uprava"),
+        "{done:?}"
+    );
     let third = make(store, change(300, first.version), NOW + 2).unwrap();
     let Answer::Tenant(third) = third.answer else { panic!() };
     assert_eq!(told(store, Question::Tenant(name("grad-uprava"))), Found::Tenant(third));
@@ -95,7 +102,8 @@
     let limits = ServiceLimits { tenants: Some(all.len() as u32), ..ServiceLimits::default() };
     make(store, Call::SetLimits { limits, expected: Some(Revision(0)) }, NOW).unwrap();
     assert!(matches!(create(store, "one-too-many"), Err(StoreError::TooMuch { .. })));
-    let frozen = TenantChange { state: Some(TenantState::Frozen), classes: Some(None), ..TenantChange::default() };
+    let frozen =
+        TenantChange { state: Some(TenantState::Frozen), classes: Some(None), ..TenantChange::default() };
     make(store, Call::ChangeTenant { name: name("desk"), expected: None, change: frozen }, NOW).unwrap();
     make(store, Call::RemoveClass { name: class, expected: None }, NOW).unwrap();
 }
@@ -130,16 +138,27 @@
     // A chunk's border lies between 63 and 64, and 6,000 places are more chunks than one batch takes.
     let many: Vec<(u32, u64)> = (0..6000).step_by(3).map(|p| (p, u64::from(p) + 1)).collect();
     for (instance, minute) in [("a@1", day + 59), ("a@1", day + 60), ("b@1", day + 59)] {
-        assert_eq!(make(store, report(instance, minute, &many), NOW).unwrap().answer, Answer::Counted { new: true });
-        assert_eq!(make(store, report(instance, minute, &many), NOW).unwrap().answer, Answer::Counted { new: false });
+        assert_eq!(
+            make(store, report(instance, minute, &many), NOW).unwrap().answer,
+            Answer::Counted { new: true }
+        );
+        assert_eq!(
+            make(store, report(instance, minute, &many), NOW).unwrap().answer,
+            Answer::Counted { new: false }
+        );
     }
     let other = make(store, report("a@1", day + 59, &[(63, 1)]), NOW);
     assert_eq!(other, Err(StoreError::Counted { instance: "a@1".into(), minute: day + 59 }));
     let minute = 60_000_000;
     let mut rows = |place, level| {
         let (from, to) = (day * minute, (day + 120) * minute + Level::Day.micros());
-        let Found::Usage(rows, None) = told(store, Question::Usage { place: Place(place), level, from, to }) else { panic!() };
-        rows.iter().map(|r| (r.start / minute - day, r.usage.set_ups, r.usage.refusals["quota"])).collect::<Vec<_>>()
+        let Found::Usage(rows, None) = told(store, Question::Usage { place: Place(place), level, from, to })
+        else {
+            panic!()
+        };
+        rows.iter()
+            .map(|r| (r.start / minute - day, r.usage.set_ups, r.usage.refusals["quota"]))
+            .collect::<Vec<_>>()
     };
     assert_eq!(rows(63, Level::Minute), [(59, 128, 64), (60, 64, 32)]);
     assert_eq!(rows(63, Level::Hour), [(0, 128, 64), (60, 64, 32)]);
