--- a/crates/store/src/cached.rs
+++ b/crates/store/src/cached.rs
@@ -170,6 +170,13 @@
         }
     }
 
+    fn get_many(&mut self, keys: &[Key], now: Micros) -> Result<Vec<Option<Entry>>, StoreError> {
+        match self.store.get_many(keys, now) {
+            Err(e) if e.passes() => keys.iter().map(|key| self.get(key, now)).collect(),
+            answer => answer,
+        }
+    }
+
     fn list(&mut self, ask: &Ask, now: Micros) -> Result<Page, StoreError> {
         match self.store.list(ask, now) {
             Err(e) if self.stands_in(ask.space, &e) => {
--- a/crates/store/src/calls/count.rs
+++ b/crates/store/src/calls/count.rs
@@ -9,7 +9,7 @@
 use crate::error::StoreError;
 use crate::key::{Key, Space};
 use crate::record::{Day, Hour, MINUTE, Micros, OnceRecord, Usage, UsageReport};
-use crate::store::{Ask, Store};
+use crate::store::{Ask, Batch, Store};
 use std::collections::BTreeMap;
 
 /// Places to a chunk: at about 60 bytes a place a chunk is a few kilobytes.
@@ -50,6 +50,8 @@
         let mut view = View::new(store, now);
         let mut taken = 0;
         let mut new = false;
+        let ahead = left.iter().take(Batch::LARGEST / 3).flat_map(|(chunk, _)| keys(report, *chunk));
+        view.read_ahead(ahead.collect())?;
         for (chunk, places) in &left {
             let counted = one(&mut view, report, *chunk, places)?;
             if !view.settle() {
@@ -74,6 +76,12 @@
     Ok(Answer::Counted { new: any })
 }
 
+/// The keys of a report's minute, hour and day.
+fn keys(report: &UsageReport, chunk: u32) -> [Key; 3] {
+    let key = |level: Level| key(level, chunk, report.minute / level.minutes(), report.instance.as_str());
+    [key(Level::Minute), key(Level::Hour), key(Level::Day)]
+}
+
 /// Counts one chunk; `false` if it was counted before.
 fn one(
     view: &mut View<'_>,
@@ -83,9 +91,7 @@
 ) -> Result<bool, StoreError> {
     let (minute, instance) = (report.minute, report.instance.as_str());
     let (hour_of, bit) = ((minute / 60 % 24) as usize, 1u64 << (minute % 60));
-    let minute_key = key(Level::Minute, chunk, minute, instance);
-    let hour_key = key(Level::Hour, chunk, minute / 60, instance);
-    let day_key = key(Level::Day, chunk, minute / (24 * 60), instance);
+    let [minute_key, hour_key, day_key] = keys(report, chunk);
     let mut day: Day = view.get(&day_key)?.map(|(_, day)| day).unwrap_or_default();
     let before = view.get::<BTreeMap<u32, Usage>>(&minute_key)?;
     if day.minutes[hour_of] & bit != 0 {
--- a/crates/store/src/calls/mod.rs
+++ b/crates/store/src/calls/mod.rs
@@ -19,9 +19,10 @@
     Actor, ClassRecord, Deed, Micros, NewTenant, NewToken, OnceKey, OnceRecord, Place, ServiceLimits,
     TenantChange, TenantRecord, TokenId, TokenRecord, TokenSeed, UsageReport,
 };
-use crate::store::{Revision, Store};
+use crate::store::{Batch, Revision, Store};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use std::collections::BTreeSet;
 use view::{PENDING, View};
 
 /// The counter of audit entries: the last number.
@@ -214,6 +215,9 @@
     for tried in 1.. {
         let mut view = View::new(store, now);
         let mut done = Vec::new();
+        if let Err(e) = view.read_ahead(touched(requests)) {
+            return vec![Err(e)];
+        }
         for request in requests {
             // Usage has groups of its own; a class is removed only after a look at all that is written.
             let alone = matches!(request.call, Call::RemoveClass { .. }) && view.writes();
@@ -248,6 +252,33 @@
     unreachable!("the last try returns")
 }
 
+/// Most of the records that calls will ask for; what is missing here is read when it is asked for.
+fn touched(requests: &[Request]) -> Vec<Key> {
+    let meta = |name: &str| Key::new(Space::Meta, name);
+    let tenant = |name: &Name| Key::new(Space::Tenant, name.unique());
+    let look = |name: &Name| Key::new(Space::Look, name.look().skeleton);
+    let counters = [TENANT_PLACES, TENANTS].map(meta);
+    let mut keys = BTreeSet::from([meta(AUDIT)]);
+    for request in requests.iter().take(Batch::LARGEST) {
+        keys.extend(request.once.iter().map(|once| Key::new(Space::Once, &once.name)));
+        match &request.call {
+            Call::CreateTenant(new) => {
+                keys.extend([tenant(&new.name), look(&new.name), Key::new(Space::Limits, SERVICE)]);
+                keys.extend(counters.clone());
+                let classes = new.classes.iter().flatten();
+                keys.extend(classes.map(|class| Key::new(Space::Class, class.as_str())));
+            }
+            Call::ChangeTenant { name, .. } => drop(keys.insert(tenant(name))),
+            Call::RemoveTenant { name, .. } => keys.extend([tenant(name), look(name), meta(TENANTS)]),
+            Call::PutClass { class, .. } => drop(keys.insert(Key::new(Space::Class, class.name().as_str()))),
+            Call::RevokeToken { id } => drop(keys.insert(Key::new(Space::Token, id.as_str()))),
+            Call::SetLimits { .. } => drop(keys.insert(Key::new(Space::Limits, SERVICE))),
+            _ => {}
+        }
+    }
+    keys.into_iter().collect()
+}
+
 /// Gives all who were to be answered well the error instead; who was refused stays refused.
 fn refuse(done: Vec<Result<Done, StoreError>>, e: StoreError) -> Vec<Result<Done, StoreError>> {
     done.into_iter()
--- a/crates/store/src/calls/view.rs
+++ b/crates/store/src/calls/view.rs
@@ -23,6 +23,8 @@
     /// The time of the group.
     pub(super) now: Micros,
     seen: BTreeMap<Key, Option<Entry>>,
+    /// What was read ahead and not looked at yet.
+    ahead: BTreeMap<Key, Option<Entry>>,
     /// What the last call was the first to see.
     fresh: Vec<Key>,
     settled: Writes,
@@ -31,14 +33,16 @@
 
 impl<'s> View<'s> {
     pub(super) fn new(store: &'s mut dyn Store, now: Micros) -> View<'s> {
-        View {
-            store,
-            now,
-            seen: BTreeMap::new(),
-            fresh: Vec::new(),
-            settled: BTreeMap::new(),
-            draft: BTreeMap::new(),
-        }
+        let (seen, ahead, settled, draft) = Default::default();
+        View { store, now, seen, ahead, fresh: Vec::new(), settled, draft }
+    }
+
+    /// Reads at once what calls will ask for, since each read may be a call over the network. What is read and
+    /// not asked for is no condition.
+    pub(super) fn read_ahead(&mut self, keys: Vec<Key>) -> Result<(), StoreError> {
+        let entries = self.store.get_many(&keys, self.now)?;
+        self.ahead.extend(keys.into_iter().zip(entries));
+        Ok(())
     }
 
     /// A record's bytes and version.
@@ -47,7 +51,10 @@
             return Ok(written.clone().map(|value| (PENDING, value)));
         }
         if !self.seen.contains_key(key) {
-            let entry = self.store.get(key, self.now)?;
+            let entry = match self.ahead.remove(key) {
+                Some(entry) => entry,
+                None => self.store.get(key, self.now)?,
+            };
             self.seen.insert(key.clone(), entry);
             self.fresh.push(key.clone());
         }
@@ -138,7 +145,9 @@
     pub(super) fn drop_draft(&mut self) {
         self.draft.clear();
         for key in self.fresh.drain(..) {
-            self.seen.remove(&key);
+            if let Some(entry) = self.seen.remove(&key) {
+                self.ahead.insert(key, entry);
+            }
         }
     }
 
--- a/crates/store/src/replicated/mod.rs
+++ b/crates/store/src/replicated/mod.rs
@@ -206,6 +206,30 @@
         Err(self.moving())
     }
 
+    /// Reads up to as many keys as a transaction may.
+    fn read_many(&mut self, keys: &[Key], now: Micros) -> Result<Vec<Option<Entry>>, StoreError> {
+        for _ in 0..TRIES {
+            let (about, value) = self.about(now)?;
+            let ask = TxnRequest {
+                compare: vec![Compare::is(self.own("about"), Bytes(value))],
+                success: keys.iter().map(|key| Op::read(self.place(&about, &key.text()))).collect(),
+                failure: vec![],
+            };
+            let answer: TxnAnswer = self.link.call("/v3/kv/txn", &ask, true, now).map_err(Failure::told)?;
+            if !answer.succeeded {
+                self.about = None;
+                continue;
+            }
+            if answer.responses.len() != keys.len() {
+                return Err(StoreError::damaged(&self.prefix, "the engine answers something else"));
+            }
+            let found =
+                answer.responses.into_iter().map(|r| r.response_range.and_then(|r| r.kvs.into_iter().next()));
+            return found.map(|kv| kv.map(|kv| self.entry(&about, kv)).transpose()).collect();
+        }
+        Err(self.moving())
+    }
+
     /// A record of what the engine told.
     fn entry(&self, about: &About, kv: Kv) -> Result<Entry, StoreError> {
         let text = String::from_utf8_lossy(&kv.key.0).into_owned();
@@ -418,6 +442,14 @@
         found.kvs.into_iter().next().map(|kv| self.entry(&about, kv)).transpose()
     }
 
+    fn get_many(&mut self, keys: &[Key], now: Micros) -> Result<Vec<Option<Entry>>, StoreError> {
+        let mut entries = Vec::with_capacity(keys.len());
+        for keys in keys.chunks(Batch::LARGEST) {
+            entries.extend(self.read_many(keys, now)?);
+        }
+        Ok(entries)
+    }
+
     fn list(&mut self, ask: &Ask, now: Micros) -> Result<Page, StoreError> {
         let within = format!("{}/{}", ask.space.as_str(), ask.prefix);
         let after = ask.after.as_ref().map(|name| format!("{}/{name}\0", ask.space.as_str()));
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -197,6 +197,11 @@
     /// The record under a key.
     fn get(&mut self, key: &Key, now: Micros) -> Result<Option<Entry>, StoreError>;
 
+    /// The records under some keys, each in its key's place; as of one moment only where the engine can.
+    fn get_many(&mut self, keys: &[Key], now: Micros) -> Result<Vec<Option<Entry>>, StoreError> {
+        keys.iter().map(|key| self.get(key, now)).collect()
+    }
+
     /// A page of records.
     fn list(&mut self, ask: &Ask, now: Micros) -> Result<Page, StoreError>;
 
