--- a/crates/store/src/calls/count.rs
+++ b/crates/store/src/calls/count.rs
@@ -67,7 +67,7 @@
                     tries -= 1;
                     continue;
                 }
-                applied => applied?,
+                applied => applied.map_err(super::crowded)?,
             };
         }
         any |= new;
--- a/crates/store/src/calls/mod.rs
+++ b/crates/store/src/calls/mod.rs
@@ -246,12 +246,22 @@
             }
             // Somebody else wrote what this was decided on: the callers' own expectations are looked at anew.
             Err(StoreError::Conflict { .. } | StoreError::Exists { .. }) if tried < TRIES => {}
-            Err(e) => return refuse(done, e),
+            Err(e) => return refuse(done, crowded(e)),
         }
     }
     unreachable!("the last try returns")
 }
 
+/// After the last try: not the caller's expectation has failed, others were faster each time.
+fn crowded(e: StoreError) -> StoreError {
+    match e {
+        StoreError::Conflict { key, .. } | StoreError::Exists { key } => {
+            StoreError::Unavailable { endpoint: key, cause: "other instances write at the same time".into() }
+        }
+        e => e,
+    }
+}
+
 /// Most of the records that calls will ask for; what is missing here is read when it is asked for.
 fn touched(requests: &[Request]) -> Vec<Key> {
     let meta = |name: &str| Key::new(Space::Meta, name);
