--- a/crates/store/tests/crash.rs
+++ b/crates/store/tests/crash.rs
@@ -1,8 +1,11 @@
-//! A process that is killed at a random moment, or whose machine loses its power, loses no change that it acknowledged and leaves none half there.
+//! A process that is killed at a random moment, or whose machine loses its power, loses no change that it
+//! acknowledged and leaves none half there.
 //!
-//! A child of this very program makes changes and tells each on its standard output once the store has answered;
-//! the parent kills it (SIGKILL) after a random number of told changes and some microseconds, opens the file
-//! and looks. The power cut is played: of what was not synced, some reaches the disk and some does not. `STORE_KILLS` says how often (40 unless told otherwise), `STORE_SEED` from which seed.
+//! Killed: a child of this very program makes changes and tells each on its standard output once the store has
+//! answered; the parent kills it (SIGKILL) after a random number of told changes and some microseconds, opens the
+//! file and looks. `STORE_KILLS` says how often (40 unless told otherwise), `STORE_SEED` from which seed.
+//!
+//! Power cuts are played, `STORE_CUTS` times (60): of what was not synced, some reaches the disk and some does not.
 
 mod rig;
 
