--- /dev/null
+++ b/crates/emulator/src/world/pairs.rs
@@ -0,0 +1,126 @@
+//! Which balancers hold a connection to which nodes, in virtual time: one for each pair, opened at need and closed
+//! when unused. (On sockets every link is a connection of its own.) What stands from before the day is on none.
+
+use crate::Micros;
+use crate::edge::{BalancerId, NodeId};
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Pair {
+    users: u32,
+    /// The handshake is over then; none while it is closed.
+    up_at: Option<Micros>,
+    /// It has come up.
+    up: bool,
+    /// Unused since then.
+    idle: Micros,
+}
+
+/// All pairs.
+#[derive(Debug)]
+pub struct Pairs {
+    nodes: usize,
+    table: Vec<Pair>,
+    idle_close: Micros,
+    open: u32,
+}
+
+impl Pairs {
+    /// All closed.
+    pub fn new(balancers: usize, nodes: usize, idle_close: Micros) -> Self {
+        Pairs { nodes, table: vec![Pair::default(); balancers * nodes], idle_close, open: 0 }
+    }
+
+    /// Connections open now.
+    pub fn open(&self) -> u32 {
+        self.open
+    }
+
+    fn pair(&mut self, b: BalancerId, n: NodeId) -> &mut Pair {
+        &mut self.table[b.0 as usize * self.nodes + n.0 as usize]
+    }
+
+    /// One more link uses the pair's connection: when it is up, where a new one takes `handshake`.
+    pub fn used(&mut self, now: Micros, b: BalancerId, n: NodeId, handshake: Micros) -> Micros {
+        let idle_close = self.idle_close;
+        let pair = self.pair(b, n);
+        let closed = pair.users == 0 && now > pair.idle + idle_close;
+        pair.users += 1;
+        if closed {
+            let was_up = std::mem::replace(&mut pair.up, false);
+            pair.up_at = None;
+            self.open -= u32::from(was_up);
+        }
+        self.pair(b, n).up_at.get_or_insert(now + handshake).to_owned().max(now)
+    }
+
+    /// The node has taken it; true if that is news.
+    pub fn came_up(&mut self, b: BalancerId, n: NodeId) -> bool {
+        let pair = self.pair(b, n);
+        let news = pair.up_at.is_some() && !std::mem::replace(&mut pair.up, true);
+        self.open += u32::from(news);
+        news
+    }
+
+    /// One link less uses it.
+    pub fn left(&mut self, now: Micros, b: BalancerId, n: NodeId) {
+        let pair = self.pair(b, n);
+        pair.users = pair.users.saturating_sub(1);
+        pair.idle = now;
+    }
+
+    fn close(pair: &mut Pair, open: &mut u32) {
+        pair.up_at = None;
+        *open -= u32::from(std::mem::replace(&mut pair.up, false));
+    }
+
+    /// A side's process is gone, or the node refuses: a new connection is needed.
+    pub fn broke(&mut self, b: Option<BalancerId>, n: Option<NodeId>) {
+        let nodes = self.nodes;
+        for (i, pair) in self.table.iter_mut().enumerate() {
+            if b.is_none_or(|b| i / nodes == b.0 as usize) && n.is_none_or(|n| i % nodes == n.0 as usize) {
+                Pairs::close(pair, &mut self.open);
+            }
+        }
+    }
+
+    /// Closes what has been unused for long enough.
+    pub fn sweep(&mut self, now: Micros) {
+        for pair in &mut self.table {
+            if pair.users == 0 && now > pair.idle + self.idle_close {
+                Pairs::close(pair, &mut self.open);
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const B: BalancerId = BalancerId(1);
+    const N: NodeId = NodeId(2);
+
+    /// A handshake for every link, or none after a close, would shift set-up times and the price of connections.
+    #[test]
+    fn a_pair_shares_one_connection_until_it_is_unused_for_long_or_breaks() {
+        let mut pairs = Pairs::new(2, 3, 1000);
+        assert_eq!(pairs.used(0, B, N, 50), 50);
+        assert_eq!(pairs.used(20, B, N, 50), 50, "the second waits for the same handshake");
+        assert!(pairs.came_up(B, N) && !pairs.came_up(B, N), "news only once");
+        assert_eq!((pairs.used(100, B, N, 50), pairs.open()), (100, 1));
+        (0..3).for_each(|_| pairs.left(200, B, N));
+        pairs.sweep(1200);
+        assert_eq!(
+            (pairs.used(1200, B, N, 50), pairs.open()),
+            (1200, 1),
+            "still open at the end of its time"
+        );
+        pairs.left(1300, B, N);
+        assert_eq!((pairs.used(2301, B, N, 50), pairs.open()), (2351, 0), "closed for being unused");
+        assert!(pairs.came_up(B, N));
+        pairs.broke(None, Some(NodeId(0)));
+        assert_eq!(pairs.open(), 1, "another node's end is none of its business");
+        pairs.broke(None, Some(N));
+        assert_eq!((pairs.used(2400, B, N, 50), pairs.open()), (2450, 0));
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/world/queue.rs
@@ -0,0 +1,89 @@
+//! The queue of what is still to happen: by time, and in the order of being put in where times are the same.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use crate::Micros;
+
+#[derive(Debug)]
+struct Entry<E> {
+    at: Micros,
+    serial: u64,
+    what: E,
+}
+
+impl<E> PartialEq for Entry<E> {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.serial) == (other.at, other.serial)
+    }
+}
+
+impl<E> Eq for Entry<E> {}
+
+impl<E> PartialOrd for Entry<E> {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<E> Ord for Entry<E> {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.serial).cmp(&(other.at, other.serial))
+    }
+}
+
+/// Events by time. Nothing is allocated for an event but the queue's own growth.
+#[derive(Debug)]
+pub struct Queue<E> {
+    heap: BinaryHeap<Reverse<Entry<E>>>,
+    serial: u64,
+}
+
+impl<E> Default for Queue<E> {
+    fn default() -> Self {
+        Queue { heap: BinaryHeap::new(), serial: 0 }
+    }
+}
+
+impl<E> Queue<E> {
+    /// Has something happen at a time.
+    pub fn push(&mut self, at: Micros, what: E) {
+        self.serial += 1;
+        self.heap.push(Reverse(Entry { at, serial: self.serial, what }));
+    }
+
+    /// The time of what comes next.
+    pub fn next_due(&self) -> Option<Micros> {
+        self.heap.peek().map(|e| e.0.at)
+    }
+
+    /// What comes next, if it is due by then.
+    pub fn pop(&mut self, by: Micros) -> Option<(Micros, E)> {
+        if self.next_due()? > by {
+            return None;
+        }
+        self.heap.pop().map(|Reverse(e)| (e.at, e.what))
+    }
+
+    /// Events put in since the start.
+    pub fn count(&self) -> u64 {
+        self.serial
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Events of one time that came out in another order than they went in would make runs differ.
+    #[test]
+    fn events_come_by_time_and_at_one_time_in_the_order_of_being_put_in() {
+        let mut queue = Queue::default();
+        for (at, what) in [(5, 'a'), (3, 'b'), (5, 'c'), (3, 'd'), (4, 'e'), (5, 'f')] {
+            queue.push(at, what);
+        }
+        assert_eq!(queue.pop(2), None, "came before its time");
+        let got: Vec<_> = std::iter::from_fn(|| queue.pop(5)).collect();
+        assert_eq!(got, [(3, 'b'), (3, 'd'), (4, 'e'), (5, 'a'), (5, 'c'), (5, 'f')]);
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,2 +1,57 @@
 //! The lab: the emulated platform with the real driver and decision module behind it, and what people need to
 //! experiment on them.
+
+mod balancer;
+pub mod cli;
+mod clocks;
+mod compare;
+mod demo;
+pub mod error;
+mod fidelity;
+mod files;
+pub mod import;
+pub mod instances;
+mod load;
+mod log;
+pub mod mutants;
+pub mod page;
+mod plots;
+pub mod record;
+mod run;
+pub mod runner;
+pub mod scenario;
+mod sockets;
+pub mod stats;
+mod style;
+mod sweep;
+mod tables;
+
+use std::process::ExitCode;
+
+use clap::Parser;
+
+use cli::{Cli, Command};
+use style::Style;
+
+/// Runs the command line that the process was started with.
+pub fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let style = Style::of(cli.color);
+    let ended = log::begin(&cli.log, cli.log_format).and_then(|()| match &cli.command {
+        Command::Import(args) => files::import(args),
+        Command::Check(args) => files::check(args, &style),
+        Command::Show(args) => files::show(args),
+        Command::Report(args) => page::report(args),
+        Command::Run(args) => run::run(args, &style),
+        Command::Sweep(args) => sweep::sweep(args, &style),
+        Command::Compare(args) => compare::compare(args, &style),
+        Command::Fidelity(args) => fidelity::fidelity(args, &style),
+        Command::Clocks(args) => clocks::clocks(args, &style),
+        Command::Demo(args) => demo::demo(args, &style),
+        Command::Load(args) => load::load(args, &style),
+    });
+    if let Err(e) = &ended {
+        eprintln!("{}", style.bad("error:").to_owned() + " " + &e.to_string());
+    }
+    error::exit_code(&ended)
+}
