Add tenants' shares before the decision module, off by default

Nothing in the program limited a tenant. crates/tenancy decides without I/O and clock; Gate puts it before the module in the module's own words, so the driver and the simulator's adapter run the same code.

--- a/crates/balancer/src/config.rs
+++ b/crates/balancer/src/config.rs
@@ -11,11 +11,14 @@
 use shorewharf_decisions::Settings;
 use shorewharf_protocol::list::Listing;
 use shorewharf_protocol::names::Names;
+use shorewharf_settings::operator::Operator;
 
 /// Lengths of time are shorter than this, in seconds: sums of them stay far from the end of the clock.
 const LONGEST: f64 = 1e6;
 /// Descriptors of the program's own and those kept for refusals leave nothing of fewer.
 const FEWEST_SOCKETS: usize = 32;
+/// Names the operator's own file (TOML): what the platform's configuration says nothing of.
+pub const OPERATOR: &str = "SHOREWHARF_OPERATOR";
 
 /// What is wrong with the configuration; the text names the key at fault.
 #[derive(Debug, Error)]
@@ -89,6 +92,8 @@
     pub give_up: Vec<u64>,
     /// Servers tell what messages take there.
     pub tells_delay: bool,
+    /// What the operator's own file says.
+    pub operator: Operator,
 }
 
 #[derive(Deserialize)]
@@ -157,6 +162,13 @@
     names.into_iter().enumerate().map(|(i, name)| (name, i)).collect()
 }
 
+/// Reads the operator's own file, if there is one.
+fn operator(path: Option<String>) -> Result<Operator, ConfigError> {
+    let Some(path) = path else { return Ok(Operator::default()) };
+    let text = std::fs::read_to_string(&path).map_err(|e| form(OPERATOR, format!("{path}: {e}")))?;
+    Operator::parse(&text).map_err(|e| form(OPERATOR, format!("{path}: {}", e.to_string().trim_end())))
+}
+
 impl Config {
     /// Reads the file that `ROUTER_CONFIG` names, and the environment for what it leaves out.
     pub fn read(env: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
@@ -232,6 +244,7 @@
             },
             give_up,
             tells_delay: named.specifics.tells_delay,
+            operator: operator(env(OPERATOR))?,
         })
     }
 
@@ -256,8 +269,12 @@
 
     /// Keys that a running program can't follow and that `next` has changed.
     pub fn needs_restart(&self, next: &Config) -> Vec<&'static str> {
-        let changed = [("name", self.name != next.name), ("listen", self.listen != next.listen)].into_iter();
-        changed.filter(|c| c.1).map(|c| c.0).collect()
+        let changed = [
+            ("name", self.name != next.name),
+            ("listen", self.listen != next.listen),
+            ("tenancy.on", self.operator.tenancy.on != next.operator.tenancy.on),
+        ];
+        changed.into_iter().filter(|c| c.1).map(|c| c.0).collect()
     }
 }
 
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-use shorewharf::config::{Config, ConfigError};
+use shorewharf::config::{Config, ConfigError, OPERATOR};
 use shorewharf::{check, net};
 use shorewharf_logging::LogArgs;
 use tracing::error;
@@ -29,6 +29,9 @@
 struct Cli {
     #[command(flatten)]
     log: LogArgs,
+    /// The operator's own file (TOML): what the platform's configuration says nothing of
+    #[arg(long, global = true, value_name = "FILE", env = "SHOREWHARF_OPERATOR")]
+    operator: Option<PathBuf>,
     #[command(subcommand)]
     command: Option<Command>,
 }
@@ -45,25 +48,26 @@
 fn main() -> ExitCode {
     let cli = Cli::parse();
     cli.log.start();
+    let operator = cli.operator;
+    let env = move |var: &str| match (&operator, var) {
+        (Some(path), OPERATOR) => Some(path.to_string_lossy().into_owned()),
+        _ => std::env::var(var).ok(),
+    };
     match cli.command {
-        None => serve(),
-        Some(Command::CheckConfig { file }) => check_config(&file),
+        None => serve(env),
+        Some(Command::CheckConfig { file }) => check_config(&file, env),
     }
 }
 
-fn env(var: &str) -> Option<String> {
-    std::env::var(var).ok()
-}
-
-fn serve() -> ExitCode {
-    let config = match Config::read(env) {
+fn serve(env: impl Fn(&str) -> Option<String> + 'static) -> ExitCode {
+    let config = match Config::read(&env) {
         Ok(config) => config,
         Err(e) => {
             error!(event = "bad-config", key = e.key(), why = %e.why());
             return ExitCode::from(BAD_CONFIG);
         }
     };
-    match net::run(config, || Config::read(env)) {
+    match net::run(config, move || Config::read(&env)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             error!(event = "cannot-run", error = %e);
@@ -72,7 +76,7 @@
     }
 }
 
-fn check_config(file: &Path) -> ExitCode {
+fn check_config(file: &Path, env: impl Fn(&str) -> Option<String>) -> ExitCode {
     let text = std::fs::read(file).map_err(|e| ConfigError::File(file.into(), e));
     match text.and_then(|text| check::table(&text, env)) {
         Ok(table) => {
--- a/crates/balancer/src/net/mod.rs
+++ b/crates/balancer/src/net/mod.rs
@@ -129,7 +129,7 @@
     let mut net = Net::new(turn, listener, config.discovery, Terms::from(&config));
     let known = net.list_known(&config.known);
     let servers = known.len();
-    let driver = Driver::start(config.settings.clone(), config.seed, known, &mut net);
+    let driver = Driver::start(config.settings.clone(), &config.operator, config.seed, known, &mut net);
     // The address that is bound: the port may have been left to the system.
     info!(event = "serving", name = config.name, listen = %net.listens_at()?, servers);
     let mut balancing = Balancing { net, driver, config, reread: Box::new(reread) };
--- a/crates/balancer/src/net/reload.rs
+++ b/crates/balancer/src/net/reload.rs
@@ -3,7 +3,7 @@
 use super::hub::Net;
 use super::terms::Terms;
 use crate::config::{Config, ConfigError};
-use shorewharf_driver::Driver;
+use shorewharf_driver::{Driver, Peers};
 use tracing::info;
 
 /// Puts a configuration in force that has been read and checked. Connections, the list of servers and
@@ -20,7 +20,7 @@
     let sockets = next.limits.sockets;
     info!(event = "reloaded", discovery = %next.discovery, sockets, "restart-needed" = restart);
     net.take_terms(Terms::from(&next), next.discovery);
-    driver.take_settings(next.settings.clone());
+    driver.take_settings(net.now(), next.settings.clone(), &next.operator);
     // Name and address are this process's own until it ends.
     *config = Config { name: config.name.clone(), listen: config.listen, ..next };
     Ok(())
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -73,6 +73,8 @@
     pub classes: Vec<Class>,
     /// Open connections over all proxies within each tenant's share; empty where unknown.
     pub tenant_quota: Vec<f64>,
+    /// New connections a second over all proxies within each tenant's share; empty where unknown.
+    pub tenant_rate: Vec<f64>,
     /// The registry must be asked; else it pushes.
     pub ask_registry: bool,
     /// Asking at least this often counts as keeping up.
--- /dev/null
+++ b/crates/driver/src/admission.rs
@@ -0,0 +1,63 @@
+//! Who is asked before the module is told of a request, and what they are told of it afterwards.
+
+use shorewharf_decisions::interface::{Event, Outcome, Request, Settings};
+
+use shorewharf_settings::operator::Operator;
+
+use crate::Micros;
+
+/// What becomes of a client that asks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Let it on.
+    Admit,
+    /// It is refused at once; the module never hears of it.
+    TurnAway {
+        /// When to come back, from now; 0 where it is not told.
+        after: Micros,
+        /// The reason, to be counted.
+        why: &'static str,
+    },
+}
+
+/// What became of a request that was taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    /// Its connection stands.
+    Up,
+    /// Its connection, which stood, has ended so.
+    Ended(Outcome),
+    /// The module refused it, or failed it, before it stood.
+    Refused,
+    /// Its client went away before it stood, or wants nothing more.
+    Left,
+}
+
+/// Decisions that come before the module's: tenants' shares, an outage's end. Each sees every event, may turn clients
+/// away, and may have standing connections of a tenant moved.
+///
+/// All are asked in order, until one turns the client away. Only a client that nobody turned away is taken, so that
+/// nobody counts one that another has refused. A request that was taken may come up once, and has exactly one of the
+/// other fates after that.
+pub trait Admission {
+    /// A client asks. Nothing may be counted yet of one that is let on.
+    fn asked(&mut self, now: Micros, request: &Request) -> Verdict;
+    /// The client that was asked about last goes on to the module.
+    fn taken(&mut self, _now: Micros, _request: &Request) {}
+    /// A connection from before the start stands.
+    fn carried(&mut self, _now: Micros, _request: &Request) {}
+    /// What became of a request that was taken or carried.
+    fn fate(&mut self, _now: Micros, _request: &Request, _fate: Fate) {}
+    /// Anything that happens, before the module hears of it.
+    fn hears(&mut self, _now: Micros, _event: &Event) {}
+    /// Which tenants' standing connections are to be moved now, and how many.
+    fn due(&mut self, _now: Micros, _moves: &mut Vec<(usize, u64)>) {}
+    /// So many of those moves had no connection to go by.
+    fn not_moved(&mut self, _tenant: usize, _count: u64) {}
+    /// When [`Admission::due`] is to be called again, if at all.
+    fn next_due(&self) -> Option<Micros> {
+        None
+    }
+    /// Other settings are in force.
+    fn take_settings(&mut self, _now: Micros, _set: &Settings, _operator: &Operator) {}
+}
--- /dev/null
+++ b/crates/driver/src/gate.rs
@@ -0,0 +1,207 @@
+//! The module behind its admissions: the same words go in and come out, so that whoever drives the module (the real
+//! program's driver, the simulator's adapter) drives both alike.
+
+use std::collections::{BTreeMap, HashMap};
+
+use shorewharf_decisions::Balancer;
+use shorewharf_decisions::interface::*;
+use shorewharf_settings::operator::Operator;
+
+use crate::admission::{Admission, Fate, Verdict};
+use crate::tenants::Tenants;
+use crate::{Micros, micros, seconds};
+
+/// The gate's own timer; the module's tokens lie far below.
+const DUE: u64 = 1 << 63;
+
+/// Who is asked, in this order.
+#[derive(Debug, Default)]
+struct Admissions {
+    tenants: Option<Tenants>,
+}
+
+impl Admissions {
+    fn all(&mut self) -> impl Iterator<Item = &mut dyn Admission> {
+        self.tenants.as_mut().map(|t| t as &mut dyn Admission).into_iter()
+    }
+}
+
+/// A request that was taken, or whose connection stood before the start.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    request: Request,
+    /// An attempt is out.
+    out: bool,
+    stands: bool,
+    /// It has been asked to move by an admission.
+    moves: bool,
+}
+
+/// The module and its admissions.
+#[derive(Debug)]
+pub struct Gate {
+    balancer: Balancer,
+    admissions: Admissions,
+    held: HashMap<RequestId, Held>,
+    /// The gate's timer comes then.
+    wakes: Option<Micros>,
+    turned_away: BTreeMap<&'static str, u64>,
+}
+
+impl Gate {
+    /// A fresh module of these settings behind what the operator wants before it.
+    pub fn new(now: Micros, set: Settings, seed: u64, operator: &Operator) -> Gate {
+        let tenants = Tenants::new(now, &set, &operator.tenancy);
+        Gate {
+            balancer: Balancer::new(set, seed),
+            admissions: Admissions { tenants },
+            held: HashMap::new(),
+            wakes: None,
+            turned_away: BTreeMap::new(),
+        }
+    }
+
+    /// Puts new settings in force; what was learned stays. Which admissions there are is decided at the start.
+    pub fn take_settings(&mut self, now: Micros, set: Settings, operator: &Operator) {
+        self.admissions.all().for_each(|a| a.take_settings(now, &set, operator));
+        self.balancer.take_settings(set);
+    }
+
+    /// Clients turned away before the module heard of them, by reason.
+    pub fn turned_away(&self) -> &BTreeMap<&'static str, u64> {
+        &self.turned_away
+    }
+
+    /// Tenants' shares, where they are kept.
+    pub fn tenants(&mut self) -> Option<&mut Tenants> {
+        self.admissions.tenants.as_mut()
+    }
+
+    /// Takes one event, as [`Balancer::handle`], and appends what is to be done.
+    pub fn handle(&mut self, now: f64, event: Event, out: &mut Vec<Action>) {
+        if self.admissions.all().next().is_none() {
+            return self.balancer.handle(now, event, out);
+        }
+        let at = micros(now);
+        self.admissions.all().for_each(|a| a.hears(at, &event));
+        let first = out.len();
+        let ends = match &event {
+            Event::Timer(DUE) => {
+                self.wakes = None;
+                self.due(at, out);
+                return self.sleep(at, out);
+            }
+            Event::Arrived(request) => {
+                if let Some(after) = self.turns_away(at, request) {
+                    out.push(Action::Refuse { request: request.id, retry_after: seconds(after) });
+                    return;
+                }
+                None
+            }
+            Event::Open(request, _) => {
+                let held = Held { request: *request, out: false, stands: true, moves: false };
+                self.held.insert(request.id, held);
+                self.admissions.all().for_each(|a| a.carried(at, request));
+                None
+            }
+            Event::Established { request, .. } => {
+                self.comes_up(at, *request);
+                None
+            }
+            Event::Ended { request, outcome, complete, .. } => {
+                self.attempt_ends(*request, *outcome, *complete)
+            }
+            Event::ClientGone(id) => {
+                self.held.get(id).filter(|h| !h.out && !h.stands).map(|_| (*id, Fate::Left))
+            }
+            _ => None,
+        };
+        self.balancer.handle(now, event, out);
+        if let Some((id, fate)) = ends {
+            self.over(at, id, fate);
+        }
+        for action in &out[first..] {
+            match action {
+                Action::Send { request, .. } => {
+                    self.held.entry(*request).and_modify(|h| h.out = true);
+                }
+                Action::Refuse { request, .. } | Action::Fail(request) => {
+                    self.over(at, *request, Fate::Refused);
+                }
+                _ => {}
+            }
+        }
+        self.sleep(at, out);
+    }
+
+    /// When a client that is turned away should come back; none if it is taken.
+    fn turns_away(&mut self, now: Micros, request: &Request) -> Option<Micros> {
+        for admission in self.admissions.all() {
+            if let Verdict::TurnAway { after, why } = admission.asked(now, request) {
+                *self.turned_away.entry(why).or_default() += 1;
+                return Some(after);
+            }
+        }
+        self.admissions.all().for_each(|a| a.taken(now, request));
+        let held = Held { request: *request, out: false, stands: false, moves: false };
+        self.held.insert(request.id, held);
+        None
+    }
+
+    fn comes_up(&mut self, now: Micros, id: RequestId) {
+        let Some(held) = self.held.get_mut(&id).filter(|h| !h.stands) else { return };
+        (held.stands, held.out) = (true, false);
+        let request = held.request;
+        self.admissions.all().for_each(|a| a.fate(now, &request, Fate::Up));
+    }
+
+    /// An attempt has ended, or a connection that stood; the request's fate, if that was its end.
+    fn attempt_ends(&mut self, id: RequestId, outcome: Outcome, complete: bool) -> Option<(RequestId, Fate)> {
+        let held = self.held.get_mut(&id)?;
+        held.out = false;
+        match (held.stands, complete) {
+            (true, _) => Some((id, Fate::Ended(outcome))),
+            (false, true) => Some((id, Fate::Left)),
+            // The module may try again; else it refuses.
+            (false, false) => None,
+        }
+    }
+
+    fn over(&mut self, now: Micros, id: RequestId, fate: Fate) {
+        if let Some(held) = self.held.remove(&id) {
+            self.admissions.all().for_each(|a| a.fate(now, &held.request, fate));
+        }
+    }
+
+    /// Has standing connections moved, those that have stood for longest by their numbers first.
+    fn due(&mut self, now: Micros, out: &mut Vec<Action>) {
+        let mut moves = Vec::new();
+        for admission in self.admissions.all() {
+            moves.clear();
+            admission.due(now, &mut moves);
+            for &(tenant, count) in &moves {
+                let there = |h: &Held| h.request.tenant == tenant && h.stands && !h.moves;
+                let mut ids: Vec<RequestId> =
+                    self.held.iter().filter(|(_, h)| there(h)).map(|(id, _)| *id).collect();
+                ids.sort_unstable();
+                ids.truncate(usize::try_from(count).unwrap_or(usize::MAX));
+                if (ids.len() as u64) < count {
+                    admission.not_moved(tenant, count - ids.len() as u64);
+                }
+                for id in ids {
+                    self.held.entry(id).and_modify(|h| h.moves = true);
+                    out.push(Action::Move(id));
+                }
+            }
+        }
+    }
+
+    /// Sets the timer for what is due next.
+    fn sleep(&mut self, now: Micros, out: &mut Vec<Action>) {
+        let Some(next) = self.admissions.all().filter_map(|a| a.next_due()).min() else { return };
+        if self.wakes.is_none_or(|at| next < at) {
+            self.wakes = Some(next);
+            out.push(Action::SetTimer { after: seconds(next.saturating_sub(now)), token: DUE });
+        }
+    }
+}
--- a/crates/driver/src/lib.rs
+++ b/crates/driver/src/lib.rs
@@ -1,11 +1,19 @@
-//! Between the peers and the decisions. The only caller of [`Balancer`]: what happens to a peer becomes an
+//! Between the peers and the decisions. The only caller of the decision module: what happens to a peer becomes an
 //! event, what the module wants becomes a call on a peer, and microseconds become seconds. It knows no
-//! protocol's text, so that another protocol can be put before the same decisions.
+//! protocol's text, so that another protocol can be put before the same decisions. Before the module stand the
+//! [`admission`]s ([`Gate`]).
+
+pub mod admission;
+mod gate;
+mod tenants;
 
 use std::collections::HashMap;
 
-use shorewharf_decisions::Balancer;
 use shorewharf_decisions::interface::*;
+use shorewharf_settings::operator::Operator;
+
+pub use gate::Gate;
+pub use tenants::Tenants;
 
 /// Whole microseconds.
 pub type Micros = u64;
@@ -114,27 +122,38 @@
 /// Drives the module.
 #[derive(Debug)]
 pub struct Driver {
-    balancer: Balancer,
+    gate: Gate,
     reqs: HashMap<RequestId, Sent>,
     actions: Vec<Action>,
     max_attempts: u32,
 }
 
 impl Driver {
-    /// A driver of a fresh module; `known` is the list that it starts from.
-    pub fn start(set: Settings, seed: u64, known: Vec<ListEntry>, peers: &mut impl Peers) -> Self {
+    /// A driver of a fresh module behind what the operator wants before it; `known` is the list that it starts from.
+    pub fn start(
+        set: Settings,
+        operator: &Operator,
+        seed: u64,
+        known: Vec<ListEntry>,
+        peers: &mut impl Peers,
+    ) -> Self {
         let max_attempts = set.max_attempts;
-        let balancer = Balancer::new(set, seed);
-        let mut driver = Driver { balancer, reqs: HashMap::new(), actions: Vec::new(), max_attempts };
+        let gate = Gate::new(peers.now(), set, seed, operator);
+        let mut driver = Driver { gate, reqs: HashMap::new(), actions: Vec::new(), max_attempts };
         driver.tell(Event::Start, peers);
         driver.happened(Happening::Listed { full: true, cached: true, entries: known }, peers);
         driver
     }
 
     /// Puts new settings in force; what the module has learned stays.
-    pub fn take_settings(&mut self, set: Settings) {
+    pub fn take_settings(&mut self, now: Micros, set: Settings, operator: &Operator) {
         self.max_attempts = set.max_attempts;
-        self.balancer.take_settings(set);
+        self.gate.take_settings(now, set, operator);
+    }
+
+    /// The module and what stands before it.
+    pub fn gate(&mut self) -> &mut Gate {
+        &mut self.gate
     }
 
     /// Tells the module all that has happened, and what comes of its wishes, until nothing is left.
@@ -221,7 +240,7 @@
     }
 
     fn tell(&mut self, event: Event, peers: &mut impl Peers) {
-        self.balancer.handle(seconds(peers.now()), event, &mut self.actions);
+        self.gate.handle(seconds(peers.now()), event, &mut self.actions);
         let mut actions = std::mem::take(&mut self.actions);
         actions.drain(..).for_each(|action| self.carry_out(action, peers));
         self.actions = actions;
--- /dev/null
+++ b/crates/driver/src/tenants.rs
@@ -0,0 +1,101 @@
+//! Tenants' shares as an admission, by the settings' quotas and the operator's terms.
+
+use shorewharf_decisions::interface::{Request, Settings};
+use shorewharf_settings::operator::{self, Operator};
+use shorewharf_tenancy::{Limits, Place, Tenancy, Terms, Verdict as Said};
+
+use crate::admission::{Admission, Fate, Verdict};
+use crate::{Micros, micros};
+
+/// Tenants' shares, and what the operator said of them.
+#[derive(Clone, Debug)]
+pub struct Tenants {
+    tenancy: Tenancy,
+}
+
+fn terms(set: &Settings, terms: &operator::Tenancy) -> Terms {
+    let wait = if set.retry_after { micros(set.max_retry_after) } else { 0 };
+    Terms {
+        lend: terms.lend,
+        ration: terms.ration,
+        moves_per_s: terms.moves_per_s,
+        longest_wait: wait,
+        ..Terms::new(set.proxies)
+    }
+}
+
+/// A tenant's limits by the settings; none where they say nothing that could be kept.
+fn limits(set: &Settings, tenant: usize) -> Option<Limits> {
+    let quota = set.tenant_quota.get(tenant).copied().filter(|q| *q > 0.0)?;
+    // Without a word on set-ups, all of a share may be set up within a second.
+    let rate = set.tenant_rate.get(tenant).copied().filter(|r| *r > 0.0).unwrap_or(quota);
+    Limits::new(quota, rate).ok()
+}
+
+impl Tenants {
+    /// The tenants of these settings; none where shares are not to be kept or the settings know of none.
+    pub fn new(now: Micros, set: &Settings, said: &operator::Tenancy) -> Option<Tenants> {
+        if !said.on || set.tenant_quota.iter().all(|q| *q <= 0.0) {
+            return None;
+        }
+        let mut tenants = Tenants { tenancy: Tenancy::new(terms(set, said), now) };
+        tenants.take(now, set);
+        Some(tenants)
+    }
+
+    fn take(&mut self, now: Micros, set: &Settings) {
+        // A first line that names no tenant counts as the first one's, so there is always a place for it.
+        for tenant in 0..set.tenant_quota.len().max(set.tenant_rate.len()).max(1) {
+            self.tenancy.set(now, Place(tenant), limits(set, tenant));
+        }
+    }
+
+    /// The shares, for reports and for changes while the program runs.
+    pub fn tenancy(&mut self) -> &mut Tenancy {
+        &mut self.tenancy
+    }
+}
+
+impl Admission for Tenants {
+    fn asked(&mut self, now: Micros, request: &Request) -> Verdict {
+        match self.tenancy.asked(now, Place(request.tenant), request.returning) {
+            Said::Admit => Verdict::Admit,
+            Said::TurnAway { after, why } => Verdict::TurnAway { after, why: why.text() },
+        }
+    }
+
+    fn taken(&mut self, now: Micros, _request: &Request) {
+        self.tenancy.taken(now);
+    }
+
+    fn carried(&mut self, now: Micros, request: &Request) {
+        self.tenancy.carried(now, Place(request.tenant));
+    }
+
+    fn fate(&mut self, now: Micros, request: &Request, fate: Fate) {
+        let place = Place(request.tenant);
+        match fate {
+            Fate::Up => self.tenancy.up(now, place),
+            Fate::Ended(_) => self.tenancy.ended(now, place),
+            Fate::Refused => self.tenancy.refused(now, place),
+            Fate::Left => self.tenancy.left(now, place),
+        }
+    }
+
+    fn due(&mut self, now: Micros, moves: &mut Vec<(usize, u64)>) {
+        moves.extend(self.tenancy.due(now).into_iter().map(|m| (m.place.0, m.count)));
+    }
+
+    fn not_moved(&mut self, tenant: usize, count: u64) {
+        self.tenancy.not_moved(Place(tenant), count);
+    }
+
+    fn next_due(&self) -> Option<Micros> {
+        self.tenancy.next_due()
+    }
+
+    fn take_settings(&mut self, now: Micros, set: &Settings, said: &Operator) {
+        self.tenancy.set_terms(terms(set, &said.tenancy));
+        self.take(now, set);
+    }
+}
--- a/crates/driver/tests/driver.rs
+++ b/crates/driver/tests/driver.rs
@@ -4,6 +4,7 @@
 
 use shorewharf_decisions::interface::*;
 use shorewharf_driver::{Driver, Happening, Micros, Peers, Req};
+use shorewharf_settings::operator::Operator;
 
 #[derive(Clone, Debug, PartialEq)]
 enum Call {
@@ -78,7 +79,7 @@
         let set = shorewharf_settings::settings(text).expect("settings").0;
         let mut peers = Notes { now: 1_700_000_000_000_000, ..Notes::default() };
         let known = (1..=servers).map(|s| entry(s, Stage::Ready)).collect();
-        Rig { driver: Driver::start(set, 3, known, &mut peers), peers }
+        Rig { driver: Driver::start(set, &Operator::default(), 3, known, &mut peers), peers }
     }
 
     /// What the module asks for when this happens.
--- a/crates/emulator/src/day.rs
+++ b/crates/emulator/src/day.rs
@@ -531,7 +531,7 @@
     /// Its strength: a share, a factor or seconds, as the kind says.
     #[serde(default)]
     pub size: f64,
-    /// Nodes or balancers struck, by place; empty for those that `zone` or `part` name.
+    /// Nodes, balancers or tenants struck, by place; empty for those that `zone` or `part` name.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub on: Vec<u32>,
     /// Everything in this zone is struck.
@@ -574,7 +574,8 @@
     ListDown,
     /// Discovery moves to another address; balancers are told by SIGHUP.
     ListMoved,
-    /// `size` of the standing clients drop and come again within the length.
+    /// `size` of the standing clients, or of those of the tenants at the places `on`, drop and come again within the
+    /// length.
     Reconnect,
     /// Balancers are killed and come back after the length.
     BalancerKill,
--- a/crates/emulator/src/people/mod.rs
+++ b/crates/emulator/src/people/mod.rs
@@ -337,6 +337,9 @@
         for place in self.crowd.places() {
             let Some(client) = self.crowd.get_mut(place) else { continue };
             let State::Standing { conn } = client.state else { continue };
+            if !fault.on.is_empty() && !fault.on.contains(&client.tenant) {
+                continue;
+            }
             if !self.rng.random_bool(fault.size.clamp(0.0, 1.0)) {
                 continue;
             }
--- a/crates/emulator/src/score/mod.rs
+++ b/crates/emulator/src/score/mod.rs
@@ -12,7 +12,7 @@
 use crate::edge::NodeId;
 use crate::people::Cell;
 use ledger::Level;
-pub use outcome::{Outcome, Part, Price, Prices, Second, WorstWindow};
+pub use outcome::{Outcome, Part, Price, Prices, Second, TenantSecond, WorstWindow};
 
 const SECOND: Micros = 1_000_000;
 
--- a/crates/emulator/src/score/outcome.rs
+++ b/crates/emulator/src/score/outcome.rs
@@ -42,6 +42,17 @@
     pub earned: f64,
 }
 
+/// One tenant's worth of one second.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct TenantSecond {
+    /// Asked for within its share.
+    pub asked: f64,
+    /// Earned within its share.
+    pub earned: f64,
+    /// Earned beyond its share, at full worth.
+    pub beyond: f64,
+}
+
 /// What one price took.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
 pub struct Price {
@@ -110,6 +121,8 @@
     pub moves: u64,
     /// Second by second; the last may be shorter.
     pub seconds: Vec<Second>,
+    /// By tenant, second by second.
+    pub tenant_seconds: Vec<Vec<TenantSecond>>,
 }
 
 /// Seconds in the window that is judged.
@@ -128,7 +141,9 @@
     let mut all = Part::default();
     let mut seconds = Vec::with_capacity(score.seconds.len());
     let mut wanted_s = 0.0;
+    let mut tenant_seconds = vec![Vec::with_capacity(score.seconds.len()); tenants];
     for row in &score.seconds {
+        tenant_seconds.iter_mut().for_each(|t| t.push(TenantSecond::default()));
         let mut second = Second::default();
         for (cell, (asked, earned)) in row.iter().enumerate() {
             let (class, tenant, within) = Cell(cell as u32).parts(tenants);
@@ -138,6 +153,12 @@
             second.asked += a * part;
             second.earned += e * part;
             wanted_s += asked;
+            if let Some(t) = tenant_seconds.get_mut(tenant as usize).and_then(|t| t.last_mut()) {
+                match within {
+                    true => (t.asked, t.earned) = (t.asked + a, t.earned + e),
+                    false => t.beyond += e,
+                }
+            }
             if within {
                 for of in [by_class.get_mut(class as usize), by_tenant.get_mut(tenant as usize)]
                     .into_iter()
@@ -180,6 +201,7 @@
         probes: counts.probes,
         moves: counts.moves,
         seconds,
+        tenant_seconds,
     }
 }
 
--- a/crates/lab/src/instances/mod.rs
+++ b/crates/lab/src/instances/mod.rs
@@ -13,6 +13,7 @@
 use shorewharf_emulator::day::Day;
 use shorewharf_emulator::edge::{BalancerId, FromBalancer, ToBalancer};
 use shorewharf_emulator::virtual_time::{Host, Instance, Truth};
+use shorewharf_settings::operator::{Operator, Tenancy};
 use thiserror::Error;
 
 pub use peers::Emulated;
@@ -22,8 +23,10 @@
 /// Who decides.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Who {
-    /// The project's driver and decision module.
+    /// The project's driver and decision module, with tenants' shares kept.
     Module,
+    /// The same, with nothing before the module.
+    ModuleAlone,
     /// Any server that is listed as ready.
     Random,
     /// One server after the other.
@@ -34,7 +37,7 @@
 
 /// No such policy.
 #[derive(Debug, Error)]
-#[error("no policy is named {0:?}; there are module, random, round-robin and oracle")]
+#[error("no policy is named {0:?}; there are module, module-without-tenancy, random, round-robin and oracle")]
 pub struct UnknownPolicy(String);
 
 impl std::str::FromStr for Who {
@@ -42,6 +45,7 @@
     fn from_str(name: &str) -> Result<Self, UnknownPolicy> {
         Ok(match name {
             "module" => Who::Module,
+            "module-without-tenancy" => Who::ModuleAlone,
             "random" => Who::Random,
             "round-robin" => Who::RoundRobin,
             "oracle" => Who::Oracle,
@@ -107,8 +111,10 @@
 impl Make {
     fn brain(&self, set: &Settings, seed: u64, known: Vec<ListEntry>, peers: &mut Emulated) -> Brain {
         let pick = match self.who {
-            Who::Module => {
-                return Brain::Module(Box::new(Driver::start(set.clone(), seed, known, peers)));
+            Who::Module | Who::ModuleAlone => {
+                let on = self.who == Who::Module;
+                let operator = Operator { tenancy: Tenancy { on, ..Tenancy::default() } };
+                return Brain::Module(Box::new(Driver::start(set.clone(), &operator, seed, known, peers)));
             }
             Who::Random => Pick::Random,
             Who::RoundRobin => Pick::Next,
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -241,12 +241,30 @@
     pub asked: Vec<f64>,
     /// Worth served.
     pub served: Vec<f64>,
+    /// The tenants, in the day's order.
+    #[serde(default)]
+    pub tenants: Vec<TenantSeries>,
     /// Refusals and failures by cause.
     pub refusals: BTreeMap<String, Vec<u64>>,
     /// The nodes, in the day's order.
     pub nodes: Vec<NodeSeries>,
 }
 
+/// A tenant's course.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct TenantSeries {
+    /// Its name.
+    pub name: String,
+    /// Connections within its share over the whole fleet.
+    pub share: f64,
+    /// Worth asked for within its share.
+    pub asked: Vec<f64>,
+    /// Worth served within its share.
+    pub served: Vec<f64>,
+    /// Worth served beyond its share, at full worth.
+    pub beyond: Vec<f64>,
+}
+
 /// The course of one node's day.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct NodeSeries {
--- a/crates/lab/src/runner.rs
+++ b/crates/lab/src/runner.rs
@@ -9,12 +9,15 @@
 use indicatif::{ProgressBar, ProgressStyle};
 use shorewharf_emulator::day::Day;
 use shorewharf_emulator::edge::NodeId;
+use shorewharf_emulator::people::capacity;
+use shorewharf_emulator::score::TenantSecond;
 use shorewharf_emulator::virtual_time::{self, Options, RunResult};
 
 use crate::error::Failure;
 use crate::instances::{Hosts, Who};
 use crate::record::{
-    Band, Break, NodeName, NodeSeries, Part, Price, Record, Series, SetUp, Verdict, Window, round,
+    Band, Break, NodeName, NodeSeries, Part, Price, Record, Series, SetUp, TenantSeries, Verdict, Window,
+    round,
 };
 
 /// Cores of this machine that the process may use.
@@ -161,7 +164,7 @@
                 struck: b.on.len(),
             })
             .collect(),
-        series: series(result),
+        series: series(day, result),
         sockets: None,
     }
 }
@@ -175,12 +178,28 @@
     }
 }
 
-fn series(result: &RunResult) -> Series {
+fn tenants(day: &Day, result: &RunResult) -> Vec<TenantSeries> {
+    let connections = capacity(day).connections;
+    let course = |(t, seconds): (&shorewharf_emulator::day::Tenant, &Vec<TenantSecond>)| {
+        let of = |what: fn(&TenantSecond) -> f64| seconds.iter().map(|s| round(what(s), 3)).collect();
+        TenantSeries {
+            name: t.name.clone(),
+            share: round(t.quota * connections, 1),
+            asked: of(|s| s.asked),
+            served: of(|s| s.earned),
+            beyond: of(|s| s.beyond),
+        }
+    };
+    day.tenants.iter().zip(&result.outcome.tenant_seconds).map(course).collect()
+}
+
+fn series(day: &Day, result: &RunResult) -> Series {
     let s = &result.series;
     Series {
         step_s: 1.0,
         asked: result.outcome.seconds.iter().map(|x| round(x.asked, 3)).collect(),
         served: result.outcome.seconds.iter().map(|x| round(x.earned, 3)).collect(),
+        tenants: tenants(day, result),
         refusals: s
             .refused_by
             .iter()
--- a/crates/lab/src/scenario/validate.rs
+++ b/crates/lab/src/scenario/validate.rs
@@ -296,8 +296,8 @@
         Crash | Hang | CutOff | HalfDead | Slow | Failing | Resetting | Full | WrongAnswers | Release
         | Drain => Some(("node", day.nodes.len())),
         BalancerKill | BalancerRestart | BalancerReload => Some(("balancer", day.balancers.len())),
-        TenantFlood => Some(("tenant", day.tenants.len())),
-        ListStale | ListDown | ListMoved | Reconnect | Surge => None,
+        TenantFlood | Reconnect => Some(("tenant", day.tenants.len())),
+        ListStale | ListDown | ListMoved | Surge => None,
     }
 }
 
@@ -309,7 +309,9 @@
             for (j, on) in fault.on.iter().enumerate() {
                 f.place(format!("faults[{i}].on[{j}]"), *on, what, count);
             }
-            if fault.on.is_empty() && fault.zone.is_none() && fault.part.is_none() {
+            let nobody = fault.on.is_empty() && fault.zone.is_none() && fault.part.is_none();
+            // Without a word on tenants, everybody's clients come again.
+            if nobody && fault.kind != Reconnect {
                 f.odd(key("on"), format!("names no {what}: neither on nor zone nor part"));
             }
         } else if !fault.on.is_empty() || fault.zone.is_some() || fault.part.is_some() {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,5 +1,7 @@
 //! The settings that an instance is told once, read from their JSON text and given defaults.
 
+pub mod operator;
+
 use serde::Deserialize;
 use shorewharf_decisions::interface::*;
 use thiserror::Error;
@@ -62,6 +64,12 @@
     columns: Vec<String>,
 }
 
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct RawTenant {
+    quota_per_s: f64,
+}
+
 #[derive(Deserialize, Default)]
 #[serde(default)]
 struct RawSettings {
@@ -73,6 +81,7 @@
     limits: RawLimits,
     rules: RawRules,
     tariffs: RawTariffs,
+    tenants: Vec<RawTenant>,
     load_info: RawReport,
     tick_s: f64,
     weights: String,
@@ -121,6 +130,7 @@
             zone: raw.zone,
             zones: (raw.zones.len() as f64).max(1.0),
             classes: classes.collect(),
+            tenant_rate: raw.tenants.iter().map(|t| t.quota_per_s).collect(),
             tenant_quota: quotas.iter().map(|q| q.unwrap_or(0.0)).collect(),
             ask_registry: raw.registry_mode == "ask",
             ask_within: raw.rules.ask_within_s.unwrap_or(5.0),
--- /dev/null
+++ b/crates/settings/src/operator.rs
@@ -0,0 +1,71 @@
+//! The operator's own file: what the platform's configuration says nothing of. Nothing of it is needed; every part has
+//! a default, and a key that is unknown or out of its range is refused by name.
+
+use serde::Deserialize;
+use thiserror::Error;
+
+/// The file can't be used; the text names the key at fault.
+#[derive(Debug, Error)]
+pub enum OperatorError {
+    /// A key is unknown, or its value has the wrong form.
+    #[error("{0}")]
+    Form(#[from] serde_path_to_error::Error<toml::de::Error>),
+    /// It is no TOML.
+    #[error("{0}")]
+    Syntax(#[from] toml::de::Error),
+    /// A value is out of its range.
+    #[error("{key}: {value} is not {allowed}")]
+    Range {
+        /// The key.
+        key: &'static str,
+        /// What it says.
+        value: f64,
+        /// What is allowed.
+        allowed: &'static str,
+    },
+}
+
+/// All that the operator says.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct Operator {
+    /// Tenants' shares.
+    pub tenancy: Tenancy,
+}
+
+/// How tenants' shares are kept.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct Tenancy {
+    /// Whether they are kept at all. They are known from the settings' quotas.
+    pub on: bool,
+    /// Beyond this part of all shares together nothing is lent.
+    pub lend: f64,
+    /// When capacity is short, tenants within their shares are ranked as well.
+    pub ration: bool,
+    /// Streams of removed tenants that are moved a second.
+    pub moves_per_s: f64,
+}
+
+impl Default for Tenancy {
+    fn default() -> Self {
+        Tenancy { on: false, lend: 0.45, ration: false, moves_per_s: 20.0 }
+    }
+}
+
+impl Operator {
+    /// Reads the file's text.
+    pub fn parse(text: &str) -> Result<Operator, OperatorError> {
+        let operator: Operator = serde_path_to_error::deserialize(toml::Deserializer::parse(text)?)?;
+        let Tenancy { lend, moves_per_s, .. } = operator.tenancy;
+        for (key, value, good, allowed) in [
+            ("tenancy.lend", lend, (0.05..=1.0).contains(&lend), "from 0.05 to 1"),
+            ("tenancy.moves_per_s", moves_per_s, (0.1..=1e9).contains(&moves_per_s), "from 0.1 to 1e9"),
+        ] {
+            if !good {
+                return Err(OperatorError::Range { key, value, allowed });
+            }
+        }
+        Ok(operator)
+    }
+}
--- /dev/null
+++ b/crates/tenancy/src/waits.rs
@@ -0,0 +1,30 @@
+//! When a client that is turned away should come back: spread, so that those who are refused together don't come back
+//! together, and no longer than clients heed.
+
+use crate::Micros;
+
+/// Nobody is told to come back sooner: a refusal costs a connection and a line.
+const LEAST: Micros = 100_000;
+/// Waits lie between this part of the whole and the whole.
+const FROM: f64 = 0.5;
+/// The golden ratio's part: multiples of it fall evenly into any interval, in any run of them.
+const GOLDEN: f64 = 0.618_033_988_749_894_9;
+
+/// A tenant's sequence of waits. No lots are drawn, so the same calls give the same waits.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Waits {
+    told: u32,
+}
+
+impl Waits {
+    /// The next wait, for a client whose turn is expected in `expected`; 0 where clients are told none.
+    pub fn next(&mut self, expected: Micros, longest: Micros) -> Micros {
+        self.told = self.told.wrapping_add(1);
+        if longest == 0 {
+            return 0;
+        }
+        let spread = FROM + (1.0 - FROM) * (f64::from(self.told) * GOLDEN).fract();
+        let whole = expected.clamp(LEAST.min(longest), longest) as f64;
+        ((whole * spread) as Micros).max(LEAST.min(longest))
+    }
+}
--- a/crates/wire/src/bin/shorewharf-adapter.rs
+++ b/crates/wire/src/bin/shorewharf-adapter.rs
@@ -3,11 +3,14 @@
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use clap::Parser;
-use shorewharf_decisions::{Action, Balancer, Event};
+use shorewharf_decisions::{Action, Event};
+use shorewharf_driver::{Gate, micros};
 use shorewharf_logging::LogArgs;
+use shorewharf_settings::operator::Operator;
 use shorewharf_settings::settings;
 use shorewharf_wire::{Decoder, Encoder, MAX_FRAME, Record, WireError};
 use tracing::error;
@@ -16,14 +19,18 @@
 #[derive(Parser)]
 #[command(name = "shorewharf-adapter", version)]
 struct Cli {
+    /// The operator's own file (TOML), as the balancer takes it
+    #[arg(long, value_name = "FILE", env = "SHOREWHARF_OPERATOR")]
+    operator: Option<PathBuf>,
     #[command(flatten)]
     log: LogArgs,
 }
 
 #[derive(Default)]
 struct Host {
+    operator: Operator,
     decoder: Decoder,
-    balancers: BTreeMap<u16, Balancer>,
+    balancers: BTreeMap<u16, Gate>,
     columns: BTreeMap<u16, Option<usize>>,
 }
 
@@ -57,7 +64,8 @@
             Record::Attach(seed, text) => {
                 let (set, column) = settings(&text).map_err(|e| e.to_string())?;
                 self.columns.insert(i, column);
-                self.balancers.insert(i, Balancer::new(set, seed));
+                let gate = Gate::new(micros(now), set, seed, &self.operator);
+                self.balancers.insert(i, gate);
                 Event::Start
             }
             Record::Event(event) => event,
@@ -100,10 +108,16 @@
     Ok(body)
 }
 
-fn serve() -> Result<(), Box<dyn std::error::Error>> {
+fn operator(path: Option<&Path>) -> Result<Operator, Box<dyn std::error::Error>> {
+    let Some(path) = path else { return Ok(Operator::default()) };
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    Ok(Operator::parse(&text).map_err(|e| format!("{}: {e}", path.display()))?)
+}
+
+fn serve(path: Option<&Path>) -> Result<(), Box<dyn std::error::Error>> {
     let mut input = io::BufReader::with_capacity(1 << 20, io::stdin().lock());
     let mut output = io::stdout().lock();
-    let mut host = Host::default();
+    let mut host = Host { operator: operator(path)?, ..Host::default() };
     let mut length = [0; 4];
     while fill(&mut input, &mut length)? {
         let length = u32::from_le_bytes(length) as usize;
@@ -118,10 +132,11 @@
 }
 
 fn main() -> ExitCode {
-    Cli::parse().log.start();
+    let cli = Cli::parse();
+    cli.log.start();
     // The panic's text goes out as a fault; the default hook would print it a second time.
     std::panic::set_hook(Box::new(|info| error!(event = "panic", text = %info)));
-    match serve() {
+    match serve(cli.operator.as_deref()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             error!(event = "cannot-run", error = %e);
