--- a/crates/driver/src/gate.rs
+++ b/crates/driver/src/gate.rs
@@ -205,3 +205,19 @@
         }
     }
 }
+impl Drop for Gate {
+    fn drop(&mut self) {
+        if std::env::var("TENDBG").is_ok()
+            && let Some(t) = self.admissions.tenants.as_mut()
+        {
+            let s = t.tenancy().stats(1_000_090_000_000);
+            eprintln!("part {:.3} used {:.0} lends {:.0} short {:?}", s.part, s.used, s.lends_up_to, s.short);
+            for (p, t) in s.tenants {
+                eprintln!(
+                    "  {} own {:.0} used {} adm {} loan {} away {:?} refused {}",
+                    p.0, t.own, t.used, t.admitted, t.admitted_on_loan, t.turned_away, t.refused
+                );
+            }
+        }
+    }
+}
--- a/crates/settings/src/operator.rs
+++ b/crates/settings/src/operator.rs
@@ -49,7 +49,7 @@
 
 impl Default for Tenancy {
     fn default() -> Self {
-        Tenancy { on: false, lend: 0.45, ration: false, moves_per_s: 20.0 }
+        Tenancy { on: false, lend: 0.4, ration: false, moves_per_s: 20.0 }
     }
 }
 
--- a/crates/tenancy/src/tenancy.rs
+++ b/crates/tenancy/src/tenancy.rs
@@ -6,18 +6,18 @@
 use crate::pool::Pool;
 use crate::shortage::Shortage;
 use crate::stats::{Stats, TenantStats};
-use crate::tenant::{State, Tenant};
+use crate::tenant::{Flow, State, Tenant};
 use crate::terms::{Limits, Terms};
 use crate::{Micros, Place, Verdict, Why};
 
 /// Set-ups and returns are counted over about so long.
-const FLOW_SPAN: Micros = 2_000_000;
+const FLOW_SPAN: Micros = 4_000_000;
 /// All of a share may return within this: a node takes its part of a whole fleet's set-ups in about as long.
-const RETURN_WITHIN: f64 = 2e6;
+const RETURN_WITHIN: f64 = 8e6;
 /// Beyond its own part a flow may lie by so many standard deviations of chance, and so many set-ups: a tenant of few
 /// clients is not turned away for two that came together.
-const CHANCE: f64 = 2.0;
-const FEW: f64 = 3.0;
+const CHANCE: f64 = 1.5;
+const FEW: f64 = 2.0;
 /// Streams of removed tenants are moved so often.
 const MOVES_EVERY: Micros = 100_000;
 
@@ -39,13 +39,6 @@
     Over(Micros, Why),
 }
 
-/// Which of the two flows a request belongs to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Flow {
-    SetUp,
-    Return,
-}
-
 /// A client that was admitted.
 #[derive(Clone, Copy, Debug)]
 struct Asked {
@@ -63,6 +56,8 @@
     connections: Pool,
     set_ups: Pool,
     returns: Pool,
+    /// Clients that are being set up, by flow.
+    pending: [u64; 2],
     shortage: Shortage,
     /// Removed, with streams that still stand.
     leaving: BTreeSet<Place>,
@@ -89,6 +84,7 @@
             connections: Pool::stock(),
             set_ups: Pool::flow(FLOW_SPAN, now),
             returns: Pool::flow(FLOW_SPAN, now),
+            pending: [0; 2],
             shortage: Shortage::default(),
             leaving: BTreeSet::new(),
             moves: 0.0,
@@ -211,14 +207,9 @@
         t.held += 1;
         t.counts.admitted += 1;
         t.counts.admitted_on_loan += u64::from(on_loan);
-        match flow {
-            None => return,
-            Some(Flow::SetUp) => self.set_ups.take(now, place),
-            Some(Flow::Return) => {
-                t.returned(now);
-                self.returns.take(now, place);
-            }
-        }
+        let Some(flow) = flow else { return };
+        t.begins(now, flow);
+        self.pending[flow as usize] += 1;
         self.connections.take(now, place);
         self.shortage.admitted(now);
     }
@@ -268,13 +259,15 @@
         // Where everybody comes at once the part is above 1: that is the fleet's storm, and no tenant's.
         let part = part(pool, now, self.terms.instances, self.terms.lend, self.told_part);
         let mean = pool.size(place) * part;
-        let (own, wants) = (with_chance(mean), pool.used(now, place) + 1.0);
+        let pending = self.tenants[place.0].pending(flow);
+        let (own, wants) = (with_chance(mean), pool.used(now, place) + pending + 1.0);
         if wants <= own {
             return Stand::Own;
         }
-        let lends = with_chance(pool.all() * part * self.terms.lend);
+        let lends = pool.all() * part * self.terms.lend;
         let fullness = wants / (pool.size(place) * limits.weight()).max(f64::MIN_POSITIVE);
-        if limits.borrows() && (pool.total(now) < lends || fullness <= pool.level(now, lends)) {
+        let total = pool.total(now) + self.pending[flow as usize] as f64;
+        if limits.borrows() && (total < lends || fullness <= pool.level(now, lends)) {
             return Stand::Lent;
         }
         Stand::Over((FLOW_SPAN as f64 * (wants / own).ln()) as Micros, why)
@@ -297,9 +290,28 @@
     }
 
     /// A connection that was being set up stands.
-    pub fn up(&mut self, _now: Micros, place: Place) {
-        if let Some(t) = self.tenants.get_mut(place.0) {
-            t.counts.set_up += 1;
+    pub fn up(&mut self, now: Micros, place: Place) {
+        let Some(t) = self.tenants.get_mut(place.0) else { return };
+        t.counts.set_up += 1;
+        match self.begun(place) {
+            Some(Flow::SetUp) => self.set_ups.take(now, place),
+            Some(Flow::Return) => self.returns.take(now, place),
+            None => {}
+        }
+    }
+
+    /// One that was being set up is so no more. Only what comes up counts in the flows: a client that the module
+    /// refuses, and that asks again and again, has set nothing up.
+    fn begun(&mut self, place: Place) -> Option<Flow> {
+        let flow = self.tenants.get_mut(place.0)?.begun()?;
+        let pending = &mut self.pending[flow as usize];
+        *pending = pending.saturating_sub(1);
+        Some(flow)
+    }
+
+    fn not_set_up(&mut self, now: Micros, place: Place) {
+        if self.begun(place) == Some(Flow::Return) {
+            self.tenants[place.0].not_returned(now);
         }
     }
 
@@ -313,6 +325,7 @@
     /// The decision module refused a client, or failed it, before its connection stood.
     pub fn refused(&mut self, now: Micros, place: Place) {
         if self.give_back(now, place) {
+            self.not_set_up(now, place);
             let limited = self.tenants[place.0].limits.is_some();
             self.tenants[place.0].counts.refused += 1;
             if limited {
@@ -323,7 +336,9 @@
 
     /// A client went away before its connection stood; that says nothing of anybody.
     pub fn left(&mut self, now: Micros, place: Place) {
-        self.give_back(now, place);
+        if self.give_back(now, place) {
+            self.not_set_up(now, place);
+        }
     }
 
     fn give_back(&mut self, now: Micros, place: Place) -> bool {
--- a/crates/tenancy/src/tenant.rs
+++ b/crates/tenancy/src/tenant.rs
@@ -10,6 +10,15 @@
 /// How fast connections end is remembered for about so long.
 const ENDS_FOR: f64 = 8e6;
 
+/// Which of the two flows a request belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Flow {
+    /// A new connection.
+    SetUp,
+    /// One in place of a connection that ended lately.
+    Return,
+}
+
 /// A tenant's standing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum State {
@@ -49,6 +58,8 @@
     pub held: u64,
     /// Those that have been asked to move and are still here.
     pub moving: u64,
+    /// Those that are being set up, by flow.
+    pending: [u64; 2],
     ends: Melting,
     returns: Melting,
     pub waits: Waits,
@@ -62,6 +73,7 @@
             state: State::Lives,
             held: 0,
             moving: 0,
+            pending: [0; 2],
             ends: Melting::default(),
             returns: Melting::default(),
             waits: Waits::default(),
@@ -81,9 +93,35 @@
         self.returns.now(now, RETURNS_FOR) >= 0.5
     }
 
-    /// A client has come back for a connection that ended.
-    pub fn returned(&mut self, now: Micros) {
-        self.returns.add(now, RETURNS_FOR, -1.0);
+    /// Clients of this flow that are being set up.
+    pub fn pending(&self, flow: Flow) -> f64 {
+        self.pending[flow as usize] as f64
+    }
+
+    /// A client of this flow is being set up.
+    pub fn begins(&mut self, now: Micros, flow: Flow) {
+        self.pending[flow as usize] += 1;
+        if flow == Flow::Return {
+            self.returns.add(now, RETURNS_FOR, -1.0);
+        }
+    }
+
+    /// One that was being set up is so no more; of which flow is not told, so it is one of the larger, which is right
+    /// on the whole.
+    pub fn begun(&mut self) -> Option<Flow> {
+        let flow = if self.pending[Flow::Return as usize] > self.pending[Flow::SetUp as usize] {
+            Flow::Return
+        } else {
+            Flow::SetUp
+        };
+        let pending = &mut self.pending[flow as usize];
+        *pending = pending.checked_sub(1)?;
+        Some(flow)
+    }
+
+    /// A client that came back was not served: it may come back again.
+    pub fn not_returned(&mut self, now: Micros) {
+        self.returns.add(now, RETURNS_FOR, 1.0);
     }
 
     /// How long it takes until so many connections have ended, at the pace of late.
--- a/crates/tenancy/src/terms.rs
+++ b/crates/tenancy/src/terms.rs
@@ -96,7 +96,7 @@
 impl Terms {
     /// Terms of a fleet of so many instances, with the measured defaults for the rest.
     pub fn new(instances: f64) -> Terms {
-        Terms { instances, lend: 0.45, ration: false, longest_wait: 1_500_000, moves_per_s: 20.0 }
+        Terms { instances, lend: 0.4, ration: false, longest_wait: 1_500_000, moves_per_s: 20.0 }
     }
 
     /// The same, if every figure can be used.
