End silent clients within 3 s of connecting, and leave fronts alone

A client that connected and said nothing was borne for 10 s, so most silent bad clients got neither an error nor a close in the 3 s that they are owed. They have 2.5 s now, as half a line has had. A front that has pinged keeps its 10 s, and a line that it has begun counts from its beginning: counted from the connection's start, half a PING on an old connection was an end at the next look.

--- a/crates/balancer/src/net/clients/session.rs
+++ b/crates/balancer/src/net/clients/session.rs
@@ -8,11 +8,11 @@
 use crate::net::link::{End, Link, TooLong};
 use crate::net::pool::{Buffer, Pool};
 
-/// A client that connects has this long for its first line.
-const FIRST_LINE: Micros = 10_000_000;
-/// A line that has begun has this long to end, from the connection's start: a client sends its line at once, and
-/// one that can't is owed an end within 3 s.
-const HALF_LINE: Micros = 2_500_000;
+/// A client that connects has this long for its first line, all of it: a client sends it at once, and one that
+/// can't, or says nothing, is owed an end within 3 s. A line that a front has begun has as long to end.
+const FIRST_LINE: Micros = 2_500_000;
+/// A front that has pinged may be quiet for so long before it pings again.
+const BETWEEN_PINGS: Micros = 10_000_000;
 /// Commands of the front's that are answered in one go; who sends more at a time is no front.
 const PINGS: usize = 16;
 /// After its last words a client may send so much more, which is read and dropped; a close with unread input
@@ -81,6 +81,8 @@
     /// When the stage began, and when it must be over.
     since: Micros,
     until: Micros,
+    /// A first line that begins now must end by then.
+    whole_by: Micros,
     /// Input dropped after the last words.
     dropped: usize,
     /// The id that it opened with.
@@ -122,6 +124,7 @@
             stage: Stage::Opening,
             since: now,
             until: now + FIRST_LINE,
+            whole_by: now + FIRST_LINE,
             dropped: 0,
             open_id: None,
             half_open: None,
@@ -199,14 +202,16 @@
             self.link.fill(pool);
             match self.link.line() {
                 Ok(Some(line)) if line == b"PING" => {
-                    self.until = now + FIRST_LINE;
+                    (self.until, self.whole_by) = (now + BETWEEN_PINGS, now + BETWEEN_PINGS);
                     self.link.say(pool, b"PONG\r\n");
                 }
                 Ok(Some(line)) => return First::Line(line),
                 Ok(None) if self.link.ended.is_some() => return First::End,
                 Ok(None) => {
                     if !self.link.held().is_empty() {
-                        self.until = self.until.min(self.since + HALF_LINE);
+                        // From its beginning, not from each of its pieces: those may come one by one for ever.
+                        self.whole_by = self.whole_by.min(now + FIRST_LINE);
+                        self.until = self.whole_by;
                     }
                     return First::Part;
                 }
--- a/crates/balancer/src/net/clients/sessions.rs
+++ b/crates/balancer/src/net/clients/sessions.rs
@@ -174,7 +174,7 @@
         until(|| {
             s.link.ready(true, false);
             assert_eq!(s.opens(100, &turn.pool), First::Part);
-            s.until() == 2_500_100 // A line that has begun must end in time.
+            s.until() == 2_500_100 // A line that has begun must end in time, though a front was here before.
         });
         client.write_all(b"chat\r\n").expect("open");
         until(|| {
--- a/crates/balancer/tests/sockets/bad.rs
+++ b/crates/balancer/tests/sockets/bad.rs
@@ -66,12 +66,16 @@
 }
 
 #[test]
-fn half_a_command_is_ended_in_time() {
+fn half_a_command_and_silence_are_ended_in_time_and_a_front_is_not() {
     let program = start(&config(&[]));
-    let mut client = program.client();
+    let (mut front, mut silent, mut client) = (program.client(), program.client(), program.client());
+    front.say("PING");
+    assert_eq!(front.line(), "PONG");
     client.put(b"OPEN 1 2 c=ch");
-    assert_eq!(client.hear(), Heard::Fin);
+    assert_eq!((client.hear(), silent.hear()), (Heard::Fin, Heard::Fin), "they are owed an end within 3 s");
     program.logged("half-line");
+    front.say("PING");
+    assert_eq!(front.line(), "PONG", "a front that came before them was cut off");
 }
 
 #[test]
