--- a/crates/balancer/src/net/clients/session.rs
+++ b/crates/balancer/src/net/clients/session.rs
@@ -401,7 +401,7 @@
     fn a_line_unanswered_for_a_second_and_a_half_shows_a_dead_connection() {
         let (client, stream) = pair();
         let from = client.local_addr().expect("bound");
-        let mut s = Session::new(Link::new(stream).expect("open"), from, 0);
+        let mut s = Session::new(Link::new(stream), from, 0);
         assert_eq!(s.silent_since(9_000_000), None);
         *s.asked() = Some(1_000_000);
         // Clients say a line every 2 s, and a dead connection must be left within 7 s.
--- a/crates/balancer/src/net/clients/sessions.rs
+++ b/crates/balancer/src/net/clients/sessions.rs
@@ -1,9 +1,11 @@
 //! The table of sessions. It keeps which ids clients have opened with, and which sessions ask for nothing, in step
 //! with the stages.
 
-use std::collections::{BTreeMap, HashMap};
-use std::net::{SocketAddr, TcpStream};
+use std::collections::HashMap;
+use std::net::SocketAddr;
 
+use mio::net::TcpStream;
+use rustc_hash::FxHashMap;
 use shorewharf_decisions::interface::RequestId;
 
 use super::session::{Asking, Session, Stage, next_free};
@@ -16,7 +18,8 @@
 /// who is opening or ending asks for nothing, and nobody else does.
 #[derive(Debug, Default)]
 pub struct Sessions {
-    table: BTreeMap<RequestId, Session>,
+    /// Boxed: the table of a large fleet has room for more than it holds.
+    table: FxHashMap<RequestId, Box<Session>>,
     open_ids: HashMap<u64, RequestId>,
     unserved: Unserved,
     next: u32,
@@ -32,13 +35,13 @@
         from: SocketAddr,
         in_use: impl Fn(RequestId) -> bool,
     ) -> Option<RequestId> {
-        let mut link = Link::new(stream).ok()?;
+        let mut link = Link::new(stream);
         let id = next_free(RequestId(self.next), |id| self.table.contains_key(&id) || in_use(id));
         self.next = id.0.wrapping_add(1);
         if !turn.poller.watch(&mut link, Owner::Session(id)) {
             return None;
         }
-        self.table.insert(id, Session::new(link, from, turn.now));
+        self.table.insert(id, Box::new(Session::new(link, from, turn.now)));
         self.unserved.opens(turn.now, id);
         self.arm(turn, id);
         Some(id)
@@ -46,12 +49,12 @@
 
     /// A session.
     pub fn get(&self, id: RequestId) -> Option<&Session> {
-        self.table.get(&id)
+        self.table.get(&id).map(|s| &**s)
     }
 
     /// A session, to act on.
     pub fn get_mut(&mut self, id: RequestId) -> Option<&mut Session> {
-        self.table.get_mut(&id)
+        self.table.get_mut(&id).map(|s| &mut **s)
     }
 
     /// Whether an open request came under this id.
@@ -106,7 +109,6 @@
         if let Some(open_id) = s.open_id() {
             self.open_ids.remove(&open_id);
         }
-        turn.poller.close(s.link);
     }
 
     /// How many there are.
@@ -127,7 +129,9 @@
 
     /// Those of a kind, by number: the order is the one in which they came.
     pub fn those(&self, of: impl Fn(&Session) -> bool) -> Vec<RequestId> {
-        self.table.iter().filter(|(_, s)| of(s)).map(|(id, _)| *id).collect()
+        let mut those: Vec<_> = self.table.iter().filter(|(_, s)| of(s)).map(|(id, _)| *id).collect();
+        those.sort_unstable();
+        those
     }
 }
 
@@ -135,9 +139,10 @@
 mod tests {
     use super::*;
     use crate::net::clients::session::{Ending, First, Patience};
-    use crate::net::turn::tests::{pair, turn, until};
+    use crate::net::turn::tests::{READ, pair, turn, until};
     use shorewharf_driver::Req;
     use std::io::{Read, Write};
+    use std::net::TcpStream;
 
     fn req(id: RequestId) -> Req {
         let (class, tenant, key, group) = (0, 0, 0, 0);
@@ -189,13 +194,13 @@
         let s = sessions.get_mut(id).expect("begun");
         client.write_all(b"PING\r\nOPEN 5 6 c=").expect("open");
         until(|| {
-            s.link.ready(true, false);
+            s.link.ready(READ);
             assert_eq!(s.opens(100, &turn.pool), First::Part);
             s.until() == 2_500_100 // A line that has begun must end in time, though a front was here before.
         });
         client.write_all(b"chat\r\n").expect("open");
         until(|| {
-            s.link.ready(true, false);
+            s.link.ready(READ);
             s.opens(100, &turn.pool) == First::Line(b"OPEN 5 6 c=chat".to_vec())
         });
         sessions.ask(&mut turn, id, asking(id));
@@ -203,7 +208,7 @@
         assert_eq!(s.waits_on(&turn.pool), Patience::Waits);
         client.write_all(b"early").expect("open");
         until(|| {
-            s.link.ready(true, false);
+            s.link.ready(READ);
             s.waits_on(&turn.pool) == Patience::Spoke
         });
         sessions.answer(&mut turn, id, b"ERR\r\n");
@@ -214,7 +219,7 @@
         drop(client);
         let s = sessions.get_mut(id).expect("ending");
         until(|| {
-            s.link.ready(true, true);
+            s.link.ready(READ);
             s.ending(&turn.pool) == Ending::Over
         });
     }
--- a/crates/balancer/src/net/hub.rs
+++ b/crates/balancer/src/net/hub.rs
@@ -1,8 +1,9 @@
 //! All peers together: what the loop has seen goes to the one concerned, and what the driver wants too.
 
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 
+use mio::net::TcpListener;
 use shorewharf_decisions::interface::{ListEntry, Outcome, RequestId, ServerId};
 use shorewharf_driver::{Happening, Micros, Peers};
 use shorewharf_protocol::list::Listing;
@@ -11,7 +12,7 @@
 use super::farewell::{Farewell, LEAVE_AFTER};
 use super::link::is_shortage;
 use super::list::director::{Director, News};
-use super::poll::{Owner, Seen};
+use super::poll::{Owner, Ready};
 use super::serving::Serving;
 use super::terms::Terms;
 use super::turn::{Due, Turn};
@@ -87,27 +88,20 @@
     }
 
     /// What the loop has seen of a connection goes to whom it belongs to.
-    pub fn seen(&mut self, seen: Seen) {
+    pub fn seen(&mut self, owner: Owner, ready: Ready) {
         let turn = &mut self.turn;
-        match seen {
-            Seen::Ready { owner: Owner::Session(id), read, write } => {
-                self.serving.session_ready(turn, id, read, write);
-            }
-            Seen::Ready { owner: Owner::Fetch(id), read, write } => {
-                self.serving.fetch_ready(turn, id, read, write);
-            }
-            Seen::Ready { owner: Owner::Probe(number), read, write } => {
-                self.serving.probes.ready(turn, number, read, write);
-            }
-            Seen::Ready { owner: Owner::Director, read, write } => {
-                let news = self.director.ready(turn, read, write);
+        match owner {
+            Owner::Session(id) => self.serving.session_ready(turn, id, ready),
+            Owner::Fetch(id) => self.serving.fetch_ready(turn, id, ready),
+            Owner::Probe(number) => self.serving.probes.ready(turn, number, ready),
+            Owner::Director => {
+                let news = self.director.ready(turn, ready);
                 self.listed(news);
             }
             // Those who are here come first: what they do may make room, and the module should know of it.
-            Seen::Clients => (self.can_accept, self.accepts) = (true, true),
-            Seen::Stop => self.stop_soon(),
-            // The configuration is not the peers'.
-            Seen::Reload => {}
+            Owner::Listener => (self.can_accept, self.accepts) = (true, true),
+            // Orders are not the peers'.
+            Owner::Signals => {}
         }
     }
 
@@ -228,7 +222,8 @@
         }
     }
 
-    fn stop_soon(&mut self) {
+    /// The planned end begins.
+    pub fn stop_soon(&mut self) {
         if self.leaving.is_none() {
             self.leaving = Some(self.turn.now);
             let (sessions, waiting) = self.serving.close();
--- a/crates/balancer/src/net/link.rs
+++ b/crates/balancer/src/net/link.rs
@@ -1,13 +1,13 @@
 //! One TCP connection with what waits on it, whoever the peer is. It never waits itself.
 
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::rc::Rc;
+use std::net::{Shutdown, SocketAddr};
 use std::time::Duration;
 
-use calloop::RegistrationToken;
-use socket2::{Domain, SockRef, Socket, Type};
+use mio::net::TcpStream;
+use socket2::SockRef;
 
+use super::poll::Ready;
 use super::pool::{Buffer, Pool};
 use shorewharf_protocol::line::{Front, front};
 
@@ -23,15 +23,15 @@
 /// A connection. Input is taken in as long as there is room, so a peer that isn't read is slowed down by TCP.
 #[derive(Debug)]
 pub struct Link {
-    stream: Rc<TcpStream>,
-    /// Its place in the loop.
-    pub source: Option<RegistrationToken>,
+    stream: TcpStream,
     inbox: Option<Buffer>,
     /// Bytes at the inbox's front that are whole lines and have been looked at.
     seen: usize,
     outbox: Option<Buffer>,
     can_read: bool,
     can_write: bool,
+    /// The loop has seen its end, which reading on comes to.
+    ends: bool,
     /// How the peer ended, once it has.
     pub ended: Option<End>,
     shut: bool,
@@ -40,56 +40,48 @@
 }
 
 impl Link {
-    /// Takes over a connection.
-    pub fn new(stream: TcpStream) -> io::Result<Self> {
-        stream.set_nonblocking(true)?;
-        // Lines are short and wanted at once.
-        stream.set_nodelay(true)?;
-        Ok(Link {
-            stream: Rc::new(stream),
-            source: None,
+    /// Takes over a connection that has been accepted. Its listener has seen to it that lines go out at once.
+    pub fn new(stream: TcpStream) -> Self {
+        Link {
+            stream,
             inbox: None,
             seen: 0,
             outbox: None,
             can_read: true,
             can_write: true,
+            ends: false,
             ended: None,
             shut: false,
             mid_line: false,
-        })
+        }
     }
 
     /// Starts a connection; whether it came up shows in [`Link::connected`].
     pub fn connect(to: SocketAddr) -> io::Result<Self> {
-        let socket = Socket::new(Domain::for_address(to), Type::STREAM, None)?;
-        socket.set_nonblocking(true)?;
-        match socket.connect(&to.into()) {
-            Err(e) if e.raw_os_error() != Some(IN_PROGRESS) && e.kind() != ErrorKind::WouldBlock => Err(e),
-            _ => Link::new(socket.into()),
-        }
+        let stream = TcpStream::connect(to)?;
+        // Lines are short and wanted at once.
+        stream.set_nodelay(true)?;
+        Ok(Link { can_read: false, can_write: false, ..Link::new(stream) })
     }
 
     /// The stream, for the loop to watch.
-    pub fn stream(&self) -> Rc<TcpStream> {
-        Rc::clone(&self.stream)
+    pub fn stream(&mut self) -> &mut TcpStream {
+        &mut self.stream
     }
 
     /// What the loop says the connection is ready for.
-    pub fn ready(&mut self, read: bool, write: bool) {
-        self.can_read |= read;
-        self.can_write |= write;
+    pub fn ready(&mut self, ready: Ready) {
+        self.can_read |= ready.read;
+        self.can_write |= ready.write;
+        self.ends |= ready.ends;
     }
 
     /// Whether a started connection is up (or not yet), or why it failed.
     pub fn connected(&self) -> io::Result<bool> {
-        if let Some(e) = self.stream.take_error()? {
-            return Err(e);
-        }
-        match self.stream.peer_addr() {
-            Ok(_) => Ok(true),
-            Err(e) if e.kind() == ErrorKind::NotConnected => Ok(false),
-            Err(e) => Err(e),
+        if !self.can_write {
+            return Ok(false);
         }
+        self.stream.take_error()?.map_or(Ok(true), Err)
     }
 
     /// Reads what there is room for; true if anything came, the end included.
@@ -98,12 +90,18 @@
         while self.can_read && self.ended.is_none() {
             let inbox = self.inbox.get_or_insert_with(|| pool.take());
             let room = inbox.room();
-            if room.is_empty() {
+            let most = room.len();
+            if most == 0 {
                 break;
             }
-            match (&*self.stream).read(room) {
+            match (&self.stream).read(room) {
                 Ok(0) => self.ended = Some(End::Fin),
-                Ok(n) => inbox.added(n),
+                Ok(n) => {
+                    inbox.added(n);
+                    // Less than there was room for is all there was: the loop tells of what comes later. Of an end
+                    // that it has told of it says no more.
+                    self.can_read = n == most || self.ends;
+                }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
                     self.can_read = false;
                     break;
@@ -246,7 +244,7 @@
     /// Makes the close a reset.
     pub fn break_off(&mut self) {
         // Fails only where the connection is gone already.
-        let _ = SockRef::from(&*self.stream).set_linger(Some(Duration::ZERO));
+        let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
     }
 }
 
@@ -262,6 +260,3 @@
     e.kind() == ErrorKind::OutOfMemory
         || matches!(e.raw_os_error(), Some(ENFILE) | Some(EMFILE) | Some(ENOBUFS))
 }
-
-/// `EINPROGRESS`, which the standard library has no stable name for.
-const IN_PROGRESS: i32 = 115;
--- a/crates/balancer/src/net/list/director.rs
+++ b/crates/balancer/src/net/list/director.rs
@@ -8,7 +8,7 @@
 
 use super::answer::Answer;
 use crate::net::link::Link;
-use crate::net::poll::Owner;
+use crate::net::poll::{Owner, Ready};
 use crate::net::turn::{Alarm, Due, Turn};
 
 /// A call that has not begun to answer by then has failed: discovery itself gives up after about a second. After a
@@ -71,9 +71,7 @@
         if std::mem::replace(&mut self.at, at) == at {
             return Vec::new();
         }
-        if let Some(link) = self.link.take() {
-            turn.poller.close(link);
-        }
+        self.link = None;
         if self.wanted { self.watch(turn) } else { Vec::new() }
     }
 
@@ -92,14 +90,14 @@
         }
         (self.link, self.asked, self.answer, self.heard) = (Some(link), false, Answer::new(), turn.now);
         self.arm(turn);
-        self.ready(turn, false, false)
+        self.ready(turn, Ready::default())
     }
 
     /// The watch's connection is ready.
-    pub fn ready(&mut self, turn: &mut Turn, read: bool, write: bool) -> Vec<News> {
+    pub fn ready(&mut self, turn: &mut Turn, ready: Ready) -> Vec<News> {
         let mut news = Vec::new();
         let Some(link) = self.link.as_mut() else { return news };
-        link.ready(read, write);
+        link.ready(ready);
         if !self.asked {
             match link.connected() {
                 Ok(false) => return news,
@@ -150,9 +148,7 @@
     }
 
     fn failed(&mut self, turn: &mut Turn, mut news: Vec<News>, why: &str) -> Vec<News> {
-        if let Some(link) = self.link.take() {
-            turn.poller.close(link);
-        }
+        self.link = None;
         self.alarm.off(turn);
         if !std::mem::replace(&mut self.failing, true) {
             warn!(event = "discovery-failed", why);
@@ -186,7 +182,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::net::turn::tests::{turn, until};
+    use crate::net::turn::tests::{READ, turn, until};
     use std::io::Write;
     use std::net::TcpListener;
 
@@ -215,7 +211,7 @@
         second.write_all(b"HTTP/1.1 200 OK\r\n\r\n{\"index\":7}\n").expect("open");
         let mut news = Vec::new();
         until(|| {
-            news.extend(director.ready(&mut turn, true, true));
+            news.extend(director.ready(&mut turn, READ));
             !news.is_empty()
         });
         assert!(matches!(&news[..], [News::List(listing)] if listing.index == 7));
--- a/crates/balancer/src/net/mod.rs
+++ b/crates/balancer/src/net/mod.rs
@@ -18,19 +18,18 @@
 mod turn;
 
 use std::io;
-use std::net::TcpListener;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use calloop::generic::Generic;
-use calloop::signals::{Signal, Signals};
-use calloop::{EventLoop, Interest, Mode, PostAction};
+use mio::net::TcpListener;
 use shorewharf_driver::{Driver, Micros};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook_mio::v1_0::Signals;
 use socket2::{Domain, Socket, Type};
 use tracing::{error, info};
 
 use crate::config::{Config, ConfigError};
 use hub::Net;
-use poll::{Notes, Poller, Seen};
+use poll::{Owner, Ready, Watch};
 use terms::Terms;
 use turn::Turn;
 
@@ -66,16 +65,17 @@
     /// The configuration in force.
     config: Config,
     reread: Reread,
+    signals: Signals,
 }
 
 impl Balancing {
     /// A turn: each peer that the loop has seen something of acts, and the module hears of it before the next does.
-    fn turn(&mut self, now: Micros, seen: impl Iterator<Item = Seen>) {
+    fn turn(&mut self, now: Micros, seen: impl Iterator<Item = (Owner, Ready)>) {
         self.net.begin(now);
-        for seen in seen {
-            match seen {
-                Seen::Reload => self.reload(),
-                seen => self.net.seen(seen),
+        for (owner, ready) in seen {
+            match owner {
+                Owner::Signals => self.signalled(),
+                owner => self.net.seen(owner, ready),
             }
             self.driver.settle(&mut self.net);
         }
@@ -83,6 +83,16 @@
         self.net.finish(|net| driver.settle(net));
     }
 
+    fn signalled(&mut self) {
+        let came: Vec<_> = self.signals.pending().collect();
+        for signal in came {
+            match signal {
+                SIGHUP => self.reload(),
+                _ => self.net.stop_soon(),
+            }
+        }
+    }
+
     /// SIGHUP has come. Several close together may come as one: the file is read as it is now.
     fn reload(&mut self) {
         let take = |next| reload::take(&mut self.config, next, &mut self.net, &mut self.driver);
@@ -97,10 +107,12 @@
     let socket = Socket::new(Domain::for_address(config.listen), Type::STREAM, None)?;
     // A balancer comes back under its address while connections of its past life linger.
     socket.set_reuse_address(true)?;
+    // Lines are short and wanted at once; connections that are accepted take it over.
+    socket.set_tcp_nodelay(true)?;
     socket.bind(&config.listen.into())?;
     socket.listen(BACKLOG)?;
     socket.set_nonblocking(true)?;
-    Ok(socket.into())
+    Ok(TcpListener::from_std(socket.into()))
 }
 
 /// Runs the balancer until it is told to end. On SIGHUP it takes what `reread` brings.
@@ -108,37 +120,27 @@
 /// # Errors
 /// Where it can't listen at the configured address, or the event loop fails.
 pub fn run(config: Config, reread: impl Fn() -> Result<Config, ConfigError> + 'static) -> io::Result<()> {
-    let mut events: EventLoop<Notes> = EventLoop::try_new()?;
-    let handle = events.handle();
-    let other = |e: calloop::Error| io::Error::other(e.to_string());
+    let mut watch = Watch::new()?;
+    let poller = watch.poller()?;
     // Before anything is opened: a SIGHUP that nobody waits for ends the program.
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]).map_err(other)?;
-    let told = |event: calloop::signals::Event, _: &mut (), notes: &mut Notes| {
-        notes.push(if event.signal() == Signal::SIGHUP { Seen::Reload } else { Seen::Stop });
-    };
-    handle.insert_source(signals, told).map_err(|e| other(e.error))?;
-    let listener = listen(&config)?;
-    let ears = Generic::new(listener.try_clone()?, Interest::READ, Mode::Edge);
-    let called = |_, _: &mut _, notes: &mut Notes| {
-        notes.push(Seen::Clients);
-        Ok(PostAction::Continue)
-    };
-    handle.insert_source(ears, called).map_err(|e| other(e.error))?;
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
+    poller.listen(&mut signals, Owner::Signals)?;
+    let mut listener = listen(&config)?;
+    poller.listen(&mut listener, Owner::Listener)?;
     let clock = Clock::new();
-    let turn = Turn::new(Poller::new(handle), clock.read());
+    let turn = Turn::new(poller, clock.read());
     let mut net = Net::new(turn, listener, config.discovery, Terms::from(&config));
     let known = net.list_known(&config.known);
     let servers = known.len();
     let driver = Driver::start(config.settings.clone(), config.seed, known, &mut net);
     // The address that is bound: the port may have been left to the system.
     info!(event = "serving", name = config.name, listen = %net.listens_at()?, servers);
-    let mut balancing = Balancing { net, driver, config, reread: Box::new(reread) };
-    let mut notes = Notes::new();
-    balancing.turn(clock.read(), notes.drain(..));
+    let mut balancing = Balancing { net, driver, config, reread: Box::new(reread), signals };
+    balancing.turn(clock.read(), std::iter::empty());
     while !balancing.net.is_done() {
         let wait = balancing.net.next_due().saturating_sub(clock.read());
-        events.dispatch(Some(Duration::from_micros(wait)), &mut notes).map_err(other)?;
-        balancing.turn(clock.read(), notes.drain(..));
+        watch.wait(Duration::from_micros(wait))?;
+        balancing.turn(clock.read(), watch.seen());
     }
     Ok(())
 }
--- a/crates/balancer/src/net/poll.rs
+++ b/crates/balancer/src/net/poll.rs
@@ -1,13 +1,21 @@
-//! Between the loop and the peers: which connections the loop watches, and what it has seen of them. The loop
-//! only notes what has come; the peers act on the notes, in their order, once it has returned.
+//! Between the loop and the peers: which connections the loop watches, and what it has seen of them.
+//!
+//! `mio` rather than a loop of callbacks: those cost an allocation for each connection, and the loop that was here
+//! before made five system calls for a wait where one does.
 
-use calloop::generic::Generic;
-use calloop::{Interest, LoopHandle, Mode, PostAction, Readiness};
+use std::io;
+use std::time::Duration;
+
+use mio::event::{Event, Source};
+use mio::{Events, Interest, Poll, Registry, Token};
 use shorewharf_decisions::interface::RequestId;
 
 use super::link::Link;
 
-/// Who a connection belongs to.
+/// What is told of connections in one turn at most; the rest is told in the next.
+const EVENTS: usize = 1024;
+
+/// Who something that is watched belongs to.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Owner {
     /// A client session.
@@ -18,58 +26,125 @@
     Probe(u64),
     /// The director's watch.
     Director,
+    /// The listener: clients wait to be accepted.
+    Listener,
+    /// Signals of the system's.
+    Signals,
 }
 
-/// What the loop has seen.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Seen {
-    /// A connection is ready to be read or written.
-    Ready {
-        /// Whose it is; it may be over by now.
-        owner: Owner,
-        /// Something can be read, the end or an error included.
-        read: bool,
-        /// Something can be written.
-        write: bool,
-    },
-    /// Clients wait to be accepted.
-    Clients,
-    /// The program is told to end.
-    Stop,
-    /// The program is told to read its configuration again.
-    Reload,
+/// An owner's kind stands in a token above its number.
+const KIND: u32 = 56;
+const _: () = assert!(usize::BITS == 64, "tokens hold a kind above a number of 56 bits");
+
+impl Owner {
+    fn token(self) -> Token {
+        let (kind, number) = match self {
+            Owner::Session(id) => (0, u64::from(id.0)),
+            Owner::Fetch(id) => (1, u64::from(id.0)),
+            Owner::Probe(number) => (2, number),
+            Owner::Director => (3, 0),
+            Owner::Listener => (4, 0),
+            Owner::Signals => (5, 0),
+        };
+        Token((kind << KIND | number) as usize)
+    }
+
+    fn of(token: Token) -> Owner {
+        let number = token.0 as u64 & ((1 << KIND) - 1);
+        match token.0 as u64 >> KIND {
+            0 => Owner::Session(RequestId(number as u32)),
+            1 => Owner::Fetch(RequestId(number as u32)),
+            2 => Owner::Probe(number),
+            3 => Owner::Director,
+            4 => Owner::Listener,
+            _ => Owner::Signals,
+        }
+    }
 }
 
-/// The loop's data: what it has seen this turn.
-pub type Notes = Vec<Seen>;
+/// What a connection is ready for.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Ready {
+    /// Something can be read.
+    pub read: bool,
+    /// Something can be written, or the connect has failed.
+    pub write: bool,
+    /// The peer has ended its side or the connection broke: reading on comes to that.
+    pub ends: bool,
+}
 
-/// Has the loop watch connections.
+impl From<&Event> for Ready {
+    fn from(event: &Event) -> Self {
+        let ends = event.is_read_closed() || event.is_error();
+        Ready { read: event.is_readable() || ends, write: event.is_writable() || event.is_error(), ends }
+    }
+}
+
+/// What the loop waits with.
 #[derive(Debug)]
-pub struct Poller(LoopHandle<'static, Notes>);
+pub struct Watch {
+    poll: Poll,
+    events: Events,
+}
 
-impl Poller {
-    /// A poller for the loop of this handle.
-    pub fn new(handle: LoopHandle<'static, Notes>) -> Self {
-        Poller(handle)
+impl Watch {
+    /// Nothing is watched yet.
+    pub fn new() -> io::Result<Self> {
+        Ok(Watch { poll: Poll::new()?, events: Events::with_capacity(EVENTS) })
     }
 
+    /// What has connections watched.
+    pub fn poller(&self) -> io::Result<Poller> {
+        Ok(Poller(self.poll.registry().try_clone()?))
+    }
+
+    /// Waits until something has come, at most so long, rounded up to whole milliseconds.
+    pub fn wait(&mut self, most: Duration) -> io::Result<()> {
+        match self.poll.poll(&mut self.events, Some(most)) {
+            Err(e) if e.kind() != io::ErrorKind::Interrupted => Err(e),
+            _ => Ok(()),
+        }
+    }
+
+    /// What has come; owners may be gone by now.
+    pub fn seen(&self) -> impl Iterator<Item = (Owner, Ready)> {
+        self.events.iter().map(|event| (Owner::of(event.token()), Ready::from(event)))
+    }
+}
+
+/// Has the loop watch connections.
+#[derive(Debug)]
+pub struct Poller(Registry);
+
+impl Poller {
     /// Has the loop watch a connection; false where it can't. Edge-triggered, for both directions and from start
-    /// to end: the link remembers what it is ready for.
+    /// to end: the link remembers what it is ready for. Its end is the end of the watch.
     pub fn watch(&self, link: &mut Link, owner: Owner) -> bool {
-        let source = Generic::new(link.stream(), Interest::BOTH, Mode::Edge);
-        let inserted = self.0.insert_source(source, move |ready: Readiness, _, notes: &mut Notes| {
-            let (read, write) = (ready.readable || ready.error, ready.writable || ready.error);
-            notes.push(Seen::Ready { owner, read, write });
-            Ok(PostAction::Continue)
-        });
-        link.source = inserted.ok();
-        link.source.is_some()
+        self.0.register(link.stream(), owner.token(), Interest::READABLE | Interest::WRITABLE).is_ok()
     }
 
-    /// Ends a connection and frees its descriptor.
-    pub fn close(&self, mut link: Link) {
-        if let Some(source) = link.source.take() {
-            self.0.remove(source);
+    /// Has the loop watch something that is only read.
+    pub fn listen(&self, source: &mut impl Source, owner: Owner) -> io::Result<()> {
+        self.0.register(source, owner.token(), Interest::READABLE)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_token_tells_its_owner() {
+        let id = RequestId(u32::MAX);
+        for owner in [
+            Owner::Session(id),
+            Owner::Fetch(id),
+            Owner::Probe(1 << 40),
+            Owner::Director,
+            Owner::Listener,
+            Owner::Signals,
+        ] {
+            assert_eq!(Owner::of(owner.token()), owner);
         }
     }
 }
--- a/crates/balancer/src/net/servers/fetches.rs
+++ b/crates/balancer/src/net/servers/fetches.rs
@@ -1,10 +1,10 @@
 //! Fetches: attempts at servers, and the standing connections that they become.
 
 use std::cell::Cell;
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use rustc_hash::FxHashMap;
 use shorewharf_decisions::interface::{Outcome, RequestId, ServerId};
 use shorewharf_driver::Micros;
 use shorewharf_protocol::open::with_patience;
@@ -224,9 +224,10 @@
 /// taken back.
 #[derive(Debug, Default)]
 pub struct Fetches {
-    table: BTreeMap<RequestId, Fetch>,
+    /// Boxed: the table of a large fleet has room for more than it holds.
+    table: FxHashMap<RequestId, Box<Fetch>>,
     /// By server, for as long as it has any.
-    voices: BTreeMap<ServerId, Rc<Voice>>,
+    voices: FxHashMap<ServerId, Rc<Voice>>,
 }
 
 impl Fetches {
@@ -252,19 +253,19 @@
         let voice = Rc::clone(self.voices.entry(server).or_default());
         let (alarm, answered) = (Alarm::default(), None);
         let fetch = Fetch { link, server, voice, stage, connected_by, until, last, alarm, answered };
-        self.table.insert(id, fetch);
+        self.table.insert(id, Box::new(fetch));
         self.arm(turn, id);
         Ok(())
     }
 
     /// A req's fetch.
     pub fn get(&self, id: RequestId) -> Option<&Fetch> {
-        self.table.get(&id)
+        self.table.get(&id).map(|f| &**f)
     }
 
     /// A req's fetch, to act on.
     pub fn get_mut(&mut self, id: RequestId) -> Option<&mut Fetch> {
-        self.table.get_mut(&id)
+        self.table.get_mut(&id).map(|f| &mut **f)
     }
 
     /// Whether a fetch is out, or stands, for a req.
@@ -281,7 +282,6 @@
     pub fn end(&mut self, turn: &mut Turn, id: RequestId) -> bool {
         let Some(mut fetch) = self.table.remove(&id) else { return false };
         fetch.alarm.off(turn);
-        turn.poller.close(fetch.link);
         // The table's own is the other one that is left.
         if Rc::strong_count(&fetch.voice) == 2 {
             self.voices.remove(&fetch.server);
@@ -325,7 +325,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::net::turn::tests::{turn, until};
+    use crate::net::turn::tests::{READ, turn, until};
     use std::io::{Read, Write};
     use std::net::{TcpListener, TcpStream};
 
@@ -378,6 +378,7 @@
         let (mut turn, mut fetches) = (turn(1000), Fetches::default());
         let mut server = begin(&mut fetches, &mut turn, 700);
         let fetch = fetches.get_mut(ID).expect("out");
+        fetch.link.ready(READ);
         fetch.ask(1000, &turn.pool, b"OPEN 1 2 c=chat,d=9");
         let mut line = [0; 21];
         server.read_exact(&mut line).expect("the first line");
@@ -385,12 +386,12 @@
         server.write_all(b"UP 7\r\nM 1\r\nLOAD 5.5\r\nBYE\r\n").expect("open");
         let (mut asked, mut told) = (Some(1500), Vec::new());
         until(|| {
-            fetch.link.ready(true, true);
+            fetch.link.ready(READ);
             fetch.answer(&turn.pool) == Some(Answer::Up)
         });
         fetch.stands(1600, ID);
         until(|| {
-            fetch.link.ready(true, true);
+            fetch.link.ready(READ);
             assert_eq!(fetch.take_in(2000, &turn.pool, ID, &mut asked, &mut told).1, Ok(()));
             fetch.outcome() == Outcome::Ok // Its last word was BYE.
         });
--- a/crates/balancer/src/net/servers/probes.rs
+++ b/crates/balancer/src/net/servers/probes.rs
@@ -7,7 +7,7 @@
 use shorewharf_driver::{Happening, Micros};
 
 use crate::net::link::Link;
-use crate::net::poll::Owner;
+use crate::net::poll::{Owner, Ready};
 use crate::net::timers::Key;
 use crate::net::turn::{Due, Turn};
 
@@ -41,13 +41,13 @@
         };
         let timer = turn.after(PROBE, Due::Probe(number));
         self.table.insert(number, Probe { link, server, asked: false, timer });
-        self.ready(turn, number, false, false);
+        self.ready(turn, number, Ready::default());
     }
 
     /// A probe's connection is ready.
-    pub fn ready(&mut self, turn: &mut Turn, number: u64, read: bool, write: bool) {
+    pub fn ready(&mut self, turn: &mut Turn, number: u64, ready: Ready) {
         let Some(probe) = self.table.get_mut(&number) else { return };
-        probe.link.ready(read, write);
+        probe.link.ready(ready);
         if !probe.asked {
             match probe.link.connected() {
                 Ok(false) => return,
@@ -71,7 +71,6 @@
     pub fn end(&mut self, turn: &mut Turn, number: u64, outcome: Outcome) {
         if let Some(probe) = self.table.remove(&number) {
             turn.timers.cancel(probe.timer);
-            turn.poller.close(probe.link);
             turn.tell(Happening::Probed(probe.server, outcome));
         }
     }
@@ -95,7 +94,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::net::turn::tests::{turn, until};
+    use crate::net::turn::tests::{READ, turn, until};
     use std::io::Write;
     use std::net::TcpListener;
 
@@ -117,7 +116,7 @@
             let (mut server, _) = listener.accept().expect("the probe");
             server.write_all(answer.as_bytes()).expect("open");
             until(|| {
-                probes.ready(&mut turn, number, true, true);
+                probes.ready(&mut turn, number, READ);
                 probes.len() == 0
             });
             probes.end(&mut turn, number, Outcome::TimedOut);
--- a/crates/balancer/src/net/serving.rs
+++ b/crates/balancer/src/net/serving.rs
@@ -1,8 +1,9 @@
 //! Client sessions and the servers they are brought to: composes the tables of both sides, tells the driver what
 //! happens, and carries out what it wants of them.
 
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 
+use mio::net::TcpStream;
 use shorewharf_decisions::interface::{ListEntry, Outcome, RequestId, ServerId};
 use shorewharf_driver::{Happening, Micros, Req};
 use shorewharf_protocol::list::Listing;
@@ -16,6 +17,7 @@
 use super::complaints::Complaints;
 use super::farewell::LEAVE_AFTER;
 use super::link::End;
+use super::poll::Ready;
 use super::relay::{Fate, ends, relay};
 use super::servers::backends::{Backends, server_id};
 use super::servers::delays::{Figure, Sight};
@@ -121,13 +123,13 @@
         let Some(id) = self.sessions.begin(turn, stream, from, |id| fetches.has(id)) else { return };
         // Who has asked for nothing for longest goes first: the one that has just come is the last.
         while self.budget.is_over(self.held()) && self.sessions.evict(turn) {}
-        self.session_ready(turn, id, true, true);
+        self.session_ready(turn, id, Ready::default());
     }
 
     /// A client's connection is ready.
-    pub fn session_ready(&mut self, turn: &mut Turn, id: RequestId, read: bool, write: bool) {
+    pub fn session_ready(&mut self, turn: &mut Turn, id: RequestId, ready: Ready) {
         let Some(s) = self.sessions.get_mut(id) else { return };
-        s.link.ready(read, write);
+        s.link.ready(ready);
         match s.stage() {
             Stage::Opening => {
                 let from = s.from();
@@ -219,7 +221,7 @@
             return self.refuse(turn, id, COME_BACK);
         }
         // The client may have left behind its line already, or said more than it should.
-        self.session_ready(turn, id, false, false);
+        self.session_ready(turn, id, Ready::default());
         if !self.sessions.get(id).is_some_and(Session::waits) {
             return;
         }
@@ -330,9 +332,9 @@
     }
 
     /// A fetch's connection is ready.
-    pub fn fetch_ready(&mut self, turn: &mut Turn, id: RequestId, read: bool, write: bool) {
+    pub fn fetch_ready(&mut self, turn: &mut Turn, id: RequestId, ready: Ready) {
         let Some(fetch) = self.fetches.get_mut(id) else { return };
-        fetch.link.ready(read, write);
+        fetch.link.ready(ready);
         match fetch.stage() {
             fetches::Stage::Up => self.relay(turn, id),
             _ => self.fetch_goes_on(turn, id),
--- a/crates/balancer/src/net/turn.rs
+++ b/crates/balancer/src/net/turn.rs
@@ -141,13 +141,16 @@
 #[cfg(test)]
 pub mod tests {
     use super::*;
+    use crate::net::poll::{Ready, Watch};
     use std::net::{TcpListener, TcpStream};
     use std::time::{Duration, Instant};
 
+    /// There may be something to be read, the end included, and there is room to write.
+    pub const READ: Ready = Ready { read: true, write: true, ends: true };
+
     /// A turn at this time with a loop that nobody runs.
     pub fn turn(now: Micros) -> Turn {
-        let events = calloop::EventLoop::try_new().expect("a loop");
-        Turn::new(Poller::new(events.handle()), now)
+        Turn::new(Watch::new().and_then(|w| w.poller()).expect("a loop"), now)
     }
 
     /// Looks until something has come to pass: loopback may take its time.
@@ -170,10 +173,12 @@
         assert_eq!(turn.judges_from(), 9_000_000 + TO_BE_HEARD);
     }
 
-    /// The two ends of a connection.
-    pub fn pair() -> (TcpStream, TcpStream) {
+    /// The two ends of a connection, the second as the program has it.
+    pub fn pair() -> (TcpStream, mio::net::TcpStream) {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let one = TcpStream::connect(listener.local_addr().expect("bound")).expect("a listener");
-        (one, listener.accept().expect("a caller").0)
+        let other = listener.accept().expect("a caller").0;
+        other.set_nonblocking(true).expect("a socket");
+        (one, mio::net::TcpStream::from_std(other))
     }
 }
