Read lists of servers as they come, and take them in without a copy

An object of over 1 MiB failed the watch, so some 2,000 servers with a few more fields each could not be followed; a whole list stood as text, as a list and as tables at once, and each change was found by a copy of all stages.

--- a/crates/balancer/src/net/hub.rs
+++ b/crates/balancer/src/net/hub.rs
@@ -12,6 +12,7 @@
 use super::farewell::{Farewell, LEAVE_AFTER};
 use super::link::is_shortage;
 use super::list::director::{Director, News};
+use super::list::incoming::Incoming;
 use super::poll::{Owner, Ready};
 use super::serving::Serving;
 use super::terms::Terms;
@@ -67,7 +68,9 @@
     /// The list that the configuration knows: whole, though it may be old.
     pub fn list_known(&mut self, known: &Listing) -> Vec<ListEntry> {
         self.director.knows(known.index);
-        self.serving.backends.take_quietly(known, &self.serving.terms.names)
+        let terms = &self.serving.terms;
+        let known = Incoming::of(known, &terms.names, terms.most_servers);
+        self.serving.backends.take_quietly(known, terms.most_servers)
     }
 
     /// Where clients connect.
@@ -95,7 +98,7 @@
             Owner::Fetch(id) => self.serving.fetch_ready(turn, id, ready),
             Owner::Probe(number) => self.serving.probes.ready(turn, number, ready),
             Owner::Director => {
-                let news = self.director.ready(turn, ready);
+                let news = self.director.ready(turn, &self.serving.terms, ready);
                 self.listed(news);
             }
             // Those who are here come first: what they do may make room, and the module should know of it.
@@ -113,6 +116,10 @@
             self.serving.goes_on(&mut self.turn, id);
             heard(self);
         }
+        if self.director.is_busy() {
+            self.seen(Owner::Director, Ready::default());
+            heard(self);
+        }
         while let Some(due) = self.turn.timers.due() {
             self.due(due);
             heard(self);
@@ -154,7 +161,7 @@
 
     /// Ends the turn: when there is something to do again though nothing comes, which may be now.
     pub fn next_due(&mut self) -> Micros {
-        let next = match self.serving.is_busy() || self.accepts {
+        let next = match self.serving.is_busy() || self.director.is_busy() || self.accepts {
             true => self.turn.now,
             false => self.turn.timers.next().unwrap_or(self.turn.now + LONGEST),
         };
@@ -212,9 +219,9 @@
     fn listed(&mut self, news: Vec<News>) {
         for news in news {
             let happening = match news {
-                News::List(listing) => {
-                    let entries = self.serving.take_list(&listing);
-                    Happening::Listed { full: listing.snapshot, cached: false, entries }
+                News::List(list) => {
+                    let full = list.snapshot;
+                    Happening::Listed { full, cached: false, entries: self.serving.take_list(list) }
                 }
                 News::Failed => Happening::DirectorFailed,
             };
--- a/crates/balancer/src/net/list/director.rs
+++ b/crates/balancer/src/net/list/director.rs
@@ -3,12 +3,14 @@
 use std::net::SocketAddr;
 
 use shorewharf_driver::Micros;
-use shorewharf_protocol::list::Listing;
 use tracing::{info, warn};
 
 use super::answer::Answer;
+use super::incoming::Incoming;
+use super::reader::{Part, Reader};
 use crate::net::link::Link;
 use crate::net::poll::{Owner, Ready};
+use crate::net::terms::Terms;
 use crate::net::turn::{Alarm, Due, Turn};
 
 /// A call that has not begun to answer by then has failed: discovery itself gives up after about a second. After a
@@ -17,11 +19,14 @@
 /// A watch has a blank line every 2 s; one that stays silent for this long is dead though TCP says nothing.
 /// Together with the next call this must stay under 6 s: by then its news counts as told.
 const SILENT: Micros = 3_500_000;
+/// Pieces of a list that are read in one turn: a list of megabytes must not hold up those who stand.
+const PIECES: usize = 8;
+
 /// What comes of a watch.
 #[derive(Clone, Debug, PartialEq)]
 pub enum News {
     /// Discovery tells a list, or changes to it.
-    List(Listing),
+    List(Incoming),
     /// A call failed or the watch ended.
     Failed,
 }
@@ -33,6 +38,11 @@
     link: Option<Link>,
     asked: bool,
     answer: Answer,
+    reader: Reader,
+    /// Of the list that is being read, what has come.
+    incoming: Incoming,
+    /// There is more to read once others have had their turn.
+    more: bool,
     /// The version of the list that is held.
     index: u64,
     /// When something came last, or the call began.
@@ -51,6 +61,9 @@
             link: None,
             asked: false,
             answer: Answer::new(),
+            reader: Reader::new(),
+            incoming: Incoming::default(),
+            more: false,
             index: 0,
             heard: 0,
             failing: false,
@@ -89,13 +102,21 @@
             return self.failed(turn, Vec::new(), "the loop takes no more connections");
         }
         (self.link, self.asked, self.answer, self.heard) = (Some(link), false, Answer::new(), turn.now);
+        // Nothing of a list that did not come to its end counts.
+        (self.reader, self.incoming) = (Reader::new(), Incoming::default());
         self.arm(turn);
-        self.ready(turn, Ready::default())
+        Vec::new()
+    }
+
+    /// Whether there is more to read.
+    pub fn is_busy(&self) -> bool {
+        self.more
     }
 
     /// The watch's connection is ready.
-    pub fn ready(&mut self, turn: &mut Turn, ready: Ready) -> Vec<News> {
+    pub fn ready(&mut self, turn: &mut Turn, terms: &Terms, ready: Ready) -> Vec<News> {
         let mut news = Vec::new();
+        self.more = false;
         let Some(link) = self.link.as_mut() else { return news };
         link.ready(ready);
         if !self.asked {
@@ -112,39 +133,47 @@
             link.say(&turn.pool, call.as_bytes());
         }
         link.flush();
-        let mut lines = Vec::new();
-        let failure = loop {
+        let (mut lists, mut failure) = (Vec::new(), None);
+        for piece in 0.. {
             let any = link.fill(&turn.pool);
-            let took = match self.answer.take(link.held(), &mut lines) {
+            let (reader, incoming) = (&mut self.reader, &mut self.incoming);
+            let mut part = |part| match part {
+                Part::Entry(e) => incoming.add(&e, &terms.names, terms.most_servers),
+                Part::End { index, snapshot } => lists.push(incoming.end(index, snapshot)),
+            };
+            let took = match self.answer.take(link.held(), |text| reader.read(text, &mut part)) {
                 Ok(n) => n,
-                Err(why) => break Some(why),
+                Err(why) => {
+                    failure = Some(why);
+                    break;
+                }
             };
             link.take(took);
             if any {
                 self.heard = turn.now;
             }
             if !any || (took == 0 && link.ended.is_none()) {
-                break link.ended.map(|_| "the connection ended".to_owned());
+                failure = link.ended.map(|_| "the connection ended".to_owned());
+                break;
             }
-        };
-        for line in lines.iter().filter(|l| !l.iter().all(u8::is_ascii_whitespace)) {
-            match serde_json::from_slice::<Listing>(line) {
-                Ok(listing) => news.push(self.says(listing)),
-                Err(e) => return self.failed(turn, news, &format!("bad list: {e}")),
+            if piece >= PIECES {
+                self.more = true;
+                break;
             }
         }
+        news.extend(lists.into_iter().map(|list| self.says(list)));
         match failure {
             Some(why) => self.failed(turn, news, &why),
             None => news,
         }
     }
 
-    fn says(&mut self, listing: Listing) -> News {
+    fn says(&mut self, list: Incoming) -> News {
         if std::mem::replace(&mut self.failing, false) {
-            info!(event = "discovery-back", index = listing.index);
+            info!(event = "discovery-back", index = list.index);
         }
-        self.index = listing.index;
-        News::List(listing)
+        self.index = list.index;
+        News::List(list)
     }
 
     fn failed(&mut self, turn: &mut Turn, mut news: Vec<News>, why: &str) -> Vec<News> {
@@ -200,7 +229,7 @@
     fn a_silent_address_is_given_up_in_time_for_another_call() {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let mut director = Director::new(listener.local_addr().expect("bound"));
-        let mut turn = turn(1_000_000);
+        let (mut turn, terms) = (turn(1_000_000), Terms::few());
         assert_eq!(director.watch(&mut turn), []);
         assert_eq!(alarmed(&mut director, &mut turn, ANSWER - 1), None);
         // What discovery tells after a reload counts as told within 4 s, so two calls must fit.
@@ -211,7 +240,7 @@
         second.write_all(b"HTTP/1.1 200 OK\r\n\r\n{\"index\":7}\n").expect("open");
         let mut news = Vec::new();
         until(|| {
-            news.extend(director.ready(&mut turn, READ));
+            news.extend(director.ready(&mut turn, &terms, READ));
             !news.is_empty()
         });
         assert!(matches!(&news[..], [News::List(listing)] if listing.index == 7));
--- a/crates/balancer/src/net/list/mod.rs
+++ b/crates/balancer/src/net/list/mod.rs
@@ -1,4 +1,6 @@
-//! The list of servers, from discovery.
+//! The list of servers, from discovery: the answer, the text in it, and what is kept of that.
 
 mod answer;
 pub mod director;
+pub mod incoming;
+pub mod reader;
--- a/crates/balancer/src/net/mod.rs
+++ b/crates/balancer/src/net/mod.rs
@@ -6,12 +6,12 @@
 mod farewell;
 mod hub;
 mod link;
-mod list;
+pub mod list;
 mod poll;
 mod pool;
 mod relay;
 mod reload;
-mod servers;
+pub mod servers;
 mod serving;
 mod terms;
 pub mod timers;
@@ -119,7 +119,7 @@
 ///
 /// # Errors
 /// Where it can't listen at the configured address, or the event loop fails.
-pub fn run(config: Config, reread: impl Fn() -> Result<Config, ConfigError> + 'static) -> io::Result<()> {
+pub fn run(mut config: Config, reread: impl Fn() -> Result<Config, ConfigError> + 'static) -> io::Result<()> {
     let mut watch = Watch::new()?;
     let poller = watch.poller()?;
     // Before anything is opened: a SIGHUP that nobody waits for ends the program.
@@ -130,7 +130,8 @@
     let clock = Clock::new();
     let turn = Turn::new(poller, clock.read());
     let mut net = Net::new(turn, listener, config.discovery, Terms::from(&config));
-    let known = net.list_known(&config.known);
+    // Held once: by the tables from now on.
+    let known = net.list_known(&std::mem::take(&mut config.known));
     let servers = known.len();
     let driver = Driver::start(config.settings.clone(), config.seed, known, &mut net);
     // The address that is bound: the port may have been left to the system.
--- a/crates/balancer/src/net/reload.rs
+++ b/crates/balancer/src/net/reload.rs
@@ -22,6 +22,8 @@
     net.take_terms(Terms::from(&next), next.discovery);
     driver.take_settings(next.settings.clone());
     // Name and address are this process's own until it ends.
-    *config = Config { name: config.name.clone(), listen: config.listen, ..next };
+    // The list is the tables', and they have a newer one.
+    let known = Default::default();
+    *config = Config { name: config.name.clone(), listen: config.listen, known, ..next };
     Ok(())
 }
--- a/crates/balancer/src/net/serving.rs
+++ b/crates/balancer/src/net/serving.rs
@@ -6,7 +6,6 @@
 use mio::net::TcpStream;
 use shorewharf_decisions::interface::{ListEntry, Outcome, RequestId, ServerId};
 use shorewharf_driver::{Happening, Micros, Req};
-use shorewharf_protocol::list::Listing;
 use shorewharf_protocol::open::parse_open;
 use shorewharf_protocol::words::busy;
 use tracing::{debug, error, warn};
@@ -17,9 +16,10 @@
 use super::complaints::Complaints;
 use super::farewell::LEAVE_AFTER;
 use super::link::End;
+use super::list::incoming::{Incoming, server_id};
 use super::poll::Ready;
 use super::relay::{Fate, ends, relay};
-use super::servers::backends::{Backends, server_id};
+use super::servers::backends::Backends;
 use super::servers::delays::{Figure, Sight};
 use super::servers::fetches::{self, Answer, Fetches, Hindrance};
 use super::servers::probes::Probes;
@@ -76,9 +76,9 @@
     }
 
     /// Takes in a list from discovery: what the module is told of it.
-    pub fn take_list(&mut self, listing: &Listing) -> Vec<ListEntry> {
+    pub fn take_list(&mut self, list: Incoming) -> Vec<ListEntry> {
         let fetches = &self.fetches;
-        self.backends.take(listing, &self.terms.names, |server| fetches.any_at(server))
+        self.backends.take(list, self.terms.most_servers, |server| fetches.any_at(server))
     }
 }
 
--- a/crates/balancer/src/net/terms.rs
+++ b/crates/balancer/src/net/terms.rs
@@ -20,6 +20,26 @@
     pub tells_delay: bool,
     /// File descriptors that the process may hold.
     pub sockets: usize,
+    /// Servers that a list may name. The rest is left out: a list must not take the memory that clients need.
+    pub most_servers: usize,
+}
+
+/// Of the memory, lists may take this part.
+const LIST_PART: f64 = 0.25;
+/// What a server takes in all tables, with a list on its way: 0.6 KiB were measured.
+const SERVER_KIB: f64 = 1.0;
+/// However little memory there is, a list may name so many.
+const FEWEST_SERVERS: usize = 1000;
+
+#[cfg(test)]
+impl Terms {
+    /// What a test needs of them.
+    pub fn few() -> Self {
+        let (names, give_up) = (Names::default(), vec![3_000_000]);
+        let (connect_timeout, message_aim, tells_delay) = (250_000, 50_000, false);
+        let (sockets, most_servers) = (1000, 1000);
+        Terms { names, give_up, connect_timeout, message_aim, tells_delay, sockets, most_servers }
+    }
 }
 
 impl From<&Config> for Terms {
@@ -32,6 +52,8 @@
             message_aim: micros(aims.fold(f64::INFINITY, f64::min)),
             tells_delay: config.tells_delay,
             sockets: config.limits.sockets,
+            most_servers: ((config.limits.memory_mb * 1024.0 * LIST_PART / SERVER_KIB) as usize)
+                .max(FEWEST_SERVERS),
         }
     }
 }
