Take on fewer clients when the loop does not keep up, and say so

A turn accepts fewer where turns are long against the shortest message aim. A loop that is busy all the time for a second and lags, by long turns or a filled backlog, answers a part of the new clients at once with a wait, and writes fewer log lines; the part follows until it keeps up.

--- a/crates/balancer/benches/whole/main.rs
+++ b/crates/balancer/benches/whole/main.rs
@@ -27,6 +27,8 @@
     Idle,
     /// CPU of a long list that changes, and what reading it takes
     List,
+    /// Lines of those who stand, while more come than can be placed
+    Overload,
     /// One worker and four
     Workers,
 }
@@ -84,6 +86,7 @@
             Measure::Pace => bench.pace()?,
             Measure::Idle => bench.idle()?,
             Measure::List => bench.list()?,
+            Measure::Overload => bench.overload()?,
             Measure::Workers => bench.workers()?,
         }
     }
--- a/crates/balancer/benches/whole/measures.rs
+++ b/crates/balancer/benches/whole/measures.rs
@@ -212,6 +212,33 @@
         Ok(())
     }
 
+    /// Lines of those who stand, while more come than can be placed before a long list.
+    pub fn overload(&self) -> io::Result<()> {
+        let subject = Subject::balancer(&self.start(5000), self.port, |_| {})?;
+        let stand = Clients::begin(Plan::Paced(200, 2000.0), subject.address.clone(), 1);
+        if !stand.stand() {
+            return Err(io::Error::other("not all connections stand"));
+        }
+        stand.go();
+        let flood = self.run(&subject, Plan::SetUps(64), 2.0);
+        stand.count();
+        let flood = flood.and_then(|_| self.run(&subject, Plan::SetUps(1000), self.args.seconds))?;
+        stand.stop();
+        flood.tell("overload, set-ups", "set-ups");
+        let tally = stand.end();
+        let at = |q| tally.took.value_at_quantile(q) as f64 / 1e3;
+        println!(
+            "overload, lines: ms p50 {:.2} p99 {:.2} p99.9 {:.2}, {} of {} back; failed {}",
+            at(0.5),
+            at(0.99),
+            at(0.999),
+            tally.done,
+            (self.args.seconds * 2000.0) as u64,
+            tally.failed
+        );
+        Ok(())
+    }
+
     /// One worker and four, which need a program that takes `--config FILE`.
     pub fn workers(&self) -> io::Result<()> {
         for workers in [1, 4] {
--- a/crates/balancer/benches/whole/peers.rs
+++ b/crates/balancer/benches/whole/peers.rs
@@ -4,7 +4,7 @@
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU8, AtomicUsize, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, AtomicUsize, Ordering::Relaxed};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
@@ -160,6 +160,9 @@
     pub took: Histogram<u64>,
 }
 
+/// Ids that clients open under, one after the other.
+static IDS: AtomicU64 = AtomicU64::new(1);
+
 const OPENS: u8 = 0;
 const COUNTS: u8 = 2;
 const STOPS: u8 = 3;
@@ -389,7 +392,7 @@
         let Some(conn) = self.conns[slot].as_mut() else { return };
         if conn.state == State::Connects && event.is_writable() {
             conn.state = State::Asks;
-            let id = (self.number as u64 + 1) << 40 | self.begun << 12 | slot as u64 & 0xfff;
+            let id = IDS.fetch_add(1, Relaxed);
             let key = id.wrapping_mul(0x9e37_79b9_7f4a_7c15);
             let line = format!("OPEN {id:x} {key:x} c=chat,t=acme,d=20000,h=0.000001\r\n");
             let _ = conn.stream.write(line.as_bytes());
--- a/crates/balancer/src/net/complaints.rs
+++ b/crates/balancer/src/net/complaints.rs
@@ -22,7 +22,7 @@
     /// Whether what a client has done wrong may be logged now; else it is counted.
     pub fn may(&mut self, turn: &mut Turn) -> bool {
         self.due(turn.now);
-        let may = self.written < MOST;
+        let may = self.written < turn.pressure.log_lines(MOST);
         if !may && self.left_out == 0 {
             turn.timers.set(self.began + SECOND, Due::Complaints);
         }
--- a/crates/balancer/src/net/hub.rs
+++ b/crates/balancer/src/net/hub.rs
@@ -26,8 +26,6 @@
 const LONGEST: Micros = 1_000_000;
 /// How often servers' message delays are reported, as on the simulator's wire.
 const DELAY_PERIOD: Micros = 1_000_000;
-/// Clients accepted in one turn; connections that stand get theirs in between.
-const ACCEPTS: usize = 64;
 
 /// All peers, and the turn that they act in.
 #[derive(Debug)]
@@ -61,6 +59,7 @@
             leaving: None,
             done: false,
         };
+        net.turn.pressure.set_aim(net.serving.terms.message_aim);
         net.turn.after(DELAY_PERIOD, Due::Delays);
         net
     }
@@ -85,6 +84,7 @@
 
     /// Puts another configuration's terms in force; connections and the list stay.
     pub fn take_terms(&mut self, terms: Terms, discovery: SocketAddr) {
+        self.turn.pressure.set_aim(terms.message_aim);
         self.serving.take_terms(terms);
         let news = self.director.moves(&mut self.turn, discovery);
         self.listed(news);
@@ -159,8 +159,9 @@
         }
     }
 
-    /// Ends the turn: when there is something to do again though nothing comes, which may be now.
-    pub fn next_due(&mut self) -> Micros {
+    /// The turn has ended at this time: when there is something to do again though nothing comes, which may be now.
+    pub fn ends(&mut self, now: Micros) -> Micros {
+        self.turn.pressure.turn(self.turn.now, now, self.accepts);
         let next = match self.serving.is_busy() || self.director.is_busy() || self.accepts {
             true => self.turn.now,
             false => self.turn.timers.next().unwrap_or(self.turn.now + LONGEST),
@@ -175,7 +176,7 @@
     }
 
     fn accept(&mut self, mut heard: impl FnMut(&mut Self)) {
-        for _ in 0..ACCEPTS {
+        for _ in 0..self.turn.pressure.accepts() {
             if !self.can_accept {
                 break;
             }
--- a/crates/balancer/src/net/list/reader.rs
+++ b/crates/balancer/src/net/list/reader.rs
@@ -65,6 +65,12 @@
     entry: Vec<u8>,
 }
 
+impl Default for Reader {
+    fn default() -> Self {
+        Reader::new()
+    }
+}
+
 impl Reader {
     /// A reader to which nothing has come.
     pub fn new() -> Self {
--- a/crates/balancer/src/net/mod.rs
+++ b/crates/balancer/src/net/mod.rs
@@ -6,12 +6,13 @@
 mod farewell;
 mod hub;
 mod link;
-pub mod list;
+mod list;
 mod poll;
 mod pool;
+mod pressure;
 mod relay;
 mod reload;
-pub mod servers;
+mod servers;
 mod serving;
 mod terms;
 pub mod timers;
@@ -29,7 +30,9 @@
 
 use crate::config::{Config, ConfigError};
 use hub::Net;
+pub use list::{incoming, reader};
 use poll::{Owner, Ready, Watch};
+pub use servers::backends;
 use terms::Terms;
 use turn::Turn;
 
@@ -139,7 +142,8 @@
     let mut balancing = Balancing { net, driver, config, reread: Box::new(reread), signals };
     balancing.turn(clock.read(), std::iter::empty());
     while !balancing.net.is_done() {
-        let wait = balancing.net.next_due().saturating_sub(clock.read());
+        let now = clock.read();
+        let wait = balancing.net.ends(now).saturating_sub(now);
         watch.wait(Duration::from_micros(wait))?;
         balancing.turn(clock.read(), watch.seen());
     }
--- /dev/null
+++ b/crates/balancer/src/net/serving/due.rs
@@ -0,0 +1,112 @@
+//! What is due of sessions and fetches, and the steps of a planned end.
+
+use std::collections::BTreeMap;
+
+use shorewharf_decisions::interface::{Outcome, RequestId, ServerId};
+use shorewharf_driver::{Happening, Micros};
+use tracing::{error, warn};
+
+use super::{COME_BACK, Serving};
+use crate::net::clients::session::{Session, Stage};
+use crate::net::link::End;
+use crate::net::servers::delays::Sight;
+use crate::net::servers::fetches;
+use crate::net::turn::Turn;
+
+impl Serving {
+    /// Log lines were left out a moment ago.
+    pub fn complaints_due(&mut self, now: Micros) {
+        self.complaints.due(now);
+    }
+
+    /// A session's timer has come: what is due of it, and what comes next.
+    pub fn session_alarmed(&mut self, turn: &mut Turn, id: RequestId) {
+        if self.sessions.alarmed(turn, id) {
+            self.look_at(turn, id);
+            self.sessions.arm(turn, id);
+        }
+    }
+
+    fn look_at(&mut self, turn: &mut Turn, id: RequestId) {
+        let now = turn.now;
+        let Some(s) = self.sessions.get_mut(id) else { return };
+        match s.stage() {
+            Stage::Opening if s.is_late(now) => self.half_line(turn, id),
+            Stage::Waiting if !s.is_late(now) && s.carries_again(now) => {
+                let left = s.until() - now;
+                if let Some(home) = s.home() {
+                    self.fetch(turn, id, home, left);
+                }
+            }
+            // Guards the rule that every request is answered before its client gives up.
+            Stage::Waiting if s.is_overdue(now) => {
+                error!(event = "overdue", client = %s.from());
+                turn.tell(Happening::ClientLeft(id));
+                self.fetch_over(turn, id, Outcome::TimedOut);
+                self.refuse(turn, id, COME_BACK);
+            }
+            Stage::Open | Stage::Moving => {
+                if s.half_open_due(now) {
+                    let ended = s.link.ended;
+                    let outcome = if ended.is_some() { Outcome::Cancelled } else { Outcome::Reset };
+                    self.end_both(turn, id, End::Fin, outcome);
+                } else if let Some(since) = s.silent_since(now) {
+                    let from = s.from();
+                    warn!(event = "silent", server = self.server_name(id), client = %from);
+                    self.silent(turn, id, since);
+                }
+            }
+            Stage::Ending if s.is_late(now) => self.sessions.drop(turn, id),
+            _ => {}
+        }
+    }
+
+    /// Reports what messages take: for each server once a period while that is over a third of the
+    /// shortest aim, and once more when it is back under.
+    pub fn report_delays(&mut self, turn: &mut Turn) {
+        let mut seen = BTreeMap::<ServerId, Vec<Sight>>::new();
+        let (sessions, fetches) = (&mut self.sessions, &self.fetches);
+        self.sighted.retain(|id| {
+            let Some((s, f)) = sessions.get_mut(*id).zip(fetches.get(*id)) else { return false };
+            let sight = Sight { asked: s.asked_since(), answered: f.answered() };
+            if s.stage() == Stage::Open && f.stage() == fetches::Stage::Up {
+                seen.entry(f.server()).or_default().push(sight);
+            }
+            s.stays_sighted(sight.says_something(turn.now))
+        });
+        for (server, delay) in self.backends.delays(turn.now, self.terms.message_aim / 3, &seen) {
+            turn.tell(Happening::Delay(server, delay));
+        }
+    }
+}
+
+/// The planned end.
+impl Serving {
+    /// From now on nobody new is served; tells how many stand, and how many wait.
+    pub fn close(&mut self) -> (usize, usize) {
+        self.closing = true;
+        let stands = |s: &Session| matches!(s.stage(), Stage::Open | Stage::Moving);
+        (self.sessions.those(stands).len(), self.sessions.those(Session::waits).len())
+    }
+
+    /// Clients that are still here.
+    pub fn clients(&self) -> usize {
+        self.sessions.len()
+    }
+
+    /// Moves an even part of the standing sessions, with so many more parts to come.
+    pub fn move_some(&mut self, turn: &mut Turn, parts_left: Micros) {
+        let open = self.sessions.those(|s| s.stage() == Stage::Open);
+        let n = open.len().div_ceil(parts_left as usize + 1);
+        open.into_iter().take(n).for_each(|id| self.move_away(turn, id));
+    }
+
+    /// Refuses everybody who still waits.
+    pub fn refuse_all(&mut self, turn: &mut Turn) {
+        for id in self.sessions.those(Session::waits) {
+            turn.tell(Happening::ClientLeft(id));
+            self.fetch_over(turn, id, Outcome::Cancelled);
+            self.refuse(turn, id, COME_BACK);
+        }
+    }
+}
--- a/crates/balancer/src/net/serving.rs
+++ b/crates/balancer/src/net/serving/mod.rs
@@ -1,6 +1,9 @@
 //! Client sessions and the servers they are brought to: composes the tables of both sides, tells the driver what
 //! happens, and carries out what it wants of them.
 
+mod due;
+mod standing;
+
 use std::net::SocketAddr;
 
 use mio::net::TcpStream;
@@ -8,28 +11,27 @@
 use shorewharf_driver::{Happening, Micros, Req};
 use shorewharf_protocol::open::parse_open;
 use shorewharf_protocol::words::busy;
-use tracing::{debug, error, warn};
-
-use super::budget::{Budget, Held};
-use super::clients::session::{Asking, Ending, First, Patience, Session, Stage};
-use super::clients::sessions::Sessions;
-use super::complaints::Complaints;
-use super::farewell::LEAVE_AFTER;
-use super::link::End;
-use super::list::incoming::{Incoming, server_id};
-use super::poll::Ready;
-use super::relay::{Fate, ends, relay};
-use super::servers::backends::Backends;
-use super::servers::delays::{Figure, Sight};
-use super::servers::fetches::{self, Answer, Fetches, Hindrance};
-use super::servers::probes::Probes;
-use super::terms::Terms;
-use super::turn::Turn;
+use tracing::{debug, warn};
+
+use crate::net::budget::{Budget, Held};
+use crate::net::clients::session::{Asking, Ending, First, Patience, Session, Stage};
+use crate::net::clients::sessions::Sessions;
+use crate::net::complaints::Complaints;
+use crate::net::farewell::LEAVE_AFTER;
+use crate::net::list::incoming::{Incoming, server_id};
+use crate::net::poll::Ready;
+use crate::net::servers::backends::Backends;
+use crate::net::servers::fetches::{self, Answer, Fetches, Hindrance};
+use crate::net::servers::probes::Probes;
+use crate::net::terms::Terms;
+use crate::net::turn::Turn;
 
 /// A connection from before the start has this long to stand again.
 const CARRY: Micros = 38_000_000;
 /// The wait told to clients whom the program refuses by itself.
 const COME_BACK: Micros = 300_000;
+/// The same where the program can't keep up: what helps is that fewer come.
+const COME_BACK_LATER: Micros = 1_000_000;
 
 /// All peers but the director.
 #[derive(Debug)]
@@ -215,6 +217,10 @@
             // What is taken now would only have to move: the front stops sending here in a moment.
             return self.refuse(turn, id, LEAVE_AFTER);
         }
+        if home.is_none() && !turn.pressure.admits() {
+            // Guards those who stand: a refusal costs a tenth of a set-up.
+            return self.refuse(turn, id, COME_BACK_LATER);
+        }
         if !self.make_room(turn) {
             // Guards the descriptor limit: refused before a fetch could need one more.
             self.note_short(true);
@@ -394,207 +400,3 @@
         self.backends.name(self.fetches.server(id))
     }
 }
-
-/// Standing connections.
-impl Serving {
-    /// Asks a connected client to come again.
-    pub fn move_away(&mut self, turn: &mut Turn, id: RequestId) {
-        if self.sessions.get_mut(id).is_some_and(Session::moves) {
-            self.relay(turn, id);
-        }
-    }
-
-    /// Goes on with a connection that had more to carry or to read.
-    pub fn goes_on(&mut self, turn: &mut Turn, id: RequestId) {
-        match self.sessions.get(id).map(Session::stage) {
-            Some(Stage::Ending) => self.session_ends(turn, id),
-            _ => self.relay(turn, id),
-        }
-    }
-
-    /// Takes out those that had more to carry or to read, for [`Serving::goes_on`].
-    pub fn take_again(&mut self) -> Vec<RequestId> {
-        std::mem::take(&mut self.again)
-    }
-
-    /// Whether descriptors have run out, as far as was noted.
-    pub fn is_short(&self) -> bool {
-        self.budget.is_short()
-    }
-
-    /// Whether any connection has more to carry.
-    pub fn is_busy(&self) -> bool {
-        !self.again.is_empty()
-    }
-
-    /// Passes on what has come on a standing connection, and its ends.
-    pub fn relay(&mut self, turn: &mut Turn, id: RequestId) {
-        let (Some(s), Some(f)) = (self.sessions.get_mut(id), self.fetches.get_mut(id)) else { return };
-        let relayed = relay(turn.now, &turn.pool, id, s, f);
-        let (from, server) = (s.from(), f.server());
-        if relayed.more {
-            self.again.push(id);
-        }
-        if s.is_sighted() {
-            self.sighted.push(id);
-        }
-        relayed.told.into_iter().for_each(|figure| self.figure_told(turn, id, server, figure));
-        if let Some(peer) = relayed.too_long {
-            if self.complaints.may(turn) {
-                let server = self.backends.name(Some(server));
-                warn!(event = "line-too-long", peer, client = %from, server);
-            }
-            // Only a server's own fault counts against it.
-            let outcome = if peer == "server" { Outcome::Reset } else { Outcome::Cancelled };
-            return self.end_both(turn, id, End::Reset, outcome);
-        }
-        let (Some(s), Some(f)) = (self.sessions.get_mut(id), self.fetches.get_mut(id)) else { return };
-        match ends(turn.now, s, f) {
-            Fate::Stands => self.sessions.arm(turn, id),
-            Fate::ServerEnded(end, outcome) => self.end_both(turn, id, end, outcome),
-            Fate::ClientBroke => {
-                f.link.break_off();
-                self.sessions.drop(turn, id);
-                self.fetch_over(turn, id, Outcome::Cancelled);
-            }
-            Fate::Moves => {
-                self.fetch_over(turn, id, Outcome::Cancelled);
-                self.answer(turn, id, b"MOVE\r\n");
-            }
-        }
-    }
-
-    /// A `LOAD` line has come on a connection.
-    fn figure_told(&mut self, turn: &mut Turn, id: RequestId, server: ServerId, figure: f64) {
-        let tells = self.terms.tells_delay;
-        let kind = if tells { self.backends.read_figure(turn.now, server, figure) } else { Figure::Load };
-        match kind {
-            Figure::Load => turn.tell(Happening::Load(id, figure / 1e6)),
-            Figure::Delay => turn.tell(Happening::Delay(server, (figure * 1e3) as Micros)),
-            Figure::Unclear => {}
-        }
-    }
-
-    /// Ends a standing connection on both sides, the client's as the server's ended.
-    fn end_both(&mut self, turn: &mut Turn, id: RequestId, end: End, outcome: Outcome) {
-        self.fetch_over(turn, id, outcome);
-        match end {
-            End::Fin => self.answer(turn, id, b""),
-            End::Reset => {
-                self.sessions.get_mut(id).into_iter().for_each(|s| s.link.break_off());
-                self.sessions.drop(turn, id);
-            }
-        }
-    }
-
-    /// The server answers nothing: its client is moved, and the module hears of a drop. One that has answered
-    /// others meanwhile is not blamed: the connection fell silent, not the server.
-    fn silent(&mut self, turn: &mut Turn, id: RequestId, since: Micros) {
-        let lives = self.fetches.server_lives(id, since);
-        self.fetch_over(turn, id, if lives { Outcome::Cancelled } else { Outcome::Reset });
-        if self.sessions.get(id).is_some_and(|s| s.link.between_lines()) {
-            self.answer(turn, id, b"MOVE\r\n");
-        } else {
-            self.end_both(turn, id, End::Reset, Outcome::Reset);
-        }
-    }
-}
-
-/// What is due.
-impl Serving {
-    /// Log lines were left out a moment ago.
-    pub fn complaints_due(&mut self, now: Micros) {
-        self.complaints.due(now);
-    }
-
-    /// A session's timer has come: what is due of it, and what comes next.
-    pub fn session_alarmed(&mut self, turn: &mut Turn, id: RequestId) {
-        if self.sessions.alarmed(turn, id) {
-            self.look_at(turn, id);
-            self.sessions.arm(turn, id);
-        }
-    }
-
-    fn look_at(&mut self, turn: &mut Turn, id: RequestId) {
-        let now = turn.now;
-        let Some(s) = self.sessions.get_mut(id) else { return };
-        match s.stage() {
-            Stage::Opening if s.is_late(now) => self.half_line(turn, id),
-            Stage::Waiting if !s.is_late(now) && s.carries_again(now) => {
-                let left = s.until() - now;
-                if let Some(home) = s.home() {
-                    self.fetch(turn, id, home, left);
-                }
-            }
-            // Guards the rule that every request is answered before its client gives up.
-            Stage::Waiting if s.is_overdue(now) => {
-                error!(event = "overdue", client = %s.from());
-                turn.tell(Happening::ClientLeft(id));
-                self.fetch_over(turn, id, Outcome::TimedOut);
-                self.refuse(turn, id, COME_BACK);
-            }
-            Stage::Open | Stage::Moving => {
-                if s.half_open_due(now) {
-                    let ended = s.link.ended;
-                    let outcome = if ended.is_some() { Outcome::Cancelled } else { Outcome::Reset };
-                    self.end_both(turn, id, End::Fin, outcome);
-                } else if let Some(since) = s.silent_since(now) {
-                    let from = s.from();
-                    warn!(event = "silent", server = self.server_name(id), client = %from);
-                    self.silent(turn, id, since);
-                }
-            }
-            Stage::Ending if s.is_late(now) => self.sessions.drop(turn, id),
-            _ => {}
-        }
-    }
-
-    /// Reports what messages take: for each server once a period while that is over a third of the
-    /// shortest aim, and once more when it is back under.
-    pub fn report_delays(&mut self, turn: &mut Turn) {
-        let mut seen = std::collections::BTreeMap::<ServerId, Vec<Sight>>::new();
-        let (sessions, fetches) = (&mut self.sessions, &self.fetches);
-        self.sighted.retain(|id| {
-            let Some((s, f)) = sessions.get_mut(*id).zip(fetches.get(*id)) else { return false };
-            let sight = Sight { asked: s.asked_since(), answered: f.answered() };
-            if s.stage() == Stage::Open && f.stage() == fetches::Stage::Up {
-                seen.entry(f.server()).or_default().push(sight);
-            }
-            s.stays_sighted(sight.says_something(turn.now))
-        });
-        for (server, delay) in self.backends.delays(turn.now, self.terms.message_aim / 3, &seen) {
-            turn.tell(Happening::Delay(server, delay));
-        }
-    }
-}
-
-/// The planned end.
-impl Serving {
-    /// From now on nobody new is served; tells how many stand, and how many wait.
-    pub fn close(&mut self) -> (usize, usize) {
-        self.closing = true;
-        let stands = |s: &Session| matches!(s.stage(), Stage::Open | Stage::Moving);
-        (self.sessions.those(stands).len(), self.sessions.those(Session::waits).len())
-    }
-
-    /// Clients that are still here.
-    pub fn clients(&self) -> usize {
-        self.sessions.len()
-    }
-
-    /// Moves an even part of the standing sessions, with so many more parts to come.
-    pub fn move_some(&mut self, turn: &mut Turn, parts_left: Micros) {
-        let open = self.sessions.those(|s| s.stage() == Stage::Open);
-        let n = open.len().div_ceil(parts_left as usize + 1);
-        open.into_iter().take(n).for_each(|id| self.move_away(turn, id));
-    }
-
-    /// Refuses everybody who still waits.
-    pub fn refuse_all(&mut self, turn: &mut Turn) {
-        for id in self.sessions.those(Session::waits) {
-            turn.tell(Happening::ClientLeft(id));
-            self.fetch_over(turn, id, Outcome::Cancelled);
-            self.refuse(turn, id, COME_BACK);
-        }
-    }
-}
--- /dev/null
+++ b/crates/balancer/src/net/serving/standing.rs
@@ -0,0 +1,116 @@
+//! Standing connections: what passes on them, and how they end.
+
+use shorewharf_decisions::interface::{Outcome, RequestId, ServerId};
+use shorewharf_driver::{Happening, Micros};
+use tracing::warn;
+
+use super::Serving;
+use crate::net::clients::session::{Session, Stage};
+use crate::net::link::End;
+use crate::net::relay::{Fate, ends, relay};
+use crate::net::servers::delays::Figure;
+use crate::net::turn::Turn;
+
+impl Serving {
+    /// Asks a connected client to come again.
+    pub fn move_away(&mut self, turn: &mut Turn, id: RequestId) {
+        if self.sessions.get_mut(id).is_some_and(Session::moves) {
+            self.relay(turn, id);
+        }
+    }
+
+    /// Goes on with a connection that had more to carry or to read.
+    pub fn goes_on(&mut self, turn: &mut Turn, id: RequestId) {
+        match self.sessions.get(id).map(Session::stage) {
+            Some(Stage::Ending) => self.session_ends(turn, id),
+            _ => self.relay(turn, id),
+        }
+    }
+
+    /// Takes out those that had more to carry or to read, for [`Serving::goes_on`].
+    pub fn take_again(&mut self) -> Vec<RequestId> {
+        std::mem::take(&mut self.again)
+    }
+
+    /// Whether descriptors have run out, as far as was noted.
+    pub fn is_short(&self) -> bool {
+        self.budget.is_short()
+    }
+
+    /// Whether any connection has more to carry.
+    pub fn is_busy(&self) -> bool {
+        !self.again.is_empty()
+    }
+
+    /// Passes on what has come on a standing connection, and its ends.
+    pub fn relay(&mut self, turn: &mut Turn, id: RequestId) {
+        let (Some(s), Some(f)) = (self.sessions.get_mut(id), self.fetches.get_mut(id)) else { return };
+        let relayed = relay(turn.now, &turn.pool, id, s, f);
+        let (from, server) = (s.from(), f.server());
+        if relayed.more {
+            self.again.push(id);
+        }
+        if s.is_sighted() {
+            self.sighted.push(id);
+        }
+        relayed.told.into_iter().for_each(|figure| self.figure_told(turn, id, server, figure));
+        if let Some(peer) = relayed.too_long {
+            if self.complaints.may(turn) {
+                let server = self.backends.name(Some(server));
+                warn!(event = "line-too-long", peer, client = %from, server);
+            }
+            // Only a server's own fault counts against it.
+            let outcome = if peer == "server" { Outcome::Reset } else { Outcome::Cancelled };
+            return self.end_both(turn, id, End::Reset, outcome);
+        }
+        let (Some(s), Some(f)) = (self.sessions.get_mut(id), self.fetches.get_mut(id)) else { return };
+        match ends(turn.now, s, f) {
+            Fate::Stands => self.sessions.arm(turn, id),
+            Fate::ServerEnded(end, outcome) => self.end_both(turn, id, end, outcome),
+            Fate::ClientBroke => {
+                f.link.break_off();
+                self.sessions.drop(turn, id);
+                self.fetch_over(turn, id, Outcome::Cancelled);
+            }
+            Fate::Moves => {
+                self.fetch_over(turn, id, Outcome::Cancelled);
+                self.answer(turn, id, b"MOVE\r\n");
+            }
+        }
+    }
+
+    /// A `LOAD` line has come on a connection.
+    fn figure_told(&mut self, turn: &mut Turn, id: RequestId, server: ServerId, figure: f64) {
+        let tells = self.terms.tells_delay;
+        let kind = if tells { self.backends.read_figure(turn.now, server, figure) } else { Figure::Load };
+        match kind {
+            Figure::Load => turn.tell(Happening::Load(id, figure / 1e6)),
+            Figure::Delay => turn.tell(Happening::Delay(server, (figure * 1e3) as Micros)),
+            Figure::Unclear => {}
+        }
+    }
+
+    /// Ends a standing connection on both sides, the client's as the server's ended.
+    pub(super) fn end_both(&mut self, turn: &mut Turn, id: RequestId, end: End, outcome: Outcome) {
+        self.fetch_over(turn, id, outcome);
+        match end {
+            End::Fin => self.answer(turn, id, b""),
+            End::Reset => {
+                self.sessions.get_mut(id).into_iter().for_each(|s| s.link.break_off());
+                self.sessions.drop(turn, id);
+            }
+        }
+    }
+
+    /// The server answers nothing: its client is moved, and the module hears of a drop. One that has answered
+    /// others meanwhile is not blamed: the connection fell silent, not the server.
+    pub(super) fn silent(&mut self, turn: &mut Turn, id: RequestId, since: Micros) {
+        let lives = self.fetches.server_lives(id, since);
+        self.fetch_over(turn, id, if lives { Outcome::Cancelled } else { Outcome::Reset });
+        if self.sessions.get(id).is_some_and(|s| s.link.between_lines()) {
+            self.answer(turn, id, b"MOVE\r\n");
+        } else {
+            self.end_both(turn, id, End::Reset, Outcome::Reset);
+        }
+    }
+}
--- a/crates/balancer/src/net/terms.rs
+++ b/crates/balancer/src/net/terms.rs
@@ -26,7 +26,7 @@
 
 /// Of the memory, lists may take this part.
 const LIST_PART: f64 = 0.25;
-/// What a server takes in all tables, with a list on its way: 0.6 KiB were measured.
+/// What a server takes in all tables, with a list on its way: 0.5 KiB were measured.
 const SERVER_KIB: f64 = 1.0;
 /// However little memory there is, a list may name so many.
 const FEWEST_SERVERS: usize = 1000;
--- a/crates/balancer/src/net/turn.rs
+++ b/crates/balancer/src/net/turn.rs
@@ -9,6 +9,7 @@
 
 use super::poll::Poller;
 use super::pool::Pool;
+use super::pressure::Pressure;
 use super::timers::{Key, Timers};
 
 /// What a timer is for.
@@ -80,6 +81,8 @@
     pub poller: Poller,
     /// What is due when.
     pub timers: Timers<Due>,
+    /// What the loop can take on.
+    pub pressure: Pressure,
     happenings: VecDeque<Happening>,
     /// When the next turn is to begin at the latest.
     next: Micros,
@@ -94,6 +97,7 @@
             pool: Pool::default(),
             poller,
             timers: Timers::new(now),
+            pressure: Pressure::new(now),
             happenings: VecDeque::new(),
             next: now,
             judges_from: 0,
