--- a/crates/balancer/benches/whole/subject.rs
+++ b/crates/balancer/benches/whole/subject.rs
@@ -104,9 +104,9 @@
             eprint!("  {line}");
         };
         thread::spawn(move || {
-            let lines = log.lines().map_while(Result::ok);
-            lines.filter(|l| !l.contains("server-")).take(20).for_each(|l| eprintln!("  {l}"));
-            let _ = io::copy(&mut io::empty(), &mut io::sink());
+            // Read to its end: a pipe that nobody reads would hold the program up.
+            let lines = log.lines().map_while(Result::ok).filter(|l| !l.contains("server-"));
+            lines.enumerate().filter(|(i, _)| *i < 20).for_each(|(_, l)| eprintln!("  {l}"));
         });
         Ok(Subject { child: Some(child), address: vec![address], _folder: Some(folder) })
     }
--- a/crates/balancer/src/net/clients/session.rs
+++ b/crates/balancer/src/net/clients/session.rs
@@ -7,7 +7,7 @@
 
 use crate::net::link::{End, Link, TooLong};
 use crate::net::pool::{Buffer, Pool};
-use crate::net::turn::Alarm;
+use crate::net::turn::{Alarm, Turn};
 
 /// A client that connects has this long for its first line, all of it: a client sends it at once, and one that
 /// can't, or says nothing, is owed an end within 3 s. A line that a front has begun has as long to end.
@@ -159,14 +159,16 @@
     }
 
     /// When something of it is due next.
-    pub(super) fn due(&self, judges_from: Micros) -> Option<Micros> {
+    pub(super) fn due(&self, turn: &Turn) -> Option<Micros> {
+        let judges_from = turn.judges_from();
         let first = |a: Option<Micros>, b: Option<Micros>| a.into_iter().chain(b).min();
         match self.stage {
             Stage::Opening => Some(self.until.max(judges_from)),
             Stage::Ending => Some(self.until),
             Stage::Waiting => first(self.carry_again, Some(self.until + OVERDUE)),
             Stage::Open | Stage::Moving => {
-                first(self.half_open, self.asked.map(|at| at + SILENT)).map(|at| at.max(judges_from))
+                let silent = self.asked.map(|at| turn.took_since(at) + SILENT);
+                first(self.half_open.map(|at| at.max(judges_from)), silent)
             }
         }
     }
@@ -248,8 +250,8 @@
     }
 
     /// Since when a line has gone unanswered for so long that the connection is dead.
-    pub fn silent_since(&self, now: Micros) -> Option<Micros> {
-        self.asked.filter(|at| now >= at + SILENT)
+    pub fn silent_since(&self, turn: &Turn) -> Option<Micros> {
+        self.asked.filter(|at| turn.now >= turn.took_since(*at) + SILENT)
     }
 
     /// Reads on for the first line; a front's commands are answered on the way.
@@ -395,19 +397,23 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::net::turn::tests::pair;
+    use crate::net::turn::tests::{pair, turn};
 
     #[test]
     fn a_line_unanswered_for_a_second_and_a_half_shows_a_dead_connection() {
         let (client, stream) = pair();
         let from = client.local_addr().expect("bound");
         let mut s = Session::new(Link::new(stream), from, 0);
-        assert_eq!(s.silent_since(9_000_000), None);
+        let mut turn = turn(2_499_999);
+        assert_eq!(s.silent_since(&turn), None);
         *s.asked() = Some(1_000_000);
-        // Clients say a line every 2 s, and a dead connection must be left within 7 s.
-        assert_eq!((s.silent_since(2_499_999), s.silent_since(2_500_000)), (None, Some(1_000_000)));
         s.stands();
+        // Clients say a line every 2 s, and a dead connection must be left within 7 s.
+        assert_eq!((s.silent_since(&turn), s.due(&turn)), (None, Some(2_500_000)));
+        turn.begin(2_500_000);
+        assert_eq!(s.silent_since(&turn), Some(1_000_000));
         // After a standstill it is first given time to be heard.
-        assert_eq!([0, 7_000_000].map(|judges_from| s.due(judges_from)), [Some(2_500_000), Some(7_000_000)]);
+        turn.begin(9_000_000);
+        assert_eq!(s.due(&turn), Some(10_500_000), "it was not heard while the machine stood still");
     }
 }
--- a/crates/balancer/src/net/clients/sessions.rs
+++ b/crates/balancer/src/net/clients/sessions.rs
@@ -65,7 +65,7 @@
     /// Sees to it that what is due of a session next is not missed. Whoever has changed its deadlines says so.
     pub fn arm(&mut self, turn: &mut Turn, id: RequestId) {
         let Some(s) = self.table.get_mut(&id) else { return };
-        let due = s.due(turn.judges_from());
+        let due = s.due(turn);
         s.alarm.by(turn, due, Due::Session(id));
     }
 
@@ -73,7 +73,7 @@
     pub fn alarmed(&mut self, turn: &mut Turn, id: RequestId) -> bool {
         let Some(s) = self.table.get_mut(&id) else { return false };
         s.alarm.came();
-        let is_due = s.due(turn.judges_from()).is_some_and(|at| at <= turn.now);
+        let is_due = s.due(turn).is_some_and(|at| at <= turn.now);
         if !is_due {
             self.arm(turn, id);
         }
--- a/crates/balancer/src/net/hub.rs
+++ b/crates/balancer/src/net/hub.rs
@@ -153,7 +153,10 @@
             Due::Complaints => self.serving.complaints_due(turn.now),
             Due::Leave => self.leave(),
             Due::Delays => {
-                self.serving.report_delays(turn);
+                // What is still to be read would look like a delay.
+                if turn.now >= turn.judges_from() {
+                    self.serving.report_delays(turn);
+                }
                 turn.after(DELAY_PERIOD, Due::Delays);
             }
         }
--- a/crates/balancer/src/net/relay.rs
+++ b/crates/balancer/src/net/relay.rs
@@ -5,8 +5,8 @@
 
 use super::clients::session::{Session, Stage};
 use super::link::End;
-use super::pool::Pool;
 use super::servers::fetches::Fetch;
+use super::turn::Turn;
 
 /// Rounds of carrying lines for one connection before the others get their turn.
 const ROUNDS: usize = 8;
@@ -23,15 +23,15 @@
 }
 
 /// Passes lines on, both ways, as far as they go now.
-pub fn relay(now: Micros, pool: &Pool, id: RequestId, s: &mut Session, f: &mut Fetch) -> Relayed {
+pub fn relay(turn: &Turn, id: RequestId, s: &mut Session, f: &mut Fetch) -> Relayed {
     let mut relayed = Relayed::default();
     for round in 0.. {
-        let (mut went, looked) = s.take_in(now, pool);
+        let (mut went, looked) = s.take_in(turn.now, &turn.pool);
         if looked.is_err() {
             relayed.too_long = Some("client");
         }
         went |= s.link.carry(&mut f.link, false);
-        let (came, looked) = f.take_in(now, pool, id, s.asked(), &mut relayed.told);
+        let (came, looked) = f.take_in(turn, id, s.asked(), &mut relayed.told);
         if looked.is_err() {
             relayed.too_long = Some("server");
         }
--- a/crates/balancer/src/net/servers/fetches.rs
+++ b/crates/balancer/src/net/servers/fetches.rs
@@ -175,14 +175,13 @@
     /// one. Tells whether anything came, and whether a line is over the limit.
     pub fn take_in(
         &mut self,
-        now: Micros,
-        pool: &Pool,
+        turn: &Turn,
         id: RequestId,
         asked: &mut Option<Micros>,
         told: &mut Vec<f64>,
     ) -> (bool, Result<(), TooLong>) {
-        let came = self.link.fill(pool);
-        let looked = self.look(now, id, asked, told);
+        let came = self.link.fill(&turn.pool);
+        let looked = self.look(turn, id, asked, told);
         if self.link.ended == Some(End::Fin) {
             self.link.look_at_rest();
         }
@@ -191,11 +190,12 @@
 
     fn look(
         &mut self,
-        now: Micros,
+        turn: &Turn,
         id: RequestId,
         asked: &mut Option<Micros>,
         told: &mut Vec<f64>,
     ) -> Result<(), TooLong> {
+        let now = turn.now;
         while let Some(line) = self.link.look()? {
             self.voice.hears(now, id);
             self.last = LastWord::Other;
@@ -204,7 +204,9 @@
                 Word::Move => self.last = LastWord::Move,
                 Word::Load(load) => told.extend(load),
                 // The time from a client's line to the server's answer is what a message takes there.
-                _ => self.answered = asked.take().map(|at| (now, now - at)).or(self.answered),
+                _ => {
+                    self.answered = asked.take().map(|at| (now, now - turn.took_since(at))).or(self.answered)
+                }
             }
         }
         Ok(())
@@ -384,6 +386,7 @@
         server.read_exact(&mut line).expect("the first line");
         assert_eq!(&line, b"OPEN 1 2 c=chat,d=1\r\n");
         server.write_all(b"UP 7\r\nM 1\r\nLOAD 5.5\r\nBYE\r\n").expect("open");
+        turn.begin(2000);
         let (mut asked, mut told) = (Some(1500), Vec::new());
         until(|| {
             fetch.link.ready(READ);
@@ -392,7 +395,7 @@
         fetch.stands(1600, ID);
         until(|| {
             fetch.link.ready(READ);
-            assert_eq!(fetch.take_in(2000, &turn.pool, ID, &mut asked, &mut told).1, Ok(()));
+            assert_eq!(fetch.take_in(&turn, ID, &mut asked, &mut told).1, Ok(()));
             fetch.outcome() == Outcome::Ok // Its last word was BYE.
         });
         assert_eq!((asked, told, fetch.answered()), (None, vec![5.5], Some((2000, 500))));
--- a/crates/balancer/src/net/serving/due.rs
+++ b/crates/balancer/src/net/serving/due.rs
@@ -50,7 +50,7 @@
                     let ended = s.link.ended;
                     let outcome = if ended.is_some() { Outcome::Cancelled } else { Outcome::Reset };
                     self.end_both(turn, id, End::Fin, outcome);
-                } else if let Some(since) = s.silent_since(now) {
+                } else if let Some(since) = s.silent_since(turn) {
                     let from = s.from();
                     warn!(event = "silent", server = self.server_name(id), client = %from);
                     self.silent(turn, id, since);
@@ -68,7 +68,8 @@
         let (sessions, fetches) = (&mut self.sessions, &self.fetches);
         self.sighted.retain(|id| {
             let Some((s, f)) = sessions.get_mut(*id).zip(fetches.get(*id)) else { return false };
-            let sight = Sight { asked: s.asked_since(), answered: f.answered() };
+            let sight =
+                Sight { asked: s.asked_since().map(|at| turn.took_since(at)), answered: f.answered() };
             if s.stage() == Stage::Open && f.stage() == fetches::Stage::Up {
                 seen.entry(f.server()).or_default().push(sight);
             }
--- a/crates/balancer/src/net/serving/standing.rs
+++ b/crates/balancer/src/net/serving/standing.rs
@@ -45,7 +45,7 @@
     /// Passes on what has come on a standing connection, and its ends.
     pub fn relay(&mut self, turn: &mut Turn, id: RequestId) {
         let (Some(s), Some(f)) = (self.sessions.get_mut(id), self.fetches.get_mut(id)) else { return };
-        let relayed = relay(turn.now, &turn.pool, id, s, f);
+        let relayed = relay(turn, id, s, f);
         let (from, server) = (s.from(), f.server());
         if relayed.more {
             self.again.push(id);
--- a/crates/balancer/src/net/turn.rs
+++ b/crates/balancer/src/net/turn.rs
@@ -86,7 +86,8 @@
     happenings: VecDeque<Happening>,
     /// When the next turn is to begin at the latest.
     next: Micros,
-    judges_from: Micros,
+    /// When it went on after it had been held up last.
+    resumed: Micros,
 }
 
 impl Turn {
@@ -100,7 +101,7 @@
             pressure: Pressure::new(now),
             happenings: VecDeque::new(),
             next: now,
-            judges_from: 0,
+            resumed: 0,
         }
     }
 
@@ -121,7 +122,7 @@
         self.timers.advance(self.now);
         if late >= HELD_UP {
             // Guards against a storm of wrong verdicts: that nothing was heard was nobody's silence but its own.
-            self.judges_from = self.now + TO_BE_HEARD;
+            self.resumed = self.now;
             warn!(event = "held-up", ms = late / 1000);
         }
     }
@@ -133,7 +134,12 @@
 
     /// From when on peers are judged by their silence: a deadline of theirs that comes before is put off to then.
     pub fn judges_from(&self) -> Micros {
-        self.judges_from
+        if self.resumed > 0 { self.resumed + TO_BE_HEARD } else { 0 }
+    }
+
+    /// Since when a peer that was asked then has taken its time: for as long as nobody was heard it has not.
+    pub fn took_since(&self, asked: Micros) -> Micros {
+        asked.max(self.resumed)
     }
 
     /// Sets a timer, so long from now.
@@ -175,6 +181,7 @@
         turn.ends(3_000_000);
         turn.begin(9_000_000);
         assert_eq!(turn.judges_from(), 9_000_000 + TO_BE_HEARD);
+        assert_eq!([2_000_000, 9_500_000].map(|asked| turn.took_since(asked)), [9_000_000, 9_500_000]);
     }
 
     /// The two ends of a connection, the second as the program has it.
