--- a/crates/balancer/src/net/mod.rs
+++ b/crates/balancer/src/net/mod.rs
@@ -136,7 +136,7 @@
     // Held once: by the tables from now on.
     let known = net.list_known(&std::mem::take(&mut config.known));
     let servers = known.len();
-    let driver = Driver::start(config.settings.clone(), config.seed, known, &mut net);
+    let driver = Driver::start(config.settings.clone(), &config.operator, config.seed, known, &mut net);
     // The address that is bound: the port may have been left to the system.
     info!(event = "serving", name = config.name, listen = %net.listens_at()?, servers);
     let mut balancing = Balancing { net, driver, config, reread: Box::new(reread), signals };
--- a/crates/emulator/src/audit/auditor.rs
+++ b/crates/emulator/src/audit/auditor.rs
@@ -58,6 +58,10 @@
             }
             Seen::Sent { by, link, node, conn, first } => self.begins(now, first, by, link, node, conn),
             Seen::Stands { by, conn, link, node } => self.stands(now, by, conn, link, node),
+            Seen::Missed(by, id) => {
+                let case = Case { reason: Reason::NotCarried, at: now, by, conn: Some(id), node: None };
+                self.verdict.add(case, String::new(), Vec::new);
+            }
             Seen::Passed(conn, way) => self.passed(now, conn, way),
             Seen::Garbled(conn, garble) => {
                 let reason = match garble {
@@ -216,7 +220,7 @@
                 continue;
             }
             let finding = match (look, conn.standing.as_ref()) {
-                (Look::Doubt, _) => conn.doubt.take(),
+                (Look::Doubt, _) => conn.doubt.take().map(|f| *f),
                 (Look::Copy(link, sent), _) => conn.request.second_copy(link, sent),
                 (_, None) => None,
                 (Look::ToNode, Some(s)) if !self.nodes.of(s.node).sound_for(at, self.judging.held) => None,
@@ -491,7 +495,7 @@
             None => None,
         };
         conn.cut = conn.cut.or(Some(now));
-        conn.doubt = finding.or(conn.doubt.take());
+        conn.doubt = finding.map(Box::new).or(conn.doubt.take());
         match self.judging.process {
             0 => self.no_doubt(id),
             while_in_doubt => self.table.book(now + while_in_doubt, id, Look::Doubt),
@@ -501,7 +505,7 @@
     /// It was no part of its process's end, or of one that makes no difference.
     fn no_doubt(&mut self, id: ConnId) {
         if let Some(finding) = self.table.conn(id).and_then(|c| c.doubt.take()) {
-            self.found(id, finding);
+            self.found(id, *finding);
         }
     }
 
--- a/crates/lab/src/bin/shorewharf-mutant.rs
+++ b/crates/lab/src/bin/shorewharf-mutant.rs
@@ -1,7 +1,8 @@
 //! A plain balancer that speaks the protocol and does one thing wrong: what shows that the auditor catches it on
 //! sockets, too. It has threads for its connections and places in turn; nobody should measure anything by it.
 //!
-//! `shorewharf-mutant WRONG` takes the place of the balancer's program and reads the same configuration.
+//! `shorewharf-mutant WRONG` takes the place of the balancer's program and reads the same configuration;
+//! `shorewharf-mutant judge [WRONG…]` plays them all on loopback and tells whether the auditor catches each.
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
@@ -9,9 +10,10 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread::{Builder, sleep};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::Value;
+use shorewharf_lab::mutants::on_sockets::judge_all;
 
 /// Attempts of one request, where nothing is wrong with their number.
 const ATTEMPTS: usize = 3;
@@ -26,6 +28,9 @@
 const HELD: Duration = Duration::from_millis(1_500);
 /// Two threads for a connection must fit the memory that a balancer gets.
 const STACK: usize = 64 << 10;
+/// The one that overruns the first node begins with it after this, and tries it so often more.
+const OVERRUNS: Duration = Duration::from_secs(9);
+const MORE: usize = 2;
 /// The one that exits does so after this.
 const EXITS: Duration = Duration::from_secs(6);
 
@@ -33,10 +38,22 @@
     wrong: String,
     nodes: Nodes,
     turn: AtomicUsize,
+    began: Instant,
 }
 
 fn main() -> ExitCode {
     let wrong = std::env::args().nth(1).unwrap_or_default();
+    if wrong == "judge" {
+        let only: Vec<String> = std::env::args().skip(2).collect();
+        let judged = std::env::current_exe().map_err(|e| e.to_string());
+        return match judged.and_then(|mutant| judge_all(&mutant, &only)) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(why) => {
+                eprintln!("shorewharf-mutant: {why}");
+                ExitCode::FAILURE
+            }
+        };
+    }
     let (listen, discovery, nodes) = match configured() {
         Ok(found) => found,
         Err(e) => {
@@ -59,7 +76,7 @@
         Builder::new().spawn(exits).expect("a second thread");
     }
     Builder::new().spawn(move || watch(&discovery).ok()).expect("a second thread");
-    let balancer = Arc::new(Balancer { wrong, nodes, turn: AtomicUsize::new(0) });
+    let balancer = Arc::new(Balancer { wrong, nodes, turn: AtomicUsize::new(0), began: Instant::now() });
     for client in listener.incoming().flatten() {
         let balancer = Arc::clone(&balancer);
         // What breaks a connection, or finds no thread, ends it and nothing else.
@@ -164,6 +181,14 @@
                 _ => {}
             }
         }
+        let mut home = home;
+        if self.is("overruns") && home.is_none() && self.began.elapsed() > OVERRUNS {
+            home = self.nodes.first().map(|(name, _)| name.as_str());
+            for _ in 0..MORE {
+                self.attempt(line, home).ok();
+                sleep(APART);
+            }
+        }
         for _ in 0..ATTEMPTS {
             let Ok(node) = self.attempt(line, home) else { continue };
             if struck && self.is("two-at-once") {
