Run as many loops as the operator wants, each an instance of its own

workers = N in the operator's file starts N loops on threads, each with a listener on the same port, a module, tables and its share of descriptors and memory. The first one keeps the watch, runs the probes and hears the signals, for all; open ids are the process's. A worker that holds far more clients than another hands new ones on, and one that stalls or has ended has its listener served by its neighbour.

--- a/crates/balancer/benches/whole/measures.rs
+++ b/crates/balancer/benches/whole/measures.rs
@@ -239,14 +239,14 @@
         Ok(())
     }
 
-    /// One worker and four, which need a program that takes `--config FILE`.
+    /// One worker and four, which need a program that takes an operator's file.
     pub fn workers(&self) -> io::Result<()> {
         for workers in [1, 4] {
             let folder = tempfile::tempdir()?;
             let file = folder.path().join("own.toml");
             std::fs::write(&file, format!("workers = {workers}\n"))?;
             let mut start = self.start(FEW);
-            start.args.extend(["--config".into(), file.into()]);
+            start.args.extend(["--operator".into(), file.into()]);
             start.cores = (0..workers).map(|i| self.args.core - i).collect();
             for (plan, what) in [(Plan::SetUps(AT_ONCE), "set-ups"), (Plan::Busy(self.args.busy), "lines")] {
                 let subject = Subject::balancer(&start, self.port, |_| {})?;
--- a/crates/balancer/src/config.rs
+++ b/crates/balancer/src/config.rs
@@ -229,6 +229,13 @@
                 format!("{} is too few to serve anybody; at least {FEWEST_SOCKETS}", raw.limits.sockets),
             ));
         }
+        let operator = operator(env(OPERATOR))?;
+        if raw.limits.sockets / operator.workers < FEWEST_SOCKETS {
+            let (sockets, workers) = (raw.limits.sockets, operator.workers);
+            let why =
+                format!("{sockets} are too few for {workers} workers; at least {FEWEST_SOCKETS} for each");
+            return Err(form("limits.sockets", why));
+        }
         Ok(Config {
             name: or(raw.name, "name", "ROUTER_NAME")?,
             listen: address("listen", &or(raw.listen, "listen", "ROUTER_LISTEN")?)?,
@@ -244,10 +251,23 @@
             },
             give_up,
             tells_delay: named.specifics.tells_delay,
-            operator: operator(env(OPERATOR))?,
+            operator,
         })
     }
 
+    /// What one of several workers goes by: each is an instance of its own, with its share of what the process may hold.
+    /// All processes of a fleet have as many workers, or their numbers would not fit together.
+    pub fn of_worker(&self, worker: usize, workers: usize) -> Config {
+        let mut own = self.clone();
+        own.settings.me = self.settings.me * workers as u64 + worker as u64;
+        own.settings.proxies = self.settings.proxies * workers as f64;
+        own.limits.sockets = self.limits.sockets / workers;
+        own.limits.memory_mb = self.limits.memory_mb / workers as f64;
+        // The first one draws as the only one would.
+        own.seed = self.seed ^ (worker as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        own
+    }
+
     /// Whether `next` can take this one's place while the program runs. Reqs and servers that are here
     /// already name their class, tenant and zone by its place, so the names in force must keep theirs.
     pub fn may_become(&self, next: &Config) -> Result<(), ConfigError> {
@@ -272,6 +292,7 @@
         let changed = [
             ("name", self.name != next.name),
             ("listen", self.listen != next.listen),
+            ("workers", self.operator.workers != next.operator.workers),
             ("tenancy.on", self.operator.tenancy.on != next.operator.tenancy.on),
         ];
         changed.into_iter().filter(|c| c.1).map(|c| c.0).collect()
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -59,7 +59,7 @@
     }
 }
 
-fn serve(env: impl Fn(&str) -> Option<String> + 'static) -> ExitCode {
+fn serve(env: impl Fn(&str) -> Option<String> + Send + 'static) -> ExitCode {
     let config = match Config::read(&env) {
         Ok(config) => config,
         Err(e) => {
--- a/crates/balancer/src/net/clients/sessions.rs
+++ b/crates/balancer/src/net/clients/sessions.rs
@@ -1,13 +1,13 @@
 //! The table of sessions. It keeps which ids clients have opened with, and which sessions ask for nothing, in step
 //! with the stages.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use mio::net::TcpStream;
 use rustc_hash::FxHashMap;
 use shorewharf_decisions::interface::RequestId;
 
+use super::open_ids::OpenIds;
 use super::session::{Asking, Session, Stage, next_free};
 use super::unserved::Unserved;
 use crate::net::link::Link;
@@ -20,12 +20,17 @@
 pub struct Sessions {
     /// Boxed: the table of a large fleet has room for more than it holds.
     table: FxHashMap<RequestId, Box<Session>>,
-    open_ids: HashMap<u64, RequestId>,
+    open_ids: OpenIds,
     unserved: Unserved,
     next: u32,
 }
 
 impl Sessions {
+    /// Nobody has come yet; these ids are in use, here and at other workers.
+    pub fn new(open_ids: OpenIds) -> Self {
+        Sessions { open_ids, ..Sessions::default() }
+    }
+
     /// Takes in a client that has connected, under a number that neither a session nor whatever else is `in_use`
     /// has; none where its connection is gone already or can't be watched.
     pub fn begin(
@@ -57,11 +62,6 @@
         self.table.get_mut(&id).map(|s| &mut **s)
     }
 
-    /// Whether an open request came under this id.
-    pub fn has_open_id(&self, open_id: u64) -> bool {
-        self.open_ids.contains_key(&open_id)
-    }
-
     /// Sees to it that what is due of a session next is not missed. Whoever has changed its deadlines says so.
     pub fn arm(&mut self, turn: &mut Turn, id: RequestId) {
         let Some(s) = self.table.get_mut(&id) else { return };
@@ -80,13 +80,16 @@
         is_due
     }
 
-    /// A session's first line has come, under an id that no other has.
-    pub fn ask(&mut self, turn: &mut Turn, id: RequestId, asking: Asking) {
-        let Some(s) = self.table.get_mut(&id) else { return };
+    /// A session's first line has come; false, and nothing has changed, where an open request has its id.
+    pub fn ask(&mut self, turn: &mut Turn, id: RequestId, asking: Asking) -> bool {
+        let Some(s) = self.table.get_mut(&id) else { return false };
+        if !self.open_ids.claim(asking.open_id) {
+            return false;
+        }
         self.unserved.forget(s.since(), id);
-        self.open_ids.insert(asking.open_id, id);
         s.asks(turn.now, &turn.pool, asking);
         self.arm(turn, id);
+        true
     }
 
     /// Says a session's last words and awaits its end; false if it had them before.
@@ -94,7 +97,7 @@
         let Some(s) = self.table.get_mut(&id).filter(|s| s.stage() != Stage::Ending) else { return false };
         self.unserved.forget(s.since(), id);
         if let Some(open_id) = s.ends(turn.now, &turn.pool, words) {
-            self.open_ids.remove(&open_id);
+            self.open_ids.free(open_id);
         }
         self.unserved.ends(turn.now, id);
         self.arm(turn, id);
@@ -107,7 +110,7 @@
         s.alarm.off(turn);
         self.unserved.forget(s.since(), id);
         if let Some(open_id) = s.open_id() {
-            self.open_ids.remove(&open_id);
+            self.open_ids.free(open_id);
         }
     }
 
@@ -163,20 +166,24 @@
     fn an_open_id_is_its_sessions_until_the_last_words_or_the_end() {
         let (mut turn, mut sessions) = (turn(100), Sessions::default());
         let (id, _client) = begin(&mut sessions, &mut turn, u32::MAX);
-        assert_eq!((sessions.has_open_id(5), sessions.unserved()), (false, 1));
-        sessions.ask(&mut turn, id, asking(id));
-        assert_eq!((sessions.has_open_id(5), sessions.unserved()), (true, 0));
+        assert_eq!((sessions.open_ids.has(5), sessions.unserved()), (false, 1));
+        assert!(sessions.ask(&mut turn, id, asking(id)));
+        assert_eq!((sessions.open_ids.has(5), sessions.unserved()), (true, 0));
         assert!(!sessions.evict(&mut turn), "a client that asks for something went");
+        let (thief, _thief) = begin(&mut sessions, &mut turn, u32::MAX);
+        assert!(!sessions.ask(&mut turn, thief, asking(thief)), "an id of two open requests");
+        sessions.drop(&mut turn, thief);
+        assert!(sessions.open_ids.has(5));
         assert!(sessions.answer(&mut turn, id, b"BUSY\r\n"));
         assert!(!sessions.answer(&mut turn, id, b"ERR\r\n"), "a second answer");
-        assert_eq!((sessions.has_open_id(5), sessions.unserved()), (false, 1));
+        assert_eq!((sessions.open_ids.has(5), sessions.unserved()), (false, 1));
         // Its id is another's by now: the first one's end must not free it.
         let (other, _other) = begin(&mut sessions, &mut turn, u32::MAX);
-        sessions.ask(&mut turn, other, asking(other));
+        assert!(sessions.ask(&mut turn, other, asking(other)));
         sessions.drop(&mut turn, id);
-        assert_eq!((sessions.has_open_id(5), sessions.unserved(), sessions.len()), (true, 0, 1));
+        assert_eq!((sessions.open_ids.has(5), sessions.unserved(), sessions.len()), (true, 0, 1));
         sessions.drop(&mut turn, other);
-        assert!(!sessions.has_open_id(5));
+        assert!(!sessions.open_ids.has(5));
     }
 
     #[test]
@@ -203,7 +210,7 @@
             s.link.ready(READ);
             s.opens(100, &turn.pool) == First::Line(b"OPEN 5 6 c=chat".to_vec())
         });
-        sessions.ask(&mut turn, id, asking(id));
+        assert!(sessions.ask(&mut turn, id, asking(id)));
         let s = sessions.get_mut(id).expect("asked");
         assert_eq!(s.waits_on(&turn.pool), Patience::Waits);
         client.write_all(b"early").expect("open");
--- /dev/null
+++ b/crates/balancer/src/net/crew.rs
@@ -0,0 +1,228 @@
+//! The workers of a process: loops on threads of their own, each an instance with a module, tables and a listener. What
+//! they know of each other stands on a board; all else they tell each other in messages.
+//!
+//! The first one keeps the watch on discovery, runs the probes and hears the signals, for all. The system deals clients
+//! out by chance, so a worker that holds many more than another hands new ones on; and a worker that stalls, or has
+//! ended, has its listener served by its neighbour, so that new clients do not wait for it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering::Relaxed};
+use std::sync::mpsc::{Receiver, Sender, channel};
+
+use mio::Waker;
+use mio::net::{TcpListener, TcpStream};
+use shorewharf_decisions::interface::{Outcome, ServerId};
+use shorewharf_driver::Micros;
+use tracing::{info, warn};
+
+use super::list::director::News;
+use crate::config::Config;
+
+/// A worker that has not begun a turn for so long after it was to has stalled.
+const STALLS: Micros = 1_000_000;
+/// A worker hands clients on that holds more than the least loaded one by this part of what that one holds, or by this
+/// many where that is more. Fewer are not worth a message.
+const MORE_PART: usize = 8;
+const MORE_LEAST: usize = 4;
+
+/// What one worker tells another.
+#[derive(Debug)]
+pub enum Order {
+    /// A client that has connected elsewhere.
+    Client(TcpStream, SocketAddr),
+    /// Discovery's news.
+    News(News),
+    /// A module wants the watch on discovery.
+    Watch,
+    /// The module of this worker wants a server checked on.
+    Probe(usize, ServerId),
+    /// What came of that.
+    Probed(ServerId, Outcome),
+    /// Another configuration is in force.
+    Config(Box<Config>),
+    /// The planned end begins.
+    Stop,
+}
+
+/// A worker, as the others see it.
+#[derive(Debug)]
+struct Post {
+    orders: Sender<Order>,
+    waker: Waker,
+    /// Its listener, for its neighbour.
+    listener: TcpListener,
+    /// Clients that it holds.
+    clients: AtomicUsize,
+    /// Its next turn begins by then; 0 once it has ended.
+    turns_by: AtomicU64,
+}
+
+/// A worker's place on the board, before it starts.
+#[derive(Debug)]
+pub struct Seat {
+    post: Post,
+    orders: Receiver<Order>,
+}
+
+impl Seat {
+    /// The place of a worker that is woken like this, whose neighbour gets its listener.
+    pub fn new(waker: Waker, listener: TcpListener) -> Self {
+        let (sender, orders) = channel();
+        let (clients, turns_by) = (AtomicUsize::new(0), AtomicU64::new(Micros::MAX));
+        Seat { post: Post { orders: sender, waker, listener, clients, turns_by }, orders }
+    }
+}
+
+/// One worker's view of the crew.
+#[derive(Debug)]
+pub struct Crew {
+    me: usize,
+    board: Arc<Vec<Post>>,
+    orders: Receiver<Order>,
+    /// It serves its neighbour's listener.
+    helps: bool,
+}
+
+impl Crew {
+    /// The crew of these seats, as each of them sees it.
+    pub fn of(seats: Vec<Seat>) -> Vec<Crew> {
+        let (posts, orders): (Vec<_>, Vec<_>) = seats.into_iter().map(|p| (p.post, p.orders)).unzip();
+        let board = Arc::new(posts);
+        let view = |(me, orders)| Crew { me, board: Arc::clone(&board), orders, helps: false };
+        orders.into_iter().enumerate().map(view).collect()
+    }
+
+    /// Whether this is the one that keeps the watch and the probes for all.
+    pub fn leads(&self) -> bool {
+        self.me == 0
+    }
+
+    /// This worker's number.
+    pub fn me(&self) -> usize {
+        self.me
+    }
+
+    /// The next order for this worker.
+    pub fn next(&self) -> Option<Order> {
+        self.orders.try_recv().ok()
+    }
+
+    /// Tells another worker something; back comes what it can't be told because it has ended.
+    pub fn tell(&self, who: usize, order: Order) -> Result<(), Order> {
+        let post = &self.board[who];
+        post.orders.send(order).map_err(|e| e.0)?;
+        // Fails only where the system has no memory left; the next turn is a second away then.
+        let _ = post.waker.wake();
+        Ok(())
+    }
+
+    /// Tells all others something.
+    pub fn tell_others(&self, order: impl Fn(usize) -> Order) {
+        for who in (0..self.board.len()).filter(|who| *who != self.me) {
+            // Who has ended needs nothing.
+            let _ = self.tell(who, order(who));
+        }
+    }
+
+    /// Who is to take a client that has come here, if not this worker: the least loaded one that keeps up.
+    pub fn better(&self, now: Micros, held: usize) -> Option<usize> {
+        let others = self.board.iter().enumerate().filter(|(who, _)| *who != self.me);
+        let up = others.filter(|(_, post)| post.turns_by.load(Relaxed).saturating_add(STALLS) > now);
+        let (least, who) = up.map(|(who, post)| (post.clients.load(Relaxed), who)).min()?;
+        (held > least + (least / MORE_PART).max(MORE_LEAST)).then(|| {
+            self.board[who].clients.fetch_add(1, Relaxed);
+            who
+        })
+    }
+
+    /// This worker's turn has ended: it holds so many clients, and the next turn begins by then.
+    pub fn turns(&self, held: usize, next: Micros) {
+        self.board[self.me].clients.store(held, Relaxed);
+        self.board[self.me].turns_by.store(next, Relaxed);
+    }
+
+    /// Looks after the neighbour: its listener, where this worker is to serve it from now on or no longer.
+    pub fn looks_after(&mut self, now: Micros) -> Option<Help<'_>> {
+        let neighbour = (self.me + 1) % self.board.len();
+        let post = &self.board[neighbour];
+        let by = post.turns_by.load(Relaxed);
+        let stalls = by.saturating_add(STALLS) <= now;
+        if std::mem::replace(&mut self.helps, stalls) == stalls {
+            return None;
+        }
+        match (stalls, by) {
+            (true, 0) => {}
+            (true, by) => warn!(event = "worker-stalled", worker = neighbour, ms = (now - by) / 1000),
+            (false, _) => info!(event = "worker-back", worker = neighbour),
+        }
+        Some(if stalls { Help::Begins(&post.listener) } else { Help::Ends(&post.listener) })
+    }
+
+    /// The neighbour's listener, while this worker serves it.
+    pub fn helped(&self) -> Option<&TcpListener> {
+        self.helps.then(|| &self.board[(self.me + 1) % self.board.len()].listener)
+    }
+}
+
+/// This worker ends: nobody waits for it, and its neighbour serves its listener.
+impl Drop for Crew {
+    fn drop(&mut self) {
+        self.board[self.me].turns_by.store(0, Relaxed);
+    }
+}
+
+/// What is to be done with the neighbour's listener.
+#[derive(Debug)]
+pub enum Help<'a> {
+    /// It is to be served from now on.
+    Begins(&'a TcpListener),
+    /// The neighbour serves it again.
+    Ends(&'a TcpListener),
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::net::poll::Watch;
+
+    fn crew(n: usize) -> (Vec<Crew>, Vec<Watch>) {
+        let (mut seats, mut watches) = (Vec::new(), Vec::new());
+        for _ in 0..n {
+            let watch = Watch::new().expect("a loop");
+            let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
+            seats.push(Seat::new(watch.waker().expect("a waker"), listener));
+            watches.push(watch);
+        }
+        (Crew::of(seats), watches)
+    }
+
+    #[test]
+    fn clients_go_where_there_are_far_fewer_and_never_to_one_that_stalls() {
+        let (crew, _watches) = crew(3);
+        for (who, held) in [(0, 100), (1, 90), (2, 10)] {
+            crew[who].turns(held, 5_000_000);
+        }
+        assert_eq!((crew[1].better(5_000_000, 90), crew[2].better(5_000_000, 10)), (Some(2), None));
+        assert_eq!(crew[0].better(5_000_000, 15), None, "one more was handed on, and is counted");
+        // The emptiest one stalls; of the rest nobody holds far more.
+        crew[0].turns(100, 9_000_000);
+        crew[1].turns(90, 9_000_000);
+        assert_eq!(crew[0].better(5_000_000 + STALLS, 100), None);
+        assert_eq!(crew[0].better(5_000_000 + STALLS, 102), Some(1));
+    }
+
+    #[test]
+    fn a_worker_that_stalls_or_has_ended_has_its_listener_served_by_its_neighbour() {
+        let (mut crew, _watches) = crew(2);
+        crew[1].turns(0, 1_000_000);
+        assert!(crew[0].looks_after(1_000_000 + STALLS - 1).is_none());
+        assert!(matches!(crew[0].looks_after(1_000_000 + STALLS), Some(Help::Begins(_))));
+        assert!(crew[0].looks_after(1_000_000 + STALLS).is_none() && crew[0].helped().is_some());
+        crew[1].turns(0, 3_000_000);
+        assert!(matches!(crew[0].looks_after(2_500_000), Some(Help::Ends(_))) && crew[0].helped().is_none());
+        drop(crew.remove(1));
+        assert!(matches!(crew[0].looks_after(2_500_000), Some(Help::Begins(_))));
+        assert!(crew[0].tell(1, Order::Stop).is_err());
+    }
+}
--- a/crates/balancer/src/net/hub.rs
+++ b/crates/balancer/src/net/hub.rs
@@ -3,12 +3,14 @@
 use std::io;
 use std::net::SocketAddr;
 
-use mio::net::TcpListener;
+use mio::net::{TcpListener, TcpStream};
 use shorewharf_decisions::interface::{ListEntry, Outcome, RequestId, ServerId};
 use shorewharf_driver::{Happening, Micros, Peers};
 use shorewharf_protocol::list::Listing;
 use tracing::{error, info};
 
+use super::clients::open_ids::OpenIds;
+use super::crew::{Crew, Help, Order};
 use super::farewell::{Farewell, LEAVE_AFTER};
 use super::link::is_shortage;
 use super::list::director::{Director, News};
@@ -27,11 +29,26 @@
 /// How often servers' message delays are reported, as on the simulator's wire.
 const DELAY_PERIOD: Micros = 1_000_000;
 
+/// Where a worker stands.
+#[derive(Debug)]
+pub struct Place {
+    /// Where clients connect.
+    pub listener: TcpListener,
+    /// The other workers, if there are any.
+    pub crew: Option<Crew>,
+    /// The ids that clients have opened with, at all workers.
+    pub open_ids: OpenIds,
+}
+
 /// All peers, and the turn that they act in.
 #[derive(Debug)]
 pub struct Net {
     turn: Turn,
     listener: TcpListener,
+    /// The other workers, if there are any.
+    crew: Option<Crew>,
+    /// Clients may wait at the listener of a neighbour that stalls.
+    can_help: bool,
     /// Clients may wait to be accepted: the last look did not show that none does.
     can_accept: bool,
     /// They are to be accepted in this turn, or the next where there are more than one turn takes.
@@ -42,22 +59,25 @@
     director: Director,
     /// When SIGTERM came.
     leaving: Option<Micros>,
-    done: bool,
+    /// It has ended, with so many clients still here.
+    done: Option<usize>,
 }
 
 impl Net {
     /// Peers of a program that listens here and asks discovery there; nobody has come yet.
-    pub fn new(turn: Turn, listener: TcpListener, discovery: SocketAddr, terms: Terms) -> Self {
+    pub fn new(turn: Turn, at: Place, discovery: SocketAddr, terms: Terms) -> Self {
         let mut net = Net {
             turn,
-            listener,
+            listener: at.listener,
+            crew: at.crew,
+            can_help: false,
             can_accept: true,
             accepts: true,
             waits_for_room: false,
-            serving: Serving::new(terms),
+            serving: Serving::new(terms, at.open_ids),
             director: Director::new(discovery),
             leaving: None,
-            done: false,
+            done: None,
         };
         net.turn.pressure.set_aim(net.serving.terms.message_aim);
         net.turn.after(DELAY_PERIOD, Due::Delays);
@@ -72,11 +92,6 @@
         self.serving.backends.take_quietly(known, terms.most_servers)
     }
 
-    /// Where clients connect.
-    pub fn listens_at(&self) -> io::Result<SocketAddr> {
-        self.listener.local_addr()
-    }
-
     /// A turn begins at this time; time never goes back.
     pub fn begin(&mut self, now: Micros) {
         self.turn.begin(now);
@@ -87,7 +102,7 @@
         self.turn.pressure.set_aim(terms.message_aim);
         self.serving.take_terms(terms);
         let news = self.director.moves(&mut self.turn, discovery);
-        self.listed(news);
+        self.news(news);
     }
 
     /// What the loop has seen of a connection goes to whom it belongs to.
@@ -99,12 +114,13 @@
             Owner::Probe(number) => self.serving.probes.ready(turn, number, ready),
             Owner::Director => {
                 let news = self.director.ready(turn, &self.serving.terms, ready);
-                self.listed(news);
+                self.news(news);
             }
             // Those who are here come first: what they do may make room, and the module should know of it.
             Owner::Listener => (self.can_accept, self.accepts) = (true, true),
+            Owner::Neighbour => (self.can_help, self.accepts) = (true, true),
             // Orders are not the peers'.
-            Owner::Signals => {}
+            Owner::Signals | Owner::Orders => {}
         }
     }
 
@@ -130,6 +146,7 @@
         if self.serving.is_short() {
             self.accept_again();
         }
+        self.look_round();
     }
 
     fn due(&mut self, due: Due) {
@@ -141,10 +158,10 @@
             Due::Probe(number) => self.serving.probes.alarmed(turn, number),
             Due::Director => {
                 let news = self.director.alarmed(turn);
-                self.listed(news);
+                self.news(news);
             }
             Due::Accept => {
-                self.accepts = self.can_accept;
+                self.accepts = self.can_accept || self.can_help;
                 self.waits_for_room = false;
                 if self.serving.has_room() {
                     self.serving.note_short(false);
@@ -170,17 +187,20 @@
             false => self.turn.timers.next().unwrap_or(self.turn.now + LONGEST),
         };
         self.turn.ends(next);
+        if let Some(crew) = &self.crew {
+            crew.turns(self.serving.clients(), next);
+        }
         next
     }
 
-    /// Everybody has left: the program ends.
-    pub fn is_done(&self) -> bool {
+    /// Everybody has left, or so many were here still: the loop ends.
+    pub fn is_done(&self) -> Option<usize> {
         self.done
     }
 
     fn accept(&mut self, mut heard: impl FnMut(&mut Self)) {
         for _ in 0..self.turn.pressure.accepts() {
-            if !self.can_accept {
+            if !self.can_accept && !self.can_help {
                 break;
             }
             // Out of descriptors, clients wait in the backlog.
@@ -188,12 +208,14 @@
                 self.serving.note_short(true);
                 return self.accept_again();
             }
-            match self.listener.accept() {
+            match self.next_client() {
                 Ok((stream, from)) => {
-                    self.serving.client_comes(&mut self.turn, stream, from);
+                    self.client_comes(stream, from);
                     heard(self);
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.can_accept = false,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    (self.can_accept, self.can_help) = (false, false);
+                }
                 Err(e) if is_shortage(&e) => {
                     self.serving.note_short(true);
                     return self.accept_again();
@@ -209,7 +231,7 @@
         }
         // A flood must not keep the loop busy with turning clients away.
         match self.serving.has_room() {
-            true => self.accepts = self.can_accept,
+            true => self.accepts = self.can_accept || self.can_help,
             false => self.accept_again(),
         }
     }
@@ -220,25 +242,34 @@
         }
     }
 
-    fn listed(&mut self, news: Vec<News>) {
+    /// Discovery's news, for all workers.
+    fn news(&mut self, news: Vec<News>) {
         for news in news {
-            let happening = match news {
-                News::List(list) => {
-                    let full = list.snapshot;
-                    Happening::Listed { full, cached: false, entries: self.serving.take_list(list) }
-                }
-                News::Failed => Happening::DirectorFailed,
-            };
-            self.turn.tell(happening);
+            if let Some(crew) = &self.crew {
+                crew.tell_others(|_| Order::News(news.clone()));
+            }
+            self.listed(news);
         }
     }
 
+    fn listed(&mut self, news: News) {
+        let happening = match news {
+            News::List(list) => {
+                let full = list.snapshot;
+                Happening::Listed { full, cached: false, entries: self.serving.take_list(list) }
+            }
+            News::Failed => Happening::DirectorFailed,
+        };
+        self.turn.tell(happening);
+    }
+
     /// The planned end begins.
     pub fn stop_soon(&mut self) {
         if self.leaving.is_none() {
             self.leaving = Some(self.turn.now);
             let (sessions, waiting) = self.serving.close();
-            info!(event = "leaving", sessions, waiting);
+            let worker = self.crew.as_ref().map(Crew::me);
+            info!(event = "leaving", worker, sessions, waiting);
             self.turn.after(STEP, Due::Leave);
         }
     }
@@ -255,13 +286,98 @@
         }
         let clients = self.serving.clients();
         if since >= farewell.last || (since >= LEAVE_AFTER + STEP && clients == 0) {
-            info!(event = "left", sessions = clients);
-            self.done = true;
+            self.done = Some(clients);
         }
         self.turn.after(STEP, Due::Leave);
     }
 }
 
+/// Other workers.
+impl Net {
+    /// The next order, to be carried out by [`Net::order`] unless it is a configuration.
+    pub fn next_order(&self) -> Option<Order> {
+        self.crew.as_ref().and_then(Crew::next)
+    }
+
+    /// Carries out what another worker wants.
+    pub fn order(&mut self, order: Order) {
+        match order {
+            Order::Client(stream, from) => self.serving.client_comes(&mut self.turn, stream, from),
+            Order::News(news) => self.listed(news),
+            Order::Watch => self.watch(),
+            Order::Probe(other, server) => self.check_on(server, Some(other)),
+            Order::Probed(server, outcome) => self.turn.tell(Happening::Probed(server, outcome)),
+            Order::Stop => self.stop_soon(),
+            Order::Config(_) => {}
+        }
+    }
+
+    /// Gives all others an order.
+    pub fn tell_others(&self, order: impl Fn(usize) -> Order) {
+        if let Some(crew) = &self.crew {
+            crew.tell_others(order);
+        }
+    }
+
+    fn check_on(&mut self, server: ServerId, other: Option<usize>) {
+        let address = self.serving.backends.address(server).filter(|_| self.serving.has_room());
+        self.serving.probes.begin(&mut self.turn, server, address, other);
+    }
+
+    /// The next client that waits here, or at a neighbour that stalls.
+    fn next_client(&mut self) -> io::Result<(TcpStream, SocketAddr)> {
+        if self.can_accept {
+            match self.listener.accept() {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.can_accept = false,
+                accepted => return accepted,
+            }
+        }
+        match self.crew.as_ref().and_then(Crew::helped) {
+            Some(listener) if self.can_help => listener.accept(),
+            _ => Err(io::ErrorKind::WouldBlock.into()),
+        }
+    }
+
+    /// Takes in a client that has connected, unless another worker has far fewer.
+    fn client_comes(&mut self, stream: TcpStream, from: SocketAddr) {
+        let better = self
+            .crew
+            .as_ref()
+            .and_then(|crew| Some((crew, crew.better(self.turn.now, self.serving.clients())?)));
+        let left = match better {
+            Some((crew, who)) => crew.tell(who, Order::Client(stream, from)).err(),
+            None => Some(Order::Client(stream, from)),
+        };
+        if let Some(Order::Client(stream, from)) = left {
+            self.serving.client_comes(&mut self.turn, stream, from);
+        }
+    }
+
+    /// Tells other workers of their probes, and looks after the neighbour.
+    fn look_round(&mut self) {
+        let Some(crew) = &mut self.crew else { return };
+        for (who, server, outcome) in self.serving.probes.take_for_others() {
+            // Who has ended needs nothing.
+            let _ = crew.tell(who, Order::Probed(server, outcome));
+        }
+        // When the whole machine stood still, everybody seems to have stalled.
+        if self.turn.now < self.turn.judges_from() {
+            return;
+        }
+        let poller = &self.turn.poller;
+        let (helps, done) = match crew.looks_after(self.turn.now) {
+            Some(Help::Begins(listener)) => (true, poller.help(listener)),
+            Some(Help::Ends(listener)) => (false, poller.help_no_more(listener)),
+            None => return,
+        };
+        // Those who wait there already are no news to the loop.
+        (self.can_help, self.accepts) = (helps, self.accepts || helps);
+        if let Err(e) = done {
+            error!(event = "cannot-help", error = %e);
+        }
+    }
+}
+
 impl Peers for Net {
     fn now(&self) -> Micros {
         self.turn.now
@@ -292,13 +408,25 @@
     }
 
     fn probe(&mut self, server: ServerId) {
-        let address = self.serving.backends.address(server).filter(|_| self.serving.has_room());
-        self.serving.probes.begin(&mut self.turn, server, address);
+        match &self.crew {
+            Some(crew) if !crew.leads() => {
+                if crew.tell(0, Order::Probe(crew.me(), server)).is_err() {
+                    self.turn.tell(Happening::Probed(server, Outcome::ConnectFailed));
+                }
+            }
+            _ => self.check_on(server, None),
+        }
     }
 
     fn watch(&mut self) {
-        let news = self.director.watch(&mut self.turn);
-        self.listed(news);
+        match &self.crew {
+            // Without the one that leads, the whole process is about to end.
+            Some(crew) if !crew.leads() => drop(crew.tell(0, Order::Watch)),
+            _ => {
+                let news = self.director.watch(&mut self.turn);
+                self.news(news);
+            }
+        }
     }
 
     fn wake(&mut self, after: Micros, token: u64) {
--- a/crates/balancer/src/net/poll.rs
+++ b/crates/balancer/src/net/poll.rs
@@ -4,10 +4,12 @@
 //! before made five system calls for a wait where one does.
 
 use std::io;
+use std::os::fd::AsRawFd;
 use std::time::Duration;
 
 use mio::event::{Event, Source};
-use mio::{Events, Interest, Poll, Registry, Token};
+use mio::unix::SourceFd;
+use mio::{Events, Interest, Poll, Registry, Token, Waker};
 use shorewharf_decisions::interface::RequestId;
 
 use super::link::Link;
@@ -30,6 +32,10 @@
     Listener,
     /// Signals of the system's.
     Signals,
+    /// Orders of other workers.
+    Orders,
+    /// The listener of a worker that stalls.
+    Neighbour,
 }
 
 /// An owner's kind stands in a token above its number.
@@ -45,6 +51,8 @@
             Owner::Director => (3, 0),
             Owner::Listener => (4, 0),
             Owner::Signals => (5, 0),
+            Owner::Orders => (6, 0),
+            Owner::Neighbour => (7, 0),
         };
         Token((kind << KIND | number) as usize)
     }
@@ -57,7 +65,9 @@
             2 => Owner::Probe(number),
             3 => Owner::Director,
             4 => Owner::Listener,
-            _ => Owner::Signals,
+            5 => Owner::Signals,
+            6 => Owner::Orders,
+            _ => Owner::Neighbour,
         }
     }
 }
@@ -98,6 +108,11 @@
         Ok(Poller(self.poll.registry().try_clone()?))
     }
 
+    /// What wakes the loop for orders.
+    pub fn waker(&self) -> io::Result<Waker> {
+        Waker::new(self.poll.registry(), Owner::Orders.token())
+    }
+
     /// Waits until something has come, at most so long, rounded up to whole milliseconds.
     pub fn wait(&mut self, most: Duration) -> io::Result<()> {
         match self.poll.poll(&mut self.events, Some(most)) {
@@ -127,6 +142,16 @@
     pub fn listen(&self, source: &mut impl Source, owner: Owner) -> io::Result<()> {
         self.0.register(source, owner.token(), Interest::READABLE)
     }
+
+    /// Has the loop watch another worker's listener.
+    pub fn help(&self, listener: &impl AsRawFd) -> io::Result<()> {
+        self.0.register(&mut SourceFd(&listener.as_raw_fd()), Owner::Neighbour.token(), Interest::READABLE)
+    }
+
+    /// No longer.
+    pub fn help_no_more(&self, listener: &impl AsRawFd) -> io::Result<()> {
+        self.0.deregister(&mut SourceFd(&listener.as_raw_fd()))
+    }
 }
 
 #[cfg(test)]
@@ -143,6 +168,8 @@
             Owner::Director,
             Owner::Listener,
             Owner::Signals,
+            Owner::Orders,
+            Owner::Neighbour,
         ] {
             assert_eq!(Owner::of(owner.token()), owner);
         }
--- a/crates/balancer/src/net/servers/probes.rs
+++ b/crates/balancer/src/net/servers/probes.rs
@@ -21,26 +21,51 @@
     server: ServerId,
     asked: bool,
     timer: Key,
+    /// The other workers that want it too, and whether this one does.
+    others: Vec<usize>,
+    own: bool,
 }
 
-/// The table of probes, by number. Each that was begun is told of once, when it is over.
+/// The table of probes, by number. Each that was asked for is told of once, when it is over; a server has one at a time,
+/// whoever wants it.
 #[derive(Debug, Default)]
 pub struct Probes {
     table: BTreeMap<u64, Probe>,
     begun: u64,
+    /// What other workers are to be told.
+    for_others: Vec<(usize, ServerId, Outcome)>,
 }
 
 impl Probes {
-    /// Checks on a server; without an address there is nothing to be reached.
-    pub fn begin(&mut self, turn: &mut Turn, server: ServerId, address: Option<SocketAddr>) {
+    /// Checks on a server, for another worker or for this one; without an address there is nothing to be reached.
+    pub fn begin(
+        &mut self,
+        turn: &mut Turn,
+        server: ServerId,
+        address: Option<SocketAddr>,
+        other: Option<usize>,
+    ) {
+        if let Some(probe) =
+            self.table.values_mut().find(|p| p.server == server && (other.is_some() || !p.own))
+        {
+            probe.own |= other.is_none();
+            probe.others.extend(other);
+            return;
+        }
         self.begun += 1;
         let number = self.begun;
         let watched = |mut link| turn.poller.watch(&mut link, Owner::Probe(number)).then_some(link);
         let Some(link) = address.and_then(|to| Link::connect(to).ok()).and_then(watched) else {
-            return turn.tell(Happening::Probed(server, Outcome::ConnectFailed));
+            return match other {
+                Some(other) => self.for_others.push((other, server, Outcome::ConnectFailed)),
+                None => turn.tell(Happening::Probed(server, Outcome::ConnectFailed)),
+            };
         };
         let timer = turn.after(PROBE, Due::Probe(number));
-        self.table.insert(number, Probe { link, server, asked: false, timer });
+        self.table.insert(
+            number,
+            Probe { link, server, asked: false, timer, others: Vec::from_iter(other), own: other.is_none() },
+        );
         self.ready(turn, number, Ready::default());
     }
 
@@ -71,10 +96,18 @@
     pub fn end(&mut self, turn: &mut Turn, number: u64, outcome: Outcome) {
         if let Some(probe) = self.table.remove(&number) {
             turn.timers.cancel(probe.timer);
-            turn.tell(Happening::Probed(probe.server, outcome));
+            if probe.own {
+                turn.tell(Happening::Probed(probe.server, outcome));
+            }
+            self.for_others.extend(probe.others.into_iter().map(|other| (other, probe.server, outcome)));
         }
     }
 
+    /// Takes out what other workers are to be told.
+    pub fn take_for_others(&mut self) -> Vec<(usize, ServerId, Outcome)> {
+        std::mem::take(&mut self.for_others)
+    }
+
     /// A probe's timer has come.
     pub fn alarmed(&mut self, turn: &mut Turn, number: u64) {
         match self.table.get_mut(&number) {
@@ -108,11 +141,11 @@
     #[test]
     fn a_probe_is_told_of_once_whatever_comes_first() {
         let (mut turn, mut probes) = (turn(0), Probes::default());
-        probes.begin(&mut turn, ServerId(4), None);
+        probes.begin(&mut turn, ServerId(4), None, None);
         assert_eq!(told(&mut turn), Some(Outcome::ConnectFailed), "there is nothing to be reached");
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         for (number, answer, outcome) in [(2, "PONG\r\n", Outcome::Ok), (3, "NO\r\n", Outcome::Error)] {
-            probes.begin(&mut turn, ServerId(4), listener.local_addr().ok());
+            probes.begin(&mut turn, ServerId(4), listener.local_addr().ok(), None);
             let (mut server, _) = listener.accept().expect("the probe");
             server.write_all(answer.as_bytes()).expect("open");
             until(|| {
@@ -122,10 +155,14 @@
             probes.end(&mut turn, number, Outcome::TimedOut);
             assert_eq!((told(&mut turn), told(&mut turn)), (Some(outcome), None));
         }
-        probes.begin(&mut turn, ServerId(4), listener.local_addr().ok());
+        probes.begin(&mut turn, ServerId(4), listener.local_addr().ok(), None);
         turn.begin(PROBE);
         assert_eq!(turn.timers.due(), Some(Due::Probe(4)));
+        // Another worker wants the same, and gets the same answer without a probe of its own.
+        probes.begin(&mut turn, ServerId(4), listener.local_addr().ok(), Some(2));
+        assert_eq!(probes.len(), 1);
         probes.end(&mut turn, 4, Outcome::TimedOut);
         assert_eq!((told(&mut turn), probes.len()), (Some(Outcome::TimedOut), 0));
+        assert_eq!(probes.take_for_others(), [(2, ServerId(4), Outcome::TimedOut)]);
     }
 }
--- a/crates/balancer/src/net/serving/mod.rs
+++ b/crates/balancer/src/net/serving/mod.rs
@@ -14,6 +14,7 @@
 use tracing::{debug, warn};
 
 use crate::net::budget::{Budget, Held};
+use crate::net::clients::open_ids::OpenIds;
 use crate::net::clients::session::{Asking, Ending, First, Patience, Session, Stage};
 use crate::net::clients::sessions::Sessions;
 use crate::net::complaints::Complaints;
@@ -56,13 +57,13 @@
 
 impl Serving {
     /// Nobody has come yet.
-    pub fn new(terms: Terms) -> Self {
+    pub fn new(terms: Terms, open_ids: OpenIds) -> Self {
         Serving {
             budget: Budget::new(terms.sockets),
             terms,
             backends: Backends::default(),
             probes: Probes::default(),
-            sessions: Sessions::default(),
+            sessions: Sessions::new(open_ids),
             fetches: Fetches::default(),
             complaints: Complaints::default(),
             again: Vec::new(),
@@ -192,11 +193,6 @@
             Err(why) => return self.malformed(turn, id, why),
         };
         let home = open.home.as_deref().map(server_id);
-        if self.sessions.has_open_id(open.id) {
-            // The id of another client's request. Whoever retries or was moved comes under a new one, and the
-            // one from before was let go with its answer or its MOVE.
-            return self.malformed(turn, id, "the id is in use");
-        }
         if home.is_some_and(|home| !self.backends.is_listed(home)) {
             return self.malformed(turn, id, "at= names no server");
         }
@@ -212,7 +208,11 @@
             returning: open.returning,
         };
         let until = if home.is_some() { turn.now + CARRY } else { req.deadline };
-        self.sessions.ask(turn, id, Asking { line, open_id: open.id, req, home, until });
+        if !self.sessions.ask(turn, id, Asking { line, open_id: open.id, req, home, until }) {
+            // The id of another client's request. Whoever retries or was moved comes under a new one, and the
+            // one from before was let go with its answer or its MOVE.
+            return self.malformed(turn, id, "the id is in use");
+        }
         if self.closing {
             // What is taken now would only have to move: the front stops sending here in a moment.
             return self.refuse(turn, id, LEAVE_AFTER);
--- /dev/null
+++ b/crates/balancer/src/net/workers.rs
@@ -0,0 +1,241 @@
+//! The loops: one, or as many as the operator wants, each on a thread of its own.
+
+use std::io;
+use std::net::SocketAddr;
+use std::process::exit;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use mio::net::TcpListener;
+use shorewharf_driver::{Driver, Micros};
+use shorewharf_protocol::list::Listing;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook_mio::v1_0::Signals;
+use socket2::{Domain, Socket, Type};
+use tracing::{error, info};
+
+use super::Clock;
+use super::clients::open_ids::OpenIds;
+use super::crew::{Crew, Order, Seat};
+use super::hub::{Net, Place};
+use super::poll::{Owner, Ready, Watch};
+use super::reload;
+use super::terms::Terms;
+use super::turn::Turn;
+use crate::config::{Config, ConfigError};
+
+/// Connections that the system holds until they are accepted.
+const BACKLOG: i32 = 4096;
+/// A worker's thread has panicked, which ends the program as it would with one thread.
+const PANICKED: i32 = 101;
+
+/// Reads the configuration again, whole.
+type Reread = Box<dyn Fn() -> Result<Config, ConfigError> + Send>;
+
+/// What the first worker does for all.
+struct Lead {
+    signals: Signals,
+    reread: Reread,
+    /// The configuration in force, the whole program's.
+    config: Config,
+    workers: usize,
+}
+
+/// The peers of a worker, and the driver that stands between them and the decisions.
+struct Worker {
+    net: Net,
+    driver: Driver,
+    lead: Option<Lead>,
+}
+
+impl Worker {
+    /// A turn: each peer that the loop has seen something of acts, and the module hears of it before the next does.
+    fn turn(&mut self, now: Micros, seen: impl Iterator<Item = (Owner, Ready)>) {
+        self.net.begin(now);
+        for (owner, ready) in seen {
+            match owner {
+                Owner::Signals => self.signalled(),
+                Owner::Orders => self.ordered(),
+                owner => self.net.seen(owner, ready),
+            }
+            self.driver.settle(&mut self.net);
+        }
+        let driver = &mut self.driver;
+        self.net.finish(|net| driver.settle(net));
+    }
+
+    fn ordered(&mut self) {
+        while let Some(order) = self.net.next_order() {
+            match order {
+                Order::Config(config) => reload::apply(&config, &mut self.net, &mut self.driver),
+                order => self.net.order(order),
+            }
+            self.driver.settle(&mut self.net);
+        }
+    }
+
+    fn signalled(&mut self) {
+        let Some(lead) = &mut self.lead else { return };
+        let came: Vec<_> = lead.signals.pending().collect();
+        for signal in came {
+            if signal == SIGHUP {
+                self.reload();
+            } else {
+                self.net.tell_others(|_| Order::Stop);
+                self.net.stop_soon();
+            }
+        }
+    }
+
+    /// SIGHUP has come. Several close together may come as one: the file is read as it is now.
+    fn reload(&mut self) {
+        let Some(lead) = &mut self.lead else { return };
+        let taken = (lead.reread)().and_then(|next| reload::take(&mut lead.config, next));
+        if let Err(e) = taken {
+            // Nothing of a file that is wrong anywhere is applied.
+            return error!(event = "reload-refused", key = e.key(), why = %e.why());
+        }
+        let own = |worker| lead.config.of_worker(worker, lead.workers);
+        self.net.tell_others(|worker| Order::Config(Box::new(own(worker))));
+        reload::apply(&own(0), &mut self.net, &mut self.driver);
+    }
+}
+
+/// What a worker starts with.
+struct Start {
+    watch: Watch,
+    place: Place,
+    config: Config,
+    known: Arc<Listing>,
+    clock: Clock,
+    /// The first one's.
+    lead: Option<Lead>,
+}
+
+impl Start {
+    /// Works until the planned end; tells how many clients were still here.
+    fn work(mut self) -> io::Result<usize> {
+        let (config, clock) = (self.config, self.clock);
+        let mut place = self.place;
+        let poller = self.watch.poller()?;
+        poller.listen(&mut place.listener, Owner::Listener)?;
+        let address = place.listener.local_addr()?;
+        let turn = Turn::new(poller, clock.read());
+        let mut net = Net::new(turn, place, config.discovery, Terms::from(&config));
+        // Held once: by the tables from now on.
+        let known = net.list_known(&self.known);
+        drop(self.known);
+        let servers = known.len();
+        let driver = Driver::start(config.settings, &config.operator, config.seed, known, &mut net);
+        if let Some(lead) = &self.lead {
+            // The address that is bound: the port may have been left to the system.
+            let workers = (lead.workers > 1).then_some(lead.workers);
+            info!(event = "serving", name = config.name, listen = %address, servers, workers);
+        }
+        let mut worker = Worker { net, driver, lead: self.lead };
+        worker.turn(clock.read(), std::iter::empty());
+        loop {
+            if let Some(clients) = worker.net.is_done() {
+                return Ok(clients);
+            }
+            let now = clock.read();
+            let wait = worker.net.ends(now).saturating_sub(now);
+            self.watch.wait(Duration::from_micros(wait))?;
+            worker.turn(clock.read(), self.watch.seen());
+        }
+    }
+}
+
+/// Listens for one of several workers, or the only one.
+fn listen(at: SocketAddr, one_of_several: bool) -> io::Result<std::net::TcpListener> {
+    let socket = Socket::new(Domain::for_address(at), Type::STREAM, None)?;
+    // A balancer comes back under its address while connections of its past life linger.
+    socket.set_reuse_address(true)?;
+    if one_of_several {
+        socket.set_reuse_port(true)?;
+    }
+    // Lines are short and wanted at once; connections that are accepted take it over.
+    socket.set_tcp_nodelay(true)?;
+    socket.bind(&at.into())?;
+    socket.listen(BACKLOG)?;
+    socket.set_nonblocking(true)?;
+    Ok(socket.into())
+}
+
+/// Ends the program if its thread panics: clients must not wait for a worker that is gone.
+struct OneForAll;
+
+impl Drop for OneForAll {
+    fn drop(&mut self) {
+        if thread::panicking() {
+            exit(PANICKED);
+        }
+    }
+}
+
+/// Runs the balancer until it is told to end. On SIGHUP it takes what `reread` brings.
+///
+/// # Errors
+/// Where it can't listen at the configured address, or the event loop fails.
+pub fn run(
+    mut config: Config,
+    reread: impl Fn() -> Result<Config, ConfigError> + Send + 'static,
+) -> io::Result<()> {
+    let workers = config.operator.workers;
+    let watches = (0..workers).map(|_| Watch::new()).collect::<io::Result<Vec<_>>>()?;
+    // Before anything is opened: a SIGHUP that nobody waits for ends the program.
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
+    watches[0].poller()?.listen(&mut signals, Owner::Signals)?;
+    let mut listeners = vec![listen(config.listen, workers > 1)?];
+    // The port may have been left to the system for the first one only.
+    let at = listeners[0].local_addr()?;
+    for _ in 1..workers {
+        listeners.push(listen(at, true)?);
+    }
+    let mut crew = Vec::new();
+    if workers > 1 {
+        for (watch, listener) in watches.iter().zip(&listeners) {
+            crew.push(Seat::new(watch.waker()?, TcpListener::from_std(listener.try_clone()?)));
+        }
+    }
+    let mut crew = Crew::of(crew).into_iter().map(Some).collect::<Vec<_>>();
+    crew.resize_with(workers, || None);
+    let (clock, open_ids) = (Clock::new(), OpenIds::default());
+    let known = Arc::new(std::mem::take(&mut config.known));
+    let place = |(listener, crew)| Place {
+        listener: TcpListener::from_std(listener),
+        crew,
+        open_ids: open_ids.clone(),
+    };
+    let places = listeners.into_iter().zip(crew).map(place);
+    let mut starts: Vec<Start> = watches
+        .into_iter()
+        .zip(places)
+        .enumerate()
+        .map(|(worker, (watch, place))| {
+            let config = config.of_worker(worker, workers);
+            Start { watch, place, config, known: Arc::clone(&known), clock, lead: None }
+        })
+        .collect();
+    drop(known);
+    let mut first = starts.remove(0);
+    let mut threads = Vec::new();
+    for (i, start) in starts.into_iter().enumerate() {
+        let work = move || {
+            let _ends = OneForAll;
+            start.work().unwrap_or_else(|e| {
+                error!(event = "cannot-run", worker = i + 1, error = %e);
+                exit(1);
+            })
+        };
+        threads.push(thread::Builder::new().name(format!("worker-{}", i + 1)).spawn(work)?);
+    }
+    first.lead = Some(Lead { signals, reread: Box::new(reread), config, workers });
+    let mut clients = first.work()?;
+    for thread in threads {
+        clients += thread.join().unwrap_or(0);
+    }
+    info!(event = "left", sessions = clients);
+    Ok(())
+}
--- a/crates/balancer/tests/sockets/main.rs
+++ b/crates/balancer/tests/sockets/main.rs
@@ -4,6 +4,7 @@
 mod cli;
 mod model;
 mod reload;
+mod workers;
 
 use std::io::{ErrorKind, Write};
 use std::net::SocketAddr;
@@ -471,6 +472,7 @@
         let at = sent % line.len();
         match (&mut s.stream()).write(&line[at..]) {
             Ok(n) => sent += n,
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
             Err(e) => break e.kind(),
         }
         assert!(sent < most, "the program takes in everything");
--- a/crates/emulator/src/standin/program.rs
+++ b/crates/emulator/src/standin/program.rs
@@ -77,11 +77,16 @@
 }
 
 impl Started {
-    fn new(binary: &OsStr, config: &str) -> Self {
+    fn new(binary: &OsStr, config: &str, operator: Option<&str>) -> Self {
         let folder = Folder::new();
         let file = folder.0.join(CONFIG);
         std::fs::write(&file, config).expect("a file");
         let mut command = Command::new(binary);
+        if let Some(operator) = operator {
+            let file = folder.0.join("operator.toml");
+            std::fs::write(&file, operator).expect("a file");
+            command.env("SHOREWHARF_OPERATOR", file);
+        }
         // At this level each step of a client's is an event that a test can wait for.
         let command = command.env("ROUTER_CONFIG", &file).env("SHOREWHARF_LOG", "debug");
         let child = command.stdin(Stdio::null()).stderr(Stdio::piped()).spawn();
@@ -102,7 +107,7 @@
 
 /// Starts a program on a configuration that it must refuse: its exit code and its log.
 pub fn refused_start(binary: impl AsRef<OsStr>, config: &Value) -> (Option<i32>, String) {
-    let mut started = Started::new(binary.as_ref(), &config.to_string());
+    let mut started = Started::new(binary.as_ref(), &config.to_string(), None);
     let stderr = started.child.stderr.take().expect("piped");
     let log = std::io::read_to_string(stderr).expect("text");
     (started.child.wait().expect("it ends").code(), log)
@@ -121,7 +126,18 @@
     /// Starts a program on a configuration and waits until it serves.
     #[track_caller]
     pub fn start(binary: impl AsRef<OsStr>, config: &Value) -> Self {
-        let mut started = Started::new(binary.as_ref(), &config.to_string());
+        Program::begin(binary.as_ref(), config, None)
+    }
+
+    /// The same with a file of the operator's own.
+    #[track_caller]
+    pub fn start_with(binary: impl AsRef<OsStr>, config: &Value, operator: &str) -> Self {
+        Program::begin(binary.as_ref(), config, Some(operator))
+    }
+
+    #[track_caller]
+    fn begin(binary: &OsStr, config: &Value, operator: Option<&str>) -> Self {
+        let mut started = Started::new(binary, &config.to_string(), operator);
         let stderr = BufReader::new(started.child.stderr.take().expect("piped"));
         let (sender, log) = channel();
         thread::spawn(move || stderr.lines().map_while(Result::ok).try_for_each(|line| sender.send(line)));
--- a/crates/settings/src/operator.rs
+++ b/crates/settings/src/operator.rs
@@ -26,13 +26,24 @@
 }
 
 /// All that the operator says.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(default, deny_unknown_fields)]
 pub struct Operator {
+    /// Loops on threads of their own; each is an instance of its own to the rules.
+    pub workers: usize,
     /// Tenants' shares.
     pub tenancy: Tenancy,
 }
 
+impl Default for Operator {
+    fn default() -> Self {
+        Operator { workers: 1, tenancy: Tenancy::default() }
+    }
+}
+
+/// Workers beyond this help nobody: each has a table of its own, and there are not so many cores.
+const MOST_WORKERS: usize = 64;
+
 /// How tenants' shares are kept.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
 #[serde(default, deny_unknown_fields)]
@@ -58,7 +69,9 @@
     pub fn parse(text: &str) -> Result<Operator, OperatorError> {
         let operator: Operator = serde_path_to_error::deserialize(toml::Deserializer::parse(text)?)?;
         let Tenancy { lend, moves_per_s, .. } = operator.tenancy;
+        let workers = operator.workers;
         for (key, value, good, allowed) in [
+            ("workers", workers as f64, (1..=MOST_WORKERS).contains(&workers), "from 1 to 64"),
             ("tenancy.lend", lend, (0.05..=1.0).contains(&lend), "from 0.05 to 1"),
             ("tenancy.moves_per_s", moves_per_s, (0.1..=1e9).contains(&moves_per_s), "from 0.1 to 1e9"),
         ] {
