--- a/crates/balancer/src/net/serving.rs
+++ b/crates/balancer/src/net/serving/mod.rs
@@ -1,35 +1,38 @@
 //! Client sessions and the servers they are brought to: composes the tables of both sides, tells the driver what
 //! happens, and carries out what it wants of them.
 
-use std::net::{SocketAddr, TcpStream};
+mod due;
+mod standing;
 
+use std::net::SocketAddr;
+
+use mio::net::TcpStream;
 use shorewharf_decisions::interface::{ListEntry, Outcome, RequestId, ServerId};
 use shorewharf_driver::{Happening, Micros, Req};
-use shorewharf_protocol::list::Listing;
 use shorewharf_protocol::open::parse_open;
 use shorewharf_protocol::words::busy;
-use tracing::{debug, error, warn};
-
-use super::budget::{Budget, Held};
-use super::clients::session::{Asking, First, Patience, Session, Stage};
-use super::clients::sessions::Sessions;
-use super::complaints::Complaints;
-use super::farewell::LEAVE_AFTER;
-use super::link::End;
-use super::relay::{Fate, ends, relay};
-use super::servers::backends::{Backends, server_id};
-use super::servers::delays::{Figure, Sight};
-use super::servers::fetches::{self, Answer, Fetches, Hindrance};
-use super::servers::probes::Probes;
-use super::terms::Terms;
-use super::turn::Turn;
+use tracing::{debug, warn};
+
+use crate::net::budget::{Budget, Held};
+use crate::net::clients::open_ids::OpenIds;
+use crate::net::clients::session::{Asking, Ending, First, Patience, Session, Stage};
+use crate::net::clients::sessions::Sessions;
+use crate::net::complaints::Complaints;
+use crate::net::farewell::LEAVE_AFTER;
+use crate::net::list::incoming::{Incoming, server_id};
+use crate::net::poll::Ready;
+use crate::net::servers::backends::Backends;
+use crate::net::servers::fetches::{self, Answer, Fetches, Hindrance};
+use crate::net::servers::probes::Probes;
+use crate::net::terms::Terms;
+use crate::net::turn::Turn;
 
 /// A connection from before the start has this long to stand again.
 const CARRY: Micros = 38_000_000;
-/// A client that the module has not answered by then is answered all the same.
-const OVERDUE: Micros = 15_000;
 /// The wait told to clients whom the program refuses by itself.
 const COME_BACK: Micros = 300_000;
+/// The same where the program can't keep up: what helps is that fewer come.
+const COME_BACK_LATER: Micros = 1_000_000;
 
 /// All peers but the director.
 #[derive(Debug)]
@@ -44,24 +47,27 @@
     fetches: Fetches,
     budget: Budget,
     complaints: Complaints,
-    /// Connections with more to carry, which let the others have their turn.
+    /// Connections with more to carry or to read, which let the others have their turn.
     again: Vec<RequestId>,
+    /// Those that have asked or been answered lately, each once: only they tell of message delays.
+    sighted: Vec<RequestId>,
     /// The program is about to end: nobody new is served.
     closing: bool,
 }
 
 impl Serving {
     /// Nobody has come yet.
-    pub fn new(terms: Terms) -> Self {
+    pub fn new(terms: Terms, open_ids: OpenIds) -> Self {
         Serving {
             budget: Budget::new(terms.sockets),
             terms,
             backends: Backends::default(),
             probes: Probes::default(),
-            sessions: Sessions::default(),
+            sessions: Sessions::new(open_ids),
             fetches: Fetches::default(),
             complaints: Complaints::default(),
             again: Vec::new(),
+            sighted: Vec::new(),
             closing: false,
         }
     }
@@ -73,9 +79,9 @@
     }
 
     /// Takes in a list from discovery: what the module is told of it.
-    pub fn take_list(&mut self, listing: &Listing) -> Vec<ListEntry> {
+    pub fn take_list(&mut self, list: Incoming) -> Vec<ListEntry> {
         let fetches = &self.fetches;
-        self.backends.take(listing, &self.terms.names, |server| fetches.any_at(server))
+        self.backends.take(list, self.terms.most_servers, |server| fetches.any_at(server))
     }
 }
 
@@ -92,7 +98,7 @@
     }
 
     /// Has a descriptor for a connection to a server, at the cost of those who ask for nothing.
-    fn make_room(&mut self, turn: &Turn) -> bool {
+    fn make_room(&mut self, turn: &mut Turn) -> bool {
         while !self.has_room() {
             if !self.budget.can_make_room(self.held()) || !self.sessions.evict(turn) {
                 return false;
@@ -120,23 +126,23 @@
         let Some(id) = self.sessions.begin(turn, stream, from, |id| fetches.has(id)) else { return };
         // Who has asked for nothing for longest goes first: the one that has just come is the last.
         while self.budget.is_over(self.held()) && self.sessions.evict(turn) {}
-        self.session_ready(turn, id, true, true);
+        self.session_ready(turn, id, Ready::default());
     }
 
     /// A client's connection is ready.
-    pub fn session_ready(&mut self, turn: &mut Turn, id: RequestId, read: bool, write: bool) {
+    pub fn session_ready(&mut self, turn: &mut Turn, id: RequestId, ready: Ready) {
         let Some(s) = self.sessions.get_mut(id) else { return };
-        s.link.ready(read, write);
+        s.link.ready(ready);
         match s.stage() {
             Stage::Opening => {
                 let from = s.from();
                 match s.opens(turn.now, &turn.pool) {
-                    First::Part => {}
+                    First::Part => self.sessions.arm(turn, id),
                     First::Line(line) => self.req_comes(turn, id, &line),
                     First::End => self.half_line(turn, id),
                     First::TooMany => self.malformed(turn, id, "too many commands at a time"),
                     First::TooLong => {
-                        if self.complaints.may(turn.now) {
+                        if self.complaints.may(turn) {
                             warn!(event = "line-too-long", peer = "client", client = %from);
                         }
                         self.answer_failed(turn, id);
@@ -156,11 +162,11 @@
     }
 
     /// A client ended, or took too long, with its first line unfinished or unsaid.
-    fn half_line(&mut self, turn: &Turn, id: RequestId) {
+    fn half_line(&mut self, turn: &mut Turn, id: RequestId) {
         let Some(s) = self.sessions.get(id) else { return };
         if !s.link.held().is_empty() {
             let from = s.from();
-            if self.complaints.may(turn.now) {
+            if self.complaints.may(turn) {
                 warn!(event = "half-line", client = %from);
             }
         }
@@ -171,7 +177,7 @@
     fn malformed(&mut self, turn: &mut Turn, id: RequestId, why: &str) {
         let Some(s) = self.sessions.get(id) else { return };
         let (from, waits) = (s.from(), s.waits());
-        if self.complaints.may(turn.now) {
+        if self.complaints.may(turn) {
             warn!(event = "malformed", client = %from, why);
         }
         if waits {
@@ -187,11 +193,6 @@
             Err(why) => return self.malformed(turn, id, why),
         };
         let home = open.home.as_deref().map(server_id);
-        if self.sessions.has_open_id(open.id) {
-            // The id of another client's request. Whoever retries or was moved comes under a new one, and the
-            // one from before was let go with its answer or its MOVE.
-            return self.malformed(turn, id, "the id is in use");
-        }
         if home.is_some_and(|home| !self.backends.is_listed(home)) {
             return self.malformed(turn, id, "at= names no server");
         }
@@ -207,18 +208,26 @@
             returning: open.returning,
         };
         let until = if home.is_some() { turn.now + CARRY } else { req.deadline };
-        self.sessions.ask(turn, id, Asking { line, open_id: open.id, req, home, until });
+        if !self.sessions.ask(turn, id, Asking { line, open_id: open.id, req, home, until }) {
+            // The id of another client's request. Whoever retries or was moved comes under a new one, and the
+            // one from before was let go with its answer or its MOVE.
+            return self.malformed(turn, id, "the id is in use");
+        }
         if self.closing {
             // What is taken now would only have to move: the front stops sending here in a moment.
             return self.refuse(turn, id, LEAVE_AFTER);
         }
+        if home.is_none() && !turn.pressure.admits() {
+            // Guards those who stand: a refusal costs a tenth of a set-up.
+            return self.refuse(turn, id, COME_BACK_LATER);
+        }
         if !self.make_room(turn) {
             // Guards the descriptor limit: refused before a fetch could need one more.
             self.note_short(true);
             return self.refuse(turn, id, COME_BACK);
         }
         // The client may have left behind its line already, or said more than it should.
-        self.session_ready(turn, id, false, false);
+        self.session_ready(turn, id, Ready::default());
         if !self.sessions.get(id).is_some_and(Session::waits) {
             return;
         }
@@ -252,9 +261,11 @@
         self.answer(turn, id, b"ERR\r\n");
     }
 
-    fn session_ends(&mut self, turn: &Turn, id: RequestId) {
-        if self.sessions.get_mut(id).is_some_and(|s| s.is_over(&turn.pool)) {
-            self.sessions.drop(turn, id);
+    fn session_ends(&mut self, turn: &mut Turn, id: RequestId) {
+        match self.sessions.get_mut(id).map(|s| s.ending(&turn.pool)) {
+            Some(Ending::Over) => self.sessions.drop(turn, id),
+            Some(Ending::More) => self.again.push(id),
+            Some(Ending::Waits) | None => {}
         }
     }
 }
@@ -303,9 +314,10 @@
         if self.sessions.get_mut(id).is_some_and(|s| s.carry_failed(turn.now)) {
             warn!(event = "carried-not-up", server = self.backends.name(Some(home)), ?outcome);
         }
-        // The sweep tries again what has never run.
-        if !outcome.never_ran() {
-            self.answer_failed(turn, id);
+        // What has never run is tried again.
+        match outcome.never_ran() {
+            true => self.sessions.arm(turn, id),
+            false => self.answer_failed(turn, id),
         }
     }
 
@@ -318,24 +330,17 @@
         }
     }
 
-    /// A fetch of this number should be connected by now.
-    pub fn connect_due(&mut self, turn: &mut Turn, id: RequestId, number: u64) {
-        if let Some(outcome) = self.fetches.connect_due(id, number) {
-            self.fetch_over(turn, id, outcome);
-        }
-    }
-
-    /// A fetch of this number should be answered by now.
-    pub fn patience_due(&mut self, turn: &mut Turn, id: RequestId, number: u64) {
-        if let Some(outcome) = self.fetches.patience_due(id, number) {
+    /// A fetch's timer has come.
+    pub fn fetch_alarmed(&mut self, turn: &mut Turn, id: RequestId) {
+        if let Some(outcome) = self.fetches.alarmed(turn, id) {
             self.fetch_over(turn, id, outcome);
         }
     }
 
     /// A fetch's connection is ready.
-    pub fn fetch_ready(&mut self, turn: &mut Turn, id: RequestId, read: bool, write: bool) {
+    pub fn fetch_ready(&mut self, turn: &mut Turn, id: RequestId, ready: Ready) {
         let Some(fetch) = self.fetches.get_mut(id) else { return };
-        fetch.link.ready(read, write);
+        fetch.link.ready(ready);
         match fetch.stage() {
             fetches::Stage::Up => self.relay(turn, id),
             _ => self.fetch_goes_on(turn, id),
@@ -382,7 +387,7 @@
     fn fetch_up(&mut self, turn: &mut Turn, id: RequestId) {
         let (Some(f), Some(s)) = (self.fetches.get_mut(id), self.sessions.get_mut(id)) else { return };
         debug!(event = "up", req = id.0, client = %s.from(), server = self.backends.name(Some(f.server())));
-        f.stands(turn.now);
+        f.stands(turn.now, id);
         s.stands();
         turn.tell(match (s.home(), s.req()) {
             (Some(server), Some(req)) => Happening::Carried(req, server),
@@ -395,185 +400,3 @@
         self.backends.name(self.fetches.server(id))
     }
 }
-
-/// Standing connections.
-impl Serving {
-    /// Asks a connected client to come again.
-    pub fn move_away(&mut self, turn: &mut Turn, id: RequestId) {
-        if self.sessions.get_mut(id).is_some_and(Session::moves) {
-            self.relay(turn, id);
-        }
-    }
-
-    /// Takes out those that had more to carry, for [`Serving::relay`].
-    pub fn take_again(&mut self) -> Vec<RequestId> {
-        std::mem::take(&mut self.again)
-    }
-
-    /// Whether any connection has more to carry.
-    pub fn is_busy(&self) -> bool {
-        !self.again.is_empty()
-    }
-
-    /// Passes on what has come on a standing connection, and its ends.
-    pub fn relay(&mut self, turn: &mut Turn, id: RequestId) {
-        let (Some(s), Some(f)) = (self.sessions.get_mut(id), self.fetches.get_mut(id)) else { return };
-        let relayed = relay(turn.now, &turn.pool, s, f);
-        let (from, server) = (s.from(), f.server());
-        if relayed.more {
-            self.again.push(id);
-        }
-        relayed.told.into_iter().for_each(|figure| self.figure_told(turn, id, server, figure));
-        if let Some(peer) = relayed.too_long {
-            if self.complaints.may(turn.now) {
-                let server = self.backends.name(Some(server));
-                warn!(event = "line-too-long", peer, client = %from, server);
-            }
-            // Only a server's own fault counts against it.
-            let outcome = if peer == "server" { Outcome::Reset } else { Outcome::Cancelled };
-            return self.end_both(turn, id, End::Reset, outcome);
-        }
-        let (Some(s), Some(f)) = (self.sessions.get_mut(id), self.fetches.get_mut(id)) else { return };
-        match ends(turn.now, s, f) {
-            Fate::Stands => {}
-            Fate::ServerEnded(end, outcome) => self.end_both(turn, id, end, outcome),
-            Fate::ClientBroke => {
-                f.link.break_off();
-                self.sessions.drop(turn, id);
-                self.fetch_over(turn, id, Outcome::Cancelled);
-            }
-            Fate::Moves => {
-                self.fetch_over(turn, id, Outcome::Cancelled);
-                self.answer(turn, id, b"MOVE\r\n");
-            }
-        }
-    }
-
-    /// A `LOAD` line has come on a connection.
-    fn figure_told(&mut self, turn: &mut Turn, id: RequestId, server: ServerId, figure: f64) {
-        let tells = self.terms.tells_delay;
-        let kind = if tells { self.backends.read_figure(turn.now, server, figure) } else { Figure::Load };
-        match kind {
-            Figure::Load => turn.tell(Happening::Load(id, figure / 1e6)),
-            Figure::Delay => turn.tell(Happening::Delay(server, (figure * 1e3) as Micros)),
-            Figure::Unclear => {}
-        }
-    }
-
-    /// Ends a standing connection on both sides, the client's as the server's ended.
-    fn end_both(&mut self, turn: &mut Turn, id: RequestId, end: End, outcome: Outcome) {
-        self.fetch_over(turn, id, outcome);
-        match end {
-            End::Fin => self.answer(turn, id, b""),
-            End::Reset => {
-                self.sessions.get_mut(id).into_iter().for_each(|s| s.link.break_off());
-                self.sessions.drop(turn, id);
-            }
-        }
-    }
-
-    /// The server answers nothing: its client is moved, and the module hears of a drop. One that has answered
-    /// others meanwhile is not blamed: the connection fell silent, not the server.
-    fn silent(&mut self, turn: &mut Turn, id: RequestId, since: Micros) {
-        let lives = self.fetches.server_lives(id, since);
-        self.fetch_over(turn, id, if lives { Outcome::Cancelled } else { Outcome::Reset });
-        if self.sessions.get(id).is_some_and(|s| s.link.between_lines()) {
-            self.answer(turn, id, b"MOVE\r\n");
-        } else {
-            self.end_both(turn, id, End::Reset, Outcome::Reset);
-        }
-    }
-}
-
-/// What is looked at from time to time.
-impl Serving {
-    /// Looks sessions over for what is due.
-    pub fn look_over(&mut self, turn: &mut Turn) {
-        for id in self.sessions.those(|_| true) {
-            self.look_at(turn, id);
-        }
-        self.complaints.due(turn.now);
-    }
-
-    fn look_at(&mut self, turn: &mut Turn, id: RequestId) {
-        let now = turn.now;
-        let Some(s) = self.sessions.get(id) else { return };
-        match s.stage() {
-            Stage::Opening if now >= s.until() => self.half_line(turn, id),
-            Stage::Waiting if s.home().is_some() && now < s.until() => {
-                let due = s.carry_due(now) && !self.fetches.has(id);
-                if let Some(home) = s.home().filter(|_| due) {
-                    self.fetch(turn, id, home, s.until() - now);
-                }
-            }
-            // Guards the rule that every request is answered before its client gives up.
-            Stage::Waiting if now >= s.until() + OVERDUE => {
-                error!(event = "overdue", client = %s.from());
-                turn.tell(Happening::ClientLeft(id));
-                self.fetch_over(turn, id, Outcome::TimedOut);
-                self.refuse(turn, id, COME_BACK);
-            }
-            Stage::Open | Stage::Moving => {
-                if s.half_open_due(now) {
-                    let ended = s.link.ended;
-                    let outcome = if ended.is_some() { Outcome::Cancelled } else { Outcome::Reset };
-                    self.end_both(turn, id, End::Fin, outcome);
-                } else if let Some(since) = s.silent_since(now) {
-                    warn!(event = "silent", server = self.server_name(id), client = %s.from());
-                    self.silent(turn, id, since);
-                } else {
-                    self.relay(turn, id);
-                }
-            }
-            Stage::Ending if now >= s.until() => self.sessions.drop(turn, id),
-            Stage::Ending => self.session_ends(turn, id),
-            _ => {}
-        }
-    }
-
-    /// Reports what messages take: for each server once a period while that is over a third of the
-    /// shortest aim, and once more when it is back under.
-    pub fn report_delays(&mut self, turn: &mut Turn) {
-        let mut seen = std::collections::BTreeMap::<ServerId, Vec<Sight>>::new();
-        for (id, session) in self.sessions.iter().filter(|(_, s)| s.stage() == Stage::Open) {
-            if let Some(fetch) = self.fetches.get(id).filter(|f| f.stage() == fetches::Stage::Up) {
-                let (asked, answered) = (session.asked_since(), fetch.answered());
-                seen.entry(fetch.server()).or_default().push(Sight { asked, answered });
-            }
-        }
-        for (server, delay) in self.backends.delays(turn.now, self.terms.message_aim / 3, &seen) {
-            turn.tell(Happening::Delay(server, delay));
-        }
-    }
-}
-
-/// The planned end.
-impl Serving {
-    /// From now on nobody new is served; tells how many stand, and how many wait.
-    pub fn close(&mut self) -> (usize, usize) {
-        self.closing = true;
-        let stands = |s: &Session| matches!(s.stage(), Stage::Open | Stage::Moving);
-        (self.sessions.those(stands).len(), self.sessions.those(Session::waits).len())
-    }
-
-    /// Clients that are still here.
-    pub fn clients(&self) -> usize {
-        self.sessions.len()
-    }
-
-    /// Moves an even part of the standing sessions, with so many more parts to come.
-    pub fn move_some(&mut self, turn: &mut Turn, parts_left: Micros) {
-        let open = self.sessions.those(|s| s.stage() == Stage::Open);
-        let n = open.len().div_ceil(parts_left as usize + 1);
-        open.into_iter().take(n).for_each(|id| self.move_away(turn, id));
-    }
-
-    /// Refuses everybody who still waits.
-    pub fn refuse_all(&mut self, turn: &mut Turn) {
-        for id in self.sessions.those(Session::waits) {
-            turn.tell(Happening::ClientLeft(id));
-            self.fetch_over(turn, id, Outcome::Cancelled);
-            self.refuse(turn, id, COME_BACK);
-        }
-    }
-}
