--- a/crates/lab/examples/tenants.rs
+++ b/crates/lab/examples/tenants.rs
@@ -44,7 +44,7 @@
     };
     let (from, to): (usize, usize) = (from.parse()?, to.parse()?);
     let seeds: u64 = rest.first().map_or(Ok(10), |s| s.parse())?;
-    let policies = rest.get(1).map_or("module,module-without-tenancy", String::as_str);
+    let policies = rest.get(1).map_or("module-with-tenancy,module-without-tenancy", String::as_str);
     println!(
         "| policy | tenant | first 10 s: least, mean | after: least, mean | holds of its share: least, mean |"
     );
@@ -54,7 +54,7 @@
         let tenants: Vec<&str> = calm[0].series.tenants.iter().map(|t| t.name.as_str()).collect();
         let others: Vec<usize> = (0..tenants.len()).filter(|i| tenants[*i] != tenant).collect();
         let mut rows: Vec<(&str, Vec<usize>)> = (0..tenants.len()).map(|i| (tenants[i], vec![i])).collect();
-        rows.push(("the others together", others));
+        rows.push(("the others together", others.clone()));
         for (name, of) in rows {
             // The calm day's own level: pauses of nodes make single seconds of it differ by some percent.
             let left = |a: usize, b: usize| -> Vec<f64> {
@@ -67,6 +67,12 @@
             });
             println!("| {policy} | {name} | {} |", cells.join(" | "));
         }
+        let noise: Vec<f64> = calm
+            .iter()
+            .map(|c| share(c, &others, from, from + 10) / share(c, &others, from, to))
+            .collect();
+        let (least, mean) = spread(&noise);
+        println!("| {policy} | the others, calm day's own first 10 s | {least:.4}, {mean:.4} | | |");
         let broken = mad.iter().filter(|m| !m.rules.kept).count();
         println!("| {policy} | runs with a broken rule: {broken} | | | |");
     }
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -117,7 +117,7 @@
     /// Which clock plays the day
     #[arg(long, value_enum, default_value = "virtual")]
     pub clock: Clock,
-    /// Who decides (virtual time): module, random, least-loaded …; a wrong name lists them all
+    /// Who decides: module, module@FILE with an operator's file; in virtual time others too, a wrong name lists them
     #[arg(long, default_value = "module")]
     pub policy: String,
     /// Cores for one run (virtual time); the result does not depend on it
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -35,7 +35,7 @@
         args.seconds
     ));
     let mut drawn = 0;
-    let record = sockets::play(&day, &program, &mut |glance| {
+    let record = sockets::play(&day, &program, None, &mut |glance| {
         if style.redraw {
             let text = live(&day, glance, style);
             let back = if drawn > 0 { format!("\x1b[{drawn}A\x1b[J") } else { String::new() };
--- a/crates/lab/src/instances/mod.rs
+++ b/crates/lab/src/instances/mod.rs
@@ -5,6 +5,7 @@
 mod places;
 mod policies;
 
+use std::path::PathBuf;
 use std::sync::{Arc, RwLock};
 
 use shorewharf_decisions::interface::{ListEntry, Settings};
@@ -13,7 +14,7 @@
 use shorewharf_emulator::day::Day;
 use shorewharf_emulator::edge::{BalancerId, FromBalancer, ToBalancer};
 use shorewharf_emulator::virtual_time::{Host, Instance, Truth};
-use shorewharf_settings::operator::{Operator, Tenancy};
+use shorewharf_settings::operator::{Operator, OperatorError, Tenancy};
 use thiserror::Error;
 
 pub use peers::Emulated;
@@ -23,10 +24,8 @@
 /// Who decides.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Who {
-    /// The project's driver and decision module, with tenants' shares kept.
+    /// The project's driver and decision module.
     Module,
-    /// The same, with nothing before the module.
-    ModuleAlone,
     /// Any server that is listed as ready.
     Random,
     /// One server after the other.
@@ -37,15 +36,31 @@
 
 /// No such policy.
 #[derive(Debug, Error)]
-#[error("no policy is named {0:?}; there are module, module-without-tenancy, random, round-robin and oracle")]
+#[error(
+    "no policy is named {0:?}; there are module (module@FILE with an operator's file, module-with-tenancy, \
+     module-without-tenancy), random, round-robin and oracle"
+)]
 pub struct UnknownPolicy(String);
 
+/// A policy that can't be played.
+#[derive(Debug, Error)]
+pub enum PolicyError {
+    /// Nobody has this name.
+    #[error(transparent)]
+    Unknown(#[from] UnknownPolicy),
+    /// The operator's file can't be read.
+    #[error("{0}: {1}")]
+    File(PathBuf, std::io::Error),
+    /// The operator's file can't be used.
+    #[error("{0}: {1}")]
+    Operator(PathBuf, Box<OperatorError>),
+}
+
 impl std::str::FromStr for Who {
     type Err = UnknownPolicy;
     fn from_str(name: &str) -> Result<Self, UnknownPolicy> {
         Ok(match name {
             "module" => Who::Module,
-            "module-without-tenancy" => Who::ModuleAlone,
             "random" => Who::Random,
             "round-robin" => Who::RoundRobin,
             "oracle" => Who::Oracle,
@@ -58,13 +73,33 @@
 #[derive(Debug)]
 pub struct Hosts {
     who: Who,
+    operator: Operator,
     truth: Arc<RwLock<Vec<Truth>>>,
 }
 
 impl Hosts {
     /// Hosts balancers that are run by `who`.
     pub fn new(who: Who) -> Self {
-        Hosts { who, truth: Arc::default() }
+        Hosts { who, operator: Operator::default(), truth: Arc::default() }
+    }
+
+    /// Hosts balancers that are run by the policy of this name. The module takes an operator's file behind an `@`.
+    pub fn named(policy: &str) -> Result<Hosts, PolicyError> {
+        let tenancy = |on| Operator { tenancy: Tenancy { on, ..Tenancy::default() } };
+        let operator = match policy {
+            "module-with-tenancy" => tenancy(true),
+            "module-without-tenancy" => tenancy(false),
+            other => match other.strip_prefix("module@").map(PathBuf::from) {
+                None => return Ok(Hosts::new(other.parse()?)),
+                Some(path) => match std::fs::read_to_string(&path) {
+                    Ok(text) => {
+                        Operator::parse(&text).map_err(|e| PolicyError::Operator(path, Box::new(e)))?
+                    }
+                    Err(e) => return Err(PolicyError::File(path, e)),
+                },
+            },
+        };
+        Ok(Hosts { operator, ..Hosts::new(Who::Module) })
     }
 }
 
@@ -74,7 +109,7 @@
         // The text was written by the emulator for this very reader.
         let settings = settings.expect("settings that the emulator wrote are read");
         let first_link = u64::from(_id.0) << 40;
-        let make = Make { who: self.who, truth: Arc::clone(&self.truth) };
+        let make = Make { who: self.who, operator: self.operator.clone(), truth: Arc::clone(&self.truth) };
         Box::new(Hosted { places: Places::new(day), settings, make, next_link: first_link, life: None })
     }
 
@@ -91,6 +126,7 @@
 
 struct Make {
     who: Who,
+    operator: Operator,
     truth: Arc<RwLock<Vec<Truth>>>,
 }
 
@@ -111,10 +147,9 @@
 impl Make {
     fn brain(&self, set: &Settings, seed: u64, known: Vec<ListEntry>, peers: &mut Emulated) -> Brain {
         let pick = match self.who {
-            Who::Module | Who::ModuleAlone => {
-                let on = self.who == Who::Module;
-                let operator = Operator { tenancy: Tenancy { on, ..Tenancy::default() } };
-                return Brain::Module(Box::new(Driver::start(set.clone(), &operator, seed, known, peers)));
+            Who::Module => {
+                let driver = Driver::start(set.clone(), &self.operator, seed, known, peers);
+                return Brain::Module(Box::new(driver));
             }
             Who::Random => Pick::Random,
             Who::RoundRobin => Pick::Next,
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -30,7 +30,8 @@
         }
         Clock::Sockets => {
             let program = balancer::find(args.how.balancer.as_deref())?;
-            (sockets::with_bar(&scenario.day, &program)?, String::new())
+            let operator = args.how.policy.strip_prefix("module@").map(Path::new);
+            (sockets::with_bar(&scenario.day, &program, operator)?, String::new())
         }
     };
     show(&record, &note, args.json.as_deref(), args.report.as_deref(), style)
--- a/crates/lab/src/runner.rs
+++ b/crates/lab/src/runner.rs
@@ -14,7 +14,7 @@
 use shorewharf_emulator::virtual_time::{self, Options, RunResult};
 
 use crate::error::Failure;
-use crate::instances::{Hosts, Who};
+use crate::instances::Hosts;
 use crate::record::{
     Band, Break, NodeName, NodeSeries, Part, Price, Record, Series, SetUp, TenantSeries, Verdict, Window,
     round,
@@ -25,9 +25,9 @@
     std::thread::available_parallelism().map_or(1, |n| n.get())
 }
 
-/// The policy of this name.
-pub fn who(policy: &str) -> Result<Who, Failure> {
-    policy.parse().map_err(|e: crate::instances::UnknownPolicy| Failure::Input(format!("--policy: {e}")))
+/// Hosts of the policy of this name.
+pub fn hosts(policy: &str) -> Result<Hosts, Failure> {
+    Hosts::named(policy).map_err(|e| Failure::Input(format!("--policy: {e}")))
 }
 
 /// Plays one day in virtual time and shows how far it is. Also tells how long that took.
@@ -54,7 +54,7 @@
 /// without the course of single nodes, which would fill the memory of a large sweep.
 pub fn all(jobs: &[(String, Day)], threads: Option<usize>) -> Result<Vec<Record>, Failure> {
     for (policy, _) in jobs {
-        who(policy)?;
+        hosts(policy)?;
     }
     let bar = ProgressBar::new(jobs.len() as u64);
     bar.set_style(bar_style("{pos} of {len} runs {wide_bar} {elapsed} gone, {eta} left"));
@@ -85,7 +85,7 @@
 }
 
 fn play(day: &Day, policy: &str, options: &Options<'_>) -> Result<Record, Failure> {
-    let hosts = Hosts::new(who(policy)?);
+    let hosts = hosts(policy)?;
     let result = virtual_time::run(day, &hosts, options)
         .map_err(|e| Failure::Input(format!("{}, seed {}: {e}", day.name, day.seed)))?;
     Ok(record(day, policy, "virtual", &result))
--- a/crates/lab/src/sockets.rs
+++ b/crates/lab/src/sockets.rs
@@ -21,11 +21,22 @@
     Program { path: path.to_owned(), args: Vec::new(), limits }
 }
 
-/// Plays a day in real time. `watch` is called once a second.
-pub fn play(day: &Day, path: &Path, watch: &mut dyn FnMut(&Glance<'_>)) -> Result<Record, Failure> {
+/// Plays a day in real time. `operator`: the operator's own file for the program. `watch` is called once a second.
+pub fn play(
+    day: &Day,
+    path: &Path,
+    operator: Option<&Path>,
+    watch: &mut dyn FnMut(&Glance<'_>),
+) -> Result<Record, Failure> {
     let descriptors = raise_descriptors();
     tracing::info!(descriptors, program = %path.display(), "playing on sockets");
-    let options = Options { program: program(day, path), folder: None, settings: settings::json };
+    let mut program = program(day, path);
+    if let Some(file) = operator {
+        // The program starts elsewhere.
+        let file = std::path::absolute(file).unwrap_or_else(|_| file.to_owned());
+        program.args = vec!["--operator".into(), file.into()];
+    }
+    let options = Options { program, folder: None, settings: settings::json };
     let run = platform::run(day, &options, watch).map_err(|e| match e {
         RunError::TooMany(..) | RunError::Bad(_) => Failure::Input(format!("{}: {e}", day.name)),
         e => Failure::Outside(e.to_string()),
@@ -37,13 +48,13 @@
 }
 
 /// Plays a day in real time, with a bar.
-pub fn with_bar(day: &Day, path: &Path) -> Result<Record, Failure> {
+pub fn with_bar(day: &Day, path: &Path, operator: Option<&Path>) -> Result<Record, Failure> {
     let bar = ProgressBar::new(day.length / 1_000_000);
     let style = ProgressStyle::with_template("{msg} {wide_bar} {pos} of {len} s")
         .unwrap_or_else(|_| ProgressStyle::default_bar());
     bar.set_style(style);
     bar.set_message(format!("{} on sockets", day.name));
-    let played = play(day, path, &mut |glance| bar.set_position(glance.now / 1_000_000));
+    let played = play(day, path, operator, &mut |glance| bar.set_position(glance.now / 1_000_000));
     bar.finish_and_clear();
     played
 }
