--- a/crates/balancer/benches/whole/subject.rs
+++ b/crates/balancer/benches/whole/subject.rs
@@ -111,6 +111,12 @@
         Ok(Subject { child: Some(child), address: vec![address], _folder: Some(folder) })
     }
 
+    /// Clients meet several, in turn; what they use is not told.
+    pub fn several(subjects: &[Subject]) -> Self {
+        let address = subjects.iter().flat_map(|s| s.address.clone()).collect();
+        Subject { child: None, address, _folder: None }
+    }
+
     /// What it has used up to now.
     pub fn used(&self) -> Used {
         let mut used = Used { cpu: Duration::ZERO, memory_kb: 0, at: Instant::now() };
