--- a/crates/balancer/src/net/clients/session.rs
+++ b/crates/balancer/src/net/clients/session.rs
@@ -364,7 +364,8 @@
     /// Finishes the sending and waits for the client's end, reading on: a close with unread input would become a
     /// reset and could overtake the last words.
     pub fn ending(&mut self, pool: &Pool) -> Ending {
-        if self.link.flush() {
+        // Where the client has ended, the close says as much.
+        if self.link.flush() && self.link.ended.is_none() {
             self.link.shut();
         }
         let mut more = true;
--- a/crates/balancer/src/net/link.rs
+++ b/crates/balancer/src/net/link.rs
@@ -78,8 +78,8 @@
 
     /// Whether a started connection is up (or not yet), or why it failed.
     pub fn connected(&self) -> io::Result<bool> {
-        if !self.can_write {
-            return Ok(false);
+        if !self.can_write || !self.ends {
+            return Ok(self.can_write);
         }
         self.stream.take_error()?.map_or(Ok(true), Err)
     }
--- a/crates/protocol/src/line.rs
+++ b/crates/protocol/src/line.rs
@@ -16,7 +16,8 @@
 
 /// Looks for a line at the front of `bytes`.
 pub fn front(bytes: &[u8]) -> Front {
-    match bytes.windows(2).position(|w| w == b"\r\n") {
+    let ends = memchr::memchr_iter(b'\n', bytes);
+    match ends.filter(|at| *at > 0 && bytes[at - 1] == b'\r').map(|at| at - 1).next() {
         Some(at) if at <= MAX_LINE => Front::Whole(at + 2),
         None if bytes.len() <= MAX_LINE + 1 => Front::Part,
         _ => Front::TooLong,
