--- a/crates/driver/src/gate.rs
+++ b/crates/driver/src/gate.rs
@@ -13,6 +13,9 @@
 
 /// The gate's own timer; the module's tokens lie far below.
 const DUE: u64 = 1 << 63;
+/// Who was turned away is told to the log so often at most, and of so many tenants: a flood must not fill the log too.
+const TELL_EVERY: Micros = 10_000_000;
+const TELL_MOST: usize = 8;
 
 /// Who is asked, in this order.
 #[derive(Debug, Default)]
@@ -46,6 +49,9 @@
     /// The gate's timer comes then.
     wakes: Option<Micros>,
     turned_away: BTreeMap<&'static str, u64>,
+    /// By tenant and reason, since the log was told last.
+    untold: BTreeMap<(usize, &'static str), u64>,
+    told: Micros,
 }
 
 impl Gate {
@@ -58,6 +64,8 @@
             held: HashMap::new(),
             wakes: None,
             turned_away: BTreeMap::new(),
+            untold: BTreeMap::new(),
+            told: now,
         }
     }
 
@@ -94,7 +102,7 @@
             Event::Arrived(request) => {
                 if let Some(after) = self.turns_away(at, request) {
                     out.push(Action::Refuse { request: request.id, retry_after: seconds(after) });
-                    return;
+                    return self.tell_log(at, out);
                 }
                 None
             }
@@ -139,6 +147,7 @@
         for admission in self.admissions.all() {
             if let Verdict::TurnAway { after, why } = admission.asked(now, request) {
                 *self.turned_away.entry(why).or_default() += 1;
+                *self.untold.entry((request.tenant, why)).or_default() += 1;
                 return Some(after);
             }
         }
@@ -148,6 +157,20 @@
         None
     }
 
+    /// Tells the log who was turned away, those most often first.
+    fn tell_log(&mut self, now: Micros, out: &mut Vec<Action>) {
+        if now < self.told + TELL_EVERY {
+            return;
+        }
+        self.told = now;
+        let mut all: Vec<_> = std::mem::take(&mut self.untold).into_iter().collect();
+        all.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
+        let some = all.iter().take(TELL_MOST);
+        let texts: Vec<String> =
+            some.map(|((tenant, why), count)| format!("tenant {tenant} {why} {count}")).collect();
+        out.push(Action::Log(format!("turned away since the last line: {}", texts.join(", "))));
+    }
+
     fn comes_up(&mut self, now: Micros, id: RequestId) {
         let Some(held) = self.held.get_mut(&id).filter(|h| !h.stands) else { return };
         (held.stands, held.out) = (true, false);
--- /dev/null
+++ b/crates/driver/tests/gate.rs
@@ -0,0 +1,190 @@
+//! The gate: who is turned away before the module hears of it, and what admissions are told of the rest.
+
+use shorewharf_decisions::interface::*;
+use shorewharf_driver::Gate;
+use shorewharf_settings::operator::Operator;
+
+struct Rig {
+    gate: Gate,
+    now: f64,
+    next: u32,
+}
+
+fn request(id: u32, tenant: usize, now: f64) -> Request {
+    let (class, key, deadline) = (0, u64::from(id), now + 3.0);
+    let (load, group, mid_flow, returning) = (None, 0, false, false);
+    Request { id: RequestId(id), class, tenant, key, deadline, load, group, mid_flow, returning }
+}
+
+impl Rig {
+    /// Two tenants of ten connections each, at the only balancer of two servers.
+    fn new(operator: &str) -> Rig {
+        let text = br#"{"classes":[{"promise_s":0.8,"semantics":"read_like"}],"group_size":1,"tick_s":0.005,
+            "tenants":[{"quota_per_s":10},{"quota_per_s":10}],
+            "specifics":{"mode":"proxy","message_aim_s":[0.05],"tenant_quota_connections":[10,10]},
+            "limits":{"cancel":true,"max_attempts":5,"retry_after":true,"max_retry_after_s":1.5}}"#;
+        let set = shorewharf_settings::settings(text).expect("settings").0;
+        let operator = Operator::parse(operator).expect("an operator's file");
+        let mut rig = Rig { gate: Gate::new(0, set, 7, &operator), now: 1.0, next: 0 };
+        rig.tell(Event::Start);
+        let entry = |s| {
+            let server = ServerId(s);
+            ListEntry { server, zone: 0, cell: 0, stage: Stage::Ready, weight: 1.0, born: 0.0 }
+        };
+        let entries = vec![entry(1), entry(2)].into();
+        rig.tell(Event::Servers { full: true, cached: false, entries });
+        rig
+    }
+
+    fn tell(&mut self, event: Event) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.gate.handle(self.now, event, &mut out);
+        out
+    }
+
+    fn asks(&mut self, tenant: usize) -> (RequestId, Vec<Action>) {
+        self.next += 1;
+        let request = request(self.next, tenant, self.now);
+        (request.id, self.tell(Event::Arrived(request)))
+    }
+
+    /// A client comes up; where.
+    fn stands(&mut self, tenant: usize) -> Option<(RequestId, ServerId)> {
+        let (request, actions) = self.asks(tenant);
+        let server = actions.iter().find_map(|a| match a {
+            Action::Send { server, .. } => Some(*server),
+            _ => None,
+        })?;
+        self.tell(Event::Established { request, attempt: 0 });
+        Some((request, server))
+    }
+
+    fn ends(
+        &mut self,
+        (request, server): (RequestId, ServerId),
+        outcome: Outcome,
+        complete: bool,
+    ) -> Vec<Action> {
+        self.tell(Event::Ended { request, server, attempt: 0, outcome, complete, load_ratio: None })
+    }
+
+    fn used(&mut self, tenant: usize) -> u64 {
+        let now = shorewharf_driver::micros(self.now);
+        self.gate.tenants().expect("shares are kept").tenancy().stats(now).tenants[tenant].1.used
+    }
+}
+
+/// Failure: a tenant asks for far more than its share. Promise: the first is refused at once, with a wait, and the
+/// module arms no timer for it; the other tenant is served; and every way in which a request can end gives its place
+/// back exactly once.
+#[test]
+fn every_end_gives_a_place_back_once() {
+    let mut rig = Rig::new("[tenancy]\non = true");
+    let up: Vec<_> = (0..40).filter_map(|_| rig.stands(0)).collect();
+    // Its own ten; nothing is lent beyond 0.4 of twenty.
+    assert_eq!((up.len(), rig.used(0)), (10, 10));
+    let (id, actions) = rig.asks(0);
+    let [Action::Refuse { request, retry_after }] = actions[..] else { panic!("{actions:?}") };
+    assert!(request == id && retry_after > 0.0 && retry_after <= 1.5, "{retry_after}");
+    assert_eq!(rig.gate.turned_away().get("tenant-connections"), Some(&31));
+    assert!(rig.stands(1).is_some());
+    rig.now += 10.0;
+    let told = rig.asks(0).1;
+    let line = "turned away since the last line: tenant 0 tenant-connections 32";
+    assert!(told.contains(&Action::Log(line.to_owned())), "{told:?}");
+
+    // Served to its end; broken; told twice.
+    rig.ends(up[0], Outcome::Ok, true);
+    rig.ends(up[1], Outcome::Reset, true);
+    rig.ends(up[1], Outcome::Reset, true);
+    assert_eq!(rig.used(0), 8);
+    // A client that leaves while its attempt is out gives its place back when that has ended.
+    let (id, sent) = rig.asks(0);
+    let Some(Action::Send { server, .. }) = sent.iter().find(|a| matches!(a, Action::Send { .. })) else {
+        panic!("{sent:?}")
+    };
+    rig.tell(Event::ClientGone(id));
+    assert_eq!(rig.used(0), 9);
+    rig.ends((id, *server), Outcome::Cancelled, true);
+    assert_eq!(rig.used(0), 8);
+    // One that all servers turn away is refused by the module.
+    let (id, mut actions) = rig.asks(0);
+    let mut attempt = 0;
+    while let Some(Action::Send { server, .. }) = actions.iter().find(|a| matches!(a, Action::Send { .. })) {
+        let (server, outcome, complete) = (*server, Outcome::Full, false);
+        let ended = Event::Ended { request: id, server, attempt, outcome, complete, load_ratio: None };
+        actions = rig.tell(ended);
+        attempt += 1;
+        if actions.iter().any(|a| matches!(a, Action::SetTimer { .. })) && !sends(&actions) {
+            // Held until its deadline's timer, as no server is left.
+            rig.now += 3.0;
+            actions = rig.tell(Event::Timer(4 << 40 | u64::from(id.0)));
+        }
+    }
+    assert!(actions.iter().any(|a| matches!(a, Action::Refuse { .. })), "{actions:?}");
+    assert_eq!(rig.used(0), 8);
+}
+
+fn sends(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Send { .. }))
+}
+
+/// Failure: a tenant is removed while its streams stand and one of its clients is being set up. Promise: its standing
+/// streams are moved at the rate, oldest first, each once and nobody else's; the timer goes on until the last is gone.
+#[test]
+fn a_removed_tenants_streams_are_moved_at_a_rate() {
+    let mut rig = Rig::new("[tenancy]\non = true\nmoves_per_s = 10");
+    let up: Vec<_> = (0..8).filter_map(|_| rig.stands(0)).collect();
+    rig.stands(1).expect("served");
+    let (waits, sent) = rig.asks(0);
+    let server =
+        sent.iter().find_map(|a| if let Action::Send { server, .. } = a { Some(*server) } else { None });
+    let late = (waits, server.expect("sent"));
+    let now = shorewharf_driver::micros(rig.now);
+    rig.gate.tenants().expect("kept").tenancy().remove(now, shorewharf_tenancy::Place(0));
+    // Any event sets the timer.
+    let mut actions = rig.tell(Event::Timer(77));
+    let (mut moved, began) = (Vec::new(), rig.now);
+    loop {
+        let timer = actions.iter().find_map(|a| match a {
+            Action::SetTimer { after, token } if *token == 1 << 63 => Some(*after),
+            _ => None,
+        });
+        let Some(after) = timer else { break };
+        rig.now += after;
+        actions = rig.tell(Event::Timer(1 << 63));
+        let ids: Vec<RequestId> =
+            actions.iter().filter_map(|a| if let Action::Move(id) = a { Some(*id) } else { None }).collect();
+        for id in ids {
+            moved.push(id);
+            let on = *up.iter().chain([&late]).find(|u| u.0 == id).expect("it stands, and is the tenant's");
+            rig.ends(on, Outcome::Cancelled, true);
+        }
+        if moved.len() == up.len() {
+            // It comes up though its tenant is gone, and goes as the others went.
+            rig.tell(Event::Established { request: waits, attempt: 0 });
+        }
+        assert!(rig.now < began + 5.0, "{} of {} moved", moved.len(), up.len());
+    }
+    assert_eq!(moved, up.iter().chain([&late]).map(|u| u.0).collect::<Vec<_>>());
+    assert!((0.7..1.3).contains(&(rig.now - began)) && rig.used(1) == 1, "{} s", rig.now - began);
+}
+
+/// Failure: an operator's file with a slip of the pen. Promise: it is refused with the key's name; what is left out has
+/// its default, and by default nothing stands before the module.
+#[test]
+fn the_operators_file_is_checked() {
+    for (text, key) in [
+        ("[tenancy]\nlent = 0.5", "tenancy"),
+        ("[tenancy]\nlend = 3", "tenancy.lend"),
+        ("[tenancy]\non = \"yes\"", "tenancy.on"),
+        ("[tenancy]\nmoves_per_s = nan", "tenancy.moves_per_s"),
+        ("[tenancy", ""),
+    ] {
+        let error = Operator::parse(text).expect_err(text).to_string();
+        assert!(error.contains(key), "{text}: {error}");
+    }
+    let mut rig = Rig::new("");
+    assert!(rig.gate.tenants().is_none());
+    assert_eq!((0..40).filter_map(|_| rig.stands(0)).count(), 40);
+}
