--- a/crates/lab/src/instances/mod.rs
+++ b/crates/lab/src/instances/mod.rs
@@ -85,7 +85,7 @@
 
     /// Hosts balancers that are run by the policy of this name. The module takes an operator's file behind an `@`.
     pub fn named(policy: &str) -> Result<Hosts, PolicyError> {
-        let tenancy = |on| Operator { tenancy: Tenancy { on, ..Tenancy::default() } };
+        let tenancy = |on| Operator { tenancy: Tenancy { on, ..Tenancy::default() }, ..Operator::default() };
         let operator = match policy {
             "module-with-tenancy" => tenancy(true),
             "module-without-tenancy" => tenancy(false),
@@ -189,10 +189,9 @@
                     self.life = Some((peers, brain));
                 }
                 ToBalancer::Kill => {
-                    if let Some((mut peers, _)) = self.life.take() {
+                    // What it would have done at the end of this tick it did not live to do.
+                    if let Some((peers, _)) = self.life.take() {
                         self.next_link = peers.next_link();
-                        // What it did before it died, in this turn, was done.
-                        peers.hand_over(out);
                     }
                 }
                 what => {
