--- a/crates/balancer/src/net/mod.rs
+++ b/crates/balancer/src/net/mod.rs
@@ -24,7 +24,7 @@
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, Mode, PostAction};
-use shorewharf_driver::{Driver, Micros};
+use shorewharf_driver::{Care, Driver, Micros};
 use socket2::{Domain, Socket, Type};
 use tracing::{error, info};
 
@@ -129,7 +129,7 @@
     let mut net = Net::new(turn, listener, config.discovery, Terms::from(&config));
     let known = net.list_known(&config.known);
     let servers = known.len();
-    let driver = Driver::start(config.settings.clone(), config.seed, known, &mut net);
+    let driver = Driver::start(config.settings.clone(), Care::PLATFORM, config.seed, known, &mut net);
     // The address that is bound: the port may have been left to the system.
     info!(event = "serving", name = config.name, listen = %net.listens_at()?, servers);
     let mut balancing = Balancing { net, driver, config, reread: Box::new(reread) };
--- /dev/null
+++ b/crates/decisions/src/outside.rs
@@ -0,0 +1,34 @@
+//! What others who decide beside the module may tell it, and what they share with it: whether repeats are worth their
+//! cost, who was asked to move and where to, and the order of servers that all instances draw alike.
+
+use crate::interface::{RequestId, ServerId};
+use crate::state::{Balancer, Reservation, hash, unit};
+
+/// A server's place for a group, the same at every instance: weighted rendezvous hashing, lowest first.
+pub fn rank(group: u64, server: ServerId, weight: f64) -> f64 {
+    -unit(hash(group, server.0)).ln() / weight
+}
+
+/// A lot in (0, 1) that all instances draw alike for something and a server's process.
+pub fn lot(of: u64, server: ServerId, born: f64) -> f64 {
+    unit(hash(hash(of, server.0), born.to_bits()))
+}
+
+impl Balancer {
+    /// Whether a request may have another attempt after one that failed; until told otherwise it may.
+    pub fn allow_repeats(&mut self, yes: bool) {
+        self.repeats = yes;
+    }
+
+    /// A standing client has been asked to move by someone else. Its server keeps no place for it; `to` does, until
+    /// `until`, so that it is sent there when it comes again, if that server takes clients then.
+    pub fn sent_away(&mut self, id: RequestId, to: Option<ServerId>, until: f64) {
+        let Some(c) = self.clients.get_mut(&id).filter(|c| c.on.is_some()) else { return };
+        c.answered = true;
+        let (key, load) = (c.request.key, c.load);
+        let Some(server) = to.filter(|_| key != 0) else { return };
+        self.drop_reservation(key);
+        self.reserved.insert(key, Reservation { server, load, until });
+        self.unuse(server, -load);
+    }
+}
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -371,7 +371,7 @@
         }
         let c = c.clone();
         let left = c.request.deadline - now - 2.0 * self.set.tick;
-        if left <= 0.0 || c.attempts >= self.set.max_attempts {
+        if left <= 0.0 || c.attempts >= self.set.max_attempts || (c.attempts > 0 && !self.repeats) {
             return self.answer(id, out);
         }
         if !self.permit(now) {
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -113,6 +113,8 @@
     pub(crate) sends: f64,
     pub(crate) asks: u32,
     pub(crate) subscribed: bool,
+    /// Attempts may be repeated.
+    pub(crate) repeats: bool,
 }
 
 impl Balancer {
@@ -139,6 +141,7 @@
             sends: 0.0,
             asks: 0,
             subscribed: false,
+            repeats: true,
         }
     }
 
--- a/crates/driver/src/lib.rs
+++ b/crates/driver/src/lib.rs
@@ -1,11 +1,12 @@
-//! Between the peers and the decisions. The only caller of [`Balancer`]: what happens to a peer becomes an
+//! Between the peers and the decisions. The only caller of the decision module: what happens to a peer becomes an
 //! event, what the module wants becomes a call on a peer, and microseconds become seconds. It knows no
 //! protocol's text, so that another protocol can be put before the same decisions.
 
 use std::collections::HashMap;
 
-use shorewharf_decisions::Balancer;
 use shorewharf_decisions::interface::*;
+use shorewharf_recovery::care::Guarded;
+pub use shorewharf_recovery::care::{Care as CareOf, Options as Care};
 
 /// Whole microseconds.
 pub type Micros = u64;
@@ -114,17 +115,23 @@
 /// Drives the module.
 #[derive(Debug)]
 pub struct Driver {
-    balancer: Balancer,
+    balancer: Guarded,
     reqs: HashMap<RequestId, Sent>,
     actions: Vec<Action>,
     max_attempts: u32,
 }
 
 impl Driver {
-    /// A driver of a fresh module; `known` is the list that it starts from.
-    pub fn start(set: Settings, seed: u64, known: Vec<ListEntry>, peers: &mut impl Peers) -> Self {
+    /// A driver of a fresh module with this care round it; `known` is the list that it starts from.
+    pub fn start(
+        set: Settings,
+        care: Care,
+        seed: u64,
+        known: Vec<ListEntry>,
+        peers: &mut impl Peers,
+    ) -> Self {
         let max_attempts = set.max_attempts;
-        let balancer = Balancer::new(set, seed);
+        let balancer = Guarded::new(set, seed, care);
         let mut driver = Driver { balancer, reqs: HashMap::new(), actions: Vec::new(), max_attempts };
         driver.tell(Event::Start, peers);
         driver.happened(Happening::Listed { full: true, cached: true, entries: known }, peers);
@@ -144,6 +151,11 @@
         }
     }
 
+    /// Levels, repeats and moves of this instance.
+    pub fn care(&self) -> &CareOf {
+        self.balancer.care()
+    }
+
     /// Reqs that the module has not let go of.
     pub fn open_reqs(&self) -> usize {
         self.reqs.len()
--- a/crates/driver/tests/driver.rs
+++ b/crates/driver/tests/driver.rs
@@ -78,7 +78,7 @@
         let set = shorewharf_settings::settings(text).expect("settings").0;
         let mut peers = Notes { now: 1_700_000_000_000_000, ..Notes::default() };
         let known = (1..=servers).map(|s| entry(s, Stage::Ready)).collect();
-        Rig { driver: Driver::start(set, 3, known, &mut peers), peers }
+        Rig { driver: Driver::start(set, Care::PLATFORM, 3, known, &mut peers), peers }
     }
 
     /// What the module asks for when this happens.
--- a/crates/emulator/src/virtual_time/instance.rs
+++ b/crates/emulator/src/virtual_time/instance.rs
@@ -14,6 +14,22 @@
 
     /// When it wants its next turn though nothing comes.
     fn next_due(&self) -> Option<Micros>;
+
+    /// What it tells of itself, for reports. Asked once a second.
+    fn tells(&mut self, _told: &mut Told) {}
+}
+
+/// What an instance tells of itself. Nothing of it changes the run.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Told {
+    /// Its level of service; empty where it has none.
+    pub level: &'static str,
+    /// Figures of now.
+    pub gauges: Vec<(&'static str, f64)>,
+    /// Sums since its process began.
+    pub counts: Vec<(&'static str, u64)>,
+    /// Lines of its log since the last time, and when it wrote them.
+    pub lines: Vec<(Micros, String)>,
 }
 
 /// What a node truly is at some moment: for reports, and for hosts whose policies may see it.
--- a/crates/emulator/src/virtual_time/mod.rs
+++ b/crates/emulator/src/virtual_time/mod.rs
@@ -7,8 +7,8 @@
 mod instance;
 mod result;
 
-pub use instance::{Host, Instance, Truth};
-pub use result::RunResult;
+pub use instance::{Host, Instance, Told, Truth};
+pub use result::{Course, RunResult};
 
 use rand::Rng;
 use rayon::prelude::*;
@@ -20,6 +20,7 @@
 use crate::edge::{BalancerId, FromBalancer, ToBalancer};
 use crate::world::{Ear, Mode, World, rng, settings};
 
+const SECOND: Micros = 1_000_000;
 /// Progress is told at most this often, in the day's time.
 const PROGRESS: Micros = 100_000;
 /// So many turns at least are worth waking other threads for: waking them costs as much as a few short turns.
@@ -100,8 +101,13 @@
     let mut truths = Vec::new();
     let mut told = 0;
     let mut stood = false;
+    let mut courses = vec![Course::default(); slots.len()];
     let mut now: Micros = 0;
     loop {
+        // A second that has passed is told of before anything of the next one happens.
+        while now / SECOND > courses.first().map_or(u64::MAX, |c| c.levels.len() as u64) {
+            slots.iter_mut().zip(&mut courses).for_each(|(slot, course)| course.look(slot.instance.as_mut()));
+        }
         world.advance(now, &mut Post { slots: &mut slots, auditor: &mut auditor });
         let acting = slots.iter().filter(|s| s.acts(now)).count();
         if acting > 0 {
@@ -145,7 +151,8 @@
         }
     }
     let verdict = auditor.finish(now);
-    Ok(world.finish(now, verdict))
+    slots.iter_mut().zip(&mut courses).for_each(|(slot, course)| course.look(slot.instance.as_mut()));
+    Ok(RunResult { balancers: courses, ..world.finish(now, verdict) })
 }
 
 /// How long after the day's length the last answer may still come.
--- a/crates/emulator/src/world/mod.rs
+++ b/crates/emulator/src/world/mod.rs
@@ -345,6 +345,7 @@
             series: self.series,
             events: self.events,
             ended_at,
+            balancers: Vec::new(),
         }
     }
 
--- a/crates/lab/src/instances/mod.rs
+++ b/crates/lab/src/instances/mod.rs
@@ -5,14 +5,15 @@
 mod places;
 mod policies;
 
+use std::collections::BTreeMap;
 use std::sync::{Arc, RwLock};
 
 use shorewharf_decisions::interface::{ListEntry, Settings};
-use shorewharf_driver::{Driver, micros};
+use shorewharf_driver::{Care, Driver, micros};
 use shorewharf_emulator::Micros;
 use shorewharf_emulator::day::Day;
 use shorewharf_emulator::edge::{BalancerId, FromBalancer, ToBalancer};
-use shorewharf_emulator::virtual_time::{Host, Instance, Truth};
+use shorewharf_emulator::virtual_time::{Host, Instance, Told, Truth};
 use thiserror::Error;
 
 pub use peers::Emulated;
@@ -22,8 +23,8 @@
 /// Who decides.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Who {
-    /// The project's driver and decision module.
-    Module,
+    /// The project's driver and decision module, with this care round it.
+    Module(Care),
     /// Any server that is listed as ready.
     Random,
     /// One server after the other.
@@ -34,14 +35,22 @@
 
 /// No such policy.
 #[derive(Debug, Error)]
-#[error("no policy is named {0:?}; there are module, random, round-robin and oracle")]
+#[error(
+    "no policy is named {0:?}; there are module, module-alone, module-levels, module-retry, module-moves, module-care, \
+     random, round-robin and oracle"
+)]
 pub struct UnknownPolicy(String);
 
 impl std::str::FromStr for Who {
     type Err = UnknownPolicy;
     fn from_str(name: &str) -> Result<Self, UnknownPolicy> {
         Ok(match name {
-            "module" => Who::Module,
+            "module" => Who::Module(Care::PLATFORM),
+            "module-alone" => Who::Module(Care::OFF),
+            "module-levels" => Who::Module(Care { levels: true, ..Care::OFF }),
+            "module-retry" => Who::Module(Care { retry: true, ..Care::OFF }),
+            "module-moves" => Who::Module(Care { rebalance: true, ..Care::OFF }),
+            "module-care" => Who::Module(Care::ALL),
             "random" => Who::Random,
             "round-robin" => Who::RoundRobin,
             "oracle" => Who::Oracle,
@@ -107,8 +116,8 @@
 impl Make {
     fn brain(&self, set: &Settings, seed: u64, known: Vec<ListEntry>, peers: &mut Emulated) -> Brain {
         let pick = match self.who {
-            Who::Module => {
-                return Brain::Module(Box::new(Driver::start(set.clone(), seed, known, peers)));
+            Who::Module(care) => {
+                return Brain::Module(Box::new(Driver::start(set.clone(), care, seed, known, peers)));
             }
             Who::Random => Pick::Random,
             Who::RoundRobin => Pick::Next,
@@ -174,4 +183,34 @@
     fn next_due(&self) -> Option<Micros> {
         self.life.as_ref().and_then(|(peers, _)| peers.next_due())
     }
+
+    fn tells(&mut self, told: &mut Told) {
+        let Some((peers, brain)) = &mut self.life else { return };
+        told.lines = peers.said();
+        if let Brain::Module(driver) = brain {
+            let stats = driver.care().stats();
+            told.level = stats.level.level.name();
+            let moves = &stats.rebalance;
+            told.gauges = vec![
+                ("strain", stats.level.strain),
+                ("imbalance", moves.imbalance),
+                ("repeats left", stats.retry.left),
+                ("moving", f64::from(u8::from(moves.active))),
+            ];
+            let of = |causes: &BTreeMap<&'static str, u64>, name| causes.get(name).copied().unwrap_or(0);
+            told.counts = vec![
+                ("level changes", stats.level.changes.values().sum()),
+                ("moves home", of(&moves.moves, "home")),
+                ("moves to level", of(&moves.moves, "level")),
+                ("landed", of(&moves.came, "target")),
+                ("landed elsewhere", of(&moves.came, "elsewhere")),
+                ("landed back", of(&moves.came, "back")),
+                ("away", of(&moves.came, "away")),
+                ("pauses", moves.pauses.values().sum()),
+                ("first attempts", stats.retry.first),
+                ("repeats", stats.retry.repeats),
+                ("repeats denied", stats.retry.grants.iter().filter(|g| *g.0 != "granted").map(|g| g.1).sum()),
+            ];
+        }
+    }
 }
--- a/crates/lab/src/instances/peers.rs
+++ b/crates/lab/src/instances/peers.rs
@@ -98,6 +98,7 @@
     leaving: Option<Micros>,
     exited: bool,
     did: Vec<FromBalancer>,
+    said: Vec<(Micros, String)>,
 }
 
 impl Emulated {
@@ -122,6 +123,7 @@
             leaving: None,
             exited: false,
             did: Vec::new(),
+            said: Vec::new(),
         }
     }
 
@@ -140,6 +142,11 @@
         out.append(&mut self.did);
     }
 
+    /// The module's log lines since the last call.
+    pub fn said(&mut self) -> Vec<(Micros, String)> {
+        std::mem::take(&mut self.said)
+    }
+
     /// Moves the clock on.
     pub fn clock(&mut self, now: Micros) {
         self.now = now;
@@ -581,5 +588,7 @@
         self.at(self.now + after.max(1), Due::Module(token));
     }
 
-    fn log(&mut self, _line: &str) {}
+    fn log(&mut self, line: &str) {
+        self.said.push((self.now, line.to_owned()));
+    }
 }
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -245,6 +245,22 @@
     pub refusals: BTreeMap<String, Vec<u64>>,
     /// The nodes, in the day's order.
     pub nodes: Vec<NodeSeries>,
+    /// What the balancers told of themselves, in the day's order (virtual time).
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub balancers: Vec<BalancerSeries>,
+}
+
+/// What one balancer told of itself.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct BalancerSeries {
+    /// Its level of service; empty while it was down.
+    pub levels: Vec<String>,
+    /// Figures by name.
+    pub gauges: BTreeMap<String, Vec<f64>>,
+    /// Sums by name.
+    pub counts: BTreeMap<String, Vec<u64>>,
+    /// Lines of its log, by second.
+    pub lines: Vec<(f64, String)>,
 }
 
 /// The course of one node's day.
--- a/crates/lab/src/runner.rs
+++ b/crates/lab/src/runner.rs
@@ -14,7 +14,7 @@
 use crate::error::Failure;
 use crate::instances::{Hosts, Who};
 use crate::record::{
-    Band, Break, NodeName, NodeSeries, Part, Price, Record, Series, SetUp, Verdict, Window, round,
+    BalancerSeries, Band, Break, NodeName, NodeSeries, Part, Price, Record, Series, SetUp, Verdict, Window, round,
 };
 
 /// Cores of this machine that the process may use.
@@ -67,7 +67,10 @@
                     let Some((policy, day)) = jobs.get(i) else { break };
                     let mut record = play(day, policy, &Options::default());
                     match &mut record {
-                        Ok(record) => record.series.nodes.clear(),
+                        Ok(record) => {
+                            record.series.nodes.clear();
+                            record.series.balancers.clear();
+                        }
                         Err(_) => failed.store(true, Ordering::Relaxed),
                     }
                     *done[i].lock().unwrap_or_else(PoisonError::into_inner) = Some(record);
@@ -200,6 +203,20 @@
                 set_ups: n.set_ups.clone(),
             })
             .collect(),
+        balancers: result
+            .balancers
+            .iter()
+            .map(|b| BalancerSeries {
+                levels: b.levels.iter().map(|l| (*l).to_owned()).collect(),
+                gauges: b
+                    .gauges
+                    .iter()
+                    .map(|(name, xs)| ((*name).to_owned(), xs.iter().map(|x| round(f64::from(*x), 3)).collect()))
+                    .collect(),
+                counts: b.counts.iter().map(|(name, ns)| ((*name).to_owned(), ns.clone())).collect(),
+                lines: b.lines.iter().map(|(at, line)| (*at as f64 / 1e6, line.clone())).collect(),
+            })
+            .collect(),
     }
 }
 
--- a/crates/lab/tests/auditor.rs
+++ b/crates/lab/tests/auditor.rs
@@ -61,7 +61,7 @@
                 let fault = FAULTS[(seed as usize * 3 + i) % FAULTS.len()];
                 rest += &format!("[[faults]]\nat_s = {}\n{fault}\n", rng.random_range(4..14));
             }
-            let verdict = judge(&Hosts::new(Who::Module), 30, &rest, seed);
+            let verdict = judge(&Hosts::new(MODULE), 30, &rest, seed);
             assert!(verdict.counts.up > 50, "seed {seed}: {:?}", verdict.counts);
             (!verdict.clean())
                 .then(|| format!("seed {seed}: {:?}\n{rest}{}", verdict.reasons, told(&verdict)))
@@ -90,7 +90,7 @@
                 }
                 _ => "",
             };
-            let verdict = judge(&Mutants::new(Hosts::new(Who::Module), wrong), 30, rest, 7);
+            let verdict = judge(&Mutants::new(Hosts::new(MODULE), wrong), 30, rest, 7);
             let found: Vec<Reason> = verdict.reasons.keys().copied().collect();
             (found != [wrong.caught_for()])
                 .then(|| format!("{wrong:?}: {:?}\n{}", verdict.reasons, told(&verdict)))
--- a/crates/wire/src/bin/shorewharf-adapter.rs
+++ b/crates/wire/src/bin/shorewharf-adapter.rs
@@ -6,7 +6,8 @@
 use std::process::ExitCode;
 
 use clap::Parser;
-use shorewharf_decisions::{Action, Balancer, Event};
+use shorewharf_decisions::{Action, Event};
+use shorewharf_recovery::care::{Guarded, Options};
 use shorewharf_logging::LogArgs;
 use shorewharf_settings::settings;
 use shorewharf_wire::{Decoder, Encoder, MAX_FRAME, Record, WireError};
@@ -23,7 +24,7 @@
 #[derive(Default)]
 struct Host {
     decoder: Decoder,
-    balancers: BTreeMap<u16, Balancer>,
+    balancers: BTreeMap<u16, Guarded>,
     columns: BTreeMap<u16, Option<usize>>,
 }
 
@@ -57,7 +58,7 @@
             Record::Attach(seed, text) => {
                 let (set, column) = settings(&text).map_err(|e| e.to_string())?;
                 self.columns.insert(i, column);
-                self.balancers.insert(i, Balancer::new(set, seed));
+                self.balancers.insert(i, Guarded::new(set, seed, Options::PLATFORM));
                 Event::Start
             }
             Record::Event(event) => event,
