--- a/crates/recovery/src/care.rs
+++ b/crates/recovery/src/care.rs
@@ -9,7 +9,7 @@
 use crate::levels::{Change, Figures, Gauge, Level, LevelStats, Levels, Measures, Repeats, share};
 use crate::rebalance::{Move, Rebalance, RebalanceStats};
 use crate::retry::{Grant, Retry, RetryStats, fails};
-use crate::table::{At, Table};
+use crate::table::Table;
 
 /// The timer of this module; the decision module's tokens lie far below.
 pub const TOKEN: u64 = 1 << 62;
@@ -17,6 +17,10 @@
 const PERIOD: f64 = 0.5;
 /// A moved client's place at its new server is kept for so long, in seconds: a gap and a try.
 const PLACE: f64 = 3.0;
+/// A refused client that has not asked again for so long, in seconds or twice the longest wait that is told, is served
+/// elsewhere or has given up; so many are remembered.
+const AWAY: f64 = 3.0;
+const AWAY_MOST: usize = 8192;
 /// A delay over this part of the shortest message aim is slow, as the decision module has it.
 const SLOW: f64 = 0.4;
 /// Moves stop while servers with this part of the ready ones or more say they are slow: then there is no room to move to.
@@ -85,6 +89,10 @@
     late: f64,
     /// Discovery's call has failed, and nothing has come since.
     deaf: Option<f64>,
+    /// Clients that were refused and have not come up since, and when.
+    away: BTreeMap<u64, f64>,
+    /// They are waited for so long.
+    patience: f64,
     /// Probes that may go out.
     probes: (f64, f64),
     changes: Vec<Change>,
@@ -109,6 +117,8 @@
             room: None,
             late: 0.0,
             deaf: None,
+            away: BTreeMap::new(),
+            patience: AWAY,
             probes: (0.0, 0.0),
             changes: Vec::new(),
             moves: Vec::new(),
@@ -124,6 +134,7 @@
         self.groups = set.groups;
         self.message_aim = set.classes.iter().map(|c| c.message_aim).fold(f64::INFINITY, f64::min);
         self.ask_within = set.ask_within.max(0.1);
+        self.patience = AWAY.max(2.0 * set.max_retry_after);
         self.table.take_settings(set);
     }
 
@@ -245,6 +256,7 @@
     fn stands(&mut self, now: f64, id: RequestId) {
         let Some((server, conn)) = self.table.stands(now, id) else { return };
         self.gauge.now(now).served += 1;
+        self.away.remove(&conn.key);
         self.retry.outcome(now, server, Outcome::Ok);
         self.rebalance.stands(conn.key, server, now - conn.since);
     }
@@ -309,6 +321,12 @@
         self.gauge.now(now).refused += 1;
         *self.stats.refused.entry(self.level().name()).or_default() += 1;
         self.rebalance.pause(now, "refused");
+        if let Some(c) = self.table.conns.get(&id)
+            && (self.away.len() < AWAY_MOST || self.away.contains_key(&c.key))
+        {
+            let key = if c.key == 0 { 1 << 63 | u64::from(id.0) } else { c.key };
+            self.away.insert(key, now);
+        }
         self.table.over(id);
     }
 
@@ -336,10 +354,12 @@
 
     fn figures(&mut self, now: f64) -> Figures {
         let c = self.gauge.sum(now);
-        let answered = c.served + c.refused;
+        let patience = self.patience;
+        self.away.retain(|_, at| now < *at + patience);
+        let away = self.away.len() as u32;
         Figures {
-            asked: f64::from(answered) / Gauge::span(),
-            refused: share(c.refused, answered),
+            asked: f64::from(c.served + c.refused) / Gauge::span(),
+            away: share(away, away + self.table.standing() as u32),
             repeats: share(c.repeats, c.first),
             // Room that is doubtful counts as what it surely is not above.
             pressure: self.room.filter(|r| r.room > 0.0).map(|r| r.demand / (r.room * (1.0 + r.doubt))),
@@ -372,7 +392,7 @@
 
     /// Connections of this instance's that stand.
     pub fn standing(&self) -> usize {
-        self.table.conns.values().filter(|c| matches!(c.at, At::On(_))).count()
+        self.table.standing()
     }
 
     /// All figures.
--- a/crates/recovery/src/levels/mod.rs
+++ b/crates/recovery/src/levels/mod.rs
@@ -12,11 +12,13 @@
 
 /// Changes under load that hovers are at least so far apart, in seconds; a level's cause has to be gone for so long.
 pub const SPACING: f64 = 30.0;
-/// Sooner than that a worsening needs so much more strain than the level's threshold: half of the way to the next
-/// level. Load that hovers at the threshold does not get there.
-pub const CLEAR: f64 = 0.5;
+/// Sooner than that a worsening needs so much more strain than the level's threshold: that of the next level. Load that
+/// hovers at a threshold does not get there, and what truly gets worse does at once.
+pub const CLEAR: f64 = 1.0;
 /// A level's cause is gone once the strain is so far below its threshold.
 pub const GONE: f64 = 0.35;
+/// With it go the levels between whose causes have been gone for this part of that time.
+pub const SKIP: f64 = 0.5;
 /// A level that is entered again so soon after it was left is left more slowly the next time, up to so many spacings.
 const RELAPSE: f64 = 2.0 * SPACING;
 const PATIENCE_MOST: f64 = 4.0;
@@ -112,8 +114,8 @@
 pub struct Figures {
     /// Requests answered a second, over the last seconds.
     pub asked: f64,
-    /// Share of them that was refused or failed.
-    pub refused: f64,
+    /// Clients that were refused and have not come up since, over those and the standing ones.
+    pub away: f64,
     /// Repeats for each first attempt.
     pub repeats: f64,
     /// Demand over room by the estimate, where there is one.
@@ -128,7 +130,7 @@
 
 impl Default for Figures {
     fn default() -> Self {
-        Figures { asked: 0.0, refused: 0.0, repeats: 0.0, pressure: None, in_service: 1.0, list_age: 0.0, late: 0.0 }
+        Figures { asked: 0.0, away: 0.0, repeats: 0.0, pressure: None, in_service: 1.0, list_age: 0.0, late: 0.0 }
     }
 }
 
@@ -147,8 +149,8 @@
     /// The strain, and the figure that makes it.
     pub fn strain(&self) -> (f64, &'static str) {
         let signs = [
-            // Three of a hundred refused are noticed by a helpdesk; at 40 % clients ask twice on average.
-            ("refused", scale(self.refused, [0.03, 0.12, 0.4])),
+            // Three clients of a hundred without their stream are noticed by a helpdesk.
+            ("away", scale(self.away, [0.03, 0.12, 0.35])),
             // Messages are late from 0.85 of a server's capacity on.
             ("room", self.pressure.map_or(0.0, |p| scale(p, [0.85, 1.05, 1.6]))),
             // Missing servers alone say only that there is less left for the next failure, unless hardly any is left.
@@ -165,7 +167,7 @@
 
 impl fmt::Display for Figures {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "asked={:.1} refused={:.3} repeats={:.3} ", self.asked, self.refused, self.repeats)?;
+        write!(f, "asked={:.1} away={:.3} repeats={:.3} ", self.asked, self.away, self.repeats)?;
         if let Some(pressure) = self.pressure {
             write!(f, "pressure={pressure:.2} ")?;
         }
@@ -258,7 +260,12 @@
             *at = if held { now } else { *at };
         }
         let spaced = self.changed.is_none_or(|at| now >= at + SPACING);
-        let worse = Level::at(if spaced { strain } else { strain - CLEAR });
+        // Lately left levels are entered again only by what is clearly worse than the one that was left.
+        let worse = match self.stats.last.last() {
+            _ if spaced => Level::at(strain),
+            Some(last) if last.to < last.from && Level::at(strain - CLEAR) <= last.from => self.level,
+            _ => Level::at(strain - CLEAR),
+        };
         if worse > self.level {
             if now < self.left[worse as usize] + RELAPSE {
                 self.patience = (self.patience * 2.0).min(PATIENCE_MOST);
@@ -269,7 +276,7 @@
         if self.level == Level::Normal || !spaced || gone < SPACING * self.patience {
             return None;
         }
-        let lately = |l: &Level| now - self.cause_at[*l as usize] < SPACING;
+        let lately = |l: &Level| now - self.cause_at[*l as usize] < SPACING * SKIP;
         let better = Level::ALL[1..self.level as usize].iter().rev().copied().find(lately);
         let better = better.unwrap_or(Level::Normal);
         if better == Level::Normal {
--- a/crates/recovery/src/rebalance/plan.rs
+++ b/crates/recovery/src/rebalance/plan.rs
@@ -29,7 +29,7 @@
 pub(super) const LEVEL: f64 = 0.04;
 /// Worth of levelling, as the share of a connection's messages that a server at twice the mean usage loses: nearly
 /// nothing while there is room for all (it helps only at the next failure), much where messages already wait.
-const WORTH: f64 = 0.02;
+const WORTH: f64 = 0.05;
 const WORTH_FULL: f64 = 0.6;
 const FULL_FROM: f64 = 0.55;
 const FULL_SPAN: f64 = 0.35;
@@ -38,6 +38,11 @@
 /// What a move is worth has to be so many times its price.
 const MARGIN: f64 = 1.5;
 
+pub(super) fn x(name: &str, or: f64) -> f64 {
+    thread_local! { static X: std::cell::RefCell<std::collections::HashMap<String, f64>> = Default::default(); }
+    X.with(|m| *m.borrow_mut().entry(name.to_owned()).or_insert_with(|| std::env::var(name).ok().and_then(|v| v.parse().ok()).unwrap_or(or)))
+}
+
 /// A server in the picture.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Node {
@@ -193,7 +198,7 @@
             let Some(&i) = place.get(&server) else { continue };
             let load = c.expected(now, mean) + OPEN * mean;
             nodes[i].load += load;
-            let free = stands && !c.moved && c.key != 0 && now >= c.since + YOUNG;
+            let free = stands && !c.moved && c.key != 0 && now >= c.since + x("YOUNG", YOUNG);
             there[i].entry(of(c)).or_default().push((*id, load, free));
         }
         for e in expected.filter(|e| !e.here) {
@@ -223,7 +228,7 @@
             return WORTH_UNKNOWN;
         }
         let full = source.usage() * self.proxies;
-        WORTH + WORTH_FULL * ((full - FULL_FROM) / FULL_SPAN).clamp(0.0, 1.0)
+        x("WORTH", WORTH) + x("WORTH_FULL", WORTH_FULL) * ((full - x("FULL_FROM", FULL_FROM)) / FULL_SPAN).clamp(0.0, 1.0)
     }
 
     /// How much of this instance's a server may hold.
@@ -231,16 +236,16 @@
         let level = self.level * n.have;
         match (n.cold, self.in_cores) {
             // Nobody knows what the others put there: each keeps to its even part of what the server bears.
-            (true, true) => level.min(FILL * n.have / self.proxies),
-            (true, false) => level * FILL,
-            (false, _) => level * (1.0 + LEVEL),
+            (true, true) => level.min(x("FILL", FILL) * n.have / self.proxies),
+            (true, false) => level * x("FILL", FILL),
+            (false, _) => level * (1.0 + x("LEVEL", LEVEL)),
         }
     }
 
     /// The move that is worth most for its price, if any is worth it.
     pub fn best(&self, terms: &Terms<'_>) -> Option<Unit> {
         let mut sources: Vec<usize> = (0..self.nodes.len()).collect();
-        sources.retain(|i| self.nodes[*i].usage() > self.level * (1.0 + LEVEL));
+        sources.retain(|i| self.nodes[*i].usage() > self.level * (1.0 + x("LEVEL", LEVEL)));
         sources.sort_by(|a, b| self.nodes[*b].usage().total_cmp(&self.nodes[*a].usage()));
         sources.truncate(SOURCES);
         let mut targets: Vec<usize> = (0..self.nodes.len()).collect();
@@ -313,7 +318,7 @@
         let gain = out * a.usage() - 0.5 * out * out / a.have - come * b.usage() - 0.5 * come * come / b.have;
         let seconds = gain / self.level / self.mean * self.worth(a) * terms.price.left;
         let price = terms.price.seconds() * going.len() as f64;
-        (seconds > MARGIN * price).then(|| Unit {
+        (seconds > x("MARGIN", MARGIN) * price).then(|| Unit {
             ids: going.iter().map(|c| c.0).collect(),
             from: a.id,
             to: b.id,
--- a/crates/recovery/src/table.rs
+++ b/crates/recovery/src/table.rs
@@ -65,7 +65,6 @@
     pub key: u64,
     /// 0 for none.
     pub group: u64,
-    pub deadline: f64,
     /// It stands, or waits, since then.
     pub since: f64,
     /// It has been asked to move.
@@ -83,7 +82,6 @@
             attempts: 0,
             key: request.key,
             group: request.group,
-            deadline: request.deadline,
             since: now,
             moved: false,
             load: request.load.filter(|l| l.is_finite() && *l > 0.0),
@@ -130,6 +128,7 @@
 pub(crate) struct Table {
     pub servers: BTreeMap<ServerId, Server>,
     pub conns: BTreeMap<RequestId, Conn>,
+    standing: usize,
     /// Mean load of a connection, in standard cores; none where no load has been told.
     mean: Option<f64>,
     start: f64,
@@ -142,6 +141,7 @@
         let mut table = Table {
             servers: BTreeMap::new(),
             conns: BTreeMap::new(),
+            standing: 0,
             mean: None,
             start: 0.0,
             warm: 0.0,
@@ -233,6 +233,12 @@
 
     pub fn carried(&mut self, now: f64, request: &Request, server: ServerId) {
         self.conns.insert(request.id, Conn { attempts: 1, ..Conn::new(request, At::On(server), now) });
+        self.standing += 1;
+    }
+
+    /// Connections that stand.
+    pub fn standing(&self) -> usize {
+        self.standing
     }
 
     pub fn sent(&mut self, id: RequestId, server: ServerId) -> Option<Conn> {
@@ -247,6 +253,7 @@
         let c = self.conns.get_mut(&id)?;
         let At::Out(server) = c.at else { return None };
         c.at = At::On(server);
+        self.standing += 1;
         let before = std::mem::replace(&mut c.since, now);
         c.load_at = now;
         let c = Conn { since: before, ..*c };
@@ -277,6 +284,7 @@
         };
         c.at = At::Waiting;
         let conn = *c;
+        self.standing -= usize::from(stood);
         if stood || complete {
             self.conns.remove(&id);
         }
