--- a/crates/lab/src/instances/mod.rs
+++ b/crates/lab/src/instances/mod.rs
@@ -9,11 +9,12 @@
 use std::sync::{Arc, RwLock};
 
 use shorewharf_decisions::interface::{ListEntry, Settings};
-use shorewharf_driver::{Care, Driver, micros};
+use shorewharf_driver::{Driver, micros};
 use shorewharf_emulator::Micros;
 use shorewharf_emulator::day::Day;
 use shorewharf_emulator::edge::{BalancerId, FromBalancer, ToBalancer};
 use shorewharf_emulator::virtual_time::{Host, Instance, Told, Truth};
+use shorewharf_settings::operator::{Operator, Recovery, Tenancy};
 use thiserror::Error;
 
 pub use peers::Emulated;
@@ -23,8 +24,12 @@
 /// Who decides.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Who {
-    /// The project's driver and decision module, with this care round it.
-    Module(Care),
+    /// The project's driver and decision module, with tenants' shares kept.
+    Module,
+    /// The same, with nothing before the module.
+    ModuleAlone,
+    /// The same, with this round the module and no tenants' shares before it.
+    Care(Recovery),
     /// Any server that is listed as ready.
     Random,
     /// One server after the other.
@@ -36,8 +41,8 @@
 /// No such policy.
 #[derive(Debug, Error)]
 #[error(
-    "no policy is named {0:?}; there are module, module-alone, module-levels, module-retry, module-moves, module-care, \
-     random, round-robin and oracle"
+    "no policy is named {0:?}; there are module, module-without-tenancy, module-alone, module-levels, module-repeats, \
+     module-moves, module-care, random, round-robin and oracle"
 )]
 pub struct UnknownPolicy(String);
 
@@ -45,12 +50,13 @@
     type Err = UnknownPolicy;
     fn from_str(name: &str) -> Result<Self, UnknownPolicy> {
         Ok(match name {
-            "module" => Who::Module(Care::PLATFORM),
-            "module-alone" => Who::Module(Care::OFF),
-            "module-levels" => Who::Module(Care { levels: true, ..Care::OFF }),
-            "module-retry" => Who::Module(Care { retry: true, ..Care::OFF }),
-            "module-moves" => Who::Module(Care { rebalance: true, ..Care::OFF }),
-            "module-care" => Who::Module(Care::ALL),
+            "module" => Who::Module,
+            "module-without-tenancy" => Who::ModuleAlone,
+            "module-alone" => Who::Care(Recovery::OFF),
+            "module-levels" => Who::Care(Recovery { levels: true, ..Recovery::OFF }),
+            "module-repeats" => Who::Care(Recovery { repeats: true, ..Recovery::OFF }),
+            "module-moves" => Who::Care(Recovery { rebalance: true, ..Recovery::OFF }),
+            "module-care" => Who::Care(Recovery::ALL),
             "random" => Who::Random,
             "round-robin" => Who::RoundRobin,
             "oracle" => Who::Oracle,
@@ -116,8 +122,11 @@
 impl Make {
     fn brain(&self, set: &Settings, seed: u64, known: Vec<ListEntry>, peers: &mut Emulated) -> Brain {
         let pick = match self.who {
-            Who::Module(care) => {
-                return Brain::Module(Box::new(Driver::start(set.clone(), care, seed, known, peers)));
+            Who::Module | Who::ModuleAlone | Who::Care(_) => {
+                let tenancy = Tenancy { on: self.who == Who::Module, ..Tenancy::default() };
+                let recovery = if let Who::Care(recovery) = self.who { recovery } else { Recovery::default() };
+                let operator = Operator { tenancy, recovery };
+                return Brain::Module(Box::new(Driver::start(set.clone(), &operator, seed, known, peers)));
             }
             Who::Random => Pick::Random,
             Who::RoundRobin => Pick::Next,
@@ -157,10 +166,9 @@
                     self.life = Some((peers, brain));
                 }
                 ToBalancer::Kill => {
-                    if let Some((mut peers, _)) = self.life.take() {
+                    // What it would have done at the end of this tick it did not live to do.
+                    if let Some((peers, _)) = self.life.take() {
                         self.next_link = peers.next_link();
-                        // What it did before it died, in this turn, was done.
-                        peers.hand_over(out);
                     }
                 }
                 what => {
@@ -188,7 +196,7 @@
         let Some((peers, brain)) = &mut self.life else { return };
         told.lines = peers.said();
         if let Brain::Module(driver) = brain {
-            let stats = driver.care().stats();
+            let stats = driver.gate().care().stats();
             told.level = stats.level.level.name();
             let moves = &stats.rebalance;
             told.gauges = vec![
--- a/crates/recovery/src/care.rs
+++ b/crates/recovery/src/care.rs
@@ -32,18 +32,16 @@
     /// Levels change what they say they change; they are always told.
     pub levels: bool,
     /// Repeats need the budget.
-    pub retry: bool,
+    pub repeats: bool,
     /// Standing connections move towards balance.
     pub rebalance: bool,
 }
 
 impl Options {
     /// Nothing: all is only counted.
-    pub const OFF: Options = Options { levels: false, retry: false, rebalance: false };
-    /// What the platform runs with.
-    pub const PLATFORM: Options = Options::OFF;
+    pub const OFF: Options = Options { levels: false, repeats: false, rebalance: false };
     /// Everything.
-    pub const ALL: Options = Options { levels: true, retry: true, rebalance: true };
+    pub const ALL: Options = Options { levels: true, repeats: true, rebalance: true };
 }
 
 /// Demand and room of the whole fleet, as an estimate has them.
@@ -183,7 +181,7 @@
         }
         let closed = || self.retry.closed(now) || self.measures().repeats == Repeats::None;
         let may = repeat.unwrap_or_else(|| !closed());
-        module.allow_repeats(may || !self.options.retry);
+        module.allow_repeats(may || !self.options.repeats);
         true
     }
 
@@ -318,16 +316,19 @@
     }
 
     fn refused(&mut self, now: f64, id: RequestId) {
+        self.rebalance.pause(now, "refused");
+        let key = self.table.conns.get(&id).map_or(0, |c| c.key);
+        self.turned_away(now, key, id);
+        self.table.over(id);
+    }
+
+    fn turned_away(&mut self, now: f64, key: u64, id: RequestId) {
         self.gauge.now(now).refused += 1;
         *self.stats.refused.entry(self.level().name()).or_default() += 1;
-        self.rebalance.pause(now, "refused");
-        if let Some(c) = self.table.conns.get(&id)
-            && (self.away.len() < AWAY_MOST || self.away.contains_key(&c.key))
-        {
-            let key = if c.key == 0 { 1 << 63 | u64::from(id.0) } else { c.key };
+        let key = if key == 0 { 1 << 63 | u64::from(id.0) } else { key };
+        if self.away.len() < AWAY_MOST || self.away.contains_key(&key) {
             self.away.insert(key, now);
         }
-        self.table.over(id);
     }
 
     /// Takes out probes beyond what the level allows; the module asks for them again by its own back-off.
@@ -429,11 +430,22 @@
     }
 
     /// Puts new settings in force; what was learned stays.
-    pub fn take_settings(&mut self, set: Settings) {
+    pub fn take_settings(&mut self, set: Settings, options: Options) {
+        self.care.options = options;
         self.care.take_settings(&set);
         self.module.take_settings(set);
     }
 
+    /// A client was turned away before the module heard of it.
+    pub fn turned_away(&mut self, now: f64, request: &Request) {
+        self.care.turned_away(now, request.key, request.id);
+    }
+
+    /// A standing client was asked to move by someone else.
+    pub fn moved(&mut self, id: RequestId) {
+        self.care.table.conns.entry(id).and_modify(|c| c.moved = true);
+    }
+
     /// The care.
     pub fn care(&self) -> &Care {
         &self.care
