--- a/crates/balancer/src/net/mod.rs
+++ b/crates/balancer/src/net/mod.rs
@@ -24,7 +24,7 @@
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, Mode, PostAction};
-use shorewharf_driver::{Care, Driver, Micros};
+use shorewharf_driver::{Driver, Micros};
 use socket2::{Domain, Socket, Type};
 use tracing::{error, info};
 
--- a/crates/recovery/src/care.rs
+++ b/crates/recovery/src/care.rs
@@ -216,7 +216,8 @@
             _ => {}
         }
         // The moment it happens, with the figures that caused it.
-        out.extend(self.changes.drain(..).map(|change| Action::Log(change.to_string())));
+        let changes = self.changes.drain(..).map(|change| change.to_string());
+        out.extend(changes.chain(self.retry.notes()).chain(self.rebalance.notes()).map(Action::Log));
     }
 
     fn listed(
--- a/crates/recovery/src/rebalance/mod.rs
+++ b/crates/recovery/src/rebalance/mod.rs
@@ -105,6 +105,10 @@
     landed: (u32, u32),
     /// Mean age of connections that ended by themselves.
     lives: f64,
+    /// Moves, and those of them that came up here, when they began the last time.
+    began: (u64, u64),
+    /// Lines for the log.
+    notes: Vec<String>,
     stats: RebalanceStats,
 }
 
@@ -123,6 +127,8 @@
             awaited: BTreeMap::new(),
             landed: (0, 0),
             lives: 0.0,
+            began: (0, 0),
+            notes: Vec::new(),
             stats,
         }
     }
@@ -202,6 +208,7 @@
         self.stats.imbalance = picture.imbalance();
         self.stats.price.left = picture.age.max(self.lives);
         self.earn(past, pace, table, &picture, proxies);
+        let before = self.state;
         self.state = match self.state {
             State::Rests if self.stats.imbalance > plan::x("BEGIN", BEGIN) => State::Settles(now + plan::x("SETTLE", SETTLE) * (1.0 + self.draw())),
             State::Settles(_) if self.stats.imbalance <= plan::x("BEGIN", BEGIN) => State::Rests,
@@ -209,6 +216,7 @@
             State::Moves if self.stats.imbalance <= plan::x("END", END) && self.open.is_none() => State::Rests,
             state => state,
         };
+        self.tell(before);
         if self.state != State::Moves || now < self.paused || pace <= 0.0 {
             self.open = None;
             return;
@@ -223,6 +231,25 @@
         self.make(now, table, picture, (groups, proxies), moves);
     }
 
+    /// Says in the log that moves begin or end.
+    fn tell(&mut self, before: State) {
+        let sums = (self.stats.moves.values().sum(), self.stats.came.get("target").copied().unwrap_or(0));
+        let (moving, moved) = (self.state == State::Moves, before == State::Moves);
+        if moving && !moved {
+            self.began = sums;
+            self.notes.push(format!("rebalance=begins imbalance={:.2}", self.stats.imbalance));
+        } else if moved && !moving {
+            let (moves, landed): (u64, u64) = (sums.0 - self.began.0, sums.1 - self.began.1);
+            let imbalance = self.stats.imbalance;
+            self.notes.push(format!("rebalance=ends imbalance={imbalance:.2} moves={moves} landed={landed}"));
+        }
+    }
+
+    /// Lines for the log since the last call.
+    pub fn notes(&mut self) -> impl Iterator<Item = String> {
+        self.notes.drain(..)
+    }
+
     fn expire(&mut self, now: f64) {
         let before = self.awaited.len();
         self.awaited.retain(|_, e| now < e.until);
@@ -284,7 +311,7 @@
             let Some(c) = table.conns.get_mut(&request).filter(on) else { continue };
             c.moved = true;
             let load = c.expected(now, mean);
-            let e = Expected { to, from, load, group: c.group, until: now + AWAITED, at: now, here: false };
+            let e = Expected { to, from, load, until: now + AWAITED, at: now, here: false };
             take.0 -= 1.0;
             self.tokens -= 1.0;
             self.awaited.insert(c.key, e);
--- a/crates/recovery/src/rebalance/plan.rs
+++ b/crates/recovery/src/rebalance/plan.rs
@@ -70,7 +70,6 @@
     pub to: ServerId,
     pub from: ServerId,
     pub load: f64,
-    pub group: u64,
     pub until: f64,
     /// It was moved then.
     pub at: f64,
--- a/crates/recovery/src/retry.rs
+++ b/crates/recovery/src/retry.rs
@@ -98,6 +98,8 @@
     /// When a server was heard of last, and whether it failed.
     heard: BTreeMap<ServerId, (f64, bool)>,
     rng: Pcg64Mcg,
+    /// Lines for the log.
+    notes: Vec<String>,
     stats: RetryStats,
 }
 
@@ -109,6 +111,7 @@
             state: State::Open,
             heard: BTreeMap::new(),
             rng: Pcg64Mcg::seed_from_u64(seed),
+            notes: Vec::new(),
             stats: RetryStats::default(),
         }
     }
@@ -140,10 +143,16 @@
         let failing = self.heard.values().filter(|h| h.1).count();
         let alike = failing >= SERVERS && failing as f64 >= SHARE * self.heard.len() as f64;
         match (self.state, fails(outcome)) {
-            (State::Open, true) if alike => self.close(now, CLOSED),
+            (State::Open, true) if alike => {
+                self.notes.push(format!("repeats=closed failing={failing} of={}", self.heard.len()));
+                self.close(now, CLOSED);
+            }
             // What fails while a trial is out says what the trial was to find out.
             (State::Trying(_, span), true) if alike => self.close(now, (span * 2.0).min(CLOSED_LONGEST)),
-            (State::Trying(..), false) if !alike => self.state = State::Open,
+            (State::Trying(..), false) if !alike => {
+                self.state = State::Open;
+                self.notes.push(format!("repeats=open left={:.1}", self.left));
+            }
             _ => {}
         }
     }
@@ -188,6 +197,11 @@
         grant
     }
 
+    /// Lines for the log since the last call.
+    pub fn notes(&mut self) -> impl Iterator<Item = String> {
+        self.notes.drain(..)
+    }
+
     /// Its figures.
     pub fn stats(&self) -> RetryStats {
         RetryStats { left: self.left, closed: self.state != State::Open, ..self.stats.clone() }
