--- a/crates/lab/src/instances/mod.rs
+++ b/crates/lab/src/instances/mod.rs
@@ -124,7 +124,8 @@
         let pick = match self.who {
             Who::Module | Who::ModuleAlone | Who::Care(_) => {
                 let tenancy = Tenancy { on: self.who == Who::Module, ..Tenancy::default() };
-                let recovery = if let Who::Care(recovery) = self.who { recovery } else { Recovery::default() };
+                let recovery =
+                    if let Who::Care(recovery) = self.who { recovery } else { Recovery::default() };
                 let operator = Operator { tenancy, recovery };
                 return Brain::Module(Box::new(Driver::start(set.clone(), &operator, seed, known, peers)));
             }
@@ -217,7 +218,10 @@
                 ("pauses", moves.pauses.values().sum()),
                 ("first attempts", stats.retry.first),
                 ("repeats", stats.retry.repeats),
-                ("repeats denied", stats.retry.grants.iter().filter(|g| *g.0 != "granted").map(|g| g.1).sum()),
+                (
+                    "repeats denied",
+                    stats.retry.grants.iter().filter(|g| *g.0 != "granted").map(|g| g.1).sum(),
+                ),
             ];
         }
     }
--- a/crates/lab/src/runner.rs
+++ b/crates/lab/src/runner.rs
@@ -16,8 +16,8 @@
 use crate::error::Failure;
 use crate::instances::{Hosts, Who};
 use crate::record::{
-    BalancerSeries, Band, Break, NodeName, NodeSeries, Part, Price, Record, Series, SetUp, TenantSeries, Verdict, Window,
-    round,
+    BalancerSeries, Band, Break, NodeName, NodeSeries, Part, Price, Record, Series, SetUp, TenantSeries,
+    Verdict, Window, round,
 };
 
 /// Cores of this machine that the process may use.
@@ -230,7 +230,9 @@
                 gauges: b
                     .gauges
                     .iter()
-                    .map(|(name, xs)| ((*name).to_owned(), xs.iter().map(|x| round(f64::from(*x), 3)).collect()))
+                    .map(|(name, xs)| {
+                        ((*name).to_owned(), xs.iter().map(|x| round(f64::from(*x), 3)).collect())
+                    })
                     .collect(),
                 counts: b.counts.iter().map(|(name, ns)| ((*name).to_owned(), ns.clone())).collect(),
                 lines: b.lines.iter().map(|(at, line)| (*at as f64 / 1e6, line.clone())).collect(),
--- a/crates/recovery/src/care.rs
+++ b/crates/recovery/src/care.rs
@@ -187,7 +187,14 @@
 
     /// What the module wants done, from `first` on; called after it has heard of an event. Takes out what must not be,
     /// and appends what is wanted besides.
-    pub fn sees(&mut self, now: f64, first: usize, event: &Event, out: &mut Vec<Action>, module: &mut Balancer) {
+    pub fn sees(
+        &mut self,
+        now: f64,
+        first: usize,
+        event: &Event,
+        out: &mut Vec<Action>,
+        module: &mut Balancer,
+    ) {
         let mut looks = matches!(event, Event::Servers { .. } | Event::Ended { .. } | Event::RegistryFailed);
         for action in &out[first..] {
             match action {
--- a/crates/recovery/src/levels/mod.rs
+++ b/crates/recovery/src/levels/mod.rs
@@ -57,14 +57,22 @@
     /// What it changes.
     pub fn measures(self) -> Measures {
         match self {
-            Level::Normal => {
-                Measures { refuse: Refuse::Nobody, repeats: Repeats::Budget, pace: 1.0, probes: f64::INFINITY }
-            }
+            Level::Normal => Measures {
+                refuse: Refuse::Nobody,
+                repeats: Repeats::Budget,
+                pace: 1.0,
+                probes: f64::INFINITY,
+            },
             // A tenth of a second between moves or a half: what is left must not be spent on tidiness.
-            Level::Strained => {
-                Measures { refuse: Refuse::OverShare, repeats: Repeats::Budget, pace: 0.5, probes: f64::INFINITY }
+            Level::Strained => Measures {
+                refuse: Refuse::OverShare,
+                repeats: Repeats::Budget,
+                pace: 0.5,
+                probes: f64::INFINITY,
+            },
+            Level::Short => {
+                Measures { refuse: Refuse::New, repeats: Repeats::Unsent, pace: 0.0, probes: 8.0 }
             }
-            Level::Short => Measures { refuse: Refuse::New, repeats: Repeats::Unsent, pace: 0.0, probes: 8.0 },
             Level::Severe => Measures { refuse: Refuse::New, repeats: Repeats::None, pace: 0.0, probes: 4.0 },
         }
     }
@@ -130,7 +138,15 @@
 
 impl Default for Figures {
     fn default() -> Self {
-        Figures { asked: 0.0, away: 0.0, repeats: 0.0, pressure: None, in_service: 1.0, list_age: 0.0, late: 0.0 }
+        Figures {
+            asked: 0.0,
+            away: 0.0,
+            repeats: 0.0,
+            pressure: None,
+            in_service: 1.0,
+            list_age: 0.0,
+            late: 0.0,
+        }
     }
 }
 
--- a/crates/recovery/src/rebalance/mod.rs
+++ b/crates/recovery/src/rebalance/mod.rs
@@ -11,8 +11,8 @@
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use shorewharf_decisions::{RequestId, ServerId};
 
-pub use plan::{Price, Unit, Why};
 use plan::{Expected, LEVEL, Picture, Terms};
+pub use plan::{Price, Unit, Why};
 
 use crate::table::{Ended, Table};
 
@@ -115,7 +115,8 @@
 impl Rebalance {
     /// Nothing moves yet; when it begins is drawn from `seed`.
     pub fn new(seed: u64, charged: f64) -> Self {
-        let stats = RebalanceStats { price: Price { charged, ..Price::default() }, ..RebalanceStats::default() };
+        let stats =
+            RebalanceStats { price: Price { charged, ..Price::default() }, ..RebalanceStats::default() };
         Rebalance {
             rng: Pcg64Mcg::seed_from_u64(seed),
             state: State::Rests,
@@ -210,10 +211,14 @@
         self.earn(past, pace, table, &picture, proxies);
         let before = self.state;
         self.state = match self.state {
-            State::Rests if self.stats.imbalance > plan::x("BEGIN", BEGIN) => State::Settles(now + plan::x("SETTLE", SETTLE) * (1.0 + self.draw())),
+            State::Rests if self.stats.imbalance > plan::x("BEGIN", BEGIN) => {
+                State::Settles(now + plan::x("SETTLE", SETTLE) * (1.0 + self.draw()))
+            }
             State::Settles(_) if self.stats.imbalance <= plan::x("BEGIN", BEGIN) => State::Rests,
             State::Settles(at) if now >= at => State::Moves,
-            State::Moves if self.stats.imbalance <= plan::x("END", END) && self.open.is_none() => State::Rests,
+            State::Moves if self.stats.imbalance <= plan::x("END", END) && self.open.is_none() => {
+                State::Rests
+            }
             state => state,
         };
         self.tell(before);
@@ -269,7 +274,8 @@
             } else {
                 picture.standing as f64 * n.weight / all
             };
-            let rate = plan::x("RAMP", RAMP) * fill / table.warm_within() * if n.cold { 1.0 } else { plan::x("WARM", WARM) };
+            let rate = plan::x("RAMP", RAMP) * fill / table.warm_within()
+                * if n.cold { 1.0 } else { plan::x("WARM", WARM) };
             // The first one comes at a drawn time, so that all instances' first ones don't come together.
             let drawn = (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64;
             let t = self.takes.entry(n.id).or_insert((-drawn, n.born));
@@ -294,7 +300,8 @@
             if !open {
                 let paced = |id: ServerId| self.takes.get(&id).is_some_and(|t| t.0 >= 1.0);
                 let terms = Terms { now, warm: table.warm_within(), price: self.stats.price, paced: &paced };
-                let unit = if self.stats.imbalance > plan::x("END", END) { picture.best(&terms) } else { None };
+                let unit =
+                    if self.stats.imbalance > plan::x("END", END) { picture.best(&terms) } else { None };
                 let Some(unit) = unit else {
                     self.open = None;
                     // Nothing is worth its price, or no target takes one just now.
--- a/crates/recovery/src/rebalance/plan.rs
+++ b/crates/recovery/src/rebalance/plan.rs
@@ -13,8 +13,10 @@
 /// costs whatever it does; both as measured on the platform.
 const GROUP: f64 = 2.0;
 const OPEN: f64 = 0.1;
-/// Who came so lately, in seconds, is left alone: it has only just been placed, or moved by another instance.
+/// Who came so lately, in seconds, is left alone: it has only just been placed. Who came again may have been moved by
+/// another instance: without the longer time two of them sent clients to and fro.
 const YOUNG: f64 = 5.0;
+const YOUNG_AGAIN: f64 = 12.0;
 /// A server that told of slow messages so lately takes no moves, in seconds.
 const SLOW: f64 = 5.0;
 /// All instances together fill a cold server with moves up to this part of what it can do by its stated ramp.
@@ -40,7 +42,11 @@
 
 pub(super) fn x(name: &str, or: f64) -> f64 {
     thread_local! { static X: std::cell::RefCell<std::collections::HashMap<String, f64>> = Default::default(); }
-    X.with(|m| *m.borrow_mut().entry(name.to_owned()).or_insert_with(|| std::env::var(name).ok().and_then(|v| v.parse().ok()).unwrap_or(or)))
+    X.with(|m| {
+        *m.borrow_mut()
+            .entry(name.to_owned())
+            .or_insert_with(|| std::env::var(name).ok().and_then(|v| v.parse().ok()).unwrap_or(or))
+    })
 }
 
 /// A server in the picture.
@@ -197,7 +203,10 @@
             let Some(&i) = place.get(&server) else { continue };
             let load = c.expected(now, mean) + OPEN * mean;
             nodes[i].load += load;
-            let free = stands && !c.moved && c.key != 0 && now >= c.since + x("YOUNG", YOUNG);
+            let free = stands
+                && !c.moved
+                && c.key != 0
+                && now >= c.since + if c.again { x("YOUNG_AGAIN", YOUNG_AGAIN) } else { x("YOUNG", YOUNG) };
             there[i].entry(of(c)).or_default().push((*id, load, free));
         }
         for e in expected.filter(|e| !e.here) {
@@ -227,7 +236,8 @@
             return WORTH_UNKNOWN;
         }
         let full = source.usage() * self.proxies;
-        x("WORTH", WORTH) + x("WORTH_FULL", WORTH_FULL) * ((full - x("FULL_FROM", FULL_FROM)) / FULL_SPAN).clamp(0.0, 1.0)
+        x("WORTH", WORTH)
+            + x("WORTH_FULL", WORTH_FULL) * ((full - x("FULL_FROM", FULL_FROM)) / FULL_SPAN).clamp(0.0, 1.0)
     }
 
     /// How much of this instance's a server may hold.
@@ -289,8 +299,7 @@
                 return None;
             }
         }
-        let mut going: Vec<(RequestId, f64)> =
-            held.iter().filter(|c| c.2).map(|c| (c.0, c.1)).collect();
+        let mut going: Vec<(RequestId, f64)> = held.iter().filter(|c| c.2).map(|c| (c.0, c.1)).collect();
         going.sort_by(|x, y| y.1.total_cmp(&x.1).then(x.0.cmp(&y.0)));
         if paid {
             // The heaviest that fits: fewer clients are moved.
--- a/crates/recovery/src/retry.rs
+++ b/crates/recovery/src/retry.rs
@@ -149,6 +149,11 @@
             }
             // What fails while a trial is out says what the trial was to find out.
             (State::Trying(_, span), true) if alike => self.close(now, (span * 2.0).min(CLOSED_LONGEST)),
+            // Servers answer and fail no more alike: it opens without a trial where nobody needed one.
+            (State::Closed(until, _), false) if !alike && now >= until => {
+                self.state = State::Open;
+                self.notes.push(format!("repeats=open left={:.1}", self.left));
+            }
             (State::Trying(..), false) if !alike => {
                 self.state = State::Open;
                 self.notes.push(format!("repeats=open left={:.1}", self.left));
--- a/crates/recovery/src/table.rs
+++ b/crates/recovery/src/table.rs
@@ -67,6 +67,8 @@
     pub group: u64,
     /// It stands, or waits, since then.
     pub since: f64,
+    /// It had stood before, and came again.
+    pub again: bool,
     /// It has been asked to move.
     pub moved: bool,
     load: Option<f64>,
@@ -83,6 +85,7 @@
             key: request.key,
             group: request.group,
             since: now,
+            again: request.returning,
             moved: false,
             load: request.load.filter(|l| l.is_finite() && *l > 0.0),
             load_at: now,
@@ -212,7 +215,8 @@
                 }
             }
         }
-        self.servers.retain(|_, s| s.entry.stage != Stage::Gone || s.missing.is_some_and(|at| now < at + MISSED));
+        self.servers
+            .retain(|_, s| s.entry.stage != Stage::Gone || s.missing.is_some_and(|at| now < at + MISSED));
         news
     }
 
