--- a/crates/recovery/src/rebalance/mod.rs
+++ b/crates/recovery/src/rebalance/mod.rs
@@ -140,7 +140,7 @@
 
     /// Something has failed: nothing moves for a while.
     pub fn pause(&mut self, now: f64, cause: &'static str) {
-        let until = now + plan::x("PAUSE", PAUSE) * (0.75 + 0.5 * self.draw());
+        let until = now + PAUSE * (0.75 + 0.5 * self.draw());
         if now >= self.paused {
             *self.stats.pauses.entry(cause).or_default() += 1;
         }
@@ -211,14 +211,12 @@
         self.earn(past, pace, table, &picture, proxies);
         let before = self.state;
         self.state = match self.state {
-            State::Rests if self.stats.imbalance > plan::x("BEGIN", BEGIN) => {
-                State::Settles(now + plan::x("SETTLE", SETTLE) * (1.0 + self.draw()))
+            State::Rests if self.stats.imbalance > BEGIN => {
+                State::Settles(now + SETTLE * (1.0 + self.draw()))
             }
-            State::Settles(_) if self.stats.imbalance <= plan::x("BEGIN", BEGIN) => State::Rests,
+            State::Settles(_) if self.stats.imbalance <= BEGIN => State::Rests,
             State::Settles(at) if now >= at => State::Moves,
-            State::Moves if self.stats.imbalance <= plan::x("END", END) && self.open.is_none() => {
-                State::Rests
-            }
+            State::Moves if self.stats.imbalance <= END && self.open.is_none() => State::Rests,
             state => state,
         };
         self.tell(before);
@@ -265,7 +263,7 @@
 
     /// What may move by now, over all and by server.
     fn earn(&mut self, past: f64, pace: f64, table: &Table, picture: &Picture, proxies: f64) {
-        let rate = PACE_LEAST + plan::x("PACE", PACE) * picture.standing as f64;
+        let rate = PACE_LEAST + PACE * picture.standing as f64;
         self.tokens = (self.tokens + rate * pace * past).min(BURST.max(rate));
         let all: f64 = picture.nodes.iter().map(|n| n.weight).sum();
         for n in &picture.nodes {
@@ -274,8 +272,7 @@
             } else {
                 picture.standing as f64 * n.weight / all
             };
-            let rate = plan::x("RAMP", RAMP) * fill / table.warm_within()
-                * if n.cold { 1.0 } else { plan::x("WARM", WARM) };
+            let rate = RAMP * fill / table.warm_within() * if n.cold { 1.0 } else { WARM };
             // The first one comes at a drawn time, so that all instances' first ones don't come together.
             let drawn = (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64;
             let t = self.takes.entry(n.id).or_insert((-drawn, n.born));
@@ -300,8 +297,7 @@
             if !open {
                 let paced = |id: ServerId| self.takes.get(&id).is_some_and(|t| t.0 >= 1.0);
                 let terms = Terms { now, warm: table.warm_within(), price: self.stats.price, paced: &paced };
-                let unit =
-                    if self.stats.imbalance > plan::x("END", END) { picture.best(&terms) } else { None };
+                let unit = if self.stats.imbalance > END { picture.best(&terms) } else { None };
                 let Some(unit) = unit else {
                     self.open = None;
                     // Nothing is worth its price, or no target takes one just now.
--- a/crates/recovery/src/rebalance/plan.rs
+++ b/crates/recovery/src/rebalance/plan.rs
@@ -40,15 +40,6 @@
 /// What a move is worth has to be so many times its price.
 const MARGIN: f64 = 1.5;
 
-pub(super) fn x(name: &str, or: f64) -> f64 {
-    thread_local! { static X: std::cell::RefCell<std::collections::HashMap<String, f64>> = Default::default(); }
-    X.with(|m| {
-        *m.borrow_mut()
-            .entry(name.to_owned())
-            .or_insert_with(|| std::env::var(name).ok().and_then(|v| v.parse().ok()).unwrap_or(or))
-    })
-}
-
 /// A server in the picture.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Node {
@@ -137,6 +128,17 @@
     pub worth: f64,
 }
 
+/// A connection on a server: its load, and whether it may move.
+#[derive(Clone, Copy, Debug)]
+struct There {
+    id: RequestId,
+    load: f64,
+    free: bool,
+}
+
+/// A server's connections by group.
+type Groups = BTreeMap<u64, Vec<There>>;
+
 /// What this instance's connections load where.
 #[derive(Debug)]
 pub(super) struct Picture {
@@ -147,7 +149,7 @@
     /// Mean usage.
     level: f64,
     /// By place of the server: this instance's connections there by group, with their loads.
-    there: Vec<BTreeMap<u64, Vec<(RequestId, f64, bool)>>>,
+    there: Vec<Groups>,
     /// Connections that stand.
     pub standing: usize,
     /// Their mean age.
@@ -187,7 +189,7 @@
         };
         let mut nodes: Vec<Node> = table.servers.iter().filter(|(_, s)| s.serves()).map(node).collect();
         let place: BTreeMap<ServerId, usize> = nodes.iter().enumerate().map(|(i, n)| (n.id, i)).collect();
-        let mut there: Vec<BTreeMap<u64, Vec<(RequestId, f64, bool)>>> = vec![BTreeMap::new(); nodes.len()];
+        let mut there = vec![Groups::new(); nodes.len()];
         let (mut standing, mut ages) = (0, 0.0);
         let of = |c: &Conn| if groups { c.group } else { 0 };
         for (id, c) in &table.conns {
@@ -206,8 +208,8 @@
             let free = stands
                 && !c.moved
                 && c.key != 0
-                && now >= c.since + if c.again { x("YOUNG_AGAIN", YOUNG_AGAIN) } else { x("YOUNG", YOUNG) };
-            there[i].entry(of(c)).or_default().push((*id, load, free));
+                && now >= c.since + if c.again { YOUNG_AGAIN } else { YOUNG };
+            there[i].entry(of(c)).or_default().push(There { id: *id, load, free });
         }
         for e in expected.filter(|e| !e.here) {
             if let Some(&i) = place.get(&e.to) {
@@ -236,8 +238,7 @@
             return WORTH_UNKNOWN;
         }
         let full = source.usage() * self.proxies;
-        x("WORTH", WORTH)
-            + x("WORTH_FULL", WORTH_FULL) * ((full - x("FULL_FROM", FULL_FROM)) / FULL_SPAN).clamp(0.0, 1.0)
+        WORTH + WORTH_FULL * ((full - FULL_FROM) / FULL_SPAN).clamp(0.0, 1.0)
     }
 
     /// How much of this instance's a server may hold.
@@ -245,16 +246,16 @@
         let level = self.level * n.have;
         match (n.cold, self.in_cores) {
             // Nobody knows what the others put there: each keeps to its even part of what the server bears.
-            (true, true) => level.min(x("FILL", FILL) * n.have / self.proxies),
-            (true, false) => level * x("FILL", FILL),
-            (false, _) => level * (1.0 + x("LEVEL", LEVEL)),
+            (true, true) => level.min(FILL * n.have / self.proxies),
+            (true, false) => level * FILL,
+            (false, _) => level * (1.0 + LEVEL),
         }
     }
 
     /// The move that is worth most for its price, if any is worth it.
     pub fn best(&self, terms: &Terms<'_>) -> Option<Unit> {
         let mut sources: Vec<usize> = (0..self.nodes.len()).collect();
-        sources.retain(|i| self.nodes[*i].usage() > self.level * (1.0 + x("LEVEL", LEVEL)));
+        sources.retain(|i| self.nodes[*i].usage() > self.level * (1.0 + LEVEL));
         sources.sort_by(|a, b| self.nodes[*b].usage().total_cmp(&self.nodes[*a].usage()));
         sources.truncate(SOURCES);
         let mut targets: Vec<usize> = (0..self.nodes.len()).collect();
@@ -280,26 +281,20 @@
     }
 
     /// What moves of a group's connections from one server to another: all of them, unless the group is paid for at both.
-    fn unit(
-        &self,
-        terms: &Terms<'_>,
-        from: usize,
-        to: usize,
-        group: u64,
-        held: &[(RequestId, f64, bool)],
-    ) -> Option<Unit> {
+    fn unit(&self, terms: &Terms<'_>, from: usize, to: usize, group: u64, held: &[There]) -> Option<Unit> {
         let (a, b) = (&self.nodes[from], &self.nodes[to]);
         let paid = group == 0 || self.there[to].contains_key(&group);
         let home = group != 0 && rank(group, b.id, b.weight) < rank(group, a.id, a.weight);
         if b.cold {
             let age = terms.now - b.born;
             let open = ((age - OPENS) / (terms.warm - OPENS).max(0.1)).clamp(0.0, 1.0);
-            let of = if group == 0 { held.first()?.0.0.into() } else { group };
+            let of = if group == 0 { held.first()?.id.0.into() } else { group };
             if !paid && lot(of, b.id, b.born) > open {
                 return None;
             }
         }
-        let mut going: Vec<(RequestId, f64)> = held.iter().filter(|c| c.2).map(|c| (c.0, c.1)).collect();
+        let mut going: Vec<(RequestId, f64)> =
+            held.iter().filter(|c| c.free).map(|c| (c.id, c.load)).collect();
         going.sort_by(|x, y| y.1.total_cmp(&x.1).then(x.0.cmp(&y.0)));
         if paid {
             // The heaviest that fits: fewer clients are moved.
@@ -326,7 +321,7 @@
         let gain = out * a.usage() - 0.5 * out * out / a.have - come * b.usage() - 0.5 * come * come / b.have;
         let seconds = gain / self.level / self.mean * self.worth(a) * terms.price.left;
         let price = terms.price.seconds() * going.len() as f64;
-        (seconds > x("MARGIN", MARGIN) * price).then(|| Unit {
+        (seconds > MARGIN * price).then(|| Unit {
             ids: going.iter().map(|c| c.0).collect(),
             from: a.id,
             to: b.id,
