--- a/crates/balancer/src/net/turn.rs
+++ b/crates/balancer/src/net/turn.rs
@@ -5,28 +5,71 @@
 
 use shorewharf_decisions::interface::RequestId;
 use shorewharf_driver::{Happening, Micros};
+use tracing::warn;
 
 use super::poll::Poller;
 use super::pool::Pool;
-use super::timers::Timers;
+use super::pressure::Pressure;
+use super::timers::{Key, Timers};
 
-/// What a timer is for. Those of a fetch carry its number: it may be over when they come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+/// What a timer is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Due {
     /// The module asked to be woken with this token.
     Module(u64),
-    /// A fetch's connection should be up by now.
-    Connect(RequestId, u64),
-    /// A fetch should have its answer by now.
-    Patience(RequestId, u64),
+    /// Something of a client session's may be due.
+    Session(RequestId),
+    /// A fetch should have come further by now.
+    Fetch(RequestId),
     /// A probe should be over by now.
     Probe(u64),
-    /// Connections are looked over.
-    Sweep,
+    /// The director may have been silent for too long.
+    Director,
+    /// Clients that could not be accepted may be by now.
+    Accept,
     /// Message delays are reported.
     Delays,
+    /// Log lines were left out.
+    Complaints,
+    /// The next step of a planned end.
+    Leave,
 }
 
+/// The one timer of something that has its deadlines itself: set no later than the first of them, and looked at when
+/// it comes. A deadline that is put off, or done with, costs nothing.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Alarm(Option<(Micros, Key)>);
+
+impl Alarm {
+    /// Has the timer come by then at the latest; nothing where nothing is due.
+    pub fn by(&mut self, turn: &mut Turn, when: Option<Micros>, due: Due) {
+        let Some(when) = when else { return };
+        if self.0.is_none_or(|(at, _)| at > when) {
+            self.off(turn);
+            self.0 = Some((when, turn.timers.set(when, due)));
+        }
+    }
+
+    /// The timer has come.
+    pub fn came(&mut self) {
+        self.0 = None;
+    }
+
+    /// Takes the timer back.
+    pub fn off(&mut self, turn: &mut Turn) {
+        if let Some((_, key)) = self.0.take() {
+            turn.timers.cancel(key);
+        }
+    }
+}
+
+/// A turn that begins so much later than it was to begin, or takes so long, was held up: the machine stood still, or
+/// the program did.
+const HELD_UP: Micros = 400_000;
+/// What peers said meanwhile is read first; after that they have so long to be heard before anybody is judged by
+/// silence. They may have stood still with this machine.
+const TO_BE_HEARD: Micros = 500_000;
+
 /// One turn of the loop, as the peers see it.
 #[derive(Debug)]
 pub struct Turn {
@@ -38,13 +81,28 @@
     pub poller: Poller,
     /// What is due when.
     pub timers: Timers<Due>,
+    /// What the loop can take on.
+    pub pressure: Pressure,
     happenings: VecDeque<Happening>,
+    /// When the next turn is to begin at the latest.
+    next: Micros,
+    /// When it went on after it had been held up last.
+    resumed: Micros,
 }
 
 impl Turn {
     /// The first turn, at this time.
     pub fn new(poller: Poller, now: Micros) -> Self {
-        Turn { now, pool: Pool::default(), poller, timers: Timers::default(), happenings: VecDeque::new() }
+        Turn {
+            now,
+            pool: Pool::default(),
+            poller,
+            timers: Timers::new(now),
+            pressure: Pressure::new(now),
+            happenings: VecDeque::new(),
+            next: now,
+            resumed: 0,
+        }
     }
 
     /// Tells the driver what has happened; it is heard in this order.
@@ -57,22 +115,52 @@
         self.happenings.pop_front()
     }
 
+    /// The turn begins at this time; time never goes back.
+    pub fn begin(&mut self, now: Micros) {
+        let late = now.saturating_sub(self.next.max(self.now));
+        self.now = self.now.max(now);
+        self.timers.advance(self.now);
+        if late >= HELD_UP {
+            // Guards against a storm of wrong verdicts: that nothing was heard was nobody's silence but its own.
+            self.resumed = self.now;
+            warn!(event = "held-up", ms = late / 1000);
+        }
+    }
+
+    /// The next turn begins by then, if the machine lets it.
+    pub fn ends(&mut self, next: Micros) {
+        self.next = next;
+    }
+
+    /// From when on peers are judged by their silence: a deadline of theirs that comes before is put off to then.
+    pub fn judges_from(&self) -> Micros {
+        if self.resumed > 0 { self.resumed + TO_BE_HEARD } else { 0 }
+    }
+
+    /// Since when a peer that was asked then has taken its time: for as long as nobody was heard it has not.
+    pub fn took_since(&self, asked: Micros) -> Micros {
+        asked.max(self.resumed)
+    }
+
     /// Sets a timer, so long from now.
-    pub fn after(&mut self, wait: Micros, due: Due) {
-        self.timers.set(self.now + wait, due);
+    pub fn after(&mut self, wait: Micros, due: Due) -> Key {
+        self.timers.set(self.now.saturating_add(wait), due)
     }
 }
 
 #[cfg(test)]
 pub mod tests {
     use super::*;
+    use crate::net::poll::{Ready, Watch};
     use std::net::{TcpListener, TcpStream};
     use std::time::{Duration, Instant};
 
+    /// There may be something to be read, the end included, and there is room to write.
+    pub const READ: Ready = Ready { read: true, write: true, ends: true };
+
     /// A turn at this time with a loop that nobody runs.
     pub fn turn(now: Micros) -> Turn {
-        let events = calloop::EventLoop::try_new().expect("a loop");
-        Turn::new(Poller::new(events.handle()), now)
+        Turn::new(Watch::new().and_then(|w| w.poller()).expect("a loop"), now)
     }
 
     /// Looks until something has come to pass: loopback may take its time.
@@ -84,10 +172,24 @@
         }
     }
 
-    /// The two ends of a connection.
-    pub fn pair() -> (TcpStream, TcpStream) {
+    #[test]
+    fn a_machine_that_stood_still_judges_nobody_at_once() {
+        let mut turn = turn(1_000_000);
+        turn.ends(2_000_000);
+        turn.begin(2_000_000 + HELD_UP - 1);
+        assert_eq!(turn.judges_from(), 0, "a little late is no standstill");
+        turn.ends(3_000_000);
+        turn.begin(9_000_000);
+        assert_eq!(turn.judges_from(), 9_000_000 + TO_BE_HEARD);
+        assert_eq!([2_000_000, 9_500_000].map(|asked| turn.took_since(asked)), [9_000_000, 9_500_000]);
+    }
+
+    /// The two ends of a connection, the second as the program has it.
+    pub fn pair() -> (TcpStream, mio::net::TcpStream) {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let one = TcpStream::connect(listener.local_addr().expect("bound")).expect("a listener");
-        (one, listener.accept().expect("a caller").0)
+        let other = listener.accept().expect("a caller").0;
+        other.set_nonblocking(true).expect("a socket");
+        (one, mio::net::TcpStream::from_std(other))
     }
 }
--- a/crates/lab/src/clocks.rs
+++ b/crates/lab/src/clocks.rs
@@ -118,12 +118,12 @@
 }
 
 fn unless_late(day: &Day, program: &Path) -> Result<Record, Failure> {
-    let mut record = sockets::play(day, program, &mut |_| {})?;
+    let mut record = sockets::play(day, program, None, &mut |_| {})?;
     for _ in 1..TRIES {
         if void(&record).is_none() {
             break;
         }
-        record = sockets::play(day, program, &mut |_| {})?;
+        record = sockets::play(day, program, None, &mut |_| {})?;
     }
     Ok(record)
 }
--- a/crates/lab/src/instances/mod.rs
+++ b/crates/lab/src/instances/mod.rs
@@ -6,6 +6,7 @@
 mod policies;
 
 use std::collections::BTreeMap;
+use std::path::PathBuf;
 use std::sync::{Arc, RwLock};
 
 use shorewharf_decisions::interface::{ListEntry, Settings};
@@ -14,7 +15,7 @@
 use shorewharf_emulator::day::Day;
 use shorewharf_emulator::edge::{BalancerId, FromBalancer, ToBalancer};
 use shorewharf_emulator::virtual_time::{Host, Instance, Told, Truth};
-use shorewharf_settings::operator::{Operator, Recovery, Tenancy};
+use shorewharf_settings::operator::{Operator, OperatorError, Recovery, Tenancy};
 use thiserror::Error;
 
 pub use peers::Emulated;
@@ -24,12 +25,8 @@
 /// Who decides.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Who {
-    /// The project's driver and decision module, with tenants' shares kept.
+    /// The project's driver and decision module.
     Module,
-    /// The same, with nothing before the module.
-    ModuleAlone,
-    /// The same, with this round the module and no tenants' shares before it.
-    Care(Recovery),
     /// Any server that is listed as ready.
     Random,
     /// One server after the other.
@@ -41,22 +38,31 @@
 /// No such policy.
 #[derive(Debug, Error)]
 #[error(
-    "no policy is named {0:?}; there are module, module-without-tenancy, module-alone, module-levels, module-repeats, \
-     module-moves, module-care, random, round-robin and oracle"
+    "no policy is named {0:?}; there are module (module@FILE with an operator's file, module-with-tenancy, \
+     module-without-tenancy, module-alone, module-levels, module-repeats, module-moves, module-care), random, \
+     round-robin and oracle"
 )]
 pub struct UnknownPolicy(String);
 
+/// A policy that can't be played.
+#[derive(Debug, Error)]
+pub enum PolicyError {
+    /// Nobody has this name.
+    #[error(transparent)]
+    Unknown(#[from] UnknownPolicy),
+    /// The operator's file can't be read.
+    #[error("{0}: {1}")]
+    File(PathBuf, std::io::Error),
+    /// The operator's file can't be used.
+    #[error("{0}: {1}")]
+    Operator(PathBuf, Box<OperatorError>),
+}
+
 impl std::str::FromStr for Who {
     type Err = UnknownPolicy;
     fn from_str(name: &str) -> Result<Self, UnknownPolicy> {
         Ok(match name {
             "module" => Who::Module,
-            "module-without-tenancy" => Who::ModuleAlone,
-            "module-alone" => Who::Care(Recovery::OFF),
-            "module-levels" => Who::Care(Recovery { levels: true, ..Recovery::OFF }),
-            "module-repeats" => Who::Care(Recovery { repeats: true, ..Recovery::OFF }),
-            "module-moves" => Who::Care(Recovery { rebalance: true, ..Recovery::OFF }),
-            "module-care" => Who::Care(Recovery::ALL),
             "random" => Who::Random,
             "round-robin" => Who::RoundRobin,
             "oracle" => Who::Oracle,
@@ -69,13 +75,39 @@
 #[derive(Debug)]
 pub struct Hosts {
     who: Who,
+    operator: Operator,
     truth: Arc<RwLock<Vec<Truth>>>,
 }
 
 impl Hosts {
     /// Hosts balancers that are run by `who`.
     pub fn new(who: Who) -> Self {
-        Hosts { who, truth: Arc::default() }
+        Hosts { who, operator: Operator::default(), truth: Arc::default() }
+    }
+
+    /// Hosts balancers that are run by the policy of this name. The module takes an operator's file behind an `@`.
+    pub fn named(policy: &str) -> Result<Hosts, PolicyError> {
+        let care = |recovery| Operator { recovery, ..Operator::default() };
+        let tenancy = |on| Operator { tenancy: Tenancy { on, ..Tenancy::default() }, ..Operator::default() };
+        let operator = match policy {
+            "module-with-tenancy" => tenancy(true),
+            "module-without-tenancy" => tenancy(false),
+            "module-alone" => care(Recovery::OFF),
+            "module-levels" => care(Recovery { levels: true, ..Recovery::OFF }),
+            "module-repeats" => care(Recovery { repeats: true, ..Recovery::OFF }),
+            "module-moves" => care(Recovery { rebalance: true, ..Recovery::OFF }),
+            "module-care" => care(Recovery::ALL),
+            other => match other.strip_prefix("module@").map(PathBuf::from) {
+                None => return Ok(Hosts::new(other.parse()?)),
+                Some(path) => match std::fs::read_to_string(&path) {
+                    Ok(text) => {
+                        Operator::parse(&text).map_err(|e| PolicyError::Operator(path, Box::new(e)))?
+                    }
+                    Err(e) => return Err(PolicyError::File(path, e)),
+                },
+            },
+        };
+        Ok(Hosts { operator, ..Hosts::new(Who::Module) })
     }
 }
 
@@ -85,7 +117,7 @@
         // The text was written by the emulator for this very reader.
         let settings = settings.expect("settings that the emulator wrote are read");
         let first_link = u64::from(_id.0) << 40;
-        let make = Make { who: self.who, truth: Arc::clone(&self.truth) };
+        let make = Make { who: self.who, operator: self.operator.clone(), truth: Arc::clone(&self.truth) };
         Box::new(Hosted { places: Places::new(day), settings, make, next_link: first_link, life: None })
     }
 
@@ -102,6 +134,7 @@
 
 struct Make {
     who: Who,
+    operator: Operator,
     truth: Arc<RwLock<Vec<Truth>>>,
 }
 
@@ -122,12 +155,9 @@
 impl Make {
     fn brain(&self, set: &Settings, seed: u64, known: Vec<ListEntry>, peers: &mut Emulated) -> Brain {
         let pick = match self.who {
-            Who::Module | Who::ModuleAlone | Who::Care(_) => {
-                let tenancy = Tenancy { on: self.who == Who::Module, ..Tenancy::default() };
-                let recovery =
-                    if let Who::Care(recovery) = self.who { recovery } else { Recovery::default() };
-                let operator = Operator { tenancy, recovery };
-                return Brain::Module(Box::new(Driver::start(set.clone(), &operator, seed, known, peers)));
+            Who::Module => {
+                let driver = Driver::start(set.clone(), &self.operator, seed, known, peers);
+                return Brain::Module(Box::new(driver));
             }
             Who::Random => Pick::Random,
             Who::RoundRobin => Pick::Next,
