--- a/crates/driver/src/gate.rs
+++ b/crates/driver/src/gate.rs
@@ -3,9 +3,9 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use shorewharf_decisions::Balancer;
 use shorewharf_decisions::interface::*;
-use shorewharf_settings::operator::Operator;
+use shorewharf_recovery::care::{Care, Guarded, Options};
+use shorewharf_settings::operator::{Operator, Recovery};
 
 use crate::admission::{Admission, Fate, Verdict};
 use crate::tenants::Tenants;
@@ -17,6 +17,11 @@
 const TELL_EVERY: Micros = 10_000_000;
 const TELL_MOST: usize = 8;
 
+fn care(operator: &Operator) -> Options {
+    let Recovery { levels, repeats, rebalance } = operator.recovery;
+    Options { levels, repeats, rebalance }
+}
+
 /// Who is asked, in this order.
 #[derive(Debug, Default)]
 struct Admissions {
@@ -43,7 +48,7 @@
 /// The module and its admissions.
 #[derive(Debug)]
 pub struct Gate {
-    balancer: Balancer,
+    balancer: Guarded,
     admissions: Admissions,
     held: HashMap<RequestId, Held>,
     /// The gate's timer comes then.
@@ -59,7 +64,7 @@
     pub fn new(now: Micros, set: Settings, seed: u64, operator: &Operator) -> Gate {
         let tenants = Tenants::new(now, &set, operator);
         Gate {
-            balancer: Balancer::new(set, seed),
+            balancer: Guarded::new(set, seed, care(operator)),
             admissions: Admissions { tenants },
             held: HashMap::new(),
             wakes: None,
@@ -72,7 +77,7 @@
     /// Puts new settings in force; what was learned stays. Which admissions there are is decided at the start.
     pub fn take_settings(&mut self, now: Micros, set: Settings, operator: &Operator) {
         self.admissions.all().for_each(|a| a.take_settings(now, &set, operator));
-        self.balancer.take_settings(set);
+        self.balancer.take_settings(set, care(operator));
     }
 
     /// Clients turned away before the module heard of them, by reason.
@@ -85,7 +90,12 @@
         self.admissions.tenants.as_mut()
     }
 
-    /// Takes one event, as [`Balancer::handle`], and appends what is to be done.
+    /// Levels, repeats and moves of this instance.
+    pub fn care(&self) -> &Care {
+        self.balancer.care()
+    }
+
+    /// Takes one event, as the module does, and appends what is to be done.
     pub fn handle(&mut self, now: f64, event: Event, out: &mut Vec<Action>) {
         if self.admissions.all().next().is_none() {
             return self.balancer.handle(now, event, out);
@@ -148,6 +158,7 @@
             if let Verdict::TurnAway { after, why } = admission.asked(now, request) {
                 *self.turned_away.entry(why).or_default() += 1;
                 *self.untold.entry((request.tenant, why)).or_default() += 1;
+                self.balancer.turned_away(seconds(now), request);
                 return Some(after);
             }
         }
@@ -213,6 +224,7 @@
                 }
                 for id in ids {
                     self.held.entry(id).and_modify(|h| h.moves = true);
+                    self.balancer.moved(id);
                     out.push(Action::Move(id));
                 }
             }
--- a/crates/lab/src/instances/mod.rs
+++ b/crates/lab/src/instances/mod.rs
@@ -5,6 +5,7 @@
 mod places;
 mod policies;
 
+use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::sync::{Arc, RwLock};
 
@@ -13,8 +14,8 @@
 use shorewharf_emulator::Micros;
 use shorewharf_emulator::day::Day;
 use shorewharf_emulator::edge::{BalancerId, FromBalancer, ToBalancer};
-use shorewharf_emulator::virtual_time::{Host, Instance, Truth};
-use shorewharf_settings::operator::{Operator, OperatorError, Tenancy};
+use shorewharf_emulator::virtual_time::{Host, Instance, Told, Truth};
+use shorewharf_settings::operator::{Operator, OperatorError, Recovery, Tenancy};
 use thiserror::Error;
 
 pub use peers::Emulated;
@@ -38,7 +39,8 @@
 #[derive(Debug, Error)]
 #[error(
     "no policy is named {0:?}; there are module (module@FILE with an operator's file, module-with-tenancy, \
-     module-without-tenancy), random, round-robin and oracle"
+     module-without-tenancy, module-alone, module-levels, module-repeats, module-moves, module-care), random, \
+     round-robin and oracle"
 )]
 pub struct UnknownPolicy(String);
 
@@ -85,10 +87,16 @@
 
     /// Hosts balancers that are run by the policy of this name. The module takes an operator's file behind an `@`.
     pub fn named(policy: &str) -> Result<Hosts, PolicyError> {
+        let care = |recovery| Operator { recovery, ..Operator::default() };
         let tenancy = |on| Operator { tenancy: Tenancy { on, ..Tenancy::default() }, ..Operator::default() };
         let operator = match policy {
             "module-with-tenancy" => tenancy(true),
             "module-without-tenancy" => tenancy(false),
+            "module-alone" => care(Recovery::OFF),
+            "module-levels" => care(Recovery { levels: true, ..Recovery::OFF }),
+            "module-repeats" => care(Recovery { repeats: true, ..Recovery::OFF }),
+            "module-moves" => care(Recovery { rebalance: true, ..Recovery::OFF }),
+            "module-care" => care(Recovery::ALL),
             other => match other.strip_prefix("module@").map(PathBuf::from) {
                 None => return Ok(Hosts::new(other.parse()?)),
                 Some(path) => match std::fs::read_to_string(&path) {
@@ -214,4 +222,37 @@
     fn next_due(&self) -> Option<Micros> {
         self.life.as_ref().and_then(|(peers, _)| peers.next_due())
     }
+
+    fn tells(&mut self, told: &mut Told) {
+        let Some((peers, brain)) = &mut self.life else { return };
+        told.lines = peers.said();
+        if let Brain::Module(driver) = brain {
+            let stats = driver.gate().care().stats();
+            told.level = stats.level.level.name();
+            let moves = &stats.rebalance;
+            told.gauges = vec![
+                ("strain", stats.level.strain),
+                ("imbalance", moves.imbalance),
+                ("repeats left", stats.retry.left),
+                ("moving", f64::from(u8::from(moves.active))),
+            ];
+            let of = |causes: &BTreeMap<&'static str, u64>, name| causes.get(name).copied().unwrap_or(0);
+            told.counts = vec![
+                ("level changes", stats.level.changes.values().sum()),
+                ("moves home", of(&moves.moves, "home")),
+                ("moves to level", of(&moves.moves, "level")),
+                ("landed", of(&moves.came, "target")),
+                ("landed elsewhere", of(&moves.came, "elsewhere")),
+                ("landed back", of(&moves.came, "back")),
+                ("away", of(&moves.came, "away")),
+                ("pauses", moves.pauses.values().sum()),
+                ("first attempts", stats.retry.first),
+                ("repeats", stats.retry.repeats),
+                (
+                    "repeats denied",
+                    stats.retry.grants.iter().filter(|g| *g.0 != "granted").map(|g| g.1).sum(),
+                ),
+            ];
+        }
+    }
 }
