--- a/crates/emulator/src/day.rs
+++ b/crates/emulator/src/day.rs
@@ -346,6 +346,10 @@
     pub start_skew: f64,
     /// Nodes tell a connection's load.
     pub tells_load: bool,
+    /// Nodes tell a connection's load at its opening too, as the simulator's do. On sockets servers were seen to tell it
+    /// only when it changes, so a day that stands for sockets says no.
+    #[serde(default = "yes")]
+    pub tells_first: bool,
     /// Nodes tell what messages take.
     pub tells_delay: bool,
 }
--- a/crates/emulator/src/node/cold.rs
+++ b/crates/emulator/src/node/cold.rs
@@ -82,7 +82,18 @@
         while self.sent.front().is_some_and(|at| at + self.window < now) {
             self.sent.pop_front();
         }
+        self.sent.len() as f64 >= self.falls_at(takes)
+    }
+
+    /// So many attempts within a window push it over.
+    fn falls_at(&self, takes: f64) -> f64 {
         let budget = self.multiple * takes * self.window as f64 / 1e6;
-        self.sent.len() as f64 >= budget + SIGMAS * budget.sqrt() + MORE
+        budget + SIGMAS * budget.sqrt() + MORE
+    }
+
+    /// Attempts that it still takes at once; none when it is warm.
+    pub fn before_fall(&self, now: Micros) -> Option<f64> {
+        let recent = self.sent.iter().filter(|at| **at + self.window >= now).count();
+        self.takes(now).map(|takes| (self.falls_at(takes) - 1.0 - recent as f64).max(0.0))
     }
 }
--- a/crates/emulator/src/node/mod.rs
+++ b/crates/emulator/src/node/mod.rs
@@ -138,6 +138,8 @@
     pub draining: bool,
     /// Work asked of it, in standard cores, with set-ups of the last step.
     pub load: f64,
+    /// The part of it that stands: set-ups left out.
+    pub stands: f64,
     /// What it can do now, in standard cores.
     pub capacity: f64,
     /// Connections that stand.
@@ -186,6 +188,7 @@
     pauses: Option<(f64, f64)>,
     resets: Vec<(Micros, Micros)>,
     tells_load: bool,
+    tells_first: bool,
     tells_delay: bool,
     /// Looks at messages' times fall on the steps with this remainder, so that nodes take turns.
     looks_at: u64,
@@ -251,6 +254,7 @@
             pauses: pauses.then(|| (kind.pause_every as f64 / 1e6, kind.pause as f64 / 1e6)),
             resets: ills::resets(day),
             tells_load: streams.tells_load,
+            tells_first: streams.tells_first,
             tells_delay: streams.tells_delay,
             looks_at: (LOOK_EVERY - u64::from(id.0) % LOOK_EVERY) % LOOK_EVERY,
             up: node.up,
@@ -344,6 +348,7 @@
             up: self.up,
             draining: self.draining,
             load: self.demand(self.stepped) + self.lanes * capacity,
+            stands: self.demand(self.stepped),
             capacity,
             connections: self.standing.len() as u32,
             in_setup: in_setup as u32,
@@ -353,6 +358,21 @@
         }
     }
 
+    /// Load of a usual connection, in standard cores.
+    pub fn usual(&self) -> f64 {
+        self.usual
+    }
+
+    /// Groups of the connections that stand, in order of their ids.
+    pub fn groups(&self) -> Vec<u64> {
+        self.standing.groups()
+    }
+
+    /// Attempts that it still takes at once before it is pushed over, while it is cold.
+    pub fn before_fall(&self, now: Micros) -> Option<f64> {
+        self.cold.before_fall(now)
+    }
+
     /// Factor of the day's course on all loads.
     fn course(&self, now: Micros) -> f64 {
         let now = now as f64;
--- a/crates/emulator/src/node/standing.rs
+++ b/crates/emulator/src/node/standing.rs
@@ -129,6 +129,11 @@
         None
     }
 
+    /// Groups of which any stands here.
+    pub fn groups(&self) -> Vec<u64> {
+        self.groups.keys().copied().collect()
+    }
+
     /// The links, the oldest first.
     pub fn links(&self) -> impl DoubleEndedIterator<Item = LinkId> + '_ {
         self.all.keys().copied()
--- a/crates/emulator/src/node/work.rs
+++ b/crates/emulator/src/node/work.rs
@@ -97,7 +97,9 @@
         out: &mut Vec<NodeOut>,
     ) {
         let load = self.standing.add(now, link, by, ask, mean);
-        self.tell_load(now, link, load, out);
+        if self.tells_first {
+            self.tell_load(now, link, load, out);
+        }
     }
 
     pub(super) fn tell_load(&self, now: Micros, link: LinkId, load: f64, out: &mut Vec<NodeOut>) {
--- a/crates/emulator/src/sockets/plain.rs
+++ b/crates/emulator/src/sockets/plain.rs
@@ -87,6 +87,7 @@
             group_zipf: 1.0,
             start_skew: 0.0,
             tells_load: false,
+            tells_first: false,
             tells_delay: false,
         },
         kinds: vec![Kind {
--- a/crates/emulator/src/virtual_time/instance.rs
+++ b/crates/emulator/src/virtual_time/instance.rs
@@ -17,7 +17,7 @@
 }
 
 /// What a node truly is at some moment: for reports, and for hosts whose policies may see it.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Truth {
     /// It runs and takes connections.
     pub takes: bool,
@@ -31,6 +31,14 @@
     pub set_ups: u32,
     /// Work piled up, in seconds.
     pub pile_s: f64,
+    /// The part of the load that stands: set-ups left out.
+    pub stands: f64,
+    /// Load of a usual connection, in standard cores.
+    pub usual: f64,
+    /// Groups of the connections that stand, in order of their ids.
+    pub groups: Vec<u64>,
+    /// Attempts that it still takes at once before it is pushed over, while it is cold.
+    pub before_fall: Option<f64>,
 }
 
 /// Makes the instances of a run.
--- a/crates/emulator/src/world/mod.rs
+++ b/crates/emulator/src/world/mod.rs
@@ -113,7 +113,7 @@
 }
 
 impl NodeAt {
-    fn truth(&self) -> Truth {
+    fn truth(&self, now: Micros) -> Truth {
         let s = self.model.state();
         Truth {
             takes: s.up && !self.silent,
@@ -122,6 +122,10 @@
             connections: s.connections,
             set_ups: s.in_setup + s.waiting,
             pile_s: s.pile_s,
+            stands: s.stands,
+            usual: self.model.usual(),
+            groups: self.model.groups(),
+            before_fall: self.model.before_fall(now),
         }
     }
 }
@@ -309,7 +313,7 @@
         self.conns.tidy();
         if self.now <= self.day.length {
             for (i, node) in self.nodes.iter().enumerate() {
-                self.series.node(NodeId(i as u32), node.truth());
+                self.series.node(NodeId(i as u32), node.truth(self.now));
             }
         }
     }
@@ -323,7 +327,7 @@
     /// The true state of all nodes.
     pub fn truths(&self, out: &mut Vec<Truth>) {
         out.clear();
-        out.extend(self.nodes.iter().map(NodeAt::truth));
+        out.extend(self.nodes.iter().map(|n| n.truth(self.now)));
     }
 
     /// What has been seen so far, by second.
--- a/crates/lab/src/import.rs
+++ b/crates/lab/src/import.rs
@@ -432,6 +432,7 @@
             group_zipf: self.group_zipf,
             start_skew: self.start_skew,
             tells_load: self.tells_load,
+            tells_first: true,
             tells_delay: self.tells_delay,
         })
     }
--- a/crates/lab/src/instances/mod.rs
+++ b/crates/lab/src/instances/mod.rs
@@ -1,6 +1,7 @@
 //! What is hosted in place of balancers: the real driver and decision module, and policies to compare them with. All
 //! stand on the same emulated peers, so that a difference between two of them is one of decisions.
 
+mod oracle;
 mod peers;
 mod places;
 mod policies;
@@ -17,6 +18,7 @@
 
 pub use peers::Emulated;
 pub use places::Places;
+use oracle::Oracle;
 use policies::{Pick, Policy};
 
 /// Who decides.
@@ -93,6 +95,7 @@
 enum Brain {
     Module(Box<Driver>),
     Policy(Policy),
+    Oracle(Oracle),
 }
 
 impl Brain {
@@ -100,6 +103,7 @@
         match self {
             Brain::Module(driver) => driver.settle(peers),
             Brain::Policy(policy) => policy.settle(peers),
+            Brain::Oracle(oracle) => oracle.settle(peers),
         }
     }
 }
@@ -112,7 +116,9 @@
             }
             Who::Random => Pick::Random,
             Who::RoundRobin => Pick::Next,
-            Who::Oracle => Pick::Roomiest(Arc::clone(&self.truth)),
+            Who::Oracle => {
+                return Brain::Oracle(Oracle::start(Arc::clone(&self.truth), set, &known, peers));
+            }
         };
         Brain::Policy(Policy::start(pick, set, seed, known, peers))
     }
--- a/crates/lab/src/instances/peers.rs
+++ b/crates/lab/src/instances/peers.rs
@@ -171,8 +171,8 @@
     }
 
     /// The true state of a server's node, for policies that may see it.
-    pub fn truth(&self, server: ServerId, truths: &[Truth]) -> Option<Truth> {
-        truths.get(self.places.node(server)?.0 as usize).copied()
+    pub fn truth<'a>(&self, server: ServerId, truths: &'a [Truth]) -> Option<&'a Truth> {
+        truths.get(self.places.node(server)?.0 as usize)
     }
 
     /// Takes in one thing that came; starts and kills are the caller's.
