--- a/crates/emulator/src/world/mod.rs
+++ b/crates/emulator/src/world/mod.rs
@@ -349,6 +349,7 @@
             series: self.series,
             events: self.events,
             ended_at,
+            balancers: Vec::new(),
         }
     }
 
--- a/crates/lab/src/instances/mod.rs
+++ b/crates/lab/src/instances/mod.rs
@@ -6,6 +6,7 @@
 mod places;
 mod policies;
 
+use std::collections::BTreeMap;
 use std::sync::{Arc, RwLock};
 
 use shorewharf_decisions::interface::{ListEntry, Settings};
@@ -13,8 +14,8 @@
 use shorewharf_emulator::Micros;
 use shorewharf_emulator::day::Day;
 use shorewharf_emulator::edge::{BalancerId, FromBalancer, ToBalancer};
-use shorewharf_emulator::virtual_time::{Host, Instance, Truth};
-use shorewharf_settings::operator::{Operator, Tenancy};
+use shorewharf_emulator::virtual_time::{Host, Instance, Told, Truth};
+use shorewharf_settings::operator::{Operator, Recovery, Tenancy};
 use thiserror::Error;
 
 pub use peers::Emulated;
@@ -29,6 +30,8 @@
     Module,
     /// The same, with nothing before the module.
     ModuleAlone,
+    /// The same, with this round the module and no tenants' shares before it.
+    Care(Recovery),
     /// Any server that is listed as ready.
     Random,
     /// One server after the other.
@@ -39,7 +42,10 @@
 
 /// No such policy.
 #[derive(Debug, Error)]
-#[error("no policy is named {0:?}; there are module, module-without-tenancy, random, round-robin and oracle")]
+#[error(
+    "no policy is named {0:?}; there are module, module-without-tenancy, module-alone, module-levels, module-repeats, \
+     module-moves, module-care, random, round-robin and oracle"
+)]
 pub struct UnknownPolicy(String);
 
 impl std::str::FromStr for Who {
@@ -48,6 +54,11 @@
         Ok(match name {
             "module" => Who::Module,
             "module-without-tenancy" => Who::ModuleAlone,
+            "module-alone" => Who::Care(Recovery::OFF),
+            "module-levels" => Who::Care(Recovery { levels: true, ..Recovery::OFF }),
+            "module-repeats" => Who::Care(Recovery { repeats: true, ..Recovery::OFF }),
+            "module-moves" => Who::Care(Recovery { rebalance: true, ..Recovery::OFF }),
+            "module-care" => Who::Care(Recovery::ALL),
             "random" => Who::Random,
             "round-robin" => Who::RoundRobin,
             "oracle" => Who::Oracle,
@@ -115,9 +126,11 @@
 impl Make {
     fn brain(&self, set: &Settings, seed: u64, known: Vec<ListEntry>, peers: &mut Emulated) -> Brain {
         let pick = match self.who {
-            Who::Module | Who::ModuleAlone => {
-                let on = self.who == Who::Module;
-                let operator = Operator { tenancy: Tenancy { on, ..Tenancy::default() } };
+            Who::Module | Who::ModuleAlone | Who::Care(_) => {
+                let tenancy = Tenancy { on: self.who == Who::Module, ..Tenancy::default() };
+                let recovery =
+                    if let Who::Care(recovery) = self.who { recovery } else { Recovery::default() };
+                let operator = Operator { tenancy, recovery };
                 return Brain::Module(Box::new(Driver::start(set.clone(), &operator, seed, known, peers)));
             }
             Who::Random => Pick::Random,
@@ -185,4 +198,37 @@
     fn next_due(&self) -> Option<Micros> {
         self.life.as_ref().and_then(|(peers, _)| peers.next_due())
     }
+
+    fn tells(&mut self, told: &mut Told) {
+        let Some((peers, brain)) = &mut self.life else { return };
+        told.lines = peers.said();
+        if let Brain::Module(driver) = brain {
+            let stats = driver.gate().care().stats();
+            told.level = stats.level.level.name();
+            let moves = &stats.rebalance;
+            told.gauges = vec![
+                ("strain", stats.level.strain),
+                ("imbalance", moves.imbalance),
+                ("repeats left", stats.retry.left),
+                ("moving", f64::from(u8::from(moves.active))),
+            ];
+            let of = |causes: &BTreeMap<&'static str, u64>, name| causes.get(name).copied().unwrap_or(0);
+            told.counts = vec![
+                ("level changes", stats.level.changes.values().sum()),
+                ("moves home", of(&moves.moves, "home")),
+                ("moves to level", of(&moves.moves, "level")),
+                ("landed", of(&moves.came, "target")),
+                ("landed elsewhere", of(&moves.came, "elsewhere")),
+                ("landed back", of(&moves.came, "back")),
+                ("away", of(&moves.came, "away")),
+                ("pauses", moves.pauses.values().sum()),
+                ("first attempts", stats.retry.first),
+                ("repeats", stats.retry.repeats),
+                (
+                    "repeats denied",
+                    stats.retry.grants.iter().filter(|g| *g.0 != "granted").map(|g| g.1).sum(),
+                ),
+            ];
+        }
+    }
 }
--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -1,4 +1,10 @@
-//! What a balancer believes of the fleet when much of it goes at once, and what follows from it besides the choice of
-//! a server, which stays the decision module's. Times are seconds on the caller's clock; no I/O, no text.
+//! Decisions for the time when much of a fleet fails at once: how reduced the service is, whether an attempt may be
+//! repeated, which standing connections move once servers are back. Events in, decisions out, with the time as an
+//! argument: no I/O, no clock, no text but names. The decision module still chooses the server.
 
+pub mod care;
+pub mod levels;
+pub mod rebalance;
+pub mod retry;
+mod table;
 pub mod estimate;
--- a/crates/settings/src/operator.rs
+++ b/crates/settings/src/operator.rs
@@ -33,6 +33,33 @@
     pub workers: usize,
     /// Tenants' shares.
     pub tenancy: Tenancy,
+    /// What is done when much of the fleet fails.
+    pub recovery: Recovery,
+}
+
+/// What is done when much of the fleet fails.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(default, deny_unknown_fields)]
+pub struct Recovery {
+    /// Levels of reduced service change what they say they change; they are told in any case.
+    pub levels: bool,
+    /// Repeated attempts need a budget.
+    pub repeats: bool,
+    /// Standing connections move towards balance.
+    pub rebalance: bool,
+}
+
+impl Recovery {
+    /// Nothing is done; levels are told.
+    pub const OFF: Recovery = Recovery { levels: false, repeats: false, rebalance: false };
+    /// Everything.
+    pub const ALL: Recovery = Recovery { levels: true, repeats: true, rebalance: true };
+}
+
+impl Default for Recovery {
+    fn default() -> Self {
+        Recovery::OFF
+    }
 }
 
 impl Default for Operator {
