Fill servers to what they bear: an estimate beside the module tells it, and who finds no room waits

Two delays a second apart tell a server's load exactly, one bounds it, set-up times sample it, silence lets it grow; the module no longer shuts a server for 12 s after a burst. Loads that were never told count with the learned mean, not with 1. Groups are no longer spread over the whole fleet when most of it has room, and who finds no room waits in the balancer.

--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -233,6 +233,18 @@
         /// Seconds that a message takes.
         delay: f64,
     },
+    /// An estimate beside the module: what a server bears now.
+    Bears {
+        /// The server.
+        server: ServerId,
+        /// Load of this proxy's that it bears: work a second in the unit of list weights, what it costs to hold
+        /// connections and their groups included.
+        load: f64,
+        /// Set-ups of this proxy's a second while it is cold.
+        entries: f64,
+    },
+    /// The same estimate: mean load of a standing connection, for those whose own is not known.
+    MeanLoad(f64),
     /// An attempt ended.
     Ended {
         /// The request.
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -2,6 +2,7 @@
 //! Events in, actions out, with the time as an argument: no I/O, no clock, no text.
 
 pub mod interface;
+mod load;
 pub mod outside;
 pub mod policy;
 mod state;
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -3,6 +3,7 @@
 //! The decisions: where a client's connection goes, and when it is refused.
 
 use crate::interface::*;
+use crate::load::Borne;
 pub use crate::state::Balancer;
 use crate::state::{Client, Reservation, Server, hash, sane, unit};
 
@@ -23,10 +24,11 @@
 /// Delay over message aim at which a server counts as slow and clients start to leave it.
 const SLOW: f64 = 0.4;
 /// A slow server's pile of work should be gone within this many periods: so much of its load must leave.
-const DRAIN: f64 = 1.0;
+const DRAIN: f64 = 0.4;
 const LEAVE_MOST: f64 = 0.5;
-/// A slow server is spent for this many periods after the last note.
-const SLOW_HOLD: f64 = 12.0;
+/// A slow server is spent until its next note, a period later; one that sheds clients, for this many periods.
+const SLOW_HOLD: f64 = 1.2;
+const SHED_HOLD: f64 = 12.0;
 /// `have` falls to this share at each sign of trouble and regains this share of the gap a period.
 const FALL: f64 = 0.6;
 const REGAIN: f64 = 0.03;
@@ -43,16 +45,15 @@
 const LOCK_MOST: f64 = 0.5;
 /// A pool whose members are spent reaches so many ranks further down before clients are refused.
 const REACH: usize = 1;
-/// Unless this share of the ready weight takes clients and is not slow.
-const ROOMY: f64 = 0.6;
 /// A pool member is passed over above this multiple of the mean usage plus this many mean clients.
 const BOUND: f64 = 1.25;
 const BOUND_CLIENTS: f64 = 3.0;
 /// Moves allowed for each arriving client, and at the start for each client already there.
 const MOVES: f64 = 5.0;
-/// From this share of its load on jammed servers a proxy refuses; so steeply that 0.35 refuses everybody.
-const PRESSED: f64 = 0.1;
-const PRESS: f64 = 4.0;
+/// Who finds no room is looked at again so soon, and waits until so little of its time is left, in aims. Refused at
+/// once, clients ask three times as often and are served no better.
+const LOOK: f64 = 0.1;
+const SPARE: f64 = 0.25;
 /// Set-up pace: share kept at a failed set-up, growth at a good one, and where it starts and ends to bind.
 const PACE_FALL: f64 = 0.6;
 const PACE_GROW: f64 = 1.15;
@@ -91,6 +92,10 @@
             Event::Established { request, .. } => self.established(now, request),
             Event::LoadChanged { request, load } => self.load_changed(request, load),
             Event::MessageDelay { server, delay } => self.message_delay(now, server, delay, out),
+            Event::Bears { server, load, entries } => {
+                self.borne.insert(server, Borne { load, entries });
+            }
+            Event::MeanLoad(mean) => sane(mean).into_iter().for_each(|mean| self.revalue(mean)),
             Event::Ended { request, server, attempt, outcome, complete, .. } => {
                 self.ended(now, request, (server, attempt), outcome, complete, out)
             }
@@ -137,7 +142,8 @@
             let s = self.servers.entry(e.server).or_insert_with(|| Server::new(entry));
             if s.entry.born != entry.born {
                 // A restarted process: what was learned of the old one says nothing of it.
-                *s = Server { used: s.used, open: s.open, ..Server::new(entry) };
+                let (groups, in_hand) = (std::mem::take(&mut s.groups), s.in_hand);
+                *s = Server { used: s.used, open: s.open, groups, in_hand, ..Server::new(entry) };
             }
             s.entry = entry;
         }
@@ -155,7 +161,10 @@
         match token & !0xffff_ffff {
             HOUSEKEEPING => self.housekeeping(now, out),
             SUBSCRIBE => self.subscribe(out),
-            HOLD => self.place(now, id, out),
+            HOLD => {
+                self.looks = false;
+                self.held().into_iter().for_each(|id| self.place(now, id, out));
+            }
             DEADLINE => self.give_up(now, id, out),
             _ => {}
         }
@@ -230,6 +239,9 @@
     }
 
     fn entry_share(&self, s: &Server, now: f64) -> f64 {
+        if let Some(borne) = self.borne.get(&s.entry.server) {
+            return borne.entries * (now - s.entry.born).max(0.0);
+        }
         let done = (now - s.entry.born).max(0.0) * (self.set.start_capacity + self.ramp(s, now)) * 0.5;
         let fleet = self.servers.len().max(1) as f64;
         ENTRY * self.set.fall_multiple * self.steady * done / fleet
@@ -284,6 +296,7 @@
     fn choose(&mut self, now: f64, c: &Client) -> Option<ServerId> {
         let usable = |b: &Self, s: &Server| {
             now >= s.slow_until
+                && b.has_room(s, c)
                 && b.entry_open(s, now)
                 && b.may_send(c, s, now)
                 && !c.tried.contains(&s.entry.server)
@@ -313,8 +326,7 @@
             return None;
         }
         // Past its reach a group is refused rather than scattered: each server that holds it pays for it.
-        // Where most of the fleet has room the next ranks take it: a few ill servers must not shut it out.
-        let reach = if self.roomy(now) { pool.len() } else { (k + REACH).min(pool.len()) };
+        let reach = (k + REACH).min(pool.len());
         if reach < pool.len() {
             pool.select_nth_unstable_by(reach - 1, |a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
             pool.truncate(reach);
@@ -325,16 +337,6 @@
         self.lowest(now, c, pool[..k].iter().map(|p| p.2))
     }
 
-    /// Whether servers with this much of the ready weight take clients and are not slow.
-    fn roomy(&self, now: f64) -> bool {
-        let ready = self.servers.values().filter(|s| s.entry.stage == Stage::Ready);
-        let (room, all) = ready.fold((0.0, 0.0), |t, s| {
-            let takes = self.in_service(s, now) && now >= s.slow_until;
-            (t.0 + if takes { s.entry.weight } else { 0.0 }, t.1 + s.entry.weight)
-        });
-        room >= ROOMY * all
-    }
-
     /// Looky's weighted seed: the lowest usage; ties, most cases on a large fleet, by lots.
     fn lowest<'a>(&self, now: f64, c: &Client, of: impl Iterator<Item = &'a Server>) -> Option<ServerId> {
         let salt = hash(c.request.key, self.set.me);
@@ -346,16 +348,6 @@
         weighed.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1))).map(|b| b.2)
     }
 
-    /// Share of this proxy's load that sits on servers that said they are slow within the last notes.
-    fn pressure(&self, now: f64) -> f64 {
-        let jammed = |s: &Server| s.delay.0 >= SLOW * self.message_aim() && now < s.delay.1 + 2.0 * PERIOD;
-        let (slow, all) = self
-            .servers
-            .values()
-            .fold((0.0, 0.0), |t, s| (t.0 + if jammed(s) { s.used } else { 0.0 }, t.1 + s.used));
-        slow / f64::max(all, f64::MIN_POSITIVE)
-    }
-
     /// The usage that a pool member may show before the pool grows past it, and the slack of a mean client.
     fn bound(&self, now: f64) -> (f64, f64) {
         let ready = self.servers.values().filter(|s| s.entry.stage == Stage::Ready);
@@ -377,11 +369,7 @@
         if !self.permit(now) {
             return self.hold(now, &c, out);
         }
-        let Some(server) = self.choose(now, &c) else {
-            // Spent lasts for seconds: refused early, a client can come again elsewhere.
-            let spent = self.servers.values().any(|s| self.in_service(s, now));
-            return if spent { self.answer(id, out) } else { self.hold(now, &c, out) };
-        };
+        let Some(server) = self.choose(now, &c) else { return self.hold(now, &c, out) };
         if self.pace < PACE_FREE {
             self.permits -= 1.0;
         }
@@ -391,10 +379,12 @@
         let s = self.servers.get_mut(&server).expect("chosen from the table");
         s.used += c.load;
         s.open += 1;
+        s.in_hand += 1;
         // Entries saved up while nobody came are lost: a lone proxy's burst could push the server over.
         s.entries = s.entries.max(saved) + 1.0;
         // A trial is single: the lock holds for everyone else until it has ended.
         s.retry_at = s.retry_at.max(now + left);
+        self.count_at(server, c.group, true);
         let c = self.clients.get_mut(&id).expect("looked up above");
         c.out = Some(server);
         c.sent = now;
@@ -439,14 +429,16 @@
 
     fn hold(&mut self, now: f64, c: &Client, out: &mut Vec<Action>) {
         let aim = self.set.classes.get(c.request.class).map_or(0.0, |k| k.aim);
-        let wait = (aim * 0.25).max(self.set.tick);
-        if now + wait > c.arrived + aim || now + wait > c.request.deadline - 4.0 * self.set.tick {
+        let wait = (aim * LOOK).max(self.set.tick);
+        if now + wait > c.request.deadline - (aim * SPARE).max(4.0 * self.set.tick) {
             return self.answer(c.request.id, out);
         }
         if let Some(c) = self.clients.get_mut(&c.request.id) {
             c.tried.clear();
         }
-        out.push(Action::SetTimer { after: wait, token: HOLD | u64::from(c.request.id.0) });
+        if !std::mem::replace(&mut self.looks, true) {
+            out.push(Action::SetTimer { after: wait, token: HOLD });
+        }
     }
 
     /// The final answer to a client that is not served: a refusal where that is known to be harmless.
@@ -486,10 +478,6 @@
         // Every request owns a deadline timer: whatever else goes wrong, it gets its answer in time.
         let after = (request.deadline - now - 1.5 * self.set.tick).max(0.0);
         out.push(Action::SetTimer { after, token: DEADLINE | u64::from(request.id.0) });
-        // Where most of what this proxy sees is jammed the fleet is spent: one more client serves nobody.
-        if self.draw() < (self.pressure(now) - PRESSED) * PRESS {
-            return self.answer(request.id, out);
-        }
         self.place(now, request.id, out);
     }
 
@@ -497,6 +485,7 @@
         let mut c = self.client(now, request);
         self.moves += MOVES;
         (c.on, c.attempts) = (Some(server), 1);
+        self.count_at(server, c.group, true);
         if let Some(s) = self.servers.get_mut(&server) {
             s.used += c.load;
             s.open += 1;
@@ -513,6 +502,7 @@
         self.pace = (self.pace * PACE_GROW).min(PACE_FREE);
         if let Some(s) = self.servers.get_mut(&server) {
             s.locked = false;
+            s.in_hand = s.in_hand.saturating_sub(1);
             s.failed_at = f64::NEG_INFINITY;
         }
         errors.into_iter().filter(|s| *s != server).for_each(|s| self.lower(now, s, 0.0));
@@ -522,7 +512,7 @@
         let (Some(c), Some(load)) = (self.clients.get_mut(&id), sane(load)) else { return };
         let Some(server) = c.on else { return };
         let change = load - c.load;
-        c.load = load;
+        (c.load, c.told) = (load, true);
         self.unuse(server, -change);
     }
 
@@ -533,12 +523,13 @@
         let Some(s) = self.servers.get_mut(&server) else { return };
         let (before, at) = std::mem::replace(&mut s.delay, (delay, now));
         if delay / aim < SLOW {
+            s.slow_until = s.slow_until.min(now);
             return;
         }
         // A pile grows by the load beyond what the server can do, and shrinks by its room: growth since the
         // last note tells how much must leave. Without it a pile that already drains sheds clients again.
         let growth =
-            if now - at < 2.0 * PERIOD { (delay - before) / (now - at).max(PERIOD * 0.5) } else { 0.0 };
+            if now - at < 1.5 * PERIOD { (delay - before) / (now - at).max(PERIOD * 0.5) } else { 0.0 };
         let share = (growth + delay / (DRAIN * PERIOD)) / (1.0 + growth.max(0.0));
         self.lower(now, server, SLOW_HOLD * PERIOD);
         if share > 0.0 {
@@ -602,8 +593,10 @@
         let c = c.clone();
         if let Some(s) = self.servers.get_mut(&server) {
             s.open = s.open.saturating_sub(1);
+            s.in_hand = s.in_hand.saturating_sub(u32::from(!stood));
             s.used = (s.used - c.load).max(0.0);
         }
+        self.count_at(server, c.group, false);
         let aim = self.set.classes.get(c.request.class).map_or(0.0, |k| k.aim);
         match outcome {
             // It may be the request that is at fault: its servers are blamed once another one takes it.
@@ -630,7 +623,7 @@
         let Some(s) = self.servers.get_mut(&server) else { return };
         s.drops += 1.0;
         if s.drops >= DROPS && s.drops >= DROPPED * (s.drops + f64::from(s.open)) {
-            self.lower(now, server, SLOW_HOLD * PERIOD);
+            self.lower(now, server, SHED_HOLD * PERIOD);
         }
     }
 
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -6,6 +6,7 @@
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 
 use crate::interface::*;
+use crate::load::Borne;
 
 /// Bound on remembered groups: what the table may grow to.
 const GROUPS_MOST: usize = 2048;
@@ -26,6 +27,10 @@
     pub failed_at: f64,
     /// Connections that broke there lately.
     pub drops: f64,
+    /// Set-ups in hand.
+    pub in_hand: u32,
+    /// This proxy's clients there, by group.
+    pub groups: BTreeMap<u64, u32>,
 }
 
 #[derive(Clone, Debug)]
@@ -33,6 +38,8 @@
     pub request: Request,
     pub group: Option<u64>,
     pub load: f64,
+    /// Its load was told.
+    pub told: bool,
     pub attempts: u32,
     pub out: Option<ServerId>,
     pub on: Option<ServerId>,
@@ -68,6 +75,8 @@
             entries: 0.0,
             failed_at: f64::NEG_INFINITY,
             drops: 0.0,
+            in_hand: 0,
+            groups: BTreeMap::new(),
         }
     }
 }
@@ -106,6 +115,11 @@
     pub(crate) steady: f64,
     pub(crate) class_load: Vec<f64>,
     pub(crate) moves: f64,
+    /// Mean load of a connection, 0 while it is not known.
+    pub(crate) mean: f64,
+    pub(crate) borne: BTreeMap<ServerId, Borne>,
+    /// A look at who waits is due.
+    pub(crate) looks: bool,
     pub(crate) pace: f64,
     pub(crate) permits: f64,
     pub(crate) paced_at: f64,
@@ -134,6 +148,9 @@
             steady: 0.0,
             class_load,
             moves: 0.0,
+            mean: 0.0,
+            borne: BTreeMap::new(),
+            looks: false,
             pace,
             permits: 1.0,
             paced_at: 0.0,
@@ -182,7 +199,7 @@
         }
         let class = self.class_load.get(r.class).copied().and_then(sane);
         let known = || self.class_load.iter().copied().find_map(sane);
-        hint.or(class).or_else(known).unwrap_or(1.0)
+        hint.or(class).or_else(known).or(sane(self.mean)).unwrap_or(1.0)
     }
 
     pub(crate) fn client(&mut self, now: f64, request: Request) -> Client {
@@ -192,6 +209,7 @@
             request,
             group: self.group_of(&request),
             load,
+            told: false,
             attempts: 0,
             out: None,
             on: None,
@@ -234,9 +252,13 @@
         same.filter_map(|c| c.on.or(c.out)).chain(last).collect()
     }
 
-    /// Requests that wait for a server.
+    /// Requests that wait for a server: those who come again first, then who has waited for longest.
     pub(crate) fn held(&self) -> Vec<RequestId> {
-        let waiting = |c: &Client| !c.answered && c.out.is_none() && c.on.is_none();
-        self.clients.iter().filter(|(_, c)| waiting(c)).map(|(id, _)| *id).collect()
+        let waiting = |c: &&Client| !c.answered && c.out.is_none() && c.on.is_none();
+        let mut held: Vec<&Client> = self.clients.values().filter(waiting).collect();
+        held.sort_by(|a, b| {
+            b.request.returning.cmp(&a.request.returning).then(a.arrived.total_cmp(&b.arrived))
+        });
+        held.into_iter().map(|c| c.request.id).collect()
     }
 }
--- a/crates/lab/src/instances/mod.rs
+++ b/crates/lab/src/instances/mod.rs
@@ -130,7 +130,7 @@
                 let tenancy = Tenancy { on: self.who == Who::Module, ..Tenancy::default() };
                 let recovery =
                     if let Who::Care(recovery) = self.who { recovery } else { Recovery::default() };
-                let operator = Operator { tenancy, recovery };
+                let operator = Operator { tenancy, recovery, ..Operator::default() };
                 return Brain::Module(Box::new(Driver::start(set.clone(), &operator, seed, known, peers)));
             }
             Who::Random => Pick::Random,
--- a/crates/recovery/src/care.rs
+++ b/crates/recovery/src/care.rs
@@ -6,6 +6,7 @@
 use shorewharf_decisions::interface::{Action, Event, Request};
 use shorewharf_decisions::{Balancer, Outcome, RequestId, ServerId, Settings};
 
+use crate::estimate::Estimate;
 use crate::levels::{Change, Figures, Gauge, Level, LevelStats, Levels, Measures, Repeats, share};
 use crate::rebalance::{Move, Rebalance, RebalanceStats};
 use crate::retry::{Grant, Retry, RetryStats, fails};
@@ -177,7 +178,7 @@
             }
             Event::ClientGone(id) => self.table.over(*id),
             Event::Probed { server, outcome, .. } => self.table.probed(*server, *outcome),
-            Event::Start | Event::Timer(_) => {}
+            Event::Start | Event::Timer(_) | Event::Bears { .. } | Event::MeanLoad(_) => {}
         }
         let closed = || self.retry.closed(now) || self.measures().repeats == Repeats::None;
         let may = repeat.unwrap_or_else(|| !closed());
@@ -420,20 +421,31 @@
 pub struct Guarded {
     module: Balancer,
     care: Care,
+    estimate: Estimate,
+    tells: Vec<Event>,
 }
 
 impl Guarded {
     /// A fresh module and fresh care.
     pub fn new(set: Settings, seed: u64, options: Options) -> Self {
-        Guarded { care: Care::new(&set, seed, options), module: Balancer::new(set, seed) }
+        Guarded {
+            care: Care::new(&set, seed, options),
+            estimate: Estimate::new(&set),
+            module: Balancer::new(set, seed),
+            tells: Vec::new(),
+        }
     }
 
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: f64, event: Event, out: &mut Vec<Action>) {
         let first = out.len();
+        self.estimate.hears(now, &event, &self.module);
+        self.estimate.tells(now, &mut self.tells);
+        self.tells.drain(..).for_each(|told| self.module.handle(now, told, out));
         if self.care.hears(now, &event, &mut self.module) {
             self.module.handle(now, event.clone(), out);
         }
+        self.estimate.sees(now, &out[first..]);
         self.care.sees(now, first, &event, out, &mut self.module);
     }
 
@@ -441,6 +453,7 @@
     pub fn take_settings(&mut self, set: Settings, options: Options) {
         self.care.options = options;
         self.care.take_settings(&set);
+        self.estimate.take_settings(&set);
         self.module.take_settings(set);
     }
 
--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -3,8 +3,8 @@
 //! argument: no I/O, no clock, no text but names. The decision module still chooses the server.
 
 pub mod care;
+pub mod estimate;
 pub mod levels;
 pub mod rebalance;
 pub mod retry;
 mod table;
-pub mod estimate;
--- a/crates/settings/src/operator.rs
+++ b/crates/settings/src/operator.rs
@@ -64,7 +64,7 @@
 
 impl Default for Operator {
     fn default() -> Self {
-        Operator { workers: 1, tenancy: Tenancy::default() }
+        Operator { workers: 1, tenancy: Tenancy::default(), recovery: Recovery::default() }
     }
 }
 
