--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -3,6 +3,7 @@
 //! argument: no I/O, no clock, no text but names. The decision module still chooses the server.
 
 pub mod care;
+pub mod estimate;
 pub mod levels;
 pub mod rebalance;
 pub mod retry;
