--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -430,7 +430,9 @@
     fn hold(&mut self, now: f64, c: &Client, out: &mut Vec<Action>) {
         let aim = self.set.classes.get(c.request.class).map_or(0.0, |k| k.aim);
         let wait = (aim * LOOK).max(self.set.tick);
-        if now + wait > c.request.deadline - (aim * SPARE).max(4.0 * self.set.tick) {
+        // What was tried and failed may have to be failed for good by the time its next attempt ends.
+        let until = if c.attempts > 0 { c.arrived + aim } else { f64::INFINITY };
+        if now + wait > until.min(c.request.deadline - (aim * SPARE).max(4.0 * self.set.tick)) {
             return self.answer(c.request.id, out);
         }
         if let Some(c) = self.clients.get_mut(&c.request.id) {
