Refuse at once where no server has room; wait only where room comes within moments

Cause: who found no room was held until shortly before its time ran out, so that it would not ask again. Change: a request waits, within its aim, only where a server bears its load and has its hands full or warms up; all others are refused in the same turn.

--- a/crates/decisions/src/load.rs
+++ b/crates/decisions/src/load.rs
@@ -41,15 +41,20 @@
         s.used + self.mean * (HOLDING * f64::from(s.open) + GROUP * s.groups.len() as f64)
     }
 
-    /// Whether a server bears this client too. One that holds nothing takes one in any case: what it bears was guessed.
-    pub(crate) fn has_room(&self, s: &Server, c: &Client) -> bool {
+    /// Whether a server bears this client's load too. One that holds nothing takes one in any case: what it bears was
+    /// guessed.
+    pub(crate) fn bears_load(&self, s: &Server, c: &Client) -> bool {
         let Some(borne) = self.borne.get(&s.entry.server).filter(|_| self.mean > 0.0) else { return true };
         let new = c.group.is_some_and(|g| !s.groups.contains_key(&g));
         let cost = self.mean * (1.0 + HOLDING + if new { GROUP } else { 0.0 });
-        let load = self.load_on(s);
-        let spare = (1.0 - load / borne.load.max(f64::MIN_POSITIVE)).max(0.0);
-        (load + cost <= borne.load || s.open == 0)
-            && f64::from(s.in_hand) < HAND + HAND_MORE * spare / self.set.proxies
+        self.load_on(s) + cost <= borne.load || s.open == 0
+    }
+
+    /// Whether a server can set up one more now, beside those that it has in hand.
+    pub(crate) fn has_a_hand(&self, s: &Server) -> bool {
+        let Some(borne) = self.borne.get(&s.entry.server).filter(|_| self.mean > 0.0) else { return true };
+        let spare = (1.0 - self.load_on(s) / borne.load.max(f64::MIN_POSITIVE)).max(0.0);
+        f64::from(s.in_hand) < HAND + HAND_MORE * spare / self.set.proxies
     }
 
     /// Counts one more (or one less) client of a group at a server.
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -50,10 +50,12 @@
 const BOUND_CLIENTS: f64 = 3.0;
 /// Moves allowed for each arriving client, and at the start for each client already there.
 const MOVES: f64 = 5.0;
-/// Who finds no room is looked at again so soon, and waits until so little of its time is left, in aims. Refused at
-/// once, clients ask three times as often and are served no better.
+/// Who may wait for a moment is looked at again so soon, in aims.
 const LOOK: f64 = 0.1;
-const SPARE: f64 = 0.25;
+/// Sooner than this a refused client is not called back.
+const TURN: f64 = 0.1;
+/// Waiting clients for each server that bears more and only has its hands full: so many are set up within an aim.
+const SOON: usize = 4;
 /// Set-up pace: share kept at a failed set-up, growth at a good one, and where it starts and ends to bind.
 const PACE_FALL: f64 = 0.6;
 const PACE_GROW: f64 = 1.15;
@@ -296,7 +298,8 @@
     fn choose(&mut self, now: f64, c: &Client) -> Option<ServerId> {
         let usable = |b: &Self, s: &Server| {
             now >= s.slow_until
-                && b.has_room(s, c)
+                && b.bears_load(s, c)
+                && b.has_a_hand(s)
                 && b.entry_open(s, now)
                 && b.may_send(c, s, now)
                 && !c.tried.contains(&s.entry.server)
@@ -364,12 +367,19 @@
         let c = c.clone();
         let left = c.request.deadline - now - 2.0 * self.set.tick;
         if left <= 0.0 || c.attempts >= self.set.max_attempts || (c.attempts > 0 && !self.repeats) {
-            return self.answer(id, out);
+            return self.answer(now, id, out);
         }
         if !self.permit(now) {
             return self.hold(now, &c, out);
         }
-        let Some(server) = self.choose(now, &c) else { return self.hold(now, &c, out) };
+        let Some(server) = self.choose(now, &c) else {
+            let serving = self.servers.values().any(|s| self.in_service(s, now));
+            return if serving && !self.soon(now, &c) {
+                self.answer(now, id, out)
+            } else {
+                self.hold(now, &c, out)
+            };
+        };
         if self.pace < PACE_FREE {
             self.permits -= 1.0;
         }
@@ -427,13 +437,18 @@
         self.pace = (pace * PACE_FALL).max(PACE_LEAST);
     }
 
+    /// Whether a server bears this client and only has its hands full of set-ups, or opens to one more as it warms
+    /// up: room comes within moments. Without that nobody is kept waiting: no room is told at once.
+    fn soon(&self, now: f64, c: &Client) -> bool {
+        let opens = |s: &&Server| self.in_service(s, now) && now >= s.slow_until && self.bears_load(s, c);
+        c.attempts == 0 && self.held().len() <= SOON * self.servers.values().filter(opens).count()
+    }
+
     fn hold(&mut self, now: f64, c: &Client, out: &mut Vec<Action>) {
         let aim = self.set.classes.get(c.request.class).map_or(0.0, |k| k.aim);
         let wait = (aim * LOOK).max(self.set.tick);
-        // What was tried and failed may have to be failed for good by the time its next attempt ends.
-        let until = if c.attempts > 0 { c.arrived + aim } else { f64::INFINITY };
-        if now + wait > until.min(c.request.deadline - (aim * SPARE).max(4.0 * self.set.tick)) {
-            return self.answer(c.request.id, out);
+        if now + wait > c.arrived + aim || now + wait > c.request.deadline - 4.0 * self.set.tick {
+            return self.answer(now, c.request.id, out);
         }
         if let Some(c) = self.clients.get_mut(&c.request.id) {
             c.tried.clear();
@@ -443,15 +458,24 @@
         }
     }
 
+    /// When a refused client should come again: its place in a queue that moves on as clients are placed, drawn a
+    /// little so that no two balancers call at one time, and spread over the last half of what a client honours where
+    /// the queue is longer than that.
+    fn turn(&mut self, now: f64) -> f64 {
+        // Placements a second: the count is halved each period.
+        let (rate, most) = ((self.sends * 0.5 / PERIOD).max(1.0), self.set.max_retry_after);
+        self.queue = (self.queue.max(now) + 1.0 / rate).min(now + most);
+        (self.queue - now).max(TURN).min(most * 0.75) * (0.75 + 0.5 * self.draw())
+    }
+
     /// The final answer to a client that is not served: a refusal where that is known to be harmless.
-    fn answer(&mut self, id: RequestId, out: &mut Vec<Action>) {
+    fn answer(&mut self, now: f64, id: RequestId, out: &mut Vec<Action>) {
         let Some(c) = self.clients.get(&id).filter(|c| !c.answered) else { return };
         let harmless = c.out.is_none()
             && (c.ran.is_none()
                 || matches!(self.semantics(c), Semantics::Safe | Semantics::Keyed(Scope::All, _)));
-        let wait = if self.set.retry_after { self.set.max_retry_after * 0.5 } else { 0.0 };
         if harmless {
-            let retry_after = wait * (0.5 + self.draw());
+            let retry_after = if self.set.retry_after { self.turn(now) } else { 0.0 };
             out.push(Action::Refuse { request: id, retry_after });
         } else {
             out.push(Action::Fail(id));
@@ -465,7 +489,7 @@
             if c.out.is_some() && self.set.may_cancel {
                 out.push(Action::Cancel { request: id, attempt: c.attempts - 1 });
             }
-            self.answer(id, out);
+            self.answer(now, id, out);
         }
     }
 
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -125,6 +125,8 @@
     pub(crate) paced_at: f64,
     pub(crate) fell_at: f64,
     pub(crate) sends: f64,
+    /// When the last refused client's turn comes.
+    pub(crate) queue: f64,
     pub(crate) asks: u32,
     pub(crate) subscribed: bool,
     /// Attempts may be repeated.
@@ -156,6 +158,7 @@
             paced_at: 0.0,
             fell_at: 0.0,
             sends: 0.0,
+            queue: 0.0,
             asks: 0,
             subscribed: false,
             repeats: true,
--- a/crates/lab/src/instances/oracle.rs
+++ b/crates/lab/src/instances/oracle.rs
@@ -202,30 +202,51 @@
         }
     }
 
-    fn choose(&mut self, now: Micros, group: u64, not: Option<ServerId>, peers: &Emulated) -> Option<ServerId> {
+    fn choose(
+        &mut self,
+        now: Micros,
+        group: u64,
+        not: Option<ServerId>,
+        peers: &Emulated,
+    ) -> Option<ServerId> {
         if std::mem::replace(&mut self.seen, now) != now {
             self.placed.clear();
         }
         let truths = self.truth.read().unwrap_or_else(PoisonError::into_inner);
         let none = Vec::new();
-        let priced = self.ready.iter().filter(|s| self.ready.len() == 1 || Some(**s) != not).filter_map(|s| {
-            let t = peers.truth(*s, &truths).filter(|t| t.takes && t.capacity > 0.0)?;
-            let mine = self.placed.get(s).unwrap_or(&none);
-            let own = x("O_OWN", 0.0) > 0.0;
-            let holds = group == 0 || mine.contains(&group) || if own { self.held.values().any(|h| h.on == Some(*s) && h.group == group) } else { t.groups.binary_search(&group).is_ok() };
-            let ranked = x("O_RANK", 0.0) * { let mut z = s.0 ^ group; z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9); z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb); ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64 } * if holds { 0.0 } else { 1.0 };
-            let noise = 1.0 + x("O_NOISE", 0.0) * ((s.0 >> 20) as u32 as f64 / 4294967296.0 * 2.0 - 1.0);
-            let cost = if holds { ONE } else { ONE + GROUP };
-            let hand = f64::from(t.set_ups) + mine.len() as f64;
-            let coming = hand * (ONE + 0.5 * GROUP) * t.usual;
-            let u = (t.stands + coming + cost * t.usual) / t.capacity + t.pile_s;
-            // A set-up takes a core while it lasts: more at once than there is room for pile up work.
-            let lanes = hand < 1.0 + 4.0 * (1.0 - (t.stands / t.capacity).min(1.0));
-            let stands = t.before_fall.is_none_or(|left| left >= self.proxies * (mine.len() as f64 + 1.0));
-            let u = u * noise;
-            let room = u <= if holds { self.full } else { self.new };
-            (room && lanes && stands).then(|| ((cost + ranked) / (1.0 - u.min(0.98)).powf(self.pow), *s))
-        });
+        let priced =
+            self.ready.iter().filter(|s| self.ready.len() == 1 || Some(**s) != not).filter_map(|s| {
+                let t = peers.truth(*s, &truths).filter(|t| t.takes && t.capacity > 0.0)?;
+                let mine = self.placed.get(s).unwrap_or(&none);
+                let own = x("O_OWN", 0.0) > 0.0;
+                let holds = group == 0
+                    || mine.contains(&group)
+                    || if own {
+                        self.held.values().any(|h| h.on == Some(*s) && h.group == group)
+                    } else {
+                        t.groups.binary_search(&group).is_ok()
+                    };
+                let ranked = x("O_RANK", 0.0)
+                    * {
+                        let mut z = s.0 ^ group;
+                        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+                        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+                        ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+                    }
+                    * if holds { 0.0 } else { 1.0 };
+                let noise = 1.0 + x("O_NOISE", 0.0) * ((s.0 >> 20) as u32 as f64 / 4294967296.0 * 2.0 - 1.0);
+                let cost = if holds { ONE } else { ONE + GROUP };
+                let hand = f64::from(t.set_ups) + mine.len() as f64;
+                let coming = hand * (ONE + 0.5 * GROUP) * t.usual;
+                let u = (t.stands + coming + cost * t.usual) / t.capacity + t.pile_s;
+                // A set-up takes a core while it lasts: more at once than there is room for pile up work.
+                let lanes = hand < 1.0 + 4.0 * (1.0 - (t.stands / t.capacity).min(1.0));
+                let stands =
+                    t.before_fall.is_none_or(|left| left >= self.proxies * (mine.len() as f64 + 1.0));
+                let u = u * noise;
+                let room = u <= if holds { self.full } else { self.new };
+                (room && lanes && stands).then(|| ((cost + ranked) / (1.0 - u.min(0.98)).powf(self.pow), *s))
+            });
         priced.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1))).map(|best| best.1)
     }
 
@@ -235,7 +256,9 @@
         let truths = self.truth.read().unwrap_or_else(PoisonError::into_inner).clone();
         let mut moves = Vec::new();
         for server in &self.ready {
-            let Some(t) = peers.truth(*server, &truths).filter(|t| t.takes && t.capacity > 0.0) else { continue };
+            let Some(t) = peers.truth(*server, &truths).filter(|t| t.takes && t.capacity > 0.0) else {
+                continue;
+            };
             let rho = t.stands / t.capacity;
             if rho <= self.relieve {
                 continue;
