--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -369,7 +369,11 @@
         if !self.permit(now) {
             return self.hold(now, &c, out);
         }
-        let Some(server) = self.choose(now, &c) else { return self.hold(now, &c, out) };
+        let Some(server) = self.choose(now, &c) else {
+            // Room comes while a client waits; what has failed already is not kept waiting for another try.
+            let spent = c.attempts > 0 && self.servers.values().any(|s| self.in_service(s, now));
+            return if spent { self.answer(id, out) } else { self.hold(now, &c, out) };
+        };
         if self.pace < PACE_FREE {
             self.permits -= 1.0;
         }
