--- a/crates/lab/src/instances/mod.rs
+++ b/crates/lab/src/instances/mod.rs
@@ -18,9 +18,9 @@
 use shorewharf_settings::operator::{Operator, Recovery, Tenancy};
 use thiserror::Error;
 
+use oracle::Oracle;
 pub use peers::Emulated;
 pub use places::Places;
-use oracle::Oracle;
 use policies::{Pick, Policy};
 
 /// Who decides.
--- a/crates/lab/src/instances/oracle.rs
+++ b/crates/lab/src/instances/oracle.rs
@@ -29,9 +29,14 @@
 const ONE: f64 = 1.1;
 const GROUP: f64 = 2.0;
 
-fn x(name: &str, or: f64) -> f64 {
-    std::env::var(name).ok().and_then(|v| v.parse().ok()).unwrap_or(or)
-}
+/// A node takes connections of a group that it holds up to this share of its capacity, and of others up to a lower
+/// one: room that is left goes to those who cost least. Of what was tried on 55 days (0.8 to 0.9, 0.5 to 0.85) this did
+/// best, or within 0.003 of G of it.
+const FULL: f64 = 0.85;
+const NEW: f64 = 0.65;
+/// Beyond this share it is relieved, down to the other.
+const TOO_FULL: f64 = 0.95;
+const RELIEVED: f64 = 0.88;
 
 #[derive(Debug)]
 struct Held {
@@ -56,11 +61,6 @@
     /// What it has placed since it saw the nodes' state last.
     placed: BTreeMap<ServerId, Vec<u64>>,
     seen: Micros,
-    full: f64,
-    new: f64,
-    relieve: f64,
-    relieved: f64,
-    pow: f64,
 }
 
 impl Oracle {
@@ -80,11 +80,6 @@
             looks: false,
             placed: BTreeMap::new(),
             seen: 0,
-            full: x("O_FULL", 0.85),
-            new: x("O_NEW", 0.65),
-            relieve: x("O_RELIEVE", 0.95),
-            relieved: x("O_RELIEVED", 0.88),
-            pow: x("O_POW", 1.0),
         };
         oracle.listed(true, known);
         peers.watch();
@@ -202,30 +197,34 @@
         }
     }
 
-    fn choose(&mut self, now: Micros, group: u64, not: Option<ServerId>, peers: &Emulated) -> Option<ServerId> {
+    fn choose(
+        &mut self,
+        now: Micros,
+        group: u64,
+        not: Option<ServerId>,
+        peers: &Emulated,
+    ) -> Option<ServerId> {
         if std::mem::replace(&mut self.seen, now) != now {
             self.placed.clear();
         }
         let truths = self.truth.read().unwrap_or_else(PoisonError::into_inner);
         let none = Vec::new();
-        let priced = self.ready.iter().filter(|s| self.ready.len() == 1 || Some(**s) != not).filter_map(|s| {
-            let t = peers.truth(*s, &truths).filter(|t| t.takes && t.capacity > 0.0)?;
-            let mine = self.placed.get(s).unwrap_or(&none);
-            let own = x("O_OWN", 0.0) > 0.0;
-            let holds = group == 0 || mine.contains(&group) || if own { self.held.values().any(|h| h.on == Some(*s) && h.group == group) } else { t.groups.binary_search(&group).is_ok() };
-            let ranked = x("O_RANK", 0.0) * { let mut z = s.0 ^ group; z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9); z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb); ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64 } * if holds { 0.0 } else { 1.0 };
-            let noise = 1.0 + x("O_NOISE", 0.0) * ((s.0 >> 20) as u32 as f64 / 4294967296.0 * 2.0 - 1.0);
-            let cost = if holds { ONE } else { ONE + GROUP };
-            let hand = f64::from(t.set_ups) + mine.len() as f64;
-            let coming = hand * (ONE + 0.5 * GROUP) * t.usual;
-            let u = (t.stands + coming + cost * t.usual) / t.capacity + t.pile_s;
-            // A set-up takes a core while it lasts: more at once than there is room for pile up work.
-            let lanes = hand < 1.0 + 4.0 * (1.0 - (t.stands / t.capacity).min(1.0));
-            let stands = t.before_fall.is_none_or(|left| left >= self.proxies * (mine.len() as f64 + 1.0));
-            let u = u * noise;
-            let room = u <= if holds { self.full } else { self.new };
-            (room && lanes && stands).then(|| ((cost + ranked) / (1.0 - u.min(0.98)).powf(self.pow), *s))
-        });
+        let priced =
+            self.ready.iter().filter(|s| self.ready.len() == 1 || Some(**s) != not).filter_map(|s| {
+                let t = peers.truth(*s, &truths).filter(|t| t.takes && t.capacity > 0.0)?;
+                let mine = self.placed.get(s).unwrap_or(&none);
+                let holds = group == 0 || mine.contains(&group) || t.groups.binary_search(&group).is_ok();
+                let cost = if holds { ONE } else { ONE + GROUP };
+                let hand = f64::from(t.set_ups) + mine.len() as f64;
+                let coming = hand * (ONE + 0.5 * GROUP) * t.usual;
+                let u = (t.stands + coming + cost * t.usual) / t.capacity + t.pile_s;
+                // A set-up takes a core while it lasts: more at once than there is room for pile up work.
+                let lanes = hand < 1.0 + 4.0 * (1.0 - (t.stands / t.capacity).min(1.0));
+                let stands =
+                    t.before_fall.is_none_or(|left| left >= self.proxies * (mine.len() as f64 + 1.0));
+                let room = u <= if holds { FULL } else { NEW };
+                (room && lanes && stands).then(|| (cost / (1.0 - u.min(0.98)), *s))
+            });
         priced.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1))).map(|best| best.1)
     }
 
@@ -235,9 +234,11 @@
         let truths = self.truth.read().unwrap_or_else(PoisonError::into_inner).clone();
         let mut moves = Vec::new();
         for server in &self.ready {
-            let Some(t) = peers.truth(*server, &truths).filter(|t| t.takes && t.capacity > 0.0) else { continue };
+            let Some(t) = peers.truth(*server, &truths).filter(|t| t.takes && t.capacity > 0.0) else {
+                continue;
+            };
             let rho = t.stands / t.capacity;
-            if rho <= self.relieve {
+            if rho <= TOO_FULL {
                 continue;
             }
             let mut on: Vec<(f64, RequestId)> = self
@@ -247,7 +248,7 @@
                 .map(|(id, h)| (if h.load > 0.0 { h.load } else { t.usual }, *id))
                 .collect();
             on.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
-            let mut due = on.iter().map(|c| c.0).sum::<f64>() * (1.0 - self.relieved / rho);
+            let mut due = on.iter().map(|c| c.0).sum::<f64>() * (1.0 - RELIEVED / rho);
             for (load, id) in on {
                 if due <= 0.0 {
                     break;
--- a/crates/lab/src/instances/policies.rs
+++ b/crates/lab/src/instances/policies.rs
@@ -88,18 +88,12 @@
             Happening::DirectorFailed => peers.wake(WATCH_AGAIN, WATCH),
             Happening::Woken(_) => peers.watch(),
             Happening::Asked(req) => {
-                let waiting = Waiting {
-                    deadline: req.deadline,
-                    attempts: 0,
-                    last: None,
-                    stands: false,
-                };
+                let waiting = Waiting { deadline: req.deadline, attempts: 0, last: None, stands: false };
                 self.reqs.insert(req.id, waiting);
                 self.try_it(req.id, peers);
             }
             Happening::Carried(req, server) => {
-                let waiting =
-                    Waiting { deadline: 0, attempts: 1, last: Some(server), stands: true };
+                let waiting = Waiting { deadline: 0, attempts: 1, last: Some(server), stands: true };
                 self.reqs.insert(req.id, waiting);
             }
             Happening::Up(id) => {
--- a/crates/recovery/src/care.rs
+++ b/crates/recovery/src/care.rs
@@ -8,6 +8,7 @@
 
 use crate::estimate::Estimate;
 use crate::levels::{Change, Figures, Gauge, Level, LevelStats, Levels, Measures, Repeats, share};
+use crate::queue::Queue;
 use crate::rebalance::{Move, Rebalance, RebalanceStats};
 use crate::retry::{Grant, Retry, RetryStats, fails};
 use crate::table::Table;
@@ -422,6 +423,7 @@
     module: Balancer,
     care: Care,
     estimate: Estimate,
+    queue: Queue,
     tells: Vec<Event>,
 }
 
@@ -431,6 +433,7 @@
         Guarded {
             care: Care::new(&set, seed, options),
             estimate: Estimate::new(&set),
+            queue: Queue::new(&set),
             module: Balancer::new(set, seed),
             tells: Vec::new(),
         }
@@ -446,6 +449,13 @@
             self.module.handle(now, event.clone(), out);
         }
         self.estimate.sees(now, &out[first..]);
+        for action in &mut out[first..] {
+            match action {
+                Action::Send { .. } => self.queue.let_in(now),
+                Action::Refuse { retry_after, .. } => *retry_after = self.queue.place(now),
+                _ => {}
+            }
+        }
         self.care.sees(now, first, &event, out, &mut self.module);
     }
 
@@ -454,6 +464,7 @@
         self.care.options = options;
         self.care.take_settings(&set);
         self.estimate.take_settings(&set);
+        self.queue.take_settings(&set);
         self.module.take_settings(set);
     }
 
