--- a/crates/driver/src/gate.rs
+++ b/crates/driver/src/gate.rs
@@ -5,6 +5,7 @@
 
 use shorewharf_decisions::interface::*;
 use shorewharf_recovery::care::{Care, Guarded, Options};
+use shorewharf_recovery::estimate::Fleet;
 use shorewharf_settings::operator::{Operator, Recovery};
 
 use crate::admission::{Admission, Fate, Verdict};
@@ -82,6 +83,16 @@
         self.admissions.tenants.as_mut()
     }
 
+    /// What is believed of the fleet.
+    pub fn fleet(&self, now: f64) -> Fleet {
+        self.balancer.fleet(now)
+    }
+
+    /// Clients that wait for room here, and how many hold a place to come back, about.
+    pub fn waiting(&self, now: f64) -> (usize, f64) {
+        self.balancer.waiting(now)
+    }
+
     /// Levels, repeats and moves of this instance.
     pub fn care(&self) -> &Care {
         self.balancer.care()
--- a/crates/recovery/src/care.rs
+++ b/crates/recovery/src/care.rs
@@ -6,10 +6,11 @@
 use shorewharf_decisions::interface::{Action, Event, Request};
 use shorewharf_decisions::{Balancer, Outcome, RequestId, ServerId, Settings};
 
-use crate::estimate::Estimate;
+use crate::estimate::{Estimate, Fleet};
 use crate::levels::{Change, Figures, Gauge, Level, LevelStats, Levels, Measures, Repeats, share};
 use crate::queue::Queue;
 use crate::rebalance::{Move, Rebalance, RebalanceStats};
+use crate::report::Shortage;
 use crate::retry::{Grant, Retry, RetryStats, fails};
 use crate::table::Table;
 
@@ -28,6 +29,9 @@
 /// Moves stop while servers with this part of the ready ones or more say they are slow: then there is no room to move to.
 const SLOW_PART: f64 = 0.34;
 
+/// How often it is looked at who waits for room, in seconds.
+const LOOK: f64 = 1.0;
+
 /// What is switched on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Options {
@@ -424,6 +428,8 @@
     care: Care,
     estimate: Estimate,
     queue: Queue,
+    shortage: Shortage,
+    looked: f64,
     tells: Vec<Event>,
 }
 
@@ -434,6 +440,8 @@
             care: Care::new(&set, seed, options),
             estimate: Estimate::new(&set),
             queue: Queue::new(&set),
+            shortage: Shortage::default(),
+            looked: f64::NEG_INFINITY,
             module: Balancer::new(set, seed),
             tells: Vec::new(),
         }
@@ -452,10 +460,18 @@
         for action in &mut out[first..] {
             match action {
                 Action::Send { .. } => self.queue.let_in(now),
-                Action::Refuse { retry_after, .. } => *retry_after = self.queue.place(now),
+                Action::Refuse { retry_after, .. } => {
+                    *retry_after = self.queue.place(now);
+                    self.shortage.refused();
+                }
                 _ => {}
             }
         }
+        if now >= self.looked + LOOK {
+            self.looked = now;
+            let fleet = self.estimate.fleet(now, &self.module);
+            out.extend(self.shortage.look(self.module.waiting(), &fleet).map(Action::Log));
+        }
         self.care.sees(now, first, &event, out, &mut self.module);
     }
 
@@ -478,6 +494,16 @@
         self.care.table.conns.entry(id).and_modify(|c| c.moved = true);
     }
 
+    /// What is believed of the fleet.
+    pub fn fleet(&self, now: f64) -> Fleet {
+        self.estimate.fleet(now, &self.module)
+    }
+
+    /// Clients that wait for room here, and how many hold a place to come back, about.
+    pub fn waiting(&self, now: f64) -> (usize, f64) {
+        (self.module.waiting(), self.queue.length(now))
+    }
+
     /// The care.
     pub fn care(&self) -> &Care {
         &self.care
--- a/crates/recovery/src/estimate.rs
+++ b/crates/recovery/src/estimate.rs
@@ -64,7 +64,9 @@
 pub struct Belief {
     /// Its state as listed.
     pub stage: Stage,
-    /// Share of its warm capacity that it has by now, 1 where warm.
+    /// Its size as listed.
+    pub weight: f64,
+    /// Share of its warm capacity that it has by now at the least, 1 where warm.
     pub ramp: f64,
     /// What it can bear now, of all balancers together.
     pub bears: f64,
@@ -276,6 +278,7 @@
             let unsure = if now < s.noted + NOTED { 0.1 } else { 0.25 };
             let belief = Belief {
                 stage: s.entry.stage,
+                weight: s.entry.weight,
                 ramp: self.figures.ramp(&s.entry, now),
                 bears,
                 carries: mine * self.figures.proxies,
--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod levels;
 pub mod queue;
 pub mod rebalance;
+pub mod report;
 pub mod retry;
 mod table;
