--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -52,8 +52,6 @@
 const MOVES: f64 = 5.0;
 /// Who may wait for a moment is looked at again so soon, in aims.
 const LOOK: f64 = 0.1;
-/// Sooner than this a refused client is not called back.
-const TURN: f64 = 0.1;
 /// Waiting clients for each server that bears more and only has its hands full: so many are set up within an aim.
 const SOON: usize = 4;
 /// Set-up pace: share kept at a failed set-up, growth at a good one, and where it starts and ends to bind.
@@ -367,7 +365,7 @@
         let c = c.clone();
         let left = c.request.deadline - now - 2.0 * self.set.tick;
         if left <= 0.0 || c.attempts >= self.set.max_attempts || (c.attempts > 0 && !self.repeats) {
-            return self.answer(now, id, out);
+            return self.answer(id, out);
         }
         if !self.permit(now) {
             return self.hold(now, &c, out);
@@ -375,7 +373,7 @@
         let Some(server) = self.choose(now, &c) else {
             let serving = self.servers.values().any(|s| self.in_service(s, now));
             return if serving && !self.soon(now, &c) {
-                self.answer(now, id, out)
+                self.answer(id, out)
             } else {
                 self.hold(now, &c, out)
             };
@@ -448,7 +446,7 @@
         let aim = self.set.classes.get(c.request.class).map_or(0.0, |k| k.aim);
         let wait = (aim * LOOK).max(self.set.tick);
         if now + wait > c.arrived + aim || now + wait > c.request.deadline - 4.0 * self.set.tick {
-            return self.answer(now, c.request.id, out);
+            return self.answer(c.request.id, out);
         }
         if let Some(c) = self.clients.get_mut(&c.request.id) {
             c.tried.clear();
@@ -458,24 +456,15 @@
         }
     }
 
-    /// When a refused client should come again: its place in a queue that moves on as clients are placed, drawn a
-    /// little so that no two balancers call at one time, and spread over the last half of what a client honours where
-    /// the queue is longer than that.
-    fn turn(&mut self, now: f64) -> f64 {
-        // Placements a second: the count is halved each period.
-        let (rate, most) = ((self.sends * 0.5 / PERIOD).max(1.0), self.set.max_retry_after);
-        self.queue = (self.queue.max(now) + 1.0 / rate).min(now + most);
-        (self.queue - now).max(TURN).min(most * 0.75) * (0.75 + 0.5 * self.draw())
-    }
-
     /// The final answer to a client that is not served: a refusal where that is known to be harmless.
-    fn answer(&mut self, now: f64, id: RequestId, out: &mut Vec<Action>) {
+    fn answer(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(c) = self.clients.get(&id).filter(|c| !c.answered) else { return };
         let harmless = c.out.is_none()
             && (c.ran.is_none()
                 || matches!(self.semantics(c), Semantics::Safe | Semantics::Keyed(Scope::All, _)));
+        let wait = if self.set.retry_after { self.set.max_retry_after * 0.5 } else { 0.0 };
         if harmless {
-            let retry_after = if self.set.retry_after { self.turn(now) } else { 0.0 };
+            let retry_after = wait * (0.5 + self.draw());
             out.push(Action::Refuse { request: id, retry_after });
         } else {
             out.push(Action::Fail(id));
@@ -489,7 +478,7 @@
             if c.out.is_some() && self.set.may_cancel {
                 out.push(Action::Cancel { request: id, attempt: c.attempts - 1 });
             }
-            self.answer(now, id, out);
+            self.answer(id, out);
         }
     }
 
--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -5,6 +5,8 @@
 pub mod care;
 pub mod estimate;
 pub mod levels;
+pub mod queue;
 pub mod rebalance;
+pub mod report;
 pub mod retry;
 mod table;
