--- a/crates/recovery/src/rebalance/plan.rs
+++ b/crates/recovery/src/rebalance/plan.rs
@@ -150,6 +150,8 @@
     pub nodes: Vec<Node>,
     mean: f64,
     proxies: f64,
+    /// Instances that hold a part of a group where this one does.
+    payers: f64,
     in_cores: bool,
     /// Mean usage.
     level: f64,
@@ -170,6 +172,14 @@
     pub paced: &'a dyn Fn(ServerId) -> bool,
 }
 
+/// Instances that have members of a group on a server where this one has `own` on average: members fall to instances
+/// by chance, so that the mean of those that are seen at all, `m / (1 - e^-m)`, tells the mean `m` of all.
+fn payers(own: f64, proxies: f64) -> f64 {
+    let mut m = own.max(1.0);
+    (0..30).for_each(|_| m = own.max(1.0) * (1.0 - (-m).exp()));
+    1.0 + (proxies - 1.0) * (1.0 - (-m).exp())
+}
+
 impl Picture {
     pub fn new(
         now: f64,
@@ -221,14 +231,16 @@
                 nodes[i].load += e.load;
             }
         }
+        let held = || there.iter().flatten().filter(|g| *g.0 != 0).map(|g| g.1.len());
+        let payers = payers(held().sum::<usize>() as f64 / held().count().max(1) as f64, proxies);
         for (node, held) in nodes.iter_mut().zip(&there) {
             let paid = held.keys().filter(|g| **g != 0).count();
-            node.load += GROUP * mean * paid as f64 / proxies;
+            node.load += GROUP * mean * paid as f64 / payers;
         }
         let (load, have) = nodes.iter().fold((0.0, 0.0), |t, n| (t.0 + n.load, t.1 + n.have));
         let level = if have > 0.0 { load / have } else { 0.0 };
         let age = if standing > 0 { ages / standing as f64 } else { 0.0 };
-        Picture { nodes, mean, proxies, in_cores: table.in_cores(), level, there, standing, age }
+        Picture { nodes, mean, proxies, payers, in_cores: table.in_cores(), level, there, standing, age }
     }
 
     /// The largest usage over the mean one.
@@ -320,7 +332,7 @@
         let load: f64 = going.iter().map(|c| c.1).sum();
         let last = group != 0 && going.len() == held.len();
         // A group that goes home is followed by the other instances' part of it; another one is split from theirs.
-        let own = GROUP * self.mean / self.proxies;
+        let own = GROUP * self.mean / self.payers;
         let (frees, pays) = match (paid, home) {
             (true, _) => (if last { own } else { 0.0 }, 0.0),
             (false, true) => (own, own),
