--- a/crates/recovery/src/retry.rs
+++ b/crates/recovery/src/retry.rs
@@ -135,7 +135,8 @@
 
     /// An attempt at a server has come to something.
     pub fn outcome(&mut self, now: f64, server: ServerId, outcome: Outcome) {
-        if matches!(outcome, Outcome::Cancelled | Outcome::NotSent) {
+        // Nobody there: that speaks of this server alone, and trying costs the fleet nothing.
+        if matches!(outcome, Outcome::Cancelled | Outcome::NotSent | Outcome::ConnectFailed) {
             return;
         }
         self.heard.retain(|_, h| now < h.0 + HEARD);
--- a/crates/recovery/tests/levels.rs
+++ b/crates/recovery/tests/levels.rs
@@ -128,7 +128,7 @@
     for i in 0..40 {
         let now = f64::from(i) * 0.05;
         retry.first();
-        let outcome = if i % 5 == 0 { Outcome::ConnectFailed } else { Outcome::Ok };
+        let outcome = if i % 5 == 0 { Outcome::TimedOut } else { Outcome::Ok };
         retry.outcome(now, ServerId(i as u64 % 5), outcome);
         assert_eq!(retry.may(now, 1), Grant::Granted, "one server of five says nothing of the rest");
     }
