--- a/crates/recovery/src/care.rs
+++ b/crates/recovery/src/care.rs
@@ -444,11 +444,6 @@
         self.module.take_settings(set);
     }
 
-    /// A client was turned away before the module heard of it.
-    pub fn turned_away(&mut self, now: f64, request: &Request) {
-        self.care.turned_away(now, request.key, request.id);
-    }
-
     /// A standing client was asked to move by someone else.
     pub fn moved(&mut self, id: RequestId) {
         self.care.table.conns.entry(id).and_modify(|c| c.moved = true);
