--- a/crates/driver/src/gate.rs
+++ b/crates/driver/src/gate.rs
@@ -169,7 +169,6 @@
             if let Verdict::TurnAway { after, why } = admission.asked(now, request) {
                 *self.turned_away.entry(why).or_default() += 1;
                 *self.untold.entry((request.tenant, why)).or_default() += 1;
-                self.balancer.turned_away(seconds(now), request);
                 return Some(after);
             }
         }
