--- a/crates/balancer/src/net/clients/session.rs
+++ b/crates/balancer/src/net/clients/session.rs
@@ -105,20 +105,27 @@
     half_open: Option<Micros>,
     /// The line it opened with, until it is up.
     first: Option<Buffer>,
-    /// The server that it stood on before this program started.
-    home: Option<ServerId>,
-    req: Option<Req>,
+    /// It stood before this program started; few do, and what is known of that is apart.
+    carried: Option<Box<Carried>>,
     /// When the first line came that its server has answered nothing to.
     asked: Option<Micros>,
     /// It is among those that tell of message delays.
     sighted: bool,
-    /// When to try again to carry on a connection from before the start, once that has failed.
-    carry_again: Option<Micros>,
-    carry_failed: bool,
     /// Its timer.
     pub(super) alarm: Alarm,
 }
 
+/// A connection from before the start.
+#[derive(Debug)]
+struct Carried {
+    /// The server that it stood on.
+    home: ServerId,
+    req: Req,
+    /// When to try again to carry it on, once that has failed.
+    again: Option<Micros>,
+    failed: bool,
+}
+
 /// What a session asks for with its first line.
 #[derive(Debug)]
 pub struct Asking<'a> {
@@ -148,12 +155,9 @@
             open_id: None,
             half_open: None,
             first: None,
-            home: None,
-            req: None,
+            carried: None,
             asked: None,
             sighted: false,
-            carry_again: None,
-            carry_failed: false,
             alarm: Alarm::default(),
         }
     }
@@ -165,7 +169,7 @@
         match self.stage {
             Stage::Opening => Some(self.until.max(judges_from)),
             Stage::Ending => Some(self.until),
-            Stage::Waiting => first(self.carry_again, Some(self.until + OVERDUE)),
+            Stage::Waiting => first(self.carried.as_ref().and_then(|c| c.again), Some(self.until + OVERDUE)),
             Stage::Open | Stage::Moving => {
                 let silent = self.asked.map(|at| turn.took_since(at) + SILENT);
                 first(self.half_open.map(|at| at.max(judges_from)), silent)
@@ -210,12 +214,12 @@
 
     /// The server that it stood on before this program started.
     pub fn home(&self) -> Option<ServerId> {
-        self.home
+        self.carried.as_ref().map(|c| c.home)
     }
 
-    /// What it asks for.
+    /// What it asks for, where it stood before this program started.
     pub fn req(&self) -> Option<Req> {
-        self.req
+        self.carried.as_ref().map(|c| c.req)
     }
 
     /// The line it opened with, until it is up.
@@ -295,7 +299,8 @@
     pub(super) fn asks(&mut self, now: Micros, pool: &Pool, asking: Asking) {
         let mut first = pool.take();
         first.append(asking.line);
-        (self.first, self.req, self.home) = (Some(first), Some(asking.req), asking.home);
+        let carried = |home| Box::new(Carried { home, req: asking.req, again: None, failed: false });
+        (self.first, self.carried) = (Some(first), asking.home.map(carried));
         (self.stage, self.since, self.until) = (Stage::Waiting, now, asking.until);
         self.open_id = Some(asking.open_id);
     }
@@ -344,13 +349,14 @@
 
     /// An attempt to carry on a connection from before the start has failed; true if it is the first one.
     pub fn carry_failed(&mut self, now: Micros) -> bool {
-        self.carry_again = Some(now + CARRY_PAUSE);
-        !std::mem::replace(&mut self.carry_failed, true)
+        let Some(carried) = &mut self.carried else { return false };
+        carried.again = Some(now + CARRY_PAUSE);
+        !std::mem::replace(&mut carried.failed, true)
     }
 
     /// Whether a connection from before the start is to be tried again now, which is told once.
     pub fn carries_again(&mut self, now: Micros) -> bool {
-        self.carry_again.take_if(|at| now >= *at).is_some()
+        self.carried.as_mut().is_some_and(|c| c.again.take_if(|at| now >= *at).is_some())
     }
 
     /// Says its last words; its end is awaited from now on. Tells the id that it had opened with, which is free.
--- a/crates/balancer/src/net/pool.rs
+++ b/crates/balancer/src/net/pool.rs
@@ -5,8 +5,9 @@
 
 /// Bytes in a buffer: one line of the greatest length and as much again behind it.
 pub const BUFFER: usize = 8192;
+const _: () = assert!(BUFFER <= u16::MAX as usize, "places in a buffer are narrow");
 /// Buffers kept for later; a burst's surplus goes back to the system.
-const KEPT: usize = 512;
+const KEPT: usize = 128;
 
 type Store = Rc<RefCell<Vec<Box<[u8; BUFFER]>>>>;
 
@@ -26,8 +27,9 @@
 #[derive(Debug)]
 pub struct Buffer {
     bytes: Option<Box<[u8; BUFFER]>>,
-    start: usize,
-    end: usize,
+    // Narrow: every connection has room for the handles of its buffers.
+    start: u16,
+    end: u16,
     home: Store,
 }
 
@@ -38,28 +40,28 @@
 
     /// What it holds.
     pub fn held(&self) -> &[u8] {
-        &self.bytes.as_ref().expect("held until dropped")[self.start..self.end]
+        &self.bytes.as_ref().expect("held until dropped")[usize::from(self.start)..usize::from(self.end)]
     }
 
     /// Room behind what it holds; what it holds is moved to the front if that makes any.
     pub fn room(&mut self) -> &mut [u8] {
         if self.start > 0 {
             let (start, end) = (self.start, self.end);
-            self.bytes().copy_within(start..end, 0);
+            self.bytes().copy_within(usize::from(start)..usize::from(end), 0);
             (self.start, self.end) = (0, end - start);
         }
         let end = self.end;
-        &mut self.bytes()[end..]
+        &mut self.bytes()[usize::from(end)..]
     }
 
     /// So many bytes were written into the room.
     pub fn added(&mut self, n: usize) {
-        self.end = (self.end + n).min(BUFFER);
+        self.end = (usize::from(self.end) + n).min(BUFFER) as u16;
     }
 
     /// So many bytes at the front are done with.
     pub fn used(&mut self, n: usize) {
-        self.start = (self.start + n).min(self.end);
+        self.start = (usize::from(self.start) + n).min(usize::from(self.end)) as u16;
     }
 
     /// Appends all of `bytes`, or nothing and false where they don't fit.
