--- a/crates/driver/src/gate.rs
+++ b/crates/driver/src/gate.rs
@@ -13,6 +13,9 @@
 
 /// The gate's own timer; the module's tokens lie far below.
 const DUE: u64 = 1 << 63;
+/// Who was turned away is told to the log so often at most, and of so many tenants: a flood must not fill the log too.
+const TELL_EVERY: Micros = 10_000_000;
+const TELL_MOST: usize = 8;
 
 /// Who is asked, in this order.
 #[derive(Debug, Default)]
@@ -46,18 +49,23 @@
     /// The gate's timer comes then.
     wakes: Option<Micros>,
     turned_away: BTreeMap<&'static str, u64>,
+    /// By tenant and reason, since the log was told last.
+    untold: BTreeMap<(usize, &'static str), u64>,
+    told: Micros,
 }
 
 impl Gate {
     /// A fresh module of these settings behind what the operator wants before it.
     pub fn new(now: Micros, set: Settings, seed: u64, operator: &Operator) -> Gate {
-        let tenants = Tenants::new(now, &set, &operator.tenancy);
+        let tenants = Tenants::new(now, &set, operator);
         Gate {
             balancer: Balancer::new(set, seed),
             admissions: Admissions { tenants },
             held: HashMap::new(),
             wakes: None,
             turned_away: BTreeMap::new(),
+            untold: BTreeMap::new(),
+            told: now,
         }
     }
 
@@ -94,7 +102,7 @@
             Event::Arrived(request) => {
                 if let Some(after) = self.turns_away(at, request) {
                     out.push(Action::Refuse { request: request.id, retry_after: seconds(after) });
-                    return;
+                    return self.tell_log(at, out);
                 }
                 None
             }
@@ -139,6 +147,7 @@
         for admission in self.admissions.all() {
             if let Verdict::TurnAway { after, why } = admission.asked(now, request) {
                 *self.turned_away.entry(why).or_default() += 1;
+                *self.untold.entry((request.tenant, why)).or_default() += 1;
                 return Some(after);
             }
         }
@@ -148,6 +157,20 @@
         None
     }
 
+    /// Tells the log who was turned away, those most often first.
+    fn tell_log(&mut self, now: Micros, out: &mut Vec<Action>) {
+        if now < self.told + TELL_EVERY {
+            return;
+        }
+        self.told = now;
+        let mut all: Vec<_> = std::mem::take(&mut self.untold).into_iter().collect();
+        all.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
+        let some = all.iter().take(TELL_MOST);
+        let texts: Vec<String> =
+            some.map(|((tenant, why), count)| format!("tenant {tenant} {why} {count}")).collect();
+        out.push(Action::Log(format!("turned away since the last line: {}", texts.join(", "))));
+    }
+
     fn comes_up(&mut self, now: Micros, id: RequestId) {
         let Some(held) = self.held.get_mut(&id).filter(|h| !h.stands) else { return };
         (held.stands, held.out) = (true, false);
@@ -184,9 +207,9 @@
                 let mut ids: Vec<RequestId> =
                     self.held.iter().filter(|(_, h)| there(h)).map(|(id, _)| *id).collect();
                 ids.sort_unstable();
-                ids.truncate(usize::try_from(count).unwrap_or(usize::MAX));
-                if (ids.len() as u64) < count {
-                    admission.not_moved(tenant, count - ids.len() as u64);
+                ids.truncate(count as usize);
+                if ids.len() < count as usize {
+                    admission.not_moved(tenant, count - ids.len() as u32);
                 }
                 for id in ids {
                     self.held.entry(id).and_modify(|h| h.moves = true);
@@ -205,19 +228,3 @@
         }
     }
 }
-impl Drop for Gate {
-    fn drop(&mut self) {
-        if std::env::var("TENDBG").is_ok()
-            && let Some(t) = self.admissions.tenants.as_mut()
-        {
-            let s = t.tenancy().stats(1_000_090_000_000);
-            eprintln!("part {:.3} used {:.0} lends {:.0} short {:?}", s.part, s.used, s.lends_up_to, s.short);
-            for (p, t) in s.tenants {
-                eprintln!(
-                    "  {} own {:.0} used {} adm {} loan {} away {:?} refused {}",
-                    p.0, t.own, t.used, t.admitted, t.admitted_on_loan, t.turned_away, t.refused
-                );
-            }
-        }
-    }
-}
--- a/crates/tenancy/src/tenancy.rs
+++ b/crates/tenancy/src/tenancy.rs
@@ -8,6 +8,7 @@
 use crate::stats::{Stats, TenantStats};
 use crate::tenant::{Flow, State, Tenant};
 use crate::terms::{Limits, Terms};
+use crate::waits::Room;
 use crate::{Micros, Place, Verdict, Why};
 
 /// Set-ups and returns are counted over about so long.
@@ -18,6 +19,9 @@
 /// clients is not turned away for two that came together.
 const CHANCE: f64 = 1.5;
 const FEW: f64 = 2.0;
+/// Where nothing is left to lend, the level lies so many connections below what is in use, so that whoever is fullest
+/// is above it.
+const BELOW: f64 = 0.5;
 /// Streams of removed tenants are moved so often.
 const MOVES_EVERY: Micros = 100_000;
 
@@ -27,7 +31,7 @@
     /// The tenant.
     pub place: Place,
     /// How many of its streams.
-    pub count: u64,
+    pub count: u32,
 }
 
 /// How a request stands to its tenant's share.
@@ -35,8 +39,8 @@
 enum Stand {
     Own,
     Lent,
-    /// Over; its turn comes in about so long.
-    Over(Micros, Why),
+    /// Over; there is room again then.
+    Over(Room, Why),
 }
 
 /// A client that was admitted.
@@ -122,7 +126,7 @@
             (Some(b), Some(l)) => l.connections() < b.connections(),
             (before, limits) => before.is_none() && limits.is_some(),
         };
-        let under = limits.is_none() || held as f64 <= self.own_connections(now, place);
+        let under = limits.is_none() || f64::from(held) <= self.own_connections(now, place);
         let t = &mut self.tenants[place.0];
         if under {
             t.state = State::Lives;
@@ -140,7 +144,7 @@
         let held = self.tenants.get(place.0).map_or(0, |t| t.held);
         // Whoever is not limited takes nothing from those who are.
         let counts = limits.is_some() || self.is_removed(place);
-        self.connections.put(now, place, if counts { held as f64 } else { 0.0 });
+        self.connections.put(now, place, if counts { f64::from(held) } else { 0.0 });
     }
 
     fn is_removed(&self, place: Place) -> bool {
@@ -174,7 +178,8 @@
             return Verdict::TurnAway { after, why: Why::Unknown };
         };
         if t.state == State::Removed {
-            return self.turn_away(place, self.terms.longest_wait, Why::Removed);
+            let never = Room { first: f64::INFINITY, each: 0.0 };
+            return self.turn_away(now, place, never, Why::Removed);
         }
         let Some(limits) = t.limits else {
             self.asked = Some(Asked { place, flow: None, on_loan: false });
@@ -182,21 +187,21 @@
         };
         // Who returns for a connection that ended here lately takes its place again; who only says so is new.
         let flow = if returning && t.may_return(now) { Flow::Return } else { Flow::SetUp };
-        let stands = [self.flow_stand(now, place, limits, flow), self.connections_stand(now, place, limits)];
+        let stands = [self.connections_stand(now, place, limits), self.flow_stand(now, place, limits, flow)];
         for stand in stands {
-            if let Stand::Over(expected, why) = stand {
-                return self.turn_away(place, expected, why);
+            if let Stand::Over(room, why) = stand {
+                return self.turn_away(now, place, room, why);
             }
         }
         self.asked = Some(Asked { place, flow: Some(flow), on_loan: stands.contains(&Stand::Lent) });
         Verdict::Admit
     }
 
-    fn turn_away(&mut self, place: Place, expected: Micros, why: Why) -> Verdict {
+    fn turn_away(&mut self, now: Micros, place: Place, room: Room, why: Why) -> Verdict {
         let longest = self.terms.longest_wait;
         let t = &mut self.tenants[place.0];
         t.turned_away(why);
-        Verdict::TurnAway { after: t.waits.next(expected, longest), why }
+        Verdict::TurnAway { after: t.waits.next(now, room, longest), why }
     }
 
     /// The client that was asked about last is admitted for good. From now on it is counted as being set up, until
@@ -205,8 +210,8 @@
         let Some(Asked { place, flow, on_loan }) = self.asked.take() else { return };
         let t = &mut self.tenants[place.0];
         t.held += 1;
-        t.counts.admitted += 1;
-        t.counts.admitted_on_loan += u64::from(on_loan);
+        t.admitted += 1;
+        t.on_loan += u64::from(on_loan);
         let Some(flow) = flow else { return };
         t.begins(now, flow);
         self.pending[flow as usize] += 1;
@@ -216,39 +221,51 @@
 
     /// The part of everybody's share of connections that is this instance's.
     fn part(&self, now: Micros) -> f64 {
-        part(&self.connections, now, self.terms.instances, self.terms.lend, self.told_part).min(1.0)
+        let usage = if self.short(now).is_some() { 1.0 } else { self.terms.lend };
+        let seen = || part(&self.connections, now, self.terms.instances, usage);
+        self.told_part.unwrap_or_else(seen).min(1.0)
     }
 
-    /// A tenant's own part of connections; whole ones, since a part of one serves nobody.
+    /// What may stand here while capacity is short; none where more may stand.
+    fn short(&self, now: Micros) -> Option<f64> {
+        let total = self.connections.total(now);
+        self.shortage.limit(now, total).filter(|to| *to < total + 1.0)
+    }
+
+    /// A tenant's own part of connections: whole ones, since a part of one serves nobody, and one more where its share
+    /// has it, since the clients of a small tenant don't come evenly to all instances.
     fn own_connections(&self, now: Micros, place: Place) -> f64 {
-        (self.connections.size(place) * self.part(now)).ceil()
+        let size = self.connections.size(place);
+        ((size * self.part(now)).ceil() + 1.0).min(size.ceil())
     }
 
     fn connections_stand(&self, now: Micros, place: Place, limits: Limits) -> Stand {
         let (pool, part) = (&self.connections, self.part(now));
-        let own = (pool.size(place) * part).ceil();
+        let own = self.own_connections(now, place);
         let wants = pool.used(now, place) + 1.0;
         let fullness = wants / (pool.size(place) * limits.weight()).max(f64::MIN_POSITIVE);
         let total = pool.total(now);
-        let short = self.shortage.limit(now, total).filter(|to| *to < total + 1.0);
+        let short = self.short(now);
         let lends = pool.all() * part * self.terms.lend;
-        let expected = || self.tenants[place.0].until_ended(now, (wants - own).max(1.0));
+        let room = || self.tenants[place.0].room(now, (wants - own).max(1.0));
         if wants <= own {
             // Nobody has more right to it; but where even this is not there, the fullest wait first.
             return match short.filter(|_| self.terms.ration) {
-                Some(to) if fullness > pool.level(now, to) => Stand::Over(expected(), Why::Short),
+                Some(to) if fullness > pool.level(now, to.min(total - BELOW)) => {
+                    Stand::Over(room(), Why::Short)
+                }
                 _ => Stand::Own,
             };
         }
         let lowered = self.tenants[place.0].state == State::Lowered;
         if lowered || !limits.borrows() {
-            return Stand::Over(expected(), if lowered { Why::Lowered } else { Why::Connections });
+            return Stand::Over(room(), if lowered { Why::Lowered } else { Why::Connections });
         }
         let to = short.unwrap_or(lends).min(lends);
-        if total < to || fullness <= pool.level(now, to) {
+        if total + 1.0 <= to || fullness <= pool.level(now, to.min(total - BELOW)) {
             return Stand::Lent;
         }
-        Stand::Over(expected(), if short.is_some() { Why::Short } else { Why::Connections })
+        Stand::Over(room(), if short.is_some() { Why::Short } else { Why::Connections })
     }
 
     fn flow_stand(&self, now: Micros, place: Place, limits: Limits, flow: Flow) -> Stand {
@@ -257,7 +274,8 @@
             Flow::Return => (&self.returns, Why::Returns),
         };
         // Where everybody comes at once the part is above 1: that is the fleet's storm, and no tenant's.
-        let part = part(pool, now, self.terms.instances, self.terms.lend, self.told_part);
+        let seen = || part(pool, now, self.terms.instances, self.terms.lend);
+        let part = self.told_part.unwrap_or_else(seen);
         let mean = pool.size(place) * part;
         let pending = self.tenants[place.0].pending(flow);
         let (own, wants) = (with_chance(mean), pool.used(now, place) + pending + 1.0);
@@ -267,10 +285,13 @@
         let lends = pool.all() * part * self.terms.lend;
         let fullness = wants / (pool.size(place) * limits.weight()).max(f64::MIN_POSITIVE);
         let total = pool.total(now) + self.pending[flow as usize] as f64;
-        if limits.borrows() && (total < lends || fullness <= pool.level(now, lends)) {
+        if limits.borrows()
+            && (total + 1.0 <= lends || fullness <= pool.level(now, lends.min(pool.total(now) - BELOW)))
+        {
             return Stand::Lent;
         }
-        Stand::Over((FLOW_SPAN as f64 * (wants / own).ln()) as Micros, why)
+        let span = FLOW_SPAN as f64;
+        Stand::Over(Room { first: span * (wants / own).ln(), each: span / own }, why)
     }
 }
 
@@ -280,7 +301,7 @@
     pub fn carried(&mut self, now: Micros, place: Place) {
         let Some(t) = self.tenants.get_mut(place.0) else { return };
         t.held += 1;
-        t.counts.set_up += 1;
+        t.set_up += 1;
         if t.limits.is_some() || t.state == State::Removed {
             self.connections.take(now, place);
         }
@@ -292,7 +313,7 @@
     /// A connection that was being set up stands.
     pub fn up(&mut self, now: Micros, place: Place) {
         let Some(t) = self.tenants.get_mut(place.0) else { return };
-        t.counts.set_up += 1;
+        t.set_up += 1;
         match self.begun(place) {
             Some(Flow::SetUp) => self.set_ups.take(now, place),
             Some(Flow::Return) => self.returns.take(now, place),
@@ -348,7 +369,7 @@
         if t.limits.is_some() || state == State::Removed {
             self.connections.give_back(now, place);
         }
-        if state == State::Lowered && held as f64 <= self.own_connections(now, place) {
+        if state == State::Lowered && f64::from(held) <= self.own_connections(now, place) {
             self.tenants[place.0].state = State::Lives;
         }
         if state == State::Removed && held == 0 {
@@ -370,11 +391,11 @@
         let mut all = Vec::new();
         for &place in &self.leaving {
             let t = &mut self.tenants[place.0];
-            let count = (t.held - t.moving.min(t.held)).min(self.moves as u64);
+            let count = (t.held - t.moving.min(t.held)).min(self.moves as u32);
             if count > 0 {
                 t.moving += count;
-                t.counts.moved += count;
-                self.moves -= count as f64;
+                t.counts.moved += u64::from(count);
+                self.moves -= f64::from(count);
                 all.push(Moves { place, count });
             }
         }
@@ -388,10 +409,10 @@
     }
 
     /// Fewer streams could be moved than were asked for (some were only being set up): the rest is asked for again.
-    pub fn not_moved(&mut self, place: Place, count: u64) {
+    pub fn not_moved(&mut self, place: Place, count: u32) {
         if let Some(t) = self.tenants.get_mut(place.0) {
             t.moving = t.moving.saturating_sub(count);
-            t.counts.moved = t.counts.moved.saturating_sub(count);
+            t.counts.moved = t.counts.moved.saturating_sub(u64::from(count));
         }
     }
 }
@@ -405,11 +426,14 @@
         Some(TenantStats {
             share: t.limits.map(|l| l.connections()),
             own,
-            used: t.held,
-            borrowed: if t.limits.is_some() { (t.held as f64 - own).max(0.0) } else { 0.0 },
+            used: u64::from(t.held),
+            borrowed: if t.limits.is_some() { (f64::from(t.held) - own).max(0.0) } else { 0.0 },
+            admitted: t.admitted,
+            admitted_on_loan: t.on_loan,
+            set_up: t.set_up,
             removed: t.state == State::Removed,
             lowered: t.state == State::Lowered,
-            ..t.counts
+            ..*t.counts
         })
     }
 
@@ -422,7 +446,7 @@
             shares: self.connections.all(),
             used,
             lends_up_to: self.connections.all() * part * self.terms.lend,
-            short: self.shortage.limit(now, used),
+            short: self.short(now),
             unknown: self.unknown,
             tenants: (0..self.tenants.len())
                 .filter_map(|i| Some((Place(i), self.tenant(now, Place(i))?)))
--- a/crates/tenancy/src/tenant.rs
+++ b/crates/tenancy/src/tenant.rs
@@ -2,7 +2,7 @@
 
 use crate::stats::TenantStats;
 use crate::terms::Limits;
-use crate::waits::Waits;
+use crate::waits::{Room, Waits};
 use crate::{Micros, Why};
 
 /// Connections that ended lately entitle so many clients to return; melts by e in so long.
@@ -42,7 +42,7 @@
         self.number * (-(now.saturating_sub(self.at) as f64) / span).exp()
     }
 
-    fn add(&mut self, now: Micros, span: f64, by: f64) {
+    pub fn add(&mut self, now: Micros, span: f64, by: f64) {
         self.number = (self.now(now, span) + by).max(0.0);
         self.at = self.at.max(now);
     }
@@ -55,15 +55,20 @@
     pub limits: Option<Limits>,
     pub state: State,
     /// Connections that stand or are being set up.
-    pub held: u64,
+    pub held: u32,
     /// Those that have been asked to move and are still here.
-    pub moving: u64,
+    pub moving: u32,
     /// Those that are being set up, by flow.
-    pending: [u64; 2],
+    pending: [u32; 2],
     ends: Melting,
     returns: Melting,
     pub waits: Waits,
-    pub counts: TenantStats,
+    /// Requests admitted, those of them on loan, and connections that were up.
+    pub admitted: u64,
+    pub on_loan: u64,
+    pub set_up: u64,
+    /// What is counted of those who are not served. Apart, so that who is served touches two lines of the cache.
+    pub counts: Box<TenantStats>,
 }
 
 impl Tenant {
@@ -77,7 +82,10 @@
             ends: Melting::default(),
             returns: Melting::default(),
             waits: Waits::default(),
-            counts: TenantStats::default(),
+            admitted: 0,
+            on_loan: 0,
+            set_up: 0,
+            counts: Box::default(),
         }
     }
 
@@ -95,7 +103,7 @@
 
     /// Clients of this flow that are being set up.
     pub fn pending(&self, flow: Flow) -> f64 {
-        self.pending[flow as usize] as f64
+        f64::from(self.pending[flow as usize])
     }
 
     /// A client of this flow is being set up.
@@ -124,10 +132,10 @@
         self.returns.add(now, RETURNS_FOR, 1.0);
     }
 
-    /// How long it takes until so many connections have ended, at the pace of late.
-    pub fn until_ended(&self, now: Micros, connections: f64) -> Micros {
-        let per_us = self.ends.now(now, ENDS_FOR) / ENDS_FOR;
-        (connections / per_us.max(1e-12)).min(1e12) as Micros
+    /// When there is room for a client, once so many connections have ended, at the pace of late.
+    pub fn room(&self, now: Micros, connections: f64) -> Room {
+        let each = (ENDS_FOR / self.ends.now(now, ENDS_FOR).max(1e-6)).min(1e12);
+        Room { first: connections * each, each }
     }
 
     pub fn turned_away(&mut self, why: Why) {
