--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -52,7 +52,7 @@
 const MOVES: f64 = 5.0;
 /// Who may wait for a moment is looked at again so soon, in aims.
 const LOOK: f64 = 0.1;
-/// Waiting clients for each server that bears more and only has its hands full: so many are set up within an aim.
+/// Clients that wait for each server that bears more and has its hands full: so many are set up in an aim.
 const SOON: usize = 4;
 /// Set-up pace: share kept at a failed set-up, growth at a good one, and where it starts and ends to bind.
 const PACE_FALL: f64 = 0.6;
@@ -435,8 +435,8 @@
         self.pace = (pace * PACE_FALL).max(PACE_LEAST);
     }
 
-    /// Whether a server bears this client and only has its hands full of set-ups, or opens to one more as it warms
-    /// up: room comes within moments. Without that nobody is kept waiting: no room is told at once.
+    /// Whether a server bears this client and only has its hands full of set-ups, or opens to one more as
+    /// it warms up: room comes within moments. Without that nobody is kept waiting: no room is told at once.
     fn soon(&self, now: f64, c: &Client) -> bool {
         let opens = |s: &&Server| self.in_service(s, now) && now >= s.slow_until && self.bears_load(s, c);
         c.attempts == 0 && self.held().len() <= SOON * self.servers.values().filter(opens).count()
