--- /dev/null
+++ b/crates/lab/src/cli.rs
@@ -0,0 +1,356 @@
+//! Owns the words of the command line.
+
+use std::path::PathBuf;
+
+use clap::{Args, Parser, Subcommand, ValueEnum};
+
+use crate::scenario::set::{Axis, axis};
+
+const EXAMPLES: &str = "\
+Examples:
+  shorewharf-lab demo                                         a small fleet on loopback sockets, live, for 30 s
+  shorewharf-lab run scenarios/storm.toml                     one day in virtual time, as a table
+  shorewharf-lab run scenarios/storm.toml --report storm.html the same with plots
+  shorewharf-lab sweep scenarios/storm.toml --set traffic.load=0.3,0.5,0.7 --seeds 1..20
+  shorewharf-lab compare scenarios/storm.toml --policies module,random --seeds 1..20
+  shorewharf-lab check scenarios/*.toml                       what is wrong or odd in scenario files
+
+Exit codes:
+  0  done, and no rule was broken
+  1  done, but a rule was broken, a connection was lost, or something checked is wrong
+  2  the command line, a scenario or another input file can't be used
+  3  something outside failed: a file could not be written, a program could not be built or started";
+
+/// The whole command line.
+#[derive(Debug, Parser)]
+#[command(
+    name = "shorewharf-lab",
+    version,
+    about = "Play days of the platform round a balancer, and learn from them"
+)]
+#[command(after_help = EXAMPLES, max_term_width = 110, propagate_version = true, arg_required_else_help = true)]
+pub struct Cli {
+    /// What to do.
+    #[command(subcommand)]
+    pub command: Command,
+    /// Least level of the log that is written to standard error (also by module: shorewharf_emulator=debug)
+    #[arg(long, global = true, default_value = "warn", value_name = "LEVEL", help_heading = "Output")]
+    pub log: String,
+    /// Form of the log
+    #[arg(long, global = true, default_value = "logfmt", value_enum, help_heading = "Output")]
+    pub log_format: LogFormat,
+    /// Colours and redrawn tables; auto: on a terminal only
+    #[arg(long, global = true, default_value = "auto", value_enum, help_heading = "Output")]
+    pub color: When,
+}
+
+/// Form of the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum LogFormat {
+    /// key=value pairs
+    Logfmt,
+    /// one JSON object a line
+    Json,
+}
+
+/// When to use colours.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum When {
+    /// On a terminal, unless NO_COLOR is set
+    Auto,
+    /// Always
+    Always,
+    /// Never
+    Never,
+}
+
+/// What to do.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Play a small fleet with two built balancers, clients and one crash on loopback sockets, live
+    Demo(Demo),
+    /// Play one scenario and print what came of it
+    Run(Run),
+    /// Play a grid of settings times seeds on all cores
+    Sweep(Sweep),
+    /// Compare two scenarios, policies or result files, paired by seed
+    Compare(Compare),
+    /// Load a running balancer (or a fleet of them) and measure it
+    Load(Load),
+    /// Make one self-contained HTML page with plots from a result file
+    Report(Report),
+    /// Turn a day that the simulator drew into a scenario file
+    Import(Import),
+    /// Look for what is wrong or odd in scenario files
+    Check(Check),
+    /// Print a scenario in full: defaults, fleets and files that it extends written out
+    Show(Show),
+    /// Compare runs of drawn days with what the simulator says about the same days
+    Fidelity(Fidelity),
+}
+
+/// Which clock plays a day.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum Clock {
+    /// Virtual time: fast, and the same seed gives the same bytes
+    Virtual,
+    /// Real time on loopback sockets, against the built program
+    Sockets,
+}
+
+/// Which scenario, and what is changed in it.
+#[derive(Args, Clone, Debug)]
+pub struct Which {
+    /// The scenario file (TOML); or a drawn day (JSON)
+    pub scenario: PathBuf,
+    /// Change a key before the run; may be given several times. Names, places and * pick list entries
+    #[arg(long = "set", value_name = "KEY=VALUE", value_parser = axis)]
+    pub set: Vec<Axis>,
+    /// Another seed than the scenario's
+    #[arg(long)]
+    pub seed: Option<u64>,
+}
+
+/// How a day is played.
+#[derive(Args, Clone, Debug)]
+pub struct How {
+    /// Which clock plays the day
+    #[arg(long, value_enum, default_value = "virtual")]
+    pub clock: Clock,
+    /// Who decides (virtual time): module, random, least-loaded …; a wrong name lists them all
+    #[arg(long, default_value = "module")]
+    pub policy: String,
+    /// Cores for one run (virtual time); the result does not depend on it
+    #[arg(long, value_name = "N")]
+    pub threads: Option<usize>,
+    /// The balancer's program (sockets); found beside this program or built if left out
+    #[arg(long, value_name = "PROGRAM")]
+    pub balancer: Option<PathBuf>,
+}
+
+/// `demo`.
+#[derive(Args, Debug)]
+#[command(after_help = "\
+Needs no files and no network but loopback (127.0.0.0/8). The balancer's program is looked for beside this one and
+built with cargo if it is not there. Ends with 0 if no rule was broken.
+
+Example:
+  shorewharf-lab demo --seconds 15 --report demo.html")]
+pub struct Demo {
+    /// How long clients come
+    #[arg(long, default_value_t = 30, value_name = "N", value_parser = clap::value_parser!(u64).range(2..=3600))]
+    pub seconds: u64,
+    /// What is drawn follows from it
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// The balancer's program; found beside this program or built if left out
+    #[arg(long, value_name = "PROGRAM")]
+    pub balancer: Option<PathBuf>,
+    /// Also write the result as JSON
+    #[arg(long, value_name = "FILE")]
+    pub json: Option<PathBuf>,
+    /// Also write a page with plots
+    #[arg(long, value_name = "FILE.html")]
+    pub report: Option<PathBuf>,
+}
+
+/// `run`.
+#[derive(Args, Debug)]
+#[command(after_help = "\
+Examples:
+  shorewharf-lab run scenarios/crash.toml
+  shorewharf-lab run scenarios/crash.toml --seed 7 --set traffic.load=0.6 --json out.json --report out.html
+  shorewharf-lab run scenarios/crash.toml --policy random
+  shorewharf-lab run scenarios/crash.toml --clock sockets
+
+Ends with 0, or with 1 if a rule was broken or a connection lost.")]
+pub struct Run {
+    /// Which scenario.
+    #[command(flatten)]
+    pub which: Which,
+    /// How it is played.
+    #[command(flatten)]
+    pub how: How,
+    /// Write the result as JSON; - for standard output, in place of the table
+    #[arg(long, value_name = "FILE")]
+    pub json: Option<PathBuf>,
+    /// Write a page with plots
+    #[arg(long, value_name = "FILE.html")]
+    pub report: Option<PathBuf>,
+}
+
+/// `sweep`.
+#[derive(Args, Debug)]
+#[command(after_help = "\
+Every combination of the values of all --set is played with every seed. Keys are paths: traffic.load,
+fleet[0].count, kinds.fast.cold_s, faults.*.len_s. A value may be a list or table: traffic.shape=[[0,1],[30,2]].
+
+Examples:
+  shorewharf-lab sweep scenarios/storm.toml --set clients.retries=0,1,2,4 --seeds 1..20
+  shorewharf-lab sweep scenarios/storm.toml --set traffic.load=0.3,0.5 --set balancers=2,4 --seeds 1,2,3 --csv out.csv")]
+pub struct Sweep {
+    /// The scenario file (TOML); or a drawn day (JSON)
+    pub scenario: PathBuf,
+    /// A key and the values that it takes; may be given several times
+    #[arg(long = "set", value_name = "KEY=A,B,C", value_parser = axis)]
+    pub set: Vec<Axis>,
+    /// Seeds: 1..20 (both ends), or 1,5,9
+    #[arg(long, default_value = "1..10", value_parser = seeds)]
+    pub seeds: Seeds,
+    /// Policies to play, with commas
+    #[arg(long, default_value = "module", value_delimiter = ',', value_name = "NAMES")]
+    pub policies: Vec<String>,
+    /// Runs at once; as many as there are cores if left out
+    #[arg(long, value_name = "N")]
+    pub threads: Option<usize>,
+    /// Write a line for each run
+    #[arg(long, value_name = "FILE")]
+    pub csv: Option<PathBuf>,
+    /// Write points and runs as JSON; - for standard output, in place of the table
+    #[arg(long, value_name = "FILE")]
+    pub json: Option<PathBuf>,
+}
+
+/// `compare`.
+#[derive(Args, Debug)]
+#[command(after_help = "\
+A and B are scenario files, or result files of run and sweep. With one scenario and --policies, two policies play it.
+Runs with the same seed are paired, so that what the seed draws falls out of the difference; the interval of the mean
+difference comes from a bootstrap over the pairs. If it holds 0, the difference is within the noise.
+
+Examples:
+  shorewharf-lab compare scenarios/storm.toml --policies module,random --seeds 1..20
+  shorewharf-lab compare scenarios/storm.toml scenarios/storm-calm-clients.toml --seeds 1..20
+  shorewharf-lab compare before.json after.json")]
+pub struct Compare {
+    /// The first scenario or result file
+    pub a: PathBuf,
+    /// The second one; the first again where policies differ
+    pub b: Option<PathBuf>,
+    /// Policy of both, or of A and of B
+    #[arg(long, default_value = "module", value_delimiter = ',', value_name = "A[,B]")]
+    pub policies: Vec<String>,
+    /// Seeds: 1..20 (both ends), or 1,5,9
+    #[arg(long, default_value = "1..20", value_parser = seeds)]
+    pub seeds: Seeds,
+    /// Runs at once; as many as there are cores if left out
+    #[arg(long, value_name = "N")]
+    pub threads: Option<usize>,
+    /// Part of bootstrap draws that the interval holds
+    #[arg(long, default_value_t = 0.95)]
+    pub level: f64,
+    /// Write the comparison as JSON; - for standard output, in place of the table
+    #[arg(long, value_name = "FILE")]
+    pub json: Option<PathBuf>,
+}
+
+/// `load`.
+#[derive(Args, Debug)]
+pub struct Load {
+    /// The scenario that says what is asked for
+    pub scenario: PathBuf,
+    /// The balancer's program; found beside this program or built if left out
+    #[arg(long, value_name = "PROGRAM")]
+    pub balancer: Option<PathBuf>,
+}
+
+/// `report`.
+#[derive(Args, Debug)]
+#[command(after_help = "\
+Example:
+  shorewharf-lab run scenarios/storm.toml --json storm.json
+  shorewharf-lab report storm.json -o storm.html")]
+pub struct Report {
+    /// A result file as `run --json` writes it
+    pub result: PathBuf,
+    /// The page; beside the result file if left out
+    #[arg(short, long, value_name = "FILE.html")]
+    pub output: Option<PathBuf>,
+}
+
+/// `import`.
+#[derive(Args, Debug)]
+#[command(after_help = "\
+The day is the one that `lbsim draw SITE --seed N --kind K` prints. Every figure is taken from it.
+
+Example:
+  shorewharf-lab import day.json -o day.toml")]
+pub struct Import {
+    /// The drawn day (JSON)
+    pub day: PathBuf,
+    /// The scenario file; standard output if left out
+    #[arg(short, long, value_name = "SCENARIO.toml")]
+    pub output: Option<PathBuf>,
+}
+
+/// `check`.
+#[derive(Args, Debug)]
+#[command(after_help = "\
+Each finding names file, line and key, and what is allowed. Odd but legal things (no servers, no clients, a day of no
+length) are warnings; with --strict they count as wrong. Ends with 1 if anything is wrong.")]
+pub struct Check {
+    /// Scenario files
+    #[arg(required = true)]
+    pub scenarios: Vec<PathBuf>,
+    /// Count warnings as wrong
+    #[arg(long)]
+    pub strict: bool,
+}
+
+/// `show`.
+#[derive(Args, Debug)]
+pub struct Show {
+    /// Which scenario.
+    #[command(flatten)]
+    pub which: Which,
+    /// As JSON
+    #[arg(long)]
+    pub json: bool,
+}
+
+/// `fidelity`.
+#[derive(Args, Debug)]
+#[command(after_help = "\
+DIR holds drawn days (NAME.json) and beside each the simulator's result (NAME.sim.json, with a field g for the policy
+that is compared). With --simulator PROGRAM, results that are missing are made by that program first, from a checkout
+of this repository, and kept for the next time.
+
+Example:
+  shorewharf-lab fidelity --days days --policy module")]
+pub struct Fidelity {
+    /// The folder of drawn days
+    #[arg(long, value_name = "DIR")]
+    pub days: PathBuf,
+    /// Who decides
+    #[arg(long, default_value = "module")]
+    pub policy: String,
+    /// The simulator's program, for results that are missing
+    #[arg(long, value_name = "PROGRAM")]
+    pub simulator: Option<PathBuf>,
+    /// Write the comparison as JSON
+    #[arg(long, value_name = "FILE")]
+    pub json: Option<PathBuf>,
+    /// Runs at once; as many as there are cores if left out
+    #[arg(long, value_name = "N")]
+    pub threads: Option<usize>,
+}
+
+/// A list of seeds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Seeds(pub Vec<u64>);
+
+fn seeds(text: &str) -> Result<Seeds, String> {
+    let number =
+        |s: &str| s.trim().parse::<u64>().map_err(|_| format!("{s:?} is no seed; write 1..20 or 1,5,9"));
+    let seeds = match text.split_once("..") {
+        Some((from, to)) => {
+            let (from, to) = (number(from)?, number(to.trim_start_matches('='))?);
+            if to < from || to - from >= 1_000_000 {
+                return Err(format!("{text}: goes from the first seed to the last"));
+            }
+            (from..=to).collect()
+        }
+        None => text.split(',').map(number).collect::<Result<_, _>>()?,
+    };
+    Ok(Seeds(seeds))
+}
--- /dev/null
+++ b/crates/lab/src/error.rs
@@ -0,0 +1,35 @@
+//! Owns how a command ends, and the exit codes that `--help` promises.
+
+use std::process::ExitCode;
+
+use thiserror::Error;
+
+/// How a command that got to its end ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Done {
+    /// Nothing was found wrong.
+    Well,
+    /// A rule was broken, a connection lost, or something that was checked is wrong.
+    Badly,
+}
+
+/// Why a command did not get to its end.
+#[derive(Debug, Error)]
+pub enum Failure {
+    /// The command line or an input file can't be used; the text names it.
+    #[error("{0}")]
+    Input(String),
+    /// Something outside failed; the text names it.
+    #[error("{0}")]
+    Outside(String),
+}
+
+/// The exit code of an ending.
+pub fn exit_code(ended: &Result<Done, Failure>) -> ExitCode {
+    ExitCode::from(match ended {
+        Ok(Done::Well) => 0,
+        Ok(Done::Badly) => 1,
+        Err(Failure::Input(_)) => 2,
+        Err(Failure::Outside(_)) => 3,
+    })
+}
--- /dev/null
+++ b/crates/lab/src/files.rs
@@ -0,0 +1,99 @@
+//! Owns the commands that only read and write files: `import`, `check` and `show`.
+
+use std::path::Path;
+
+use crate::cli::{Check, Import, Show, Which};
+use crate::error::{Done, Failure};
+use crate::scenario::{self, Scenario};
+use crate::style::{Style, say};
+
+/// A scenario as the command line names it: a TOML file, or a drawn day (JSON).
+pub fn scenario(which: &Which) -> Result<Scenario, Failure> {
+    let sets: Vec<(String, String)> = which
+        .set
+        .iter()
+        .map(|axis| match &axis.values[..] {
+            [one] => Ok((axis.key.clone(), one.clone())),
+            more => Err(Failure::Input(format!(
+                "--set {}: one value, not {}; sweep plays several (a list is written [{}])",
+                axis.key,
+                more.len(),
+                more.join(",")
+            ))),
+        })
+        .collect::<Result<_, _>>()?;
+    load(&which.scenario, &sets, which.seed)
+}
+
+/// A scenario file or a drawn day with changes.
+pub fn load(path: &Path, sets: &[(String, String)], seed: Option<u64>) -> Result<Scenario, Failure> {
+    if path.extension().is_some_and(|e| e == "json") {
+        let day = crate::import::read(path).map_err(|e| Failure::Input(e.to_string()))?;
+        let text = scenario::show(&day).map_err(|e| Failure::Input(format!("{}: {e}", path.display())))?;
+        return scenario::from_text(path, &text, sets, seed).map_err(|e| Failure::Input(e.to_string()));
+    }
+    scenario::load(path, sets, seed).map_err(|e| Failure::Input(e.to_string()))
+}
+
+/// `import`.
+pub fn import(args: &Import) -> Result<Done, Failure> {
+    let day = crate::import::read(&args.day).map_err(|e| Failure::Input(e.to_string()))?;
+    let text = scenario::show(&day).map_err(|e| Failure::Input(format!("{}: {e}", args.day.display())))?;
+    match &args.output {
+        Some(path) => write(path, &text)?,
+        None => say(&text),
+    }
+    Ok(Done::Well)
+}
+
+/// `check`.
+pub fn check(args: &Check, style: &Style) -> Result<Done, Failure> {
+    let mut done = Done::Well;
+    for path in &args.scenarios {
+        match load(path, &[], None) {
+            Err(e) => {
+                done = Done::Badly;
+                say(&format!("{} {}\n", style.bad("wrong"), path.display()));
+                say(&format!("{}\n", indent(&e.to_string())));
+            }
+            Ok(scenario) if scenario.odd.is_empty() => {
+                say(&format!("{} {}\n", style.good("fine "), path.display()));
+            }
+            Ok(scenario) => {
+                if args.strict {
+                    done = Done::Badly;
+                }
+                say(&format!("{} {}\n", style.warn("odd  "), path.display()));
+                for problem in &scenario.odd {
+                    say(&format!("{}\n", indent(&problem.to_string())));
+                }
+            }
+        }
+    }
+    Ok(done)
+}
+
+fn indent(text: &str) -> String {
+    text.lines().map(|l| format!("      {l}")).collect::<Vec<_>>().join("\n")
+}
+
+/// `show`.
+pub fn show(args: &Show) -> Result<Done, Failure> {
+    let day = scenario(&args.which)?.day;
+    let text = if args.json {
+        serde_json::to_string_pretty(&day).map_err(|e| Failure::Input(e.to_string()))? + "\n"
+    } else {
+        scenario::show(&day).map_err(|e| Failure::Input(e.to_string()))?
+    };
+    say(&text);
+    Ok(Done::Well)
+}
+
+/// Writes a file, or to standard output for `-`.
+pub fn write(path: &Path, text: &str) -> Result<(), Failure> {
+    if path == Path::new("-") {
+        say(text);
+        return Ok(());
+    }
+    std::fs::write(path, text).map_err(|e| Failure::Outside(format!("{}: {e}", path.display())))
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,4 +1,35 @@
 //! The lab: the emulated platform with the real driver and decision module behind it, and what people need to
 //! experiment on them.
 
+pub mod cli;
+pub mod error;
+mod files;
 pub mod import;
+mod log;
+pub mod scenario;
+pub mod stats;
+mod style;
+
+use std::process::ExitCode;
+
+use clap::Parser;
+
+use cli::{Cli, Command};
+use error::Failure;
+use style::Style;
+
+/// Runs the command line that the process was started with.
+pub fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let style = Style::of(cli.color);
+    let ended = log::begin(&cli.log, cli.log_format).and_then(|()| match &cli.command {
+        Command::Import(args) => files::import(args),
+        Command::Check(args) => files::check(args, &style),
+        Command::Show(args) => files::show(args),
+        _ => Err(Failure::Input("not yet".into())),
+    });
+    if let Err(e) = &ended {
+        eprintln!("{}", style.bad("error:").to_owned() + " " + &e.to_string());
+    }
+    error::exit_code(&ended)
+}
--- /dev/null
+++ b/crates/lab/src/log.rs
@@ -0,0 +1,22 @@
+//! Owns the lab's log: lines on standard error in logfmt or JSON, by level and module.
+
+use tracing_subscriber::EnvFilter;
+use tracing_subscriber::prelude::*;
+
+use crate::cli::LogFormat;
+use crate::error::Failure;
+
+/// Begins the log. `level` is a level or a list such as `warn,shorewharf_emulator=debug`.
+pub fn begin(level: &str, format: LogFormat) -> Result<(), Failure> {
+    let filter = EnvFilter::try_new(level).map_err(|e| Failure::Input(format!("--log {level}: {e}")))?;
+    let registry = tracing_subscriber::registry().with(filter);
+    let begun = match format {
+        LogFormat::Logfmt => {
+            registry.with(tracing_logfmt::builder().layer().with_writer(std::io::stderr)).try_init()
+        }
+        LogFormat::Json => {
+            registry.with(tracing_subscriber::fmt::layer().json().with_writer(std::io::stderr)).try_init()
+        }
+    };
+    begun.map_err(|e| Failure::Outside(format!("the log can't begin: {e}")))
+}
--- /dev/null
+++ b/crates/lab/src/stats.rs
@@ -0,0 +1,114 @@
+//! Owns the statistics that tables rest on: means, spreads, ranks, and intervals from a bootstrap. All are pure; what
+//! they draw comes from a generator that is handed in.
+
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+
+/// Mean; none of an empty list.
+pub fn mean(xs: &[f64]) -> Option<f64> {
+    (!xs.is_empty()).then(|| xs.iter().sum::<f64>() / xs.len() as f64)
+}
+
+/// Standard deviation of a sample; 0 for fewer than two.
+pub fn deviation(xs: &[f64]) -> f64 {
+    let Some(m) = mean(xs).filter(|_| xs.len() > 1) else { return 0.0 };
+    (xs.iter().map(|x| (x - m).powi(2)).sum::<f64>() / (xs.len() - 1) as f64).sqrt()
+}
+
+/// The value below which a part `q` (0 to 1) of the list lies, linear between neighbours; none of an empty list.
+pub fn quantile(xs: &[f64], q: f64) -> Option<f64> {
+    let mut sorted = xs.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    let at = q.clamp(0.0, 1.0) * sorted.len().checked_sub(1)? as f64;
+    let (low, part) = (at.floor() as usize, at.fract());
+    let high = (low + 1).min(sorted.len() - 1);
+    Some(sorted[low] * (1.0 - part) + sorted[high] * part)
+}
+
+/// An interval.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Interval {
+    /// Its lower end.
+    pub low: f64,
+    /// Its upper end.
+    pub high: f64,
+}
+
+impl Interval {
+    /// Holds this value.
+    pub fn holds(&self, x: f64) -> bool {
+        (self.low..=self.high).contains(&x)
+    }
+}
+
+/// Interval of the mean that holds a part `level` of `draws` resamplings (percentile bootstrap). Fewer than two
+/// values say nothing of their spread: none.
+pub fn bootstrap_mean(xs: &[f64], level: f64, draws: usize, rng: &mut impl Rng) -> Option<Interval> {
+    if xs.len() < 2 {
+        return None;
+    }
+    let means: Vec<f64> = (0..draws)
+        .map(|_| (0..xs.len()).map(|_| xs[rng.random_range(0..xs.len())]).sum::<f64>() / xs.len() as f64)
+        .collect();
+    let tail = (1.0 - level.clamp(0.0, 1.0)) / 2.0;
+    Some(Interval { low: quantile(&means, tail)?, high: quantile(&means, 1.0 - tail)? })
+}
+
+/// Rank correlation (Spearman; ties share their mean rank). None for fewer than three pairs or where one side is all
+/// the same.
+pub fn rank_correlation(pairs: &[(f64, f64)]) -> Option<f64> {
+    if pairs.len() < 3 {
+        return None;
+    }
+    let a = ranks(&pairs.iter().map(|p| p.0).collect::<Vec<_>>());
+    let b = ranks(&pairs.iter().map(|p| p.1).collect::<Vec<_>>());
+    let middle = (pairs.len() as f64 + 1.0) / 2.0;
+    let (mut ab, mut aa, mut bb) = (0.0, 0.0, 0.0);
+    for (x, y) in a.iter().zip(&b) {
+        ab += (x - middle) * (y - middle);
+        aa += (x - middle).powi(2);
+        bb += (y - middle).powi(2);
+    }
+    (aa > 0.0 && bb > 0.0).then(|| ab / (aa * bb).sqrt())
+}
+
+fn ranks(xs: &[f64]) -> Vec<f64> {
+    let mut order: Vec<usize> = (0..xs.len()).collect();
+    order.sort_by(|a, b| xs[*a].total_cmp(&xs[*b]));
+    let mut ranks = vec![0.0; xs.len()];
+    let mut from = 0;
+    while from < order.len() {
+        let ties = order[from..].iter().take_while(|i| xs[**i] == xs[order[from]]).count();
+        for i in &order[from..from + ties] {
+            ranks[*i] = from as f64 + (ties as f64 + 1.0) / 2.0;
+        }
+        from += ties;
+    }
+    ranks
+}
+
+#[cfg(test)]
+mod tests {
+    use rand::SeedableRng;
+    use rand_pcg::Pcg64Mcg;
+
+    use super::*;
+
+    /// A wrong rank or a wrong tail would make `compare` and `fidelity` claim what is not so: checked against figures
+    /// worked out by hand.
+    #[test]
+    fn figures_worked_out_by_hand() {
+        assert_eq!(quantile(&[4.0, 1.0, 3.0, 2.0], 0.5), Some(2.5));
+        assert_eq!(quantile(&[], 0.5), None);
+        assert!((deviation(&[2.0, 4.0, 4.0, 4.0, 5.0, 5.0, 7.0, 9.0]) - 2.138).abs() < 1e-3);
+        // Ranks 1, 2.5, 2.5, 4 against 1, 3, 2, 4: 4.5 / sqrt(4.5 * 5).
+        let tied = [(1.0, 10.0), (2.0, 30.0), (2.0, 20.0), (9.0, 40.0)];
+        assert!((rank_correlation(&tied).unwrap() - 4.5 / 22.5f64.sqrt()).abs() < 1e-12);
+        assert_eq!(rank_correlation(&[(1.0, 2.0), (1.0, 3.0), (1.0, 4.0)]), None);
+        let mut rng = Pcg64Mcg::seed_from_u64(1);
+        let apart = bootstrap_mean(&[0.1, 0.12, 0.09, 0.11, 0.1], 0.95, 2000, &mut rng).unwrap();
+        assert!(!apart.holds(0.0) && apart.holds(0.104), "{apart:?}");
+        let noise = bootstrap_mean(&[0.1, -0.12, 0.09, -0.11, 0.02], 0.95, 2000, &mut rng).unwrap();
+        assert!(noise.holds(0.0), "{noise:?}");
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/scenarios.rs
@@ -0,0 +1,113 @@
+//! Scenario files: what is wrong in one is told with line, key and what is allowed; what is odd is played.
+
+use std::path::Path;
+
+use shorewharf_lab::scenario::{self, ScenarioError};
+
+fn load(text: &str) -> Result<scenario::Scenario, ScenarioError> {
+    scenario::from_text(Path::new("day.toml"), text, &[], None)
+}
+
+/// A writer who mistypes a key or a figure would otherwise play another day than the one meant: each mistake is refused
+/// with its line, its key and what is allowed there.
+#[test]
+fn a_mistake_is_told_with_line_key_and_what_is_allowed() {
+    let table: &[(&str, &[&str])] = &[
+        ("length_s = 60\ntick_ms = five", &["day.toml:2"]),
+        ("\nlenght_s = 60", &["day.toml:2", "lenght_s", "did you mean length_s?"]),
+        ("length_s = -1", &["day.toml:1", "length_s", "-1 is no length of time"]),
+        ("length_s = nan", &["day.toml:1", "length_s", "NaN is no length of time"]),
+        ("[traffic]\nload = \"much\"", &["day.toml:2", "traffic.load", "expected f64"]),
+        ("[traffic]\nload = inf", &["day.toml:2", "traffic.load", "must be 0 to 100"]),
+        ("[traffic]\nzone_share = [1.0]", &["day.toml:2", "traffic.zone_share", "each of 2 zones, has 1"]),
+        ("[clients]\nbackoff = \"slow\"", &["day.toml:2", "clients.backoff", "`none`, `fixed`, `exp`"]),
+        (
+            "[[kinds]]\nname = \"a\"\n\n[[kinds]]\nname = \"b\"\ncores = 0",
+            &["day.toml:6", "kinds[1].cores", "must be 1 to 10000, is 0"],
+        ),
+        (
+            "[[fleet]]\nkind = \"plian\"\ncount = 2",
+            &["day.toml:2", "fleet[0].kind", "no plian (did you mean plain?)"],
+        ),
+        (
+            "[[fleet]]\nkind = \"plain\"\ncount = 2\nzones = [\"east\", \"north\"]",
+            &["day.toml:4", "fleet[0].zones", "allowed: east, west"],
+        ),
+        (
+            "[[fleet]]\nkind = \"plain\"\nnumber = 2",
+            &["day.toml:3", "fleet[0].number", "allowed: kind, count"],
+        ),
+        (
+            "[[faults]]\nkind = \"crash\"\nat_s = 1\non = [3]",
+            &["day.toml:4", "faults[0].on[0]", "no node at"],
+        ),
+        ("[[faults]]\nkind = \"crsh\"\nat_s = 1", &["day.toml:2", "faults[0].kind", "`crash`"]),
+        ("[[tenants]]\nname = \"a b\"\nshare = 1", &["day.toml:1", "tenants[0]", "is no name"]),
+        ("extends = \"nowhere.toml\"", &["day.toml:1", "extends", "nowhere.toml"]),
+        ("extends = \"day.toml\"", &["day.toml:1", "extends itself"]),
+    ];
+    for (text, expected) in table {
+        let message = load(text).expect_err(text).to_string();
+        for part in *expected {
+            assert!(message.contains(part), "{text:?}: {part:?} is missing in {message:?}");
+        }
+    }
+}
+
+/// A fleet is drawn by the seed and by nothing else; entries take what they don't say from the defaults, and what is
+/// shown reads back as the same day.
+#[test]
+fn a_fleet_follows_from_the_seed_and_the_shown_form_is_the_same_day() {
+    let text = "balancers = 3\n[[fleet]]\nkind = \"plain\"\ncount = 5\nspeed = 2.0\nspeed_cv = 0.2\n\
+                [[faults]]\nkind = \"cut-off\"\nat_s = 1\nzone = \"west\"";
+    let (one, again) = (load(text).unwrap().day, load(text).unwrap().day);
+    assert_eq!(one, again);
+    assert_eq!(one.nodes.iter().map(|n| n.zone).collect::<Vec<_>>(), [0, 1, 0, 1, 0]);
+    assert_eq!(one.balancers.iter().map(|b| b.zone).collect::<Vec<_>>(), [0, 1, 0]);
+    assert_eq!(one.faults[0].zone, Some(1));
+    assert!(one.nodes.iter().all(|n| n.weight == 8.0 && n.speed != 2.0), "{:?}", one.nodes);
+    let other = scenario::from_text(Path::new("day.toml"), text, &[], Some(2)).unwrap().day;
+    assert_ne!(one.nodes, other.nodes);
+    let shown = scenario::show(&one).unwrap();
+    assert_eq!(load(&shown).unwrap().day, one, "{shown}");
+}
+
+/// A grid that changed nothing, or another entry than the one named, would give a table of noise.
+#[test]
+fn a_change_from_the_command_line_reaches_the_entry_it_names() {
+    let text = "[[kinds]]\nname = \"a\"\n[[kinds]]\nname = \"b\"\n[[fleet]]\nkind = \"a\"\ncount = 1";
+    let set = |key: &str, value: &str| {
+        scenario::from_text(Path::new("day.toml"), text, &[(key.into(), value.into())], None)
+    };
+    assert_eq!(set("fleet[0].count", "3").unwrap().day.nodes.len(), 3);
+    let day = set("kinds.b.cores", "7").unwrap().day;
+    assert_eq!((day.kinds[0].cores, day.kinds[1].cores), (4, 7));
+    let day = set("kinds.*.cores", "9").unwrap().day;
+    assert_eq!((day.kinds[0].cores, day.kinds[1].cores), (9, 9));
+    assert_eq!(set("traffic.shape", "[[0,1],[30,2]]").unwrap().day.traffic.shape[1], (30.0, 2.0));
+    for (key, value, expected) in [
+        ("kinds.c.cores", "7", "no c; there are a, b"),
+        ("kinds.b.coers", "7", "did you mean cores?"),
+        ("trafic.load", "7", "no trafic here"),
+        ("traffic.load", "much", "--set traffic.load: traffic.load: invalid type"),
+    ] {
+        let message = set(key, value).expect_err(key).to_string();
+        assert!(message.contains(expected), "{expected:?} is missing in {message:?}");
+    }
+}
+
+/// What is kept in the repository must be playable; empty days are odd, not wrong.
+#[test]
+fn every_scenario_of_the_repository_can_be_played() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scenarios");
+    let mut files: Vec<_> = std::fs::read_dir(folder).unwrap().map(|f| f.unwrap().path()).collect();
+    files.sort();
+    assert!(files.len() >= 12);
+    for file in files {
+        let scenario = scenario::load(&file, &[], None).unwrap_or_else(|e| panic!("{e}"));
+        let name = file.file_stem().unwrap().to_str().unwrap();
+        assert_eq!(scenario.day.name, name);
+        let empty = ["no-servers", "no-clients", "zero-length"].contains(&name);
+        assert_eq!(empty, !scenario.odd.is_empty(), "{name}: {:?}", scenario.odd);
+    }
+}
