--- /dev/null
+++ b/crates/lab/src/fidelity.rs
@@ -0,0 +1,199 @@
+//! Owns `fidelity`: the proof of the emulator against the simulator, on the same drawn days with the same decisions.
+
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+use indicatif::ProgressBar;
+use serde::{Deserialize, Serialize};
+
+use crate::cli::Fidelity;
+use crate::error::{Done, Failure};
+use crate::files;
+use crate::record::Record;
+use crate::runner;
+use crate::stats;
+use crate::style::{Style, say};
+use crate::tables;
+
+// Days that agree within this give the same answers to questions about policies, whose differences are larger.
+const CLOSE: f64 = 0.08;
+
+/// What is read of a simulator's result.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+struct Simulated {
+    g: f64,
+    whole: f64,
+    worst_window: f64,
+    worst_tenant: f64,
+}
+
+#[derive(Debug, Serialize)]
+struct Pair {
+    day: String,
+    policy: String,
+    simulator: Simulated,
+    emulator: Simulated,
+    rules_kept: bool,
+}
+
+impl Pair {
+    fn difference(&self) -> f64 {
+        self.emulator.g - self.simulator.g
+    }
+}
+
+/// How near the pairs are.
+#[derive(Debug, Serialize)]
+struct Nearness {
+    pairs: usize,
+    median_difference: f64,
+    median_distance: f64,
+    within_008: f64,
+    rank_correlation: Option<f64>,
+}
+
+/// `fidelity`.
+pub fn fidelity(args: &Fidelity, style: &Style) -> Result<Done, Failure> {
+    let days = drawn(&args.days)?;
+    let mut jobs = Vec::new();
+    let mut simulated = Vec::new();
+    let bar = ProgressBar::new((days.len() * args.policies.len()) as u64);
+    for policy in &args.policies {
+        for path in &days {
+            simulated.push((path, policy, simulator(args, path, policy)?));
+            jobs.push((policy.clone(), files::load(path, &[], None)?.day));
+            bar.inc(1);
+        }
+    }
+    bar.finish_and_clear();
+    let runs = runner::all(&jobs, args.threads)?;
+    let pairs: Vec<Pair> = simulated.into_iter().zip(&runs).map(|((path, policy, s), r)| pair(path, policy, s, r)).collect();
+    let near: Vec<(String, Nearness)> = args
+        .policies
+        .iter()
+        .map(|p| (p.clone(), nearness(&pairs.iter().filter(|x| x.policy == *p).collect::<Vec<_>>())))
+        .chain([("all".to_owned(), nearness(&pairs.iter().collect::<Vec<_>>()))])
+        .collect();
+    if let Some(path) = &args.json {
+        #[derive(Serialize)]
+        struct Whole<'a> {
+            nearness: &'a [(String, Nearness)],
+            pairs: &'a [Pair],
+        }
+        let whole = Whole { nearness: &near, pairs: &pairs };
+        files::write(path, &(serde_json::to_string_pretty(&whole).expect("keys are text") + "\n"))?;
+    }
+    say(&print(&pairs, &near, style));
+    Ok(Done::Well)
+}
+
+fn drawn(folder: &Path) -> Result<Vec<PathBuf>, Failure> {
+    let wrong = |e: std::io::Error| Failure::Input(format!("{}: {e}", folder.display()));
+    let mut days = Vec::new();
+    for entry in std::fs::read_dir(folder).map_err(wrong)? {
+        let path = entry.map_err(wrong)?.path();
+        let name = path.file_name().unwrap_or_default().to_string_lossy().into_owned();
+        if name.ends_with(".json") && !name.ends_with(".sim.json") {
+            days.push(path);
+        }
+    }
+    days.sort();
+    if days.is_empty() {
+        return Err(Failure::Input(format!("{}: holds no drawn days (NAME.json)", folder.display())));
+    }
+    Ok(days)
+}
+
+/// The simulator's result beside a day; made by the simulator if it is missing and a simulator is named.
+fn simulator(args: &Fidelity, day: &Path, policy: &str) -> Result<Simulated, Failure> {
+    let stem = day.file_stem().unwrap_or_default().to_string_lossy();
+    let kept = day.with_file_name(format!("{stem}.{policy}.sim.json"));
+    if !kept.exists() {
+        let Some(program) = &args.simulator else {
+            let message = format!("{}: is missing; --simulator PROGRAM makes it", kept.display());
+            return Err(Failure::Input(message));
+        };
+        let mut command = Command::new(program);
+        command.arg("run").arg(day).args(["--json", "--no-build", "--why", "Figures to compare the emulator with"]);
+        if policy != "module" {
+            command.args(["--native", policy]);
+        }
+        let outside = |e: String| Failure::Outside(format!("{}: {e}", program.display()));
+        let output = command.output().map_err(|e| outside(e.to_string()))?;
+        if !output.status.success() {
+            return Err(outside(String::from_utf8_lossy(&output.stderr).trim().to_owned()));
+        }
+        let text = String::from_utf8_lossy(&output.stdout);
+        let value: serde_json::Value = serde_json::Deserializer::from_str(&text)
+            .into_iter()
+            .next()
+            .and_then(Result::ok)
+            .ok_or_else(|| outside(format!("printed no JSON for {}", day.display())))?;
+        files::write(&kept, &format!("{value}\n"))?;
+    }
+    let wrong = |e: &dyn std::fmt::Display| Failure::Input(format!("{}: {e}", kept.display()));
+    let text = std::fs::read_to_string(&kept).map_err(|e| wrong(&e))?;
+    serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_str(&text)).map_err(|e| wrong(&e))
+}
+
+fn pair(path: &Path, policy: &str, simulator: Simulated, run: &Record) -> Pair {
+    Pair {
+        day: path.file_stem().unwrap_or_default().to_string_lossy().into_owned(),
+        policy: policy.to_owned(),
+        simulator,
+        emulator: Simulated {
+            g: run.g,
+            whole: run.whole,
+            worst_window: run.worst_window.share,
+            worst_tenant: Record::worst(&run.tenants).map_or(0.0, |t| t.share),
+        },
+        rules_kept: run.rules.kept,
+    }
+}
+
+fn nearness(pairs: &[&Pair]) -> Nearness {
+    let differences: Vec<f64> = pairs.iter().map(|p| p.difference()).collect();
+    let distances: Vec<f64> = differences.iter().map(|d| d.abs()).collect();
+    let close = distances.iter().filter(|d| **d <= CLOSE).count();
+    Nearness {
+        pairs: pairs.len(),
+        median_difference: stats::quantile(&differences, 0.5).unwrap_or(0.0),
+        median_distance: stats::quantile(&distances, 0.5).unwrap_or(0.0),
+        within_008: close as f64 / pairs.len().max(1) as f64,
+        rank_correlation: stats::rank_correlation(
+            &pairs.iter().map(|p| (p.simulator.g, p.emulator.g)).collect::<Vec<_>>(),
+        ),
+    }
+}
+
+fn print(pairs: &[Pair], near: &[(String, Nearness)], style: &Style) -> String {
+    let columns = ["day", "policy", "g simulator", "emulator", "difference", "whole day", "worst window", "rules"];
+    let mut t = tables::table(&columns, true, style);
+    let both = |a: f64, b: f64| format!("{a:.3} {b:.3}");
+    for p in pairs {
+        let mark = if p.difference().abs() > CLOSE { "*" } else { " " };
+        t.add_row([
+            p.day.clone(),
+            p.policy.clone(),
+            tables::share(p.simulator.g),
+            tables::share(p.emulator.g),
+            format!("{:+.4}{mark}", p.difference()),
+            both(p.simulator.whole, p.emulator.whole),
+            both(p.simulator.worst_window, p.emulator.worst_window),
+            if p.rules_kept { "kept".into() } else { "BROKEN".to_owned() },
+        ]);
+    }
+    let columns = ["policy", "pairs", "median difference", "median distance", "within 0.08", "rank correlation"];
+    let mut sums = tables::table(&columns, true, style);
+    for (policy, n) in near {
+        sums.add_row([
+            policy.clone(),
+            n.pairs.to_string(),
+            format!("{:+.4}", n.median_difference),
+            format!("{:.4}", n.median_distance),
+            format!("{:.0} %", n.within_008 * 100.0),
+            n.rank_correlation.map_or("-".into(), |r| format!("{r:.3}")),
+        ]);
+    }
+    format!("{t}\n* further apart than {CLOSE}\n\n{sums}\n")
+}
--- a/crates/lab/src/page.rs
+++ b/crates/lab/src/page.rs
@@ -115,6 +115,8 @@
         rows(["class", "share"], parts(&record.classes)),
         rows(["price of", "cost"], record.prices.iter().map(|p| (p.name.clone(), share(p.cost)))),
         rows(["refused or failed", "times"], record.refusals.iter().map(|(c, n)| (c.clone(), count(*n)))),
+        rows(["attempts came to", "times"], record.attempts.iter().map(|(c, n)| (c.clone(), count(*n)))),
+        rows(["connections ended", "times"], record.ends.iter().map(|(c, n)| (c.clone(), count(*n)))),
         rows(["counted", ""], record.counts.iter().map(|(c, n)| (c.clone(), format!("{n}")))),
         rows(
             ["fault", "seconds"],
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -37,8 +37,12 @@
     pub prices: Vec<Price>,
     /// Everything that was counted, by name.
     pub counts: BTreeMap<String, f64>,
-    /// Refusals and failures by cause.
+    /// What clients were answered other than `UP`, by cause.
     pub refusals: BTreeMap<String, u64>,
+    /// What attempts at nodes came to.
+    pub attempts: BTreeMap<String, u64>,
+    /// How standing connections ended.
+    pub ends: BTreeMap<String, u64>,
     /// Times from a client's first try to its `UP`.
     pub set_up: SetUp,
     /// The rules' verdict.
--- /dev/null
+++ b/crates/lab/src/run.rs
@@ -0,0 +1,50 @@
+//! Owns `run`: one day, played in virtual time or on sockets, as a table, a file and a page.
+
+use std::path::Path;
+
+use crate::cli::{Clock, Run};
+use crate::error::{Done, Failure};
+use crate::files;
+use crate::page;
+use crate::record::Record;
+use crate::runner;
+use crate::style::{Style, say};
+use crate::tables;
+
+/// `run`.
+pub fn run(args: &Run, style: &Style) -> Result<Done, Failure> {
+    let scenario = files::scenario(&args.which)?;
+    for problem in &scenario.odd {
+        tracing::warn!(place = %problem.place, key = problem.key, "{}", problem.message);
+    }
+    let (record, note) = match args.how.clock {
+        Clock::Virtual => {
+            let (record, took) = runner::one(&scenario.day, &args.how.policy, args.how.threads)?;
+            let note = runner::speed(&record, took);
+            (record, note)
+        }
+        Clock::Sockets => return Err(Failure::Input("sockets come with the next merge".into())),
+    };
+    show(&record, &note, args.json.as_deref(), args.report.as_deref(), style)
+}
+
+/// Prints a run, writes the files that are wanted of it, and tells how it ended.
+pub fn show(
+    record: &Record,
+    note: &str,
+    json: Option<&Path>,
+    report: Option<&Path>,
+    style: &Style,
+) -> Result<Done, Failure> {
+    if json != Some(Path::new("-")) {
+        say(&tables::run(record, style));
+        say(&style.dim(note));
+    }
+    if let Some(path) = json {
+        files::write(path, &record.to_json())?;
+    }
+    if let Some(path) = report {
+        page::write(path, record)?;
+    }
+    Ok(if record.rules.kept { Done::Well } else { Done::Badly })
+}
--- /dev/null
+++ b/crates/lab/src/runner.rs
@@ -0,0 +1,237 @@
+//! Owns the playing of days: one with a bar that shows how far it is, or many on all cores; and the step from what the
+//! emulator tells of a run to a [`Record`].
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use indicatif::{ProgressBar, ProgressStyle};
+use shorewharf_emulator::day::Day;
+use shorewharf_emulator::edge::NodeId;
+use shorewharf_emulator::virtual_time::{self, Options, RunResult};
+
+use crate::error::Failure;
+use crate::instances::{Hosts, Who};
+use crate::record::{Band, Break, NodeName, NodeSeries, Part, Price, Record, Series, SetUp, Verdict, Window, round};
+
+/// Cores of this machine that the process may use.
+pub fn cores() -> usize {
+    std::thread::available_parallelism().map_or(1, |n| n.get())
+}
+
+/// The policy of this name.
+pub fn who(policy: &str) -> Result<Who, Failure> {
+    policy.parse().map_err(|e: crate::instances::UnknownPolicy| Failure::Input(format!("--policy: {e}")))
+}
+
+/// Plays one day in virtual time and shows how far it is. Also tells how long that took.
+pub fn one(day: &Day, policy: &str, threads: Option<usize>) -> Result<(Record, Duration), Failure> {
+    let bar = ProgressBar::new(day.length / 1_000);
+    bar.set_style(bar_style("{msg} {wide_bar} {percent} %  {eta} left"));
+    bar.set_message(day.name.clone());
+    let progress = |now: u64, events: u64| {
+        bar.set_position(now / 1_000);
+        bar.set_message(format!("{} {} events", day.name, crate::tables::count(events)));
+    };
+    let started = Instant::now();
+    let options = Options { threads: threads.unwrap_or_else(cores), progress: Some(&progress) };
+    let record = play(day, policy, &options);
+    bar.finish_and_clear();
+    Ok((record?, started.elapsed()))
+}
+
+fn bar_style(template: &str) -> ProgressStyle {
+    ProgressStyle::with_template(template).unwrap_or_else(|_| ProgressStyle::default_bar())
+}
+
+/// Plays many days, each on one core, and as many at once as `threads` says. The records come in the days' order,
+/// without the course of single nodes, which would fill the memory of a large sweep.
+pub fn all(jobs: &[(String, Day)], threads: Option<usize>) -> Result<Vec<Record>, Failure> {
+    for (policy, _) in jobs {
+        who(policy)?;
+    }
+    let bar = ProgressBar::new(jobs.len() as u64);
+    bar.set_style(bar_style("{pos} of {len} runs {wide_bar} {elapsed} gone, {eta} left"));
+    bar.enable_steady_tick(Duration::from_millis(250));
+    let next = AtomicUsize::new(0);
+    let failed = AtomicBool::new(false);
+    let done: Vec<Mutex<Option<Result<Record, Failure>>>> = jobs.iter().map(|_| Mutex::new(None)).collect();
+    std::thread::scope(|scope| {
+        for _ in 0..threads.unwrap_or_else(cores).clamp(1, jobs.len().max(1)) {
+            scope.spawn(|| {
+                while !failed.load(Ordering::Relaxed) {
+                    let i = next.fetch_add(1, Ordering::Relaxed);
+                    let Some((policy, day)) = jobs.get(i) else { break };
+                    let mut record = play(day, policy, &Options::default());
+                    match &mut record {
+                        Ok(record) => record.series.nodes.clear(),
+                        Err(_) => failed.store(true, Ordering::Relaxed),
+                    }
+                    *done[i].lock().unwrap_or_else(PoisonError::into_inner) = Some(record);
+                    bar.inc(1);
+                }
+            });
+        }
+    });
+    bar.finish_and_clear();
+    let results = done.into_iter().filter_map(|d| d.into_inner().unwrap_or_else(PoisonError::into_inner));
+    results.collect()
+}
+
+fn play(day: &Day, policy: &str, options: &Options<'_>) -> Result<Record, Failure> {
+    let hosts = Hosts::new(who(policy)?);
+    let result = virtual_time::run(day, &hosts, options)
+        .map_err(|e| Failure::Input(format!("{}, seed {}: {e}", day.name, day.seed)))?;
+    Ok(record(day, policy, "virtual", &result))
+}
+
+fn named(causes: &BTreeMap<&'static str, u64>) -> BTreeMap<String, u64> {
+    causes.iter().map(|(cause, n)| ((*cause).to_owned(), *n)).collect()
+}
+
+/// The word that a name has in files, with blanks.
+fn word(name: &impl serde::Serialize) -> String {
+    let text = serde_json::to_value(name).ok().and_then(|v| v.as_str().map(str::to_owned));
+    text.unwrap_or_default().replace('-', " ")
+}
+
+/// What the emulator tells of a run, in the form that is kept.
+pub fn record(day: &Day, policy: &str, clock: &str, result: &RunResult) -> Record {
+    let o = &result.outcome;
+    let s = &result.series;
+    let prices = [
+        ("crossing zones", o.prices.cross_zone),
+        ("new connections", o.prices.handshake),
+        ("open connections", o.prices.connection),
+        ("probes", o.prices.probe),
+        ("moves", o.prices.moves),
+    ];
+    let parts = |parts: &[shorewharf_emulator::score::Part]| {
+        parts.iter().map(|p| Part { name: p.name.clone(), share: p.share() }).collect()
+    };
+    let sum = |of: fn(&shorewharf_emulator::world::series::Second) -> u32| {
+        s.seconds.iter().map(|x| f64::from(of(x))).sum::<f64>()
+    };
+    let counts = [
+        ("clients", o.clients as f64),
+        ("tries", sum(|x| x.tries)),
+        ("set up", sum(|x| x.ups)),
+        ("refused or failed tries", sum(|x| x.refused)),
+        ("attempts at nodes", o.attempts as f64),
+        ("new pair connections", o.handshakes as f64),
+        ("probes", o.probes as f64),
+        ("moves", o.moves as f64),
+        ("breaks", sum(|x| x.breaks)),
+        ("worth asked for", round(o.all.asked, 3)),
+        ("worth served", round(o.all.earned, 3)),
+    ];
+    Record {
+        g: o.g,
+        scenario: day.name.clone(),
+        about: day.about.clone(),
+        seed: day.seed,
+        policy: policy.to_owned(),
+        clock: clock.to_owned(),
+        length_s: day.length as f64 / 1e6,
+        whole: o.whole,
+        worst_window: Window { from_s: f64::from(o.worst_window.from_s), share: o.worst_window.share },
+        classes: parts(&o.classes),
+        tenants: parts(&o.tenants),
+        prices: prices
+            .map(|(name, p)| Price { name: name.to_owned(), amount: p.rate, cost: p.cost })
+            .to_vec(),
+        counts: counts.map(|(name, n)| (name.to_owned(), n)).into(),
+        refusals: named(&s.answers),
+        attempts: named(&s.attempts),
+        ends: named(&s.ends),
+        set_up: SetUp::of(&s.set_up),
+        rules: verdict(&result.verdict),
+        events: result.events,
+        nodes: day.nodes.iter().map(|n| node_name(day, n)).collect(),
+        faults: result
+            .faults
+            .iter()
+            .map(|b| Band {
+                kind: word(&b.kind),
+                from_s: b.from as f64 / 1e6,
+                to_s: b.to as f64 / 1e6,
+                struck: b.on.len(),
+            })
+            .collect(),
+        series: series(result),
+    }
+}
+
+fn node_name(day: &Day, node: &shorewharf_emulator::day::Node) -> NodeName {
+    let kind = &day.kinds[node.kind as usize];
+    NodeName {
+        zone: day.zones[node.zone as usize].clone(),
+        kind: kind.name.clone(),
+        capacity: round(f64::from(kind.cores) * node.speed, 3),
+    }
+}
+
+fn series(result: &RunResult) -> Series {
+    let s = &result.series;
+    Series {
+        step_s: 1.0,
+        asked: result.outcome.seconds.iter().map(|x| round(x.asked, 3)).collect(),
+        served: result.outcome.seconds.iter().map(|x| round(x.earned, 3)).collect(),
+        refusals: s
+            .refused_by
+            .iter()
+            .map(|(cause, n)| ((*cause).to_owned(), n.iter().map(|x| u64::from(*x)).collect()))
+            .collect(),
+        nodes: s
+            .nodes
+            .iter()
+            .map(|n| NodeSeries {
+                load: n
+                    .load
+                    .iter()
+                    .zip(&n.takes)
+                    .map(|(load, takes)| takes.then(|| round(f64::from(*load), 3)))
+                    .collect(),
+                connections: n.connections.clone(),
+                set_ups: n.set_ups.clone(),
+            })
+            .collect(),
+    }
+}
+
+fn verdict(verdict: &shorewharf_emulator::audit::Verdict) -> Verdict {
+    Verdict {
+        kept: verdict.clean(),
+        breaks: verdict.reasons.iter().map(|(r, n)| (r.text().to_owned(), *n)).collect(),
+        excused: verdict.excused.iter().map(|(e, n)| (word(e), *n)).collect(),
+        examples: verdict
+            .breaks
+            .iter()
+            .map(|b| {
+                let conn = b.conn.map(|c| format!(", connection {c:x}")).unwrap_or_default();
+                let node = b.node.map(|n| format!(", node {}", NodeId(n).0)).unwrap_or_default();
+                let trace = b.trace.iter().map(|t| format!("{:10.6} {}", t.at as f64 / 1e6, t.what));
+                Break {
+                    rule: word(&b.rule),
+                    reason: b.reason.text().to_owned(),
+                    at_s: b.at as f64 / 1e6,
+                    who: format!("balancer {}{conn}{node}: {}", b.balancer, b.detail),
+                    trace: trace.collect(),
+                }
+            })
+            .collect(),
+    }
+}
+
+/// How fast a run was, for people.
+pub fn speed(record: &Record, took: Duration) -> String {
+    let s = took.as_secs_f64().max(1e-9);
+    format!(
+        "{} events in {:.2} s ({} a second), {:.0} times as fast as the day\n",
+        crate::tables::count(record.events),
+        s,
+        crate::tables::count((record.events as f64 / s) as u64),
+        record.length_s / s,
+    )
+}
