--- a/crates/balancer/src/net/serving/due.rs
+++ b/crates/balancer/src/net/serving/due.rs
@@ -4,7 +4,7 @@
 
 use shorewharf_decisions::interface::{Outcome, RequestId, ServerId};
 use shorewharf_driver::{Happening, Micros};
-use tracing::{error, warn};
+use tracing::{debug, error, warn};
 
 use super::{COME_BACK, Serving};
 use crate::net::clients::session::{Session, Stage};
@@ -76,6 +76,7 @@
             s.stays_sighted(sight.says_something(turn.now))
         });
         for (server, delay) in self.backends.delays(turn.now, self.terms.message_aim / 3, &seen) {
+            debug!(event = "seen", server = self.backends.name(Some(server)), us = delay);
             turn.tell(Happening::Delay(server, delay));
         }
     }
--- a/crates/balancer/src/net/serving/mod.rs
+++ b/crates/balancer/src/net/serving/mod.rs
@@ -233,7 +233,11 @@
         }
         match home {
             Some(server) => self.fetch(turn, id, server, CARRY),
-            None => turn.tell(Happening::Asked(req)),
+            None => {
+                let (group, key) = (req.group, req.key);
+                debug!(event = "asked", req = id.0, group, key, returning = req.returning);
+                turn.tell(Happening::Asked(req));
+            }
         }
     }
 
@@ -290,6 +294,7 @@
         let Some(address) = address else {
             return self.fetch_ended(turn, id, Outcome::NotSent);
         };
+        debug!(event = "fetch", req = id.0, server = self.backends.name(Some(server)), us = patience);
         match self.fetches.begin(turn, id, (server, address), patience, self.terms.connect_timeout) {
             Ok(()) => self.fetch_goes_on(turn, id),
             Err(Hindrance::Shortage) => {
--- a/crates/balancer/src/net/serving/standing.rs
+++ b/crates/balancer/src/net/serving/standing.rs
@@ -2,7 +2,7 @@
 
 use shorewharf_decisions::interface::{Outcome, RequestId, ServerId};
 use shorewharf_driver::{Happening, Micros};
-use tracing::warn;
+use tracing::{debug, warn};
 
 use super::Serving;
 use crate::net::clients::session::{Session, Stage};
@@ -15,6 +15,7 @@
     /// Asks a connected client to come again.
     pub fn move_away(&mut self, turn: &mut Turn, id: RequestId) {
         if self.sessions.get_mut(id).is_some_and(Session::moves) {
+            debug!(event = "moves", req = id.0, server = self.server_name(id));
             self.relay(turn, id);
         }
     }
@@ -83,6 +84,7 @@
     fn figure_told(&mut self, turn: &mut Turn, id: RequestId, server: ServerId, figure: f64) {
         let tells = self.terms.tells_delay;
         let kind = if tells { self.backends.read_figure(turn.now, server, figure) } else { Figure::Load };
+        debug!(event = "told", req = id.0, server = self.backends.name(Some(server)), ?kind, figure);
         match kind {
             Figure::Load => turn.tell(Happening::Load(id, figure / 1e6)),
             Figure::Delay => turn.tell(Happening::Delay(server, (figure * 1e3) as Micros)),
