A balancer that has started anew may move those who come to it again

Moves are allowed by fresh arrivals alone (arrived(), MOVES), and a balancer that was just started meets only clients who come again. Ruled out: the notes did come, once a second, at each of them. Each that comes again now allows one move. The test fails without it: none of a hundred moves its client.

--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -48,8 +48,10 @@
 /// A pool member is passed over above this multiple of the mean usage plus this many mean clients.
 const BOUND: f64 = 1.25;
 const BOUND_CLIENTS: f64 = 3.0;
-/// Moves allowed for each arriving client, and at the start for each client already there.
+/// Moves allowed for each client that arrives afresh or is there at the start, and for each that comes again: a
+/// proxy that has started anew may have no others.
 const MOVES: f64 = 5.0;
+const MOVES_AGAIN: f64 = 1.0;
 /// Who may wait for a moment is looked at again so soon, in aims.
 const LOOK: f64 = 0.1;
 /// Clients that wait for each server that bears more and has its hands full: so many are set up in an aim.
@@ -486,8 +488,8 @@
         if !request.returning {
             // Those who come again do not count: a storm must not open the way to a cold server.
             self.rate += 1.0;
-            self.moves += MOVES;
         }
+        self.moves += if request.returning { MOVES_AGAIN } else { MOVES };
         let c = self.client(now, request);
         self.clients.insert(request.id, c);
         // Every request owns a deadline timer: whatever else goes wrong, it gets its answer in time.
