A slow server stays spent for a while after the last client who told of it has left

With it the notes ended, and SLOW_HOLD later, 1.2 s, the server counted as well (ended() kept slow_until as it was). A server that is spent when its last client here leaves stays so for 4 to 12 s, drawn, so that a hundred do not return at once. The test fails without it: the first balancer is back after 1.5 s.

--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -26,9 +26,11 @@
 /// A slow server's pile of work should be gone within this many periods: so much of its load must leave.
 const DRAIN: f64 = 0.4;
 const LEAVE_MOST: f64 = 0.5;
-/// A slow server is spent until its next note, a period later; one that sheds clients, for this many periods.
+/// A slow server is spent until its next note, a period later; one that sheds clients, for this many periods. One
+/// that is spent when the last client here leaves it, after which nobody tells of it, stays so for about as many.
 const SLOW_HOLD: f64 = 1.2;
 const SHED_HOLD: f64 = 12.0;
+const UNHEARD: f64 = 8.0;
 /// `have` falls to this share at each sign of trouble and regains this share of the gap a period.
 const FALL: f64 = 0.6;
 const REGAIN: f64 = 0.03;
@@ -608,8 +610,12 @@
         let moved = c.answered;
         c.answered |= complete;
         let c = c.clone();
+        let unheard = UNHEARD * PERIOD * (0.5 + self.draw());
         if let Some(s) = self.servers.get_mut(&server) {
             s.open = s.open.saturating_sub(1);
+            if s.open == 0 && now < s.slow_until {
+                s.slow_until = s.slow_until.max(now + unheard);
+            }
             s.in_hand = s.in_hand.saturating_sub(u32::from(!stood));
             s.used = (s.used - c.load).max(0.0);
         }
--- a/crates/decisions/tests/fleet.rs
+++ b/crates/decisions/tests/fleet.rs
@@ -29,6 +29,37 @@
     p.give(Event::MessageDelay { server, delay: 0.3 })
 }
 
+/// Where proxies that have heard of nothing place a group's fresh client.
+fn home(group: u64) -> ServerId {
+    proxy(0).connect(grouped(1, group)).expect("room")
+}
+
+#[test]
+fn who_sent_its_last_client_away_from_a_slow_server_sends_none_there_for_a_while() {
+    let at = home(77);
+    let alike: Vec<u64> = (78..).filter(|g| home(*g) == at).take(40).collect();
+    let mut back = Vec::new();
+    for me in 0..PROXIES {
+        let mut p = proxy(me);
+        p.connect(grouped(1, 77)).expect("room");
+        slow(&mut p, at);
+        p.end(1, at, 0, Outcome::Cancelled);
+        // Nobody is left here to tell of it.
+        let free = (2..40).find(|&s| {
+            p.now = 100.0 + 0.5 * f64::from(s);
+            let r = Request { deadline: p.now + 2.0, ..grouped(s, alike[s as usize]) };
+            let sent = p.connect(r);
+            sent.into_iter().for_each(|sent| drop(p.end(s, sent, 0, Outcome::Ok)));
+            sent == Some(at)
+        });
+        back.push(0.5 * f64::from(free.expect("it is not shut out for good")));
+    }
+    back.sort_by(f64::total_cmp);
+    assert!(back[0] >= 4.0, "the first one comes back after {} s", back[0]);
+    let (early, late) = (back[24], back[75]);
+    assert!(late - early >= 2.0, "half of them come back within {early} to {late} s: a wave");
+}
+
 #[test]
 fn a_proxy_that_knows_only_clients_who_come_again_can_relieve_a_slow_server() {
     let moves = (0..PROXIES).filter(|&me| {
