Half of the clients who come again pass over their group's first rank unless it is heard well

Seen: 88 of 105 set-ups to three overfull servers came from balancers that had never heard anything of them: whom one balancer moves away comes to another one, and the group's rank sends it to the same server again (choose()). In 4 s each of the three was left by 8 to 14 clients a second and got as many. Ruled out: balancers with a client there sent none. Who comes again says so (again=1). Half of them now begin one rank further down, unless it is cold, or a client of this balancer stands at the first one and no slow message was told for 2 s.

--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -7,6 +7,9 @@
 pub use crate::state::Balancer;
 use crate::state::{Client, Reservation, Server, hash, sane, unit};
 
+/// A server, whether it is far, and its rank.
+type Ranked<'a> = (bool, f64, &'a Server);
+
 /// Servers per pool member wanted: a group's pool is this many times its share of the fleet.
 const SPREAD: f64 = 1.0;
 /// Clients subtracted from a group's count: one sighting says little of a group's true size.
@@ -45,6 +48,9 @@
 /// Lock after a failed connect, in connect time-outs; doubles up to the cap, in warm-up times.
 const LOCK: f64 = 4.0;
 const LOCK_MOST: f64 = 0.5;
+/// Share of those who come again that pass over their group's first rank where nothing is heard of it: a proxy
+/// that did hear may have sent them away from there.
+const PASS: f64 = 0.5;
 /// A pool whose members are spent reaches so many ranks further down before clients are refused.
 const REACH: usize = 1;
 /// A pool member is passed over above this multiple of the mean usage plus this many mean clients.
@@ -324,24 +330,35 @@
         if let Some(server) = self.lowest(now, c, home) {
             return Some(server);
         }
-        let mut pool: Vec<(bool, f64, &Server)> =
+        let mut pool: Vec<Ranked> =
             self.servers.values().filter(|s| self.in_service(s, now)).map(|s| (far(s), rank(s), s)).collect();
         let k = self.pool_size(group, near).min(pool.len());
         if k == 0 {
             return None;
         }
         // Past its reach a group is refused rather than scattered: each server that holds it pays for it.
-        let reach = (k + REACH).min(pool.len());
+        let passes = c.passes && group.is_some();
+        let reach = (k + REACH + usize::from(passes)).min(pool.len());
+        let by_rank = |a: &Ranked, b: &Ranked| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1));
         if reach < pool.len() {
-            pool.select_nth_unstable_by(reach - 1, |a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+            pool.select_nth_unstable_by(reach - 1, by_rank);
             pool.truncate(reach);
         }
+        pool.sort_by(by_rank);
+        if passes && pool.len() > 1 && !self.heard_well(pool[0].2, now) {
+            pool.remove(0);
+        }
         pool.retain(|p| usable(self, p.2));
-        pool.sort_by(|a, b| (over(a.2), a.0).cmp(&(over(b.2), b.0)).then(a.1.total_cmp(&b.1)));
+        pool.sort_by_key(|p| (over(p.2), p.0));
         let k = k.min(pool.len());
         self.lowest(now, c, pool[..k].iter().map(|p| p.2))
     }
 
+    /// Clients here would have told of slow messages there, and have not lately. A cold server has its own guard.
+    fn heard_well(&self, s: &Server, now: f64) -> bool {
+        self.ramp(s, now) < 1.0 || (s.open > 0 && now >= s.delay.1 + 2.0 * PERIOD)
+    }
+
     /// Looky's weighted seed: the lowest usage; ties, most cases on a large fleet, by lots.
     fn lowest<'a>(&self, now: f64, c: &Client, of: impl Iterator<Item = &'a Server>) -> Option<ServerId> {
         let salt = hash(c.request.key, self.set.me);
@@ -492,7 +509,8 @@
             self.rate += 1.0;
         }
         self.moves += if request.returning { MOVES_AGAIN } else { MOVES };
-        let c = self.client(now, request);
+        let mut c = self.client(now, request);
+        c.passes = request.returning && self.draw() < PASS;
         self.clients.insert(request.id, c);
         // Every request owns a deadline timer: whatever else goes wrong, it gets its answer in time.
         let after = (request.deadline - now - 1.5 * self.set.tick).max(0.0);
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -50,6 +50,8 @@
     /// When its last attempt went out.
     pub sent: f64,
     pub arrived: f64,
+    /// It passes over its group's first rank where nothing is heard of it.
+    pub passes: bool,
     pub answered: bool,
 }
 
@@ -218,6 +220,7 @@
             errors: Vec::new(),
             sent: now,
             arrived: now,
+            passes: false,
             answered: false,
         }
     }
--- a/crates/decisions/tests/fleet.rs
+++ b/crates/decisions/tests/fleet.rs
@@ -2,6 +2,8 @@
 //! do at once.
 
 mod common;
+use std::collections::BTreeMap;
+
 use common::*;
 use shorewharf_decisions::Balancer;
 use shorewharf_decisions::interface::*;
@@ -72,3 +74,24 @@
     let moves = moves.count();
     assert!(moves >= 30, "{moves} of a hundred move their client");
 }
+
+#[test]
+fn those_who_come_again_do_not_all_go_back_to_where_they_were_sent_away() {
+    let at = home(77);
+    let mut count = BTreeMap::new();
+    for me in 0..PROXIES {
+        *count.entry(proxy(me).connect(again(1, 77)).expect("room")).or_insert(0) += 1;
+    }
+    assert!((30..=70).contains(&count[&at]), "{count:?}");
+    assert_eq!(count.len(), 2, "all others go to the same next server: {count:?}");
+}
+
+#[test]
+fn whose_clients_are_well_served_there_takes_those_who_come_again_too() {
+    let at = home(77);
+    for me in 0..PROXIES {
+        let mut p = proxy(me);
+        p.give(Event::Open(grouped(1, 78), at));
+        assert_eq!(p.connect(again(2, 77)), Some(at));
+    }
+}
