--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -354,7 +354,7 @@
         self.lowest(now, c, pool[..k].iter().map(|p| p.2))
     }
 
-    /// Clients here would have told of slow messages there, and have not lately. A cold server has its own guard.
+    /// Clients here would have told of slow messages, and have not lately. A cold server has its own guard.
     fn heard_well(&self, s: &Server, now: f64) -> bool {
         self.ramp(s, now) < 1.0 || (s.open > 0 && now >= s.delay.1 + 2.0 * PERIOD)
     }
