--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -29,8 +29,8 @@
 /// A slow server's pile of work should be gone within this many periods: so much of its load must leave.
 const DRAIN: f64 = 0.4;
 const LEAVE_MOST: f64 = 0.5;
-/// A slow server is spent until its next note, a period later; one that sheds clients, for this many periods. One
-/// that is spent when the last client here leaves it, after which nobody tells of it, stays so for about as many.
+/// A slow server is spent until its next note, a period later; one that sheds clients, for this many periods.
+/// One that is spent when the last client here leaves it, after which nobody tells of it, for about as many.
 const SLOW_HOLD: f64 = 1.2;
 const SHED_HOLD: f64 = 12.0;
 const UNHEARD: f64 = 8.0;
@@ -48,16 +48,16 @@
 /// Lock after a failed connect, in connect time-outs; doubles up to the cap, in warm-up times.
 const LOCK: f64 = 4.0;
 const LOCK_MOST: f64 = 0.5;
-/// Share of those who come again that pass over their group's first rank where nothing is heard of it: a proxy
-/// that did hear may have sent them away from there.
+/// Share of those who come again that pass over their group's first rank where nothing is heard of it: they
+/// may have been sent away from there by a proxy that did hear.
 const PASS: f64 = 0.5;
 /// A pool whose members are spent reaches so many ranks further down before clients are refused.
 const REACH: usize = 1;
 /// A pool member is passed over above this multiple of the mean usage plus this many mean clients.
 const BOUND: f64 = 1.25;
 const BOUND_CLIENTS: f64 = 3.0;
-/// Moves allowed for each client that arrives afresh or is there at the start, and for each that comes again: a
-/// proxy that has started anew may have no others.
+/// Moves allowed for each client that arrives afresh or is there at the start, and for each that comes again:
+/// a proxy that has started anew may have no others.
 const MOVES: f64 = 5.0;
 const MOVES_AGAIN: f64 = 1.0;
 /// Who may wait for a moment is looked at again so soon, in aims.
