--- a/crates/balancer/src/check.rs
+++ b/crates/balancer/src/check.rs
@@ -25,6 +25,7 @@
             "name" => "ROUTER_NAME",
             "listen" => "ROUTER_LISTEN",
             "discovery" => "ROUTER_DISCOVERY",
+            "operator" if config.operator_at.is_some() => "ROUTER_OPERATOR",
             _ => "default",
         };
         table.add_row([key.as_str(), value.as_str(), from]);
@@ -39,6 +40,10 @@
     row("name", &c.name);
     row("listen", &c.listen);
     row("discovery", &c.discovery);
+    match c.operator_at {
+        Some(at) => row("operator", &at),
+        None => row("operator", &"nobody is listened to"),
+    }
     row("seed", &format_args!("{:x}", c.seed));
     row("limits.sockets", &c.limits.sockets);
     row("limits.memory_mb", &c.limits.memory_mb);
--- a/crates/balancer/src/config.rs
+++ b/crates/balancer/src/config.rs
@@ -13,10 +13,14 @@
 use shorewharf_protocol::names::Names;
 use shorewharf_settings::operator::Operator;
 
+use crate::net::CALLERS;
+
 /// Lengths of time are shorter than this, in seconds: sums of them stay far from the end of the clock.
 const LONGEST: f64 = 1e6;
 /// Descriptors of the program's own and those kept for refusals leave nothing of fewer.
 const FEWEST_SOCKETS: usize = 32;
+/// Descriptors that are kept for operators where they may call: their listener and those who call.
+const OPERATORS_SOCKETS: usize = CALLERS + 1;
 /// Names the operator's own file (TOML): what the platform's configuration says nothing of.
 pub const OPERATOR: &str = "SHOREWHARF_OPERATOR";
 
@@ -78,6 +82,8 @@
     pub listen: SocketAddr,
     /// Where discovery is.
     pub discovery: SocketAddr,
+    /// Where operators call; nowhere without the key `operator`.
+    pub operator_at: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// What the machine allows.
@@ -101,6 +107,7 @@
     name: Option<String>,
     listen: Option<String>,
     discovery: Option<String>,
+    operator: Option<String>,
     seed: Option<String>,
     #[serde(default)]
     limits: Limits,
@@ -230,6 +237,14 @@
             ));
         }
         let operator = operator(env(OPERATOR))?;
+        let operator_at = raw.operator.or_else(|| env("ROUTER_OPERATOR"));
+        let operator_at = operator_at.map(|at| address("operator", &at)).transpose()?;
+        let least = FEWEST_SOCKETS + OPERATORS_SOCKETS;
+        if operator_at.is_some() && raw.limits.sockets < least {
+            let why =
+                format!("{} are too few where operators may call; at least {least}", raw.limits.sockets);
+            return Err(form("limits.sockets", why));
+        }
         if raw.limits.sockets / operator.workers < FEWEST_SOCKETS {
             let (sockets, workers) = (raw.limits.sockets, operator.workers);
             let why =
@@ -240,6 +255,7 @@
             name: or(raw.name, "name", "ROUTER_NAME")?,
             listen: address("listen", &or(raw.listen, "listen", "ROUTER_LISTEN")?)?,
             discovery: address("discovery", &or(raw.discovery, "discovery", "ROUTER_DISCOVERY")?)?,
+            operator_at,
             seed,
             limits: raw.limits,
             known: raw.known,
@@ -255,13 +271,20 @@
         })
     }
 
+    /// Descriptors that clients and servers may take: all but those that are kept for operators.
+    pub fn sockets(&self) -> usize {
+        let kept = if self.operator_at.is_some() { OPERATORS_SOCKETS } else { 0 };
+        self.limits.sockets.saturating_sub(kept)
+    }
+
     /// What one of several workers goes by: each is an instance of its own, with its share of what the process may hold.
     /// All processes of a fleet have as many workers, or their numbers would not fit together.
     pub fn of_worker(&self, worker: usize, workers: usize) -> Config {
         let mut own = self.clone();
         own.settings.me = self.settings.me * workers as u64 + worker as u64;
         own.settings.proxies = self.settings.proxies * workers as f64;
-        own.limits.sockets = self.limits.sockets / workers;
+        // Those kept for operators are the first one's.
+        own.limits.sockets = self.sockets() / workers + (self.limits.sockets - self.sockets());
         own.limits.memory_mb = self.limits.memory_mb / workers as f64;
         // The first one draws as the only one would.
         own.seed = self.seed ^ (worker as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
@@ -292,6 +315,7 @@
         let changed = [
             ("name", self.name != next.name),
             ("listen", self.listen != next.listen),
+            ("operator", self.operator_at != next.operator_at),
             ("workers", self.operator.workers != next.operator.workers),
             ("tenancy.on", self.operator.tenancy.on != next.operator.tenancy.on),
         ];
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -6,6 +6,7 @@
 
 use clap::{Parser, Subcommand};
 use shorewharf::config::{Config, ConfigError, OPERATOR};
+use shorewharf::net::Failure;
 use shorewharf::{check, net};
 use shorewharf_logging::LogArgs;
 use tracing::error;
@@ -14,8 +15,8 @@
 const BAD_CONFIG: u8 = 2;
 
 const HELP_END: &str = "\
-Without a command it serves, by the JSON file that ROUTER_CONFIG names; ROUTER_NAME, ROUTER_LISTEN and \
-ROUTER_DISCOVERY fill in for what the file leaves out. SIGTERM and SIGINT end it in good order, SIGHUP has it read \
+Without a command it serves, by the JSON file that ROUTER_CONFIG names; ROUTER_NAME, ROUTER_LISTEN, \
+ROUTER_DISCOVERY and ROUTER_OPERATOR fill in for what the file leaves out. SIGTERM and SIGINT end it in good order, SIGHUP has it read \
 the file again.
 
 Exit codes:
@@ -69,7 +70,11 @@
     };
     match net::run(config, move || Config::read(&env)) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
+        Err(Failure::Config(e)) => {
+            error!(event = "bad-config", key = e.key(), why = %e.why());
+            ExitCode::from(BAD_CONFIG)
+        }
+        Err(Failure::System(e)) => {
             error!(event = "cannot-run", error = %e);
             ExitCode::FAILURE
         }
--- a/crates/balancer/src/net/clients/session.rs
+++ b/crates/balancer/src/net/clients/session.rs
@@ -109,6 +109,8 @@
     carried: Option<Box<Carried>>,
     /// When the first line came that its server has answered nothing to.
     asked: Option<Micros>,
+    /// The class it asks for, until its one end, or its coming up, has been counted.
+    pub(super) class: Option<u16>,
     /// It is among those that tell of message delays.
     sighted: bool,
     /// Its timer.
@@ -157,6 +159,7 @@
             first: None,
             carried: None,
             asked: None,
+            class: None,
             sighted: false,
             alarm: Alarm::default(),
         }
@@ -303,6 +306,17 @@
         (self.first, self.carried) = (Some(first), asking.home.map(carried));
         (self.stage, self.since, self.until) = (Stage::Waiting, now, asking.until);
         self.open_id = Some(asking.open_id);
+        self.is_of(asking.req.class);
+    }
+
+    /// The class that it asks for is known, whatever else is wrong with what it said.
+    pub fn is_of(&mut self, class: usize) {
+        self.class = u16::try_from(class).ok();
+    }
+
+    /// The class that it is to be counted under, which is told once.
+    pub fn is_counted(&mut self) -> Option<usize> {
+        self.class.take().map(usize::from)
     }
 
     /// A server has taken it.
--- a/crates/balancer/src/net/hub.rs
+++ b/crates/balancer/src/net/hub.rs
@@ -15,6 +15,9 @@
 use super::link::is_shortage;
 use super::list::director::{Director, News};
 use super::list::incoming::Incoming;
+use super::operators::counts::Counts;
+use super::operators::desk::Desk;
+use super::operators::door::Door;
 use super::poll::{Owner, Ready};
 use super::serving::Serving;
 use super::terms::Terms;
@@ -38,12 +41,16 @@
     pub crew: Option<Crew>,
     /// The ids that clients have opened with, at all workers.
     pub open_ids: OpenIds,
+    /// What is counted for operators here.
+    pub counts: Counts,
+    /// Where operators call, and what all workers count, at the one that leads.
+    pub desk: Option<(TcpListener, Vec<Counts>)>,
 }
 
 /// All peers, and the turn that they act in.
 #[derive(Debug)]
 pub struct Net {
-    turn: Turn,
+    pub(super) turn: Turn,
     listener: TcpListener,
     /// The other workers, if there are any.
     crew: Option<Crew>,
@@ -55,10 +62,12 @@
     accepts: bool,
     /// The next look for room is set.
     waits_for_room: bool,
-    serving: Serving,
+    pub(super) serving: Serving,
     director: Director,
+    /// Where operators call.
+    pub(super) desk: Option<Desk>,
     /// When SIGTERM came.
-    leaving: Option<Micros>,
+    pub(super) leaving: Option<Micros>,
     /// It has ended, with so many clients still here.
     done: Option<usize>,
 }
@@ -74,8 +83,9 @@
             can_accept: true,
             accepts: true,
             waits_for_room: false,
-            serving: Serving::new(terms, at.open_ids),
+            serving: Serving::new(terms, at.open_ids, at.counts),
             director: Director::new(discovery),
+            desk: at.desk.map(|(listener, counts)| Desk { door: Door::new(listener), counts }),
             leaving: None,
             done: None,
         };
@@ -121,6 +131,9 @@
             Owner::Neighbour => (self.can_help, self.accepts) = (true, true),
             // Orders are not the peers'.
             Owner::Signals | Owner::Orders => {}
+            Owner::Operators | Owner::Caller(_) => {
+                self.desk.iter_mut().for_each(|d| d.door.ready(&mut self.turn, owner, ready));
+            }
         }
     }
 
@@ -176,13 +189,19 @@
                 }
                 turn.after(DELAY_PERIOD, Due::Delays);
             }
+            Due::Caller(number) => self.desk.iter_mut().for_each(|d| d.door.alarmed(turn, number)),
+            Due::Door => {
+                self.desk.iter_mut().for_each(|d| d.door.ready(turn, Owner::Operators, Ready::default()))
+            }
         }
     }
 
     /// The turn has ended at this time: when there is something to do again though nothing comes, which may be now.
     pub fn ends(&mut self, now: Micros) -> Micros {
         self.turn.pressure.turn(self.turn.now, now, self.accepts);
-        let next = match self.serving.is_busy() || self.director.is_busy() || self.accepts {
+        self.serving.note_held();
+        let calls = self.desk.as_ref().is_some_and(|d| d.door.is_busy());
+        let next = match self.serving.is_busy() || self.director.is_busy() || self.accepts || calls {
             true => self.turn.now,
             false => self.turn.timers.next().unwrap_or(self.turn.now + LONGEST),
         };
--- a/crates/balancer/src/net/mod.rs
+++ b/crates/balancer/src/net/mod.rs
@@ -8,6 +8,7 @@
 mod hub;
 mod link;
 mod list;
+mod operators;
 mod poll;
 mod pool;
 mod pressure;
@@ -25,8 +26,9 @@
 use shorewharf_driver::Micros;
 
 pub use list::{incoming, reader};
+pub use operators::door::CALLERS;
 pub use servers::backends;
-pub use workers::run;
+pub use workers::{Failure, run};
 
 /// The program's clock: whole microseconds, moved on by the monotonic clock alone. It is set by Unix time
 /// once, at the start, so that the times in the server list are on it too.
--- /dev/null
+++ b/crates/balancer/src/net/operators/counts.rs
@@ -0,0 +1,107 @@
+//! What is counted for operators: each thing once, where it happens, by the loop that it happens in.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use shorewharf_protocol::operators::Replies;
+
+/// How a connection has ended for the client, as far as operators count it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// A server has taken it.
+    Success,
+    /// It was refused.
+    Overload,
+    /// It failed, or its client left before it was answered.
+    Error,
+}
+
+/// Sums since the start of the process, and what one loop holds now.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Sums {
+    /// By class.
+    pub replies: Vec<Replies>,
+    /// Attempts written whole to servers.
+    pub dispatches: u64,
+    /// Connections that were taken and have not ended.
+    pub concurrent: usize,
+}
+
+impl Sums {
+    /// Takes in what another loop has counted.
+    pub fn add(&mut self, other: &Sums) {
+        if self.replies.len() < other.replies.len() {
+            self.replies.resize(other.replies.len(), Replies::default());
+        }
+        for (all, one) in self.replies.iter_mut().zip(&other.replies) {
+            all.success += one.success;
+            all.overload += one.overload;
+            all.error += one.error;
+        }
+        self.dispatches += other.dispatches;
+        self.concurrent += other.concurrent;
+    }
+}
+
+/// The sums of one loop, which alone writes them; the loop at whose door operators call reads those of all.
+#[derive(Clone, Debug, Default)]
+pub struct Counts(Arc<Mutex<Sums>>);
+
+impl Counts {
+    fn sums(&self) -> MutexGuard<'_, Sums> {
+        // Sums are whole between any two calls, whoever panics.
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A connection of this class has had its one end, or has come up.
+    pub fn replied(&self, class: usize, reply: Reply) {
+        let mut sums = self.sums();
+        if sums.replies.len() <= class {
+            sums.replies.resize(class + 1, Replies::default());
+        }
+        let replies = &mut sums.replies[class];
+        *match reply {
+            Reply::Success => &mut replies.success,
+            Reply::Overload => &mut replies.overload,
+            Reply::Error => &mut replies.error,
+        } += 1;
+    }
+
+    /// The last byte of an attempt's first line has been written.
+    pub fn dispatched(&self) {
+        self.sums().dispatches += 1;
+    }
+
+    /// So many connections that were taken have not ended.
+    pub fn holds(&self, concurrent: usize) {
+        self.sums().concurrent = concurrent;
+    }
+
+    /// All loops' sums together.
+    pub fn of_all(all: &[Counts]) -> Sums {
+        let mut sums = Sums::default();
+        all.iter().for_each(|one| sums.add(&one.sums()));
+        sums
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn all_loops_are_summed() {
+        let loops = [Counts::default(), Counts::default()];
+        loops[0].replied(0, Reply::Success);
+        loops[1].replied(1, Reply::Overload);
+        loops[1].replied(1, Reply::Error);
+        loops.iter().for_each(Counts::dispatched);
+        loops[0].holds(3);
+        loops[1].holds(4);
+        loops[0].holds(2);
+        let sums = Counts::of_all(&loops);
+        assert_eq!((sums.dispatches, sums.concurrent), (2, 6));
+        let (first, second) =
+            (Replies { success: 1, ..Replies::default() }, Replies { success: 0, overload: 1, error: 1 });
+        assert_eq!(sums.replies, [first, second]);
+    }
+}
--- /dev/null
+++ b/crates/balancer/src/net/operators/door.rs
@@ -0,0 +1,322 @@
+//! The door at which operators call: one line to a connection, answered at once, then the end.
+
+use std::collections::BTreeMap;
+
+use mio::net::TcpListener;
+use shorewharf_driver::Micros;
+use shorewharf_protocol::operators::{Answer, Call, LONGEST, Refusal, call};
+use tracing::warn;
+
+use crate::net::link::Link;
+use crate::net::poll::{Owner, Ready};
+use crate::net::pool::BUFFER;
+use crate::net::turn::{Alarm, Due, Turn};
+
+/// Callers held at once. Guards clients' descriptors: these are apart from theirs.
+pub const CALLERS: usize = 16;
+/// Callers taken in one turn: those of a flood must not hold up the clients.
+const ACCEPTS: usize = 16;
+/// A caller has this long to make its call, and the same again to take the answer.
+const PATIENCE: Micros = 2_500_000;
+
+/// How far a caller has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// Its call is still to come, or a part of it.
+    Calling,
+    /// Its call is being carried out.
+    Called,
+    /// The answer is on its way, or the caller's end is awaited.
+    Answered,
+}
+
+/// One operator's connection.
+#[derive(Debug)]
+struct Caller {
+    link: Link,
+    stage: Stage,
+    until: Micros,
+    /// How the call's line ended, and its answer's will.
+    end: &'static str,
+    /// What is still to be said.
+    rest: Vec<u8>,
+    alarm: Alarm,
+}
+
+impl Caller {
+    /// Reads on for the call; none while it is not whole. What follows it is not looked at.
+    fn call(&mut self, turn: &Turn) -> Option<Result<Call, Refusal>> {
+        self.link.fill(&turn.pool);
+        let held = self.link.held();
+        let Some(n) = held.iter().position(|b| *b == b'\n') else {
+            return (held.len() > LONGEST).then_some(Err(Refusal::TooLong));
+        };
+        let line = &held[..n];
+        let (line, end) = line.strip_suffix(b"\r").map_or((line, "\n"), |line| (line, "\r\n"));
+        let call = call(line);
+        self.end = end;
+        Some(call)
+    }
+
+    /// Says on what is left of the answer and ends; true once it is over.
+    fn goes_on(&mut self, turn: &Turn) -> bool {
+        while !self.rest.is_empty() && self.link.flush() {
+            let some = self.rest.len().min(BUFFER);
+            if !self.link.say(&turn.pool, &self.rest[..some]) {
+                break;
+            }
+            self.rest.drain(..some);
+        }
+        if self.rest.is_empty() && self.link.flush() {
+            self.link.shut();
+        }
+        // What else it says is nothing to anybody; unread it would make the close a reset.
+        self.link.fill(&turn.pool);
+        self.link.drop_input();
+        self.link.ended.is_some()
+    }
+}
+
+/// The listener and its callers, by number.
+#[derive(Debug)]
+pub struct Door {
+    listener: TcpListener,
+    /// Callers may wait at the listener.
+    can_accept: bool,
+    callers: BTreeMap<u64, Caller>,
+    next: u64,
+    /// Calls that are to be carried out, in the order in which they came.
+    calls: Vec<(u64, Result<Call, Refusal>)>,
+}
+
+impl Door {
+    /// A door at which nobody has called.
+    pub fn new(listener: TcpListener) -> Self {
+        Door { listener, can_accept: true, callers: BTreeMap::new(), next: 0, calls: Vec::new() }
+    }
+
+    /// What the loop has seen of it: calls that have come are taken out by [`Door::take_calls`].
+    pub fn ready(&mut self, turn: &mut Turn, owner: Owner, ready: Ready) {
+        match owner {
+            Owner::Caller(number) => {
+                if let Some(caller) = self.callers.get_mut(&number) {
+                    caller.link.ready(ready);
+                    self.goes_on(turn, number);
+                }
+            }
+            _ => {
+                self.can_accept = true;
+                self.accept(turn);
+            }
+        }
+    }
+
+    /// Whether more callers wait than one turn takes.
+    pub fn is_busy(&self) -> bool {
+        self.can_accept
+    }
+
+    /// Takes in callers that wait.
+    pub fn accept(&mut self, turn: &mut Turn) {
+        for _ in 0..ACCEPTS {
+            if !self.can_accept {
+                break;
+            }
+            match self.listener.accept() {
+                Ok((stream, _)) => self.comes(turn, Link::new(stream)),
+                // Nobody waits, or one left: whatever it is, the next caller is told of by the loop.
+                Err(e) if e.kind() == std::io::ErrorKind::ConnectionAborted => {}
+                Err(e) => {
+                    self.can_accept = false;
+                    if e.kind() != std::io::ErrorKind::WouldBlock {
+                        warn!(event = "accept-failed", at = "operator", error = %e);
+                        turn.after(PATIENCE / 25, Due::Door);
+                    }
+                }
+            }
+        }
+    }
+
+    fn comes(&mut self, turn: &mut Turn, mut link: Link) {
+        if self.callers.len() >= CALLERS {
+            self.make_room(turn);
+        }
+        self.next += 1;
+        let number = self.next;
+        if !turn.poller.watch(&mut link, Owner::Caller(number)) {
+            return;
+        }
+        let until = turn.now + PATIENCE;
+        let mut alarm = Alarm::default();
+        alarm.by(turn, Some(until), Due::Caller(number));
+        let (stage, end, rest) = (Stage::Calling, "\n", Vec::new());
+        self.callers.insert(number, Caller { link, stage, until, end, rest, alarm });
+        self.goes_on(turn, number);
+    }
+
+    /// Ends the one that has said nothing whole for longest, else the oldest: one that has called is answered in the same
+    /// turn, and only has to take it.
+    fn make_room(&mut self, turn: &mut Turn) {
+        let mute = self.callers.iter().find(|(_, c)| c.stage == Stage::Calling);
+        if let Some(number) = mute.or(self.callers.iter().next()).map(|(number, _)| *number) {
+            self.end(turn, number);
+        }
+    }
+
+    fn goes_on(&mut self, turn: &mut Turn, number: u64) {
+        let Some(caller) = self.callers.get_mut(&number) else { return };
+        match caller.stage {
+            Stage::Calling => {
+                if let Some(call) = caller.call(turn) {
+                    caller.stage = Stage::Called;
+                    self.calls.push((number, call));
+                } else if caller.link.ended.is_some() {
+                    self.end(turn, number);
+                }
+            }
+            Stage::Called => {}
+            Stage::Answered => {
+                if caller.goes_on(turn) {
+                    self.end(turn, number);
+                }
+            }
+        }
+    }
+
+    /// Takes out the calls that have come.
+    pub fn take_calls(&mut self) -> Vec<(u64, Result<Call, Refusal>)> {
+        std::mem::take(&mut self.calls)
+    }
+
+    /// Answers a caller.
+    pub fn answer(&mut self, turn: &mut Turn, number: u64, answer: &Answer) {
+        let Some(caller) = self.callers.get_mut(&number) else { return };
+        caller.stage = Stage::Answered;
+        caller.rest = answer.text(caller.end).into_bytes();
+        caller.until = turn.now + PATIENCE;
+        self.goes_on(turn, number);
+    }
+
+    /// A caller's timer has come.
+    pub fn alarmed(&mut self, turn: &mut Turn, number: u64) {
+        let Some(caller) = self.callers.get_mut(&number) else { return };
+        caller.alarm.came();
+        // A machine that stood still heard nobody.
+        let until = caller.until.max(turn.judges_from());
+        if turn.now >= until {
+            self.end(turn, number);
+        } else {
+            caller.alarm.by(turn, Some(until), Due::Caller(number));
+        }
+    }
+
+    fn end(&mut self, turn: &mut Turn, number: u64) {
+        if let Some(mut caller) = self.callers.remove(&number) {
+            caller.alarm.off(turn);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::net::turn::tests::{READ, turn, until};
+    use std::io::{Read, Write};
+    use std::net::{SocketAddr, TcpStream};
+
+    fn door() -> (Door, SocketAddr) {
+        let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
+        let at = listener.local_addr().expect("bound");
+        (Door::new(listener), at)
+    }
+
+    /// Looks until so many callers were taken in.
+    fn held(door: &mut Door, turn: &mut Turn, begun: u64) {
+        until(|| {
+            door.ready(turn, Owner::Operators, READ);
+            door.next == begun
+        });
+    }
+
+    /// The next call, however many looks it takes.
+    fn call(door: &mut Door, turn: &mut Turn) -> (u64, Result<Call, Refusal>) {
+        let mut calls = Vec::new();
+        until(|| {
+            door.ready(turn, Owner::Operators, READ);
+            let numbers: Vec<u64> = door.callers.keys().copied().collect();
+            numbers.into_iter().for_each(|number| door.ready(turn, Owner::Caller(number), READ));
+            calls.extend(door.take_calls());
+            !calls.is_empty()
+        });
+        calls.remove(0)
+    }
+
+    #[test]
+    fn a_call_in_pieces_is_answered_as_its_line_ended() {
+        let (mut turn, (mut door, at)) = (turn(1000), door());
+        for (line, end) in [("exclude s-1\n", "\n"), ("exclude s-1\r\n", "\r\n")] {
+            let mut caller = TcpStream::connect(at).expect("a door");
+            for byte in line.as_bytes() {
+                assert!(door.calls.is_empty());
+                caller.write_all(&[*byte]).expect("open");
+                door.ready(&mut turn, Owner::Operators, READ);
+            }
+            let (number, said) = call(&mut door, &mut turn);
+            assert_eq!(said, Ok(Call::Exclude("s-1".into())));
+            door.answer(&mut turn, number, &Answer::Yes);
+            let mut heard = String::new();
+            caller.read_to_string(&mut heard).expect("an answer and an end");
+            assert_eq!(heard, format!("YES{end}"));
+            drop(caller);
+        }
+        until(|| {
+            let numbers: Vec<u64> = door.callers.keys().copied().collect();
+            numbers.into_iter().for_each(|number| door.ready(&mut turn, Owner::Caller(number), READ));
+            door.callers.is_empty()
+        });
+    }
+
+    #[test]
+    fn mute_callers_are_bounded_in_number_and_time_and_keep_nobody_out() {
+        let (mut turn, (mut door, at)) = (turn(1000), door());
+        let mutes: Vec<_> = (0..3 * CALLERS).map(|_| TcpStream::connect(at).expect("a door")).collect();
+        held(&mut door, &mut turn, mutes.len() as u64);
+        assert_eq!(door.callers.len(), CALLERS);
+        let mut caller = TcpStream::connect(at).expect("a door");
+        caller.write_all(b"readyz\n").expect("open");
+        assert_eq!(call(&mut door, &mut turn).1, Ok(Call::Readyz));
+        let now = turn.now + PATIENCE;
+        turn.ends(now);
+        turn.begin(now);
+        while let Some(due) = turn.timers.due() {
+            match due {
+                Due::Caller(number) => door.alarmed(&mut turn, number),
+                other => panic!("{other:?}"),
+            }
+        }
+        assert!(door.callers.is_empty(), "the time is up");
+    }
+
+    #[test]
+    fn a_line_that_never_ends_is_refused_and_a_large_answer_comes_whole_to_a_slow_reader() {
+        let (mut turn, (mut door, at)) = (turn(1000), door());
+        let mut caller = TcpStream::connect(at).expect("a door");
+        caller.write_all(&[b'x'; LONGEST + 1]).expect("open");
+        let (number, said) = call(&mut door, &mut turn);
+        assert_eq!(said, Err(Refusal::TooLong));
+        let lines = "svc.x:1|c\n".repeat(1_000_000);
+        let whole = Answer::Figures(lines.clone());
+        door.answer(&mut turn, number, &whole);
+        assert!(!door.callers[&number].rest.is_empty(), "the sockets' buffers took it all");
+        let reader = std::thread::spawn(move || {
+            let mut heard = String::new();
+            caller.read_to_string(&mut heard).map(|_| heard)
+        });
+        until(|| {
+            door.ready(&mut turn, Owner::Caller(number), READ);
+            reader.is_finished()
+        });
+        let heard = reader.join().expect("no panic").expect("an answer and an end");
+        assert!(heard == format!("{lines}END\n"));
+    }
+}
--- a/crates/balancer/src/net/poll.rs
+++ b/crates/balancer/src/net/poll.rs
@@ -36,6 +36,10 @@
     Orders,
     /// The listener of a worker that stalls.
     Neighbour,
+    /// The door at which operators call.
+    Operators,
+    /// The operator's connection of this number.
+    Caller(u64),
 }
 
 /// An owner's kind stands in a token above its number.
@@ -43,6 +47,11 @@
 const _: () = assert!(usize::BITS == 64, "tokens hold a kind above a number of 56 bits");
 
 impl Owner {
+    /// Whether it is looked at before clients are: operators wait for one turn at most, whatever the load.
+    pub fn comes_first(self) -> bool {
+        matches!(self, Owner::Operators | Owner::Caller(_))
+    }
+
     fn token(self) -> Token {
         let (kind, number) = match self {
             Owner::Session(id) => (0, u64::from(id.0)),
@@ -53,6 +62,8 @@
             Owner::Signals => (5, 0),
             Owner::Orders => (6, 0),
             Owner::Neighbour => (7, 0),
+            Owner::Operators => (8, 0),
+            Owner::Caller(number) => (9, number),
         };
         Token((kind << KIND | number) as usize)
     }
@@ -67,7 +78,9 @@
             4 => Owner::Listener,
             5 => Owner::Signals,
             6 => Owner::Orders,
-            _ => Owner::Neighbour,
+            7 => Owner::Neighbour,
+            8 => Owner::Operators,
+            _ => Owner::Caller(number),
         }
     }
 }
@@ -122,7 +135,7 @@
     }
 
     /// What has come; owners may be gone by now.
-    pub fn seen(&self) -> impl Iterator<Item = (Owner, Ready)> {
+    pub fn seen(&self) -> impl Iterator<Item = (Owner, Ready)> + Clone {
         self.events.iter().map(|event| (Owner::of(event.token()), Ready::from(event)))
     }
 }
@@ -170,6 +183,8 @@
             Owner::Signals,
             Owner::Orders,
             Owner::Neighbour,
+            Owner::Operators,
+            Owner::Caller(1 << 40),
         ] {
             assert_eq!(Owner::of(owner.token()), owner);
         }
--- a/crates/balancer/src/net/reload.rs
+++ b/crates/balancer/src/net/reload.rs
@@ -16,7 +16,13 @@
     // Name and address are this process's own until it ends.
     // The list is the tables', and they have a newer one.
     let known = Default::default();
-    *config = Config { name: config.name.clone(), listen: config.listen, known, ..next };
+    *config = Config {
+        name: config.name.clone(),
+        listen: config.listen,
+        operator_at: config.operator_at,
+        known,
+        ..next
+    };
     Ok(())
 }
 
--- a/crates/balancer/src/net/servers/backends.rs
+++ b/crates/balancer/src/net/servers/backends.rs
@@ -145,6 +145,17 @@
         self.table.contains_key(&server)
     }
 
+    /// Servers that the last list names.
+    pub fn listed(&self) -> usize {
+        self.table.len() - self.gone.len()
+    }
+
+    /// Of these servers, those that the last list names.
+    pub fn listed_of(&self, servers: &[ServerId]) -> usize {
+        let listed = |id: &&ServerId| self.table.contains_key(*id) && !self.gone.contains(*id);
+        servers.iter().filter(listed).count()
+    }
+
     /// Where a server is, whether it takes anything new or not.
     pub fn address(&self, server: ServerId) -> Option<SocketAddr> {
         self.table.get(&server).map(|b| b.address)
--- a/crates/balancer/src/net/servers/fetches.rs
+++ b/crates/balancer/src/net/servers/fetches.rs
@@ -96,6 +96,8 @@
     alarm: Alarm,
     /// When it last answered a line of the client's, and how long that took.
     answered: Option<(Micros, Micros)>,
+    /// The first line has gone out to its last byte, and that was told.
+    dispatched: bool,
 }
 
 impl Fetch {
@@ -120,6 +122,14 @@
         self.link.say(pool, &with_patience(line, self.until.saturating_sub(now)));
     }
 
+    /// Whether the last byte of the first line has gone out, which is told once.
+    pub fn is_dispatched(&mut self) -> bool {
+        !self.dispatched && self.stage == Stage::Asked && {
+            self.dispatched = self.link.flush();
+            self.dispatched
+        }
+    }
+
     /// Reads on for the server's answer; none as long as there is none.
     pub fn answer(&mut self, pool: &Pool) -> Option<Answer> {
         let sent = self.link.flush();
@@ -253,8 +263,9 @@
         let connected_by = if connect_timeout <= patience { turn.now + connect_timeout } else { Micros::MAX };
         let (stage, last, until) = (Stage::Connecting, LastWord::Other, turn.now.saturating_add(patience));
         let voice = Rc::clone(self.voices.entry(server).or_default());
-        let (alarm, answered) = (Alarm::default(), None);
-        let fetch = Fetch { link, server, voice, stage, connected_by, until, last, alarm, answered };
+        let (alarm, answered, dispatched) = (Alarm::default(), None, false);
+        let fetch =
+            Fetch { link, server, voice, stage, connected_by, until, last, alarm, answered, dispatched };
         self.table.insert(id, Box::new(fetch));
         self.arm(turn, id);
         Ok(())
--- a/crates/balancer/src/net/serving/mod.rs
+++ b/crates/balancer/src/net/serving/mod.rs
@@ -9,7 +9,7 @@
 use mio::net::TcpStream;
 use shorewharf_decisions::interface::{ListEntry, Outcome, RequestId, ServerId};
 use shorewharf_driver::{Happening, Micros, Req};
-use shorewharf_protocol::open::parse_open;
+use shorewharf_protocol::open::{class_of, parse_open};
 use shorewharf_protocol::words::busy;
 use tracing::{debug, warn};
 
@@ -20,6 +20,7 @@
 use crate::net::complaints::Complaints;
 use crate::net::farewell::LEAVE_AFTER;
 use crate::net::list::incoming::{Incoming, server_id};
+use crate::net::operators::counts::{Counts, Reply};
 use crate::net::poll::Ready;
 use crate::net::servers::backends::Backends;
 use crate::net::servers::fetches::{self, Answer, Fetches, Hindrance};
@@ -51,13 +52,15 @@
     again: Vec<RequestId>,
     /// Those that have asked or been answered lately, each once: only they tell of message delays.
     sighted: Vec<RequestId>,
+    /// What operators are told of.
+    counts: Counts,
     /// The program is about to end: nobody new is served.
     closing: bool,
 }
 
 impl Serving {
     /// Nobody has come yet.
-    pub fn new(terms: Terms, open_ids: OpenIds) -> Self {
+    pub fn new(terms: Terms, open_ids: OpenIds, counts: Counts) -> Self {
         Serving {
             budget: Budget::new(terms.sockets),
             terms,
@@ -68,6 +71,7 @@
             complaints: Complaints::default(),
             again: Vec::new(),
             sighted: Vec::new(),
+            counts,
             closing: false,
         }
     }
@@ -190,8 +194,13 @@
     fn req_comes(&mut self, turn: &mut Turn, id: RequestId, line: &[u8]) {
         let open = match parse_open(line, &self.terms.names) {
             Ok(open) => open,
-            Err(why) => return self.malformed(turn, id, why),
+            Err(why) => {
+                let class = class_of(line, &self.terms.names);
+                self.sessions.get_mut(id).zip(class).into_iter().for_each(|(s, class)| s.is_of(class));
+                return self.malformed(turn, id, why);
+            }
         };
+        self.sessions.get_mut(id).into_iter().for_each(|s| s.is_of(open.class));
         let home = open.home.as_deref().map(server_id);
         if home.is_some_and(|home| !self.backends.is_listed(home)) {
             return self.malformed(turn, id, "at= names no server");
@@ -244,10 +253,23 @@
     /// A client that waited has gone: nobody needs the fetch any more.
     fn client_leaves(&mut self, turn: &mut Turn, id: RequestId) {
         turn.tell(Happening::ClientLeft(id));
+        self.counted(id, Reply::Error);
         self.sessions.drop(turn, id);
         self.fetch_over(turn, id, Outcome::Cancelled);
     }
 
+    /// A connection has come up or has ended, whichever was first: it counts once.
+    fn counted(&mut self, id: RequestId, reply: Reply) {
+        if let Some(class) = self.sessions.get_mut(id).and_then(Session::is_counted) {
+            self.counts.replied(class, reply);
+        }
+    }
+
+    /// Tells operators how many connections are held that were taken.
+    pub fn note_held(&self) {
+        self.counts.holds(self.sessions.len() - self.sessions.unserved());
+    }
+
     fn answer(&mut self, turn: &mut Turn, id: RequestId, words: &[u8]) {
         if self.sessions.answer(turn, id, words) {
             debug!(event = "answered", req = id.0, words = %words.trim_ascii_end().escape_ascii());
@@ -257,11 +279,13 @@
 
     /// Tells a client to come again, after so long if that is more than 0.
     pub fn refuse(&mut self, turn: &mut Turn, id: RequestId, after: Micros) {
+        self.counted(id, Reply::Overload);
         self.answer(turn, id, busy(after).to_string().as_bytes());
     }
 
     /// Tells a client that it is not served.
     pub fn answer_failed(&mut self, turn: &mut Turn, id: RequestId) {
+        self.counted(id, Reply::Error);
         self.answer(turn, id, b"ERR\r\n");
     }
 
@@ -368,6 +392,9 @@
             self.fetches.get_mut(id).into_iter().for_each(|f| f.ask(turn.now, &turn.pool, line));
         }
         let Some(fetch) = self.fetches.get_mut(id) else { return };
+        if fetch.is_dispatched() {
+            self.counts.dispatched();
+        }
         let server = self.backends.name(Some(fetch.server()));
         let outcome = match fetch.answer(&turn.pool) {
             None => return,
@@ -384,6 +411,7 @@
         };
         self.fetch_over(turn, id, outcome);
         if outcome == Outcome::Ok {
+            self.counted(id, Reply::Success);
             self.answer(turn, id, b"BYE\r\n");
         }
     }
@@ -394,6 +422,9 @@
         debug!(event = "up", req = id.0, client = %s.from(), server = self.backends.name(Some(f.server())));
         f.stands(turn.now, id);
         s.stands();
+        if let Some(class) = s.is_counted() {
+            self.counts.replied(class, Reply::Success);
+        }
         turn.tell(match (s.home(), s.req()) {
             (Some(server), Some(req)) => Happening::Carried(req, server),
             _ => Happening::Up(id),
--- a/crates/balancer/src/net/terms.rs
+++ b/crates/balancer/src/net/terms.rs
@@ -51,7 +51,7 @@
             connect_timeout: micros(config.settings.connect_timeout),
             message_aim: micros(aims.fold(f64::INFINITY, f64::min)),
             tells_delay: config.tells_delay,
-            sockets: config.limits.sockets,
+            sockets: config.sockets(),
             most_servers: ((config.limits.memory_mb * 1024.0 * LIST_PART / SERVER_KIB) as usize)
                 .max(FEWEST_SERVERS),
         }
--- a/crates/balancer/src/net/turn.rs
+++ b/crates/balancer/src/net/turn.rs
@@ -33,6 +33,10 @@
     Complaints,
     /// The next step of a planned end.
     Leave,
+    /// An operator that has not come further by now has to go.
+    Caller(u64),
+    /// Operators that could not be accepted may be by now.
+    Door,
 }
 
 /// The one timer of something that has its deadlines itself: set no later than the first of them, and looked at when
--- a/crates/balancer/src/net/workers.rs
+++ b/crates/balancer/src/net/workers.rs
@@ -8,17 +8,19 @@
 use std::time::Duration;
 
 use mio::net::TcpListener;
-use shorewharf_driver::{Driver, Micros};
+use shorewharf_driver::{Driver, Micros, seconds};
 use shorewharf_protocol::list::Listing;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
 use socket2::{Domain, Socket, Type};
+use thiserror::Error;
 use tracing::{error, info};
 
 use super::Clock;
 use super::clients::open_ids::OpenIds;
 use super::crew::{Crew, Order, Seat};
 use super::hub::{Net, Place};
+use super::operators::counts::Counts;
 use super::poll::{Owner, Ready, Watch};
 use super::reload;
 use super::terms::Terms;
@@ -51,9 +53,13 @@
 
 impl Worker {
     /// A turn: each peer that the loop has seen something of acts, and the module hears of it before the next does.
-    fn turn(&mut self, now: Micros, seen: impl Iterator<Item = (Owner, Ready)>) {
+    fn turn(&mut self, now: Micros, seen: impl Iterator<Item = (Owner, Ready)> + Clone) {
         self.net.begin(now);
-        for (owner, ready) in seen {
+        let gate = self.driver.gate();
+        let first = seen.clone().filter(|s| s.0.comes_first());
+        self.net.serve_operators(first, || gate.avoided(seconds(now)));
+        self.driver.settle(&mut self.net);
+        for (owner, ready) in seen.filter(|s| !s.0.comes_first()) {
             match owner {
                 Owner::Signals => self.signalled(),
                 Owner::Orders => self.ordered(),
@@ -121,6 +127,10 @@
         let poller = self.watch.poller()?;
         poller.listen(&mut place.listener, Owner::Listener)?;
         let address = place.listener.local_addr()?;
+        let operator = place.desk.as_ref().and_then(|(door, _)| door.local_addr().ok());
+        if let Some((door, _)) = &mut place.desk {
+            poller.listen(door, Owner::Operators)?;
+        }
         let turn = Turn::new(poller, clock.read());
         let mut net = Net::new(turn, place, config.discovery, Terms::from(&config));
         // Held once: by the tables from now on.
@@ -131,7 +141,8 @@
         if let Some(lead) = &self.lead {
             // The address that is bound: the port may have been left to the system.
             let workers = (lead.workers > 1).then_some(lead.workers);
-            info!(event = "serving", name = config.name, listen = %address, servers, workers);
+            let operator = operator.map(tracing::field::display);
+            info!(event = "serving", name = config.name, listen = %address, operator, servers, workers);
         }
         let mut worker = Worker { net, driver, lead: self.lead };
         worker.turn(clock.read(), std::iter::empty());
@@ -163,6 +174,22 @@
     Ok(socket.into())
 }
 
+/// Why the program could not run, or not go on.
+#[derive(Debug, Error)]
+pub enum Failure {
+    /// A key of the configuration can't be put in force on this machine.
+    #[error("{0}")]
+    Config(#[from] ConfigError),
+    /// The system does not give what is needed.
+    #[error("{0}")]
+    System(#[from] io::Error),
+}
+
+/// Listens for operators. That they can't call is found out at the start, not when they do.
+fn listen_to_operators(at: SocketAddr) -> Result<std::net::TcpListener, ConfigError> {
+    listen(at, false).map_err(|e| ConfigError::Form("operator".into(), format!("no listening at {at}: {e}")))
+}
+
 /// Ends the program if its thread panics: clients must not wait for a worker that is gone.
 struct OneForAll;
 
@@ -177,17 +204,18 @@
 /// Runs the balancer until it is told to end. On SIGHUP it takes what `reread` brings.
 ///
 /// # Errors
-/// Where it can't listen at the configured address, or the event loop fails.
+/// Where it can't listen at a configured address, or the event loop fails.
 pub fn run(
     mut config: Config,
     reread: impl Fn() -> Result<Config, ConfigError> + Send + 'static,
-) -> io::Result<()> {
+) -> Result<(), Failure> {
     let workers = config.operator.workers;
     let watches = (0..workers).map(|_| Watch::new()).collect::<io::Result<Vec<_>>>()?;
     // Before anything is opened: a SIGHUP that nobody waits for ends the program.
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     watches[0].poller()?.listen(&mut signals, Owner::Signals)?;
     let mut listeners = vec![listen(config.listen, workers > 1)?];
+    let mut door = config.operator_at.map(listen_to_operators).transpose()?;
     // The port may have been left to the system for the first one only.
     let at = listeners[0].local_addr()?;
     for _ in 1..workers {
@@ -202,13 +230,16 @@
     let mut crew = Crew::of(crew).into_iter().map(Some).collect::<Vec<_>>();
     crew.resize_with(workers, || None);
     let (clock, open_ids) = (Clock::new(), OpenIds::default());
+    let counts: Vec<_> = (0..workers).map(|_| Counts::default()).collect();
     let known = Arc::new(std::mem::take(&mut config.known));
-    let place = |(listener, crew)| Place {
+    let place = |((listener, crew), own): (_, &Counts)| Place {
         listener: TcpListener::from_std(listener),
         crew,
         open_ids: open_ids.clone(),
+        counts: own.clone(),
+        desk: door.take().map(|door| (TcpListener::from_std(door), counts.clone())),
     };
-    let places = listeners.into_iter().zip(crew).map(place);
+    let places = listeners.into_iter().zip(crew).zip(&counts).map(place);
     let mut starts: Vec<Start> = watches
         .into_iter()
         .zip(places)
--- a/crates/balancer/tests/sockets/main.rs
+++ b/crates/balancer/tests/sockets/main.rs
@@ -3,6 +3,7 @@
 mod bad;
 mod cli;
 mod model;
+mod operators;
 mod reload;
 mod workers;
 
--- a/crates/decisions/src/outside.rs
+++ b/crates/decisions/src/outside.rs
@@ -2,7 +2,7 @@
 //! cost, who was asked to move and where to, and the order of servers that all instances draw alike.
 
 use crate::interface::{RequestId, ServerId};
-use crate::state::{Balancer, Reservation, hash, unit};
+use crate::state::{Balancer, Reservation, Server, hash, unit};
 
 /// A server's place for a group, the same at every instance: weighted rendezvous hashing, lowest first.
 pub fn rank(group: u64, server: ServerId, weight: f64) -> f64 {
@@ -20,6 +20,12 @@
         self.repeats = yes;
     }
 
+    /// Servers that get nothing new now: frozen, locked or spent.
+    pub fn avoided(&self, now: f64) -> Vec<ServerId> {
+        let avoided = |s: &&Server| !self.in_service(s, now) || now < s.slow_until;
+        self.servers.values().filter(avoided).map(|s| s.entry.server).collect()
+    }
+
     /// A standing client has been asked to move by someone else. Its server keeps no place for it; `to` does, until
     /// `until`, so that it is sent there when it comes again, if that server takes clients then.
     pub fn sent_away(&mut self, id: RequestId, to: Option<ServerId>, until: f64) {
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -258,7 +258,7 @@
     }
 
     /// Neither frozen nor locked: part of the pools. A locked server takes one trial when its time is up.
-    fn in_service(&self, s: &Server, now: f64) -> bool {
+    pub(crate) fn in_service(&self, s: &Server, now: f64) -> bool {
         s.entry.stage == Stage::Ready && (!s.locked || (!self.set.may_probe && now >= s.retry_at))
     }
 
--- a/crates/driver/src/gate.rs
+++ b/crates/driver/src/gate.rs
@@ -106,6 +106,11 @@
         self.balancer.care()
     }
 
+    /// Servers that get nothing new now, whatever the reason.
+    pub fn avoided(&self, now: f64) -> Vec<ServerId> {
+        self.balancer.avoided(now)
+    }
+
     /// Takes one event, as the module does, and appends what is to be done.
     pub fn handle(&mut self, now: f64, event: Event, out: &mut Vec<Action>) {
         if self.admissions.all().next().is_none() {
--- a/crates/emulator/src/standin/peer.rs
+++ b/crates/emulator/src/standin/peer.rs
@@ -78,6 +78,19 @@
         }
     }
 
+    /// Waits for all lines until it finishes its sending, which must come.
+    #[track_caller]
+    pub fn rest(&mut self) -> Vec<String> {
+        let mut lines = Vec::new();
+        loop {
+            match self.hear() {
+                Heard::Line(line) => lines.push(line),
+                Heard::Fin => return lines,
+                Heard::Reset => panic!("a reset after {lines:?}"),
+            }
+        }
+    }
+
     /// Waits for so many bytes.
     #[track_caller]
     pub fn read_exactly(&mut self, n: usize) -> Vec<u8> {
--- a/crates/emulator/src/standin/program.rs
+++ b/crates/emulator/src/standin/program.rs
@@ -120,6 +120,7 @@
     log: Receiver<String>,
     heard: RefCell<Vec<String>>,
     address: SocketAddr,
+    operators: Option<SocketAddr>,
 }
 
 impl Program {
@@ -142,10 +143,11 @@
         let (sender, log) = channel();
         thread::spawn(move || stderr.lines().map_while(Result::ok).try_for_each(|line| sender.send(line)));
         let (next_id, heard) = (Cell::new(0x9b1f), RefCell::default());
-        let mut program = Program { started, next_id, log, heard, address: nobody() };
+        let mut program = Program { started, next_id, log, heard, address: nobody(), operators: None };
         let line = program.logged("event=serving");
-        let address = line.split("listen=").nth(1).and_then(|t| t.split(' ').next());
-        program.address = address.and_then(|t| t.parse().ok()).expect("an address");
+        let at = |key: &str| line.split(key).nth(1)?.split(' ').next()?.parse().ok();
+        program.address = at("listen=").expect("an address");
+        program.operators = at("operator=");
         program
     }
 
@@ -154,6 +156,29 @@
         self.address
     }
 
+    /// An operator that has said this, as it is.
+    #[track_caller]
+    pub fn operator(&self, words: &str) -> Peer {
+        let mut operator = Peer::connect(self.operators.expect("a second address"));
+        operator.put(words.as_bytes());
+        operator
+    }
+
+    /// What an operator's call is answered, all of it.
+    #[track_caller]
+    pub fn call(&self, line: &str) -> Vec<String> {
+        self.operator(&format!("{line}\r\n")).rest()
+    }
+
+    /// One of the figures that operators read.
+    #[track_caller]
+    pub fn figure(&self, name: &str) -> u64 {
+        let lines = self.call("telemetry");
+        assert_eq!(lines.last().map(String::as_str), Some("END"), "{lines:?}");
+        let value = lines.iter().find_map(|l| l.strip_prefix(&format!("svc.{name}:"))?.split('|').next());
+        value.and_then(|v| v.parse().ok()).unwrap_or_else(|| panic!("no {name} in {lines:?}"))
+    }
+
     /// Waits for the next log line that has these words; those before it are passed over.
     #[track_caller]
     pub fn logged(&self, words: &str) -> String {
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod list;
 pub mod names;
 pub mod open;
+pub mod operators;
 pub mod words;
 
 /// Whole microseconds, on whatever clock the caller keeps.
--- a/crates/protocol/src/open.rs
+++ b/crates/protocol/src/open.rs
@@ -154,6 +154,13 @@
     Ok(open)
 }
 
+/// The class that a first line names, whatever else is wrong with it.
+pub fn class_of(line: &[u8], names: &Names) -> Option<usize> {
+    let mut items = line.split(|b| b" ,".contains(b));
+    let named = items.find_map(|item| item.strip_prefix(b"c="))?;
+    names.classes.get(std::str::from_utf8(named).ok()?).copied()
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -179,6 +186,19 @@
         assert_eq!(longest.patience, Some(3_600_000_000));
     }
 
+    #[test]
+    fn the_class_of_a_bad_line_is_known_where_it_names_one() {
+        for (line, class) in [
+            (&b"OPEN 1 2 t=acme,c=feed,d=x"[..], Some(1)),
+            (b"OPEN c=chat", Some(0)),
+            (b"OPEN 1 2 c=none", None),
+            (b"\xff\xff", None),
+            (b"", None),
+        ] {
+            assert_eq!(class_of(line, &names()), class, "{line:?}");
+        }
+    }
+
     #[test]
     fn a_line_is_read_as_it_is_written() {
         let words =
--- /dev/null
+++ b/crates/protocol/src/operators.rs
@@ -0,0 +1,212 @@
+//! What operators say and are told: one call to a connection, a line that ends with LF or CRLF; answers begin with `YES` or
+//! `NO`, and figures end with `END`.
+
+use std::fmt::Write;
+
+use thiserror::Error;
+
+/// Bytes that a call's line may have, without its end: the longest of the platform's lines.
+pub const LONGEST: usize = 4096;
+
+/// What an operator asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// `readyz`: whether this process takes clients.
+    Readyz,
+    /// `telemetry`: the figures.
+    Telemetry,
+    /// `exclude ID`: a server is taken out.
+    Exclude(String),
+    /// `include ID`: it may serve again.
+    Include(String),
+}
+
+/// Why a call can't be answered with a yes.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum Refusal {
+    /// Nothing was said.
+    #[error("no call: readyz, telemetry, exclude ID and include ID are known")]
+    Nothing,
+    /// No such call.
+    #[error("'{0}' is no call: readyz, telemetry, exclude ID and include ID are known")]
+    Unknown(String),
+    /// The call needs the id of a server.
+    #[error("{0} needs the id of a server behind it")]
+    NoServer(&'static str),
+    /// More was said than the call takes.
+    #[error("{0} takes {1}")]
+    TooMuch(&'static str, &'static str),
+    /// The line is no text.
+    #[error("the call is no text")]
+    NoText,
+    /// The line is longer than any call.
+    #[error("the call is longer than {LONGEST} bytes")]
+    TooLong,
+    /// The server is not known.
+    #[error("no server '{0}' is listed or taken out")]
+    NoSuchServer(String),
+    /// This process takes no clients.
+    #[error("{0}")]
+    NotReady(&'static str),
+}
+
+/// What is quoted of what was said: a few words of it.
+fn some(text: &str) -> String {
+    text.chars().take(64).collect()
+}
+
+/// Reads a call's line, without its end.
+pub fn call(line: &[u8]) -> Result<Call, Refusal> {
+    if line.len() > LONGEST {
+        return Err(Refusal::TooLong);
+    }
+    let text = std::str::from_utf8(line).map_err(|_| Refusal::NoText)?;
+    if text.chars().any(char::is_control) {
+        return Err(Refusal::NoText);
+    }
+    let mut words = text.split(' ').filter(|word| !word.is_empty());
+    let name = words.next().ok_or(Refusal::Nothing)?;
+    let arguments: Vec<&str> = words.collect();
+    let alone = |name, call| match arguments[..] {
+        [] => Ok(call),
+        _ => Err(Refusal::TooMuch(name, "nothing behind it")),
+    };
+    let server = |name, call: fn(String) -> Call| match arguments[..] {
+        [] => Err(Refusal::NoServer(name)),
+        [id] => Ok(call(id.to_owned())),
+        _ => Err(Refusal::TooMuch(name, "one server at a time")),
+    };
+    match name {
+        "readyz" => alone("readyz", Call::Readyz),
+        "telemetry" => alone("telemetry", Call::Telemetry),
+        "exclude" => server("exclude", Call::Exclude),
+        "include" => server("include", Call::Include),
+        other => Err(Refusal::Unknown(some(other))),
+    }
+}
+
+/// What a call is answered with, line by line.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// It is so, or it is done.
+    Yes,
+    /// It is not, and why.
+    No(Refusal),
+    /// The figures.
+    Figures(String),
+}
+
+impl Answer {
+    /// The answer's text, its lines ended as the call was.
+    pub fn text(&self, end: &str) -> String {
+        let text = match self {
+            Answer::Yes => "YES\n".to_owned(),
+            Answer::No(why) => format!("NO {why}\n"),
+            Answer::Figures(lines) => format!("{lines}END\n"),
+        };
+        if end == "\n" { text } else { text.replace('\n', end) }
+    }
+}
+
+/// What became of the connections of one class.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Replies {
+    /// Brought up.
+    pub success: u64,
+    /// Refused.
+    pub overload: u64,
+    /// Failed.
+    pub error: u64,
+}
+
+/// The figures that are reported.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Figures {
+    /// By class, each with its name.
+    pub replies: Vec<(String, Replies)>,
+    /// Attempts written whole to servers.
+    pub dispatches: u64,
+    /// Connections that were taken and have not ended.
+    pub concurrent: usize,
+    /// Servers in the list.
+    pub targets: usize,
+    /// Of these, those that get nothing now.
+    pub targets_disabled: usize,
+}
+
+/// A name as a part of a figure's name: what has a meaning in these lines is replaced.
+fn part(name: &str) -> String {
+    name.chars()
+        .map(|c| if c.is_control() || c.is_whitespace() || ":|@#.".contains(c) { '_' } else { c })
+        .collect()
+}
+
+impl Figures {
+    /// The figures' lines: counts since the start, and gauges.
+    pub fn lines(&self) -> String {
+        let mut lines = String::new();
+        let mut line = |name: &str, value: &dyn std::fmt::Display, kind: &str| {
+            // Writing to text does not fail.
+            let _ = writeln!(lines, "svc.{name}:{value}|{kind}");
+        };
+        for (class, r) in &self.replies {
+            let class = part(class);
+            line(&format!("replies.{class}.success"), &r.success, "c");
+            line(&format!("replies.{class}.overload"), &r.overload, "c");
+            line(&format!("replies.{class}.error"), &r.error, "c");
+        }
+        line("dispatches", &self.dispatches, "c");
+        line("concurrent", &self.concurrent, "g");
+        line("targets", &self.targets, "g");
+        line("targets_disabled", &self.targets_disabled, "g");
+        lines
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_call_is_read_or_refused_with_a_reason() {
+        assert_eq!(call(b"readyz"), Ok(Call::Readyz));
+        assert_eq!(call(b" telemetry "), Ok(Call::Telemetry));
+        assert_eq!(call(b"exclude s-5be2a07c"), Ok(Call::Exclude("s-5be2a07c".into())));
+        assert_eq!(call(b"include s-1"), Ok(Call::Include("s-1".into())));
+        let longest = [b"exclude ".as_slice(), &[b'x'; LONGEST]].concat();
+        for (line, why) in [
+            (&b""[..], "no call"),
+            (b"READYZ", "'READYZ' is no call"),
+            (b"readyz now", "readyz takes nothing behind it"),
+            (b"exclude", "exclude needs the id of a server"),
+            (b"include ", "include needs the id of a server"),
+            (b"exclude s-1 s-2", "exclude takes one server at a time"),
+            (b"exclude \xff", "the call is no text"),
+            (b"exclude s\x001", "the call is no text"),
+            (&longest, "the call is longer than 4096 bytes"),
+        ] {
+            let said = Answer::No(call(line).expect_err("refused")).text("\r\n");
+            assert!(said.starts_with(&format!("NO {why}")) && said.ends_with("\r\n"), "{said}");
+        }
+    }
+
+    #[test]
+    fn figures_have_a_line_each_and_an_end() {
+        let replies = vec![("chat".to_owned(), Replies { success: 812, overload: 3, error: 1 })];
+        let figures = Figures { replies, dispatches: 900, concurrent: 14, targets: 12, targets_disabled: 1 };
+        let text = Answer::Figures(figures.lines()).text("\n");
+        let lines: Vec<&str> = text.lines().collect();
+        let wanted = [
+            "svc.replies.chat.success:812|c",
+            "svc.replies.chat.overload:3|c",
+            "svc.replies.chat.error:1|c",
+            "svc.dispatches:900|c",
+            "svc.concurrent:14|g",
+            "svc.targets:12|g",
+            "svc.targets_disabled:1|g",
+            "END",
+        ];
+        assert_eq!(lines, wanted);
+        assert_eq!(part("a b:c|d.e"), "a_b_c_d_e");
+    }
+}
--- a/crates/recovery/src/care.rs
+++ b/crates/recovery/src/care.rs
@@ -494,6 +494,11 @@
         self.estimate.fleet(now, &self.module)
     }
 
+    /// Servers that get nothing new now.
+    pub fn avoided(&self, now: f64) -> Vec<ServerId> {
+        self.module.avoided(now)
+    }
+
     /// Clients that wait for room here, and how many hold a place to come back, about.
     pub fn waiting(&self, now: f64) -> (usize, f64) {
         (self.module.waiting(), self.queue.length(now))
