Take servers out by hand and put them back, for all processes of a balancer

The module hears of a server that is out as draining, whatever the list says; a file a server in $TMPDIR tells the other processes and the next one; clients there are moved within 0.8 s in even parts; put back, it counts as cold where it may have been restarted.

--- a/crates/balancer/src/net/crew.rs
+++ b/crates/balancer/src/net/crew.rs
@@ -17,6 +17,7 @@
 use tracing::{info, warn};
 
 use super::list::director::News;
+use super::servers::taken_out::Change;
 use crate::config::Config;
 
 /// A worker that has not begun a turn for so long after it was to has stalled.
@@ -39,6 +40,8 @@
     Probe(usize, ServerId),
     /// What came of that.
     Probed(ServerId, Outcome),
+    /// An operator has changed something.
+    Changed(Change),
     /// Another configuration is in force.
     Config(Box<Config>),
     /// The planned end begins.
--- a/crates/balancer/src/net/hub.rs
+++ b/crates/balancer/src/net/hub.rs
@@ -1,5 +1,6 @@
 //! All peers together: what the loop has seen goes to the one concerned, and what the driver wants too.
 
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 
@@ -16,9 +17,9 @@
 use super::list::director::{Director, News};
 use super::list::incoming::Incoming;
 use super::operators::counts::Counts;
-use super::operators::desk::Desk;
-use super::operators::door::Door;
+use super::operators::desk::{Desk, Opened};
 use super::poll::{Owner, Ready};
+use super::servers::taken_out::{Change, Out};
 use super::serving::Serving;
 use super::terms::Terms;
 use super::turn::{Due, Turn};
@@ -44,7 +45,9 @@
     /// What is counted for operators here.
     pub counts: Counts,
     /// Where operators call, and what all workers count, at the one that leads.
-    pub desk: Option<(TcpListener, Vec<Counts>)>,
+    pub desk: Option<Opened>,
+    /// Servers that are taken out by hand.
+    pub taken_out: BTreeMap<ServerId, Out>,
 }
 
 /// All peers, and the turn that they act in.
@@ -85,12 +88,17 @@
             waits_for_room: false,
             serving: Serving::new(terms, at.open_ids, at.counts),
             director: Director::new(discovery),
-            desk: at.desk.map(|(listener, counts)| Desk { door: Door::new(listener), counts }),
+            desk: at.desk.map(Desk::from),
             leaving: None,
             done: None,
         };
         net.turn.pressure.set_aim(net.serving.terms.message_aim);
         net.turn.after(DELAY_PERIOD, Due::Delays);
+        for (server, out) in at.taken_out {
+            // Before anything is listed: the first list is told as it stands with them out.
+            net.serving.backends.change(Change::Out(server, out));
+        }
+        net.looks_into_folder();
         net
     }
 
@@ -189,6 +197,8 @@
                 }
                 turn.after(DELAY_PERIOD, Due::Delays);
             }
+            Due::Folder => self.looks_into_folder(),
+            Due::Leaves => self.serving.leave_some(turn),
             Due::Caller(number) => self.desk.iter_mut().for_each(|d| d.door.alarmed(turn, number)),
             Due::Door => {
                 self.desk.iter_mut().for_each(|d| d.door.ready(turn, Owner::Operators, Ready::default()))
@@ -325,6 +335,7 @@
             Order::News(news) => self.listed(news),
             Order::Watch => self.watch(),
             Order::Probe(other, server) => self.check_on(server, Some(other)),
+            Order::Changed(change) => self.changes(change),
             Order::Probed(server, outcome) => self.turn.tell(Happening::Probed(server, outcome)),
             Order::Stop => self.stop_soon(),
             Order::Config(_) => {}
@@ -423,7 +434,7 @@
     }
 
     fn move_away(&mut self, req: RequestId) {
-        self.serving.move_away(&mut self.turn, req);
+        self.serving.asks_to_move(&mut self.turn, req);
     }
 
     fn probe(&mut self, server: ServerId) {
--- a/crates/balancer/src/net/operators/desk.rs
+++ b/crates/balancer/src/net/operators/desk.rs
@@ -1,12 +1,41 @@
 //! What the calls ask for, done: the door's words go to those whose they are.
 
+use mio::net::TcpListener;
 use shorewharf_decisions::interface::ServerId;
+use shorewharf_driver::{Happening, Micros, seconds};
 use shorewharf_protocol::operators::{Answer, Call, Figures, Refusal};
+use tracing::{info, warn};
 
 use super::counts::Counts;
 use super::door::Door;
+use super::folder::Folder;
+use crate::net::crew::Order;
 use crate::net::hub::Net;
+use crate::net::list::incoming::server_id;
 use crate::net::poll::{Owner, Ready};
+use crate::net::servers::taken_out::{Change, Out};
+use crate::net::turn::Due;
+
+/// How often it is looked for what other processes of this balancer have changed: they hear of a call within its second.
+const LOOK: Micros = 100_000;
+
+/// What there is of it before the loop starts.
+#[derive(Debug)]
+pub struct Opened {
+    /// Where operators call.
+    pub listener: TcpListener,
+    /// What each loop counts.
+    pub counts: Vec<Counts>,
+    /// What is kept for the next process; none where there is no place for it.
+    pub folder: Option<Folder>,
+}
+
+impl From<Opened> for Desk {
+    fn from(opened: Opened) -> Self {
+        let Opened { listener, counts, folder } = opened;
+        Desk { door: Door::new(listener), counts, folder, ails: false }
+    }
+}
 
 /// Operators' side at the loop that leads.
 #[derive(Debug)]
@@ -15,6 +44,23 @@
     pub door: Door,
     /// What each loop counts.
     pub counts: Vec<Counts>,
+    /// What is kept for the next process; none where there is no place for it.
+    pub folder: Option<Folder>,
+    /// The folder could not be read or written, and that was told.
+    pub ails: bool,
+}
+
+impl Desk {
+    fn told(&mut self, done: std::io::Result<()>) {
+        match done {
+            Ok(()) => self.ails = false,
+            Err(e) => {
+                if !std::mem::replace(&mut self.ails, true) {
+                    warn!(event = "not-kept", error = %e, why = "other processes of this balancer do not hear of calls");
+                }
+            }
+        }
+    }
 }
 
 impl Net {
@@ -44,7 +90,89 @@
                 Answer::No(Refusal::NotReady("this process is about to end and takes no clients"))
             }
             Call::Telemetry => Answer::Figures(self.figures(&avoided()).lines()),
-            Call::Exclude(id) | Call::Include(id) => Answer::No(Refusal::NoSuchServer(id)),
+            Call::Exclude(name) => self.take_out(name),
+            Call::Include(name) => self.put_back(name),
+        }
+    }
+
+    fn take_out(&mut self, name: String) -> Answer {
+        let server = server_id(&name);
+        let backends = &self.serving.backends;
+        match (backends.taken_out().is_out(server), backends.is_known(server, &name)) {
+            // Kept again: it may not have been the first time.
+            (true, _) => {}
+            (false, false) => return Answer::No(Refusal::NoSuchServer(name)),
+            (false, true) => {
+                let out = Out { name: name.as_str().into(), since: seconds(self.turn.now) };
+                self.change(Change::Out(server, out), "a call");
+            }
+        }
+        if let Some(desk) = &mut self.desk {
+            let done = desk.folder.as_ref().map_or(Ok(()), |folder| folder.keep(server, &name));
+            desk.told(done);
+        }
+        Answer::Yes
+    }
+
+    fn put_back(&mut self, name: String) -> Answer {
+        let server = server_id(&name);
+        let backends = &self.serving.backends;
+        if !backends.taken_out().is_out(server) && !backends.is_known(server, &name) {
+            return Answer::No(Refusal::NoSuchServer(name));
+        }
+        // The file first: as long as it is there it would be taken out again.
+        if let Some(desk) = &mut self.desk {
+            let done = desk.folder.as_ref().map_or(Ok(()), |folder| folder.let_go(server));
+            desk.told(done);
+        }
+        self.change(Change::Back(server, seconds(self.turn.now)), "a call");
+        Answer::Yes
+    }
+
+    /// Something is changed by hand, for all workers.
+    fn change(&mut self, change: Change, by: &str) {
+        let name = match &change {
+            Change::Out(_, out) => out.name.clone(),
+            Change::Back(server, _) => {
+                let out = self.serving.backends.taken_out().all().get(server);
+                out.map_or_else(Default::default, |out| out.name.clone())
+            }
+        };
+        match &change {
+            Change::Out(..) => info!(event = "server-taken-out", server = %name, by),
+            Change::Back(server, _) if self.serving.backends.taken_out().is_out(*server) => {
+                info!(event = "server-put-back", server = %name, by);
+            }
+            Change::Back(..) => {}
+        }
+        self.tell_others(|_| Order::Changed(change.clone()));
+        self.changes(change);
+    }
+
+    /// Something was changed by hand: the module hears of it as of a change of the list, which is no news of
+    /// discovery's.
+    pub fn changes(&mut self, change: Change) {
+        if let Some(entry) = self.serving.backends.change(change) {
+            self.turn.tell(Happening::Listed { full: false, cached: true, entries: vec![entry] });
+        }
+    }
+
+    /// Looks for what other processes of this balancer have changed.
+    pub fn looks_into_folder(&mut self) {
+        let known = self.serving.backends.taken_out().all().clone();
+        let Some(desk) = &mut self.desk else { return };
+        let Some(folder) = &mut desk.folder else { return };
+        self.turn.after(LOOK, Due::Folder);
+        match folder.read(&known) {
+            Ok(out) => {
+                // What could not be kept is out all the same.
+                let back = known.keys().filter(|server| !out.contains_key(server) && !desk.ails).copied();
+                let back: Vec<_> = back.map(|server| Change::Back(server, seconds(self.turn.now))).collect();
+                let news = out.into_iter().filter(|(server, _)| !known.contains_key(server));
+                let news: Vec<_> = news.map(|(server, out)| Change::Out(server, out)).collect();
+                back.into_iter().chain(news).for_each(|change| self.change(change, "another process"));
+            }
+            Err(e) => desk.told(Err(e)),
         }
     }
 
--- a/crates/balancer/src/net/operators/mod.rs
+++ b/crates/balancer/src/net/operators/mod.rs
@@ -4,3 +4,4 @@
 pub mod counts;
 pub mod desk;
 pub mod door;
+pub mod folder;
--- a/crates/balancer/src/net/servers/backends.rs
+++ b/crates/balancer/src/net/servers/backends.rs
@@ -10,13 +10,15 @@
 use crate::net::list::incoming::{Entry, Incoming};
 
 use super::delays::{Figure, Figures, Sight, typical};
+use super::taken_out::{Change, TakenOut};
 
 /// A server as the director listed it last.
 #[derive(Debug)]
 struct Backend {
     name: Box<str>,
     address: SocketAddr,
-    stage: Stage,
+    /// As listed, whoever was taken out by hand.
+    entry: ListEntry,
     /// The last list that named it.
     list: u64,
     /// The last report was of slow messages.
@@ -38,6 +40,7 @@
     lists: u64,
     /// Servers are left out for want of room.
     over: bool,
+    taken_out: TakenOut,
 }
 
 /// The stages that servers have left for others in a list, each with the first; none for those that are new.
@@ -49,11 +52,12 @@
     pub fn take(&mut self, list: Incoming, most: usize, in_use: impl Fn(ServerId) -> bool) -> Vec<ListEntry> {
         let (entries, before) = self.apply(list, most);
         self.tell(&before);
-        let table = &mut self.table;
+        let (table, taken_out) = (&mut self.table, &mut self.taken_out);
         self.gone.retain(|id| {
             let stays = in_use(*id);
             if !stays {
                 table.remove(id);
+                taken_out.forget(*id);
             }
             stays
         });
@@ -79,10 +83,10 @@
                     continue;
                 }
                 Some(b) => {
-                    if b.stage != stage {
-                        before.entry(id).or_insert(Some(b.stage));
+                    if b.entry.stage != stage {
+                        before.entry(id).or_insert(Some(b.entry.stage));
                     }
-                    (b.address, b.stage, b.list) = (address, stage, number);
+                    (b.address, b.entry, b.list) = (address, entry, number);
                 }
                 None if is_full => {
                     left_out += 1;
@@ -90,7 +94,7 @@
                 }
                 None => {
                     let (slow, figures) = (false, Figures::default());
-                    self.table.insert(id, Backend { name, address, stage, list: number, slow, figures });
+                    self.table.insert(id, Backend { name, address, entry, list: number, slow, figures });
                     before.entry(id).or_insert(None);
                 }
             }
@@ -98,12 +102,14 @@
                 Stage::Gone => self.gone.insert(id),
                 _ => self.gone.remove(&id),
             };
-            entries.push(entry);
+            entries.push(self.taken_out.seen(entry));
         }
         if list.snapshot {
-            for (id, b) in self.table.iter_mut().filter(|(_, b)| b.list != number && b.stage != Stage::Gone) {
-                before.entry(*id).or_insert(Some(b.stage));
-                b.stage = Stage::Gone;
+            for (id, b) in
+                self.table.iter_mut().filter(|(_, b)| b.list != number && b.entry.stage != Stage::Gone)
+            {
+                before.entry(*id).or_insert(Some(b.entry.stage));
+                b.entry.stage = Stage::Gone;
                 self.gone.insert(*id);
             }
         }
@@ -124,8 +130,8 @@
     fn tell(&self, before: &Before) {
         let mut more = 0;
         for (id, before) in before {
-            let Some(b) = self.table.get(id).filter(|b| Some(b.stage) != *before) else { continue };
-            let event = match b.stage {
+            let Some(b) = self.table.get(id).filter(|b| Some(b.entry.stage) != *before) else { continue };
+            let event = match b.entry.stage {
                 Stage::Ready => "server-ready",
                 Stage::Draining => "server-draining",
                 Stage::Gone => "server-gone",
@@ -163,7 +169,28 @@
 
     /// Where a server is that takes something new; none for any other.
     pub fn ready_address(&self, server: ServerId) -> Option<SocketAddr> {
-        self.table.get(&server).filter(|b| b.stage == Stage::Ready).map(|b| b.address)
+        let seen = |b: &&Backend| self.taken_out.seen(b.entry).stage == Stage::Ready;
+        self.table.get(&server).filter(seen).map(|b| b.address)
+    }
+
+    /// Who is taken out by hand.
+    pub fn taken_out(&self) -> &TakenOut {
+        &self.taken_out
+    }
+
+    /// Whether a server of this name is here, listed or still in use.
+    pub fn is_known(&self, server: ServerId, name: &str) -> bool {
+        self.table.get(&server).is_some_and(|b| &*b.name == name)
+    }
+
+    /// Takes in what was changed by hand; what the module is to be told, where the server is here and anything has
+    /// changed.
+    pub fn change(&mut self, change: Change) -> Option<ListEntry> {
+        let server = change.server();
+        if !self.taken_out.take(change) {
+            return None;
+        }
+        self.table.get(&server).map(|b| self.taken_out.seen(b.entry))
     }
 
     /// A server's name, for the log.
--- a/crates/balancer/src/net/servers/mod.rs
+++ b/crates/balancer/src/net/servers/mod.rs
@@ -5,3 +5,4 @@
 pub mod delays;
 pub mod fetches;
 pub mod probes;
+pub mod taken_out;
--- /dev/null
+++ b/crates/balancer/src/net/servers/taken_out.rs
@@ -0,0 +1,138 @@
+//! Which servers operators have taken out, and what that makes of what the list says of them.
+
+use std::collections::BTreeMap;
+
+use shorewharf_decisions::interface::{ListEntry, ServerId, Stage};
+
+/// A server that is out.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Out {
+    /// Its name, as far as it is known.
+    pub name: Box<str>,
+    /// When it was taken out, in seconds on the module's clock.
+    pub since: f64,
+}
+
+/// A server that was put back and may have been restarted while it was out, which the list has not told.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Back {
+    since: f64,
+    at: f64,
+}
+
+/// What has changed by hand.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    /// A server is taken out.
+    Out(ServerId, Out),
+    /// It may serve again, from this time on.
+    Back(ServerId, f64),
+}
+
+impl Change {
+    /// The server that it is about.
+    pub fn server(&self) -> ServerId {
+        match self {
+            Change::Out(server, _) | Change::Back(server, _) => *server,
+        }
+    }
+}
+
+/// Servers taken out, whether the list names them or not. Only a call puts one back.
+#[derive(Clone, Debug, Default)]
+pub struct TakenOut {
+    out: BTreeMap<ServerId, Out>,
+    back: BTreeMap<ServerId, Back>,
+}
+
+impl TakenOut {
+    /// Whether a server is out.
+    pub fn is_out(&self, server: ServerId) -> bool {
+        self.out.contains_key(&server)
+    }
+
+    /// Those that are out.
+    pub fn all(&self) -> &BTreeMap<ServerId, Out> {
+        &self.out
+    }
+
+    /// Takes a change in; false where it was so before.
+    pub fn take(&mut self, change: Change) -> bool {
+        match change {
+            Change::Out(server, out) => {
+                self.back.remove(&server);
+                self.out.insert(server, out).is_none()
+            }
+            Change::Back(server, at) => {
+                let Some(out) = self.out.remove(&server) else { return false };
+                self.back.insert(server, Back { since: out.since, at });
+                true
+            }
+        }
+    }
+
+    /// A server is forgotten unless it is out.
+    pub fn forget(&mut self, server: ServerId) {
+        self.back.remove(&server);
+    }
+
+    /// What the module is told of a server that is listed like this: one that is out drains; one that was put back is as
+    /// cold as it would be after a restart, unless the list has told of one since.
+    pub fn seen(&self, listed: ListEntry) -> ListEntry {
+        let out = self.is_out(listed.server) && listed.stage == Stage::Ready;
+        let born = match self.back.get(&listed.server) {
+            Some(back) if listed.born < back.since => back.at,
+            _ => listed.born,
+        };
+        ListEntry { stage: if out { Stage::Draining } else { listed.stage }, born, ..listed }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    const ONE: ServerId = ServerId(1);
+
+    fn listed(stage: Stage, born: f64) -> ListEntry {
+        ListEntry { server: ONE, zone: 0, cell: 0, stage, weight: 1.0, born }
+    }
+
+    fn out(since: f64) -> Change {
+        Change::Out(ONE, Out { name: "s-1".into(), since })
+    }
+
+    #[test]
+    fn a_server_put_back_is_as_cold_as_it_may_be() {
+        let mut taken = TakenOut::default();
+        assert!(taken.take(out(100.0)) && !taken.take(out(105.0)), "it is out once");
+        assert_eq!(taken.seen(listed(Stage::Ready, 5.0)).stage, Stage::Draining);
+        assert_eq!(taken.seen(listed(Stage::Gone, 5.0)).stage, Stage::Gone);
+        assert!(taken.take(Change::Back(ONE, 110.0)) && !taken.take(Change::Back(ONE, 111.0)));
+        // The list lags: it may have been restarted a moment ago.
+        assert_eq!(taken.seen(listed(Stage::Ready, 5.0)), listed(Stage::Ready, 110.0));
+        // The list tells of a restart while it was out.
+        assert_eq!(taken.seen(listed(Stage::Ready, 107.0)), listed(Stage::Ready, 107.0));
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, ..ProptestConfig::default() })]
+        /// Whatever lists and calls come in whatever order, it is out exactly from the first call out to the next call back.
+        #[test]
+        fn only_a_call_puts_a_server_back(steps in prop::collection::vec((0u8..4, 0u8..3), 0..40)) {
+            let (mut taken, mut is_out) = (TakenOut::default(), false);
+            for (now, (step, stage)) in steps.into_iter().enumerate() {
+                let now = now as f64;
+                match step {
+                    0 => { prop_assert_eq!(taken.take(out(now)), !is_out); is_out = true; }
+                    1 => { prop_assert_eq!(taken.take(Change::Back(ONE, now)), is_out); is_out = false; }
+                    _ => taken.forget(ONE),
+                }
+                let stage = [Stage::Ready, Stage::Draining, Stage::Gone][usize::from(stage)];
+                let seen = taken.seen(listed(stage, 0.0)).stage;
+                prop_assert_eq!(seen == Stage::Ready, stage == Stage::Ready && !is_out);
+            }
+        }
+    }
+}
--- a/crates/balancer/src/net/serving/mod.rs
+++ b/crates/balancer/src/net/serving/mod.rs
@@ -4,6 +4,7 @@
 mod due;
 mod standing;
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 
 use mio::net::TcpStream;
@@ -52,6 +53,9 @@
     again: Vec<RequestId>,
     /// Those that have asked or been answered lately, each once: only they tell of message delays.
     sighted: Vec<RequestId>,
+    /// Clients that are to leave servers that were taken out, and in how many more parts.
+    leaves: VecDeque<RequestId>,
+    leaves_in: usize,
     /// What operators are told of.
     counts: Counts,
     /// The program is about to end: nobody new is served.
@@ -71,6 +75,8 @@
             complaints: Complaints::default(),
             again: Vec::new(),
             sighted: Vec::new(),
+            leaves: VecDeque::new(),
+            leaves_in: 0,
             counts,
             closing: false,
         }
--- a/crates/balancer/src/net/serving/standing.rs
+++ b/crates/balancer/src/net/serving/standing.rs
@@ -9,9 +9,40 @@
 use crate::net::link::End;
 use crate::net::relay::{Fate, ends, relay};
 use crate::net::servers::delays::Figure;
-use crate::net::turn::Turn;
+use crate::net::turn::{Due, Turn};
+
+/// Clients of a server that is taken out are moved in so many parts, so far apart: all of them before the second is over
+/// after which the server must get nothing.
+const LEAVE_PARTS: usize = 8;
+const LEAVE_STEP: Micros = 100_000;
 
 impl Serving {
+    /// Asks a connected client to come again: at once, or where its server was taken out by hand, and so does not end
+    /// it soon, together with others that leave there, in even parts. All at once they would be a wave.
+    pub fn asks_to_move(&mut self, turn: &mut Turn, id: RequestId) {
+        let server = self.fetches.server(id);
+        if !server.is_some_and(|server| self.backends.taken_out().is_out(server)) {
+            return self.move_away(turn, id);
+        }
+        if self.leaves.is_empty() {
+            self.leaves_in = LEAVE_PARTS;
+            turn.after(LEAVE_STEP, Due::Leaves);
+        }
+        self.leaves.push_back(id);
+    }
+
+    /// The next part leaves.
+    pub fn leave_some(&mut self, turn: &mut Turn) {
+        let some = self.leaves.len().div_ceil(self.leaves_in.max(1));
+        self.leaves_in = self.leaves_in.saturating_sub(1);
+        for id in self.leaves.drain(..some).collect::<Vec<_>>() {
+            self.move_away(turn, id);
+        }
+        if !self.leaves.is_empty() {
+            turn.after(LEAVE_STEP, Due::Leaves);
+        }
+    }
+
     /// Asks a connected client to come again.
     pub fn move_away(&mut self, turn: &mut Turn, id: RequestId) {
         if self.sessions.get_mut(id).is_some_and(Session::moves) {
--- a/crates/balancer/src/net/turn.rs
+++ b/crates/balancer/src/net/turn.rs
@@ -35,6 +35,10 @@
     Leave,
     /// An operator that has not come further by now has to go.
     Caller(u64),
+    /// What other processes of this balancer have changed is looked for.
+    Folder,
+    /// More clients leave servers that were taken out.
+    Leaves,
     /// Operators that could not be accepted may be by now.
     Door,
 }
--- a/crates/balancer/src/net/workers.rs
+++ b/crates/balancer/src/net/workers.rs
@@ -1,7 +1,9 @@
 //! The loops: one, or as many as the operator wants, each on a thread of its own.
 
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::process::exit;
 use std::sync::Arc;
 use std::thread;
@@ -14,13 +16,15 @@
 use signal_hook_mio::v1_0::Signals;
 use socket2::{Domain, Socket, Type};
 use thiserror::Error;
-use tracing::{error, info};
+use tracing::{error, info, warn};
 
 use super::Clock;
 use super::clients::open_ids::OpenIds;
 use super::crew::{Crew, Order, Seat};
 use super::hub::{Net, Place};
 use super::operators::counts::Counts;
+use super::operators::desk::Opened;
+use super::operators::folder::Folder;
 use super::poll::{Owner, Ready, Watch};
 use super::reload;
 use super::terms::Terms;
@@ -127,9 +131,9 @@
         let poller = self.watch.poller()?;
         poller.listen(&mut place.listener, Owner::Listener)?;
         let address = place.listener.local_addr()?;
-        let operator = place.desk.as_ref().and_then(|(door, _)| door.local_addr().ok());
-        if let Some((door, _)) = &mut place.desk {
-            poller.listen(door, Owner::Operators)?;
+        let operator = place.desk.as_ref().and_then(|desk| desk.listener.local_addr().ok());
+        if let Some(desk) = &mut place.desk {
+            poller.listen(&mut desk.listener, Owner::Operators)?;
         }
         let turn = Turn::new(poller, clock.read());
         let mut net = Net::new(turn, place, config.discovery, Terms::from(&config));
@@ -158,7 +162,7 @@
     }
 }
 
-/// Listens for one of several workers, or the only one.
+/// Listens for one of several workers or processes, or the only one.
 fn listen(at: SocketAddr, one_of_several: bool) -> io::Result<std::net::TcpListener> {
     let socket = Socket::new(Domain::for_address(at), Type::STREAM, None)?;
     // A balancer comes back under its address while connections of its past life linger.
@@ -190,6 +194,20 @@
     listen(at, false).map_err(|e| ConfigError::Form("operator".into(), format!("no listening at {at}: {e}")))
 }
 
+/// What processes of this balancer have in common; none where there is no place for it.
+fn common_folder(listen: SocketAddr) -> Option<Folder> {
+    let common = std::env::var_os("TMPDIR").filter(|path| !path.is_empty());
+    let opened = match &common {
+        Some(path) => Folder::open(Path::new(path), listen),
+        None => Err(io::Error::new(io::ErrorKind::NotFound, "TMPDIR is not set")),
+    };
+    opened
+        .inspect_err(|e| {
+            warn!(event = "not-kept", error = %e, why = "other processes of this balancer do not hear of calls");
+        })
+        .ok()
+}
+
 /// Ends the program if its thread panics: clients must not wait for a worker that is gone.
 struct OneForAll;
 
@@ -214,7 +232,9 @@
     // Before anything is opened: a SIGHUP that nobody waits for ends the program.
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     watches[0].poller()?.listen(&mut signals, Owner::Signals)?;
-    let mut listeners = vec![listen(config.listen, workers > 1)?];
+    // Another process may come to listen beside this one.
+    let several = workers > 1 || config.operator_at.is_some();
+    let mut listeners = vec![listen(config.listen, several)?];
     let mut door = config.operator_at.map(listen_to_operators).transpose()?;
     // The port may have been left to the system for the first one only.
     let at = listeners[0].local_addr()?;
@@ -230,6 +250,8 @@
     let mut crew = Crew::of(crew).into_iter().map(Some).collect::<Vec<_>>();
     crew.resize_with(workers, || None);
     let (clock, open_ids) = (Clock::new(), OpenIds::default());
+    let mut folder = door.as_ref().and_then(|_| common_folder(at));
+    let taken_out = folder.as_mut().and_then(|f| f.read(&BTreeMap::new()).ok()).unwrap_or_default();
     let counts: Vec<_> = (0..workers).map(|_| Counts::default()).collect();
     let known = Arc::new(std::mem::take(&mut config.known));
     let place = |((listener, crew), own): (_, &Counts)| Place {
@@ -237,7 +259,12 @@
         crew,
         open_ids: open_ids.clone(),
         counts: own.clone(),
-        desk: door.take().map(|door| (TcpListener::from_std(door), counts.clone())),
+        desk: door.take().map(|door| Opened {
+            listener: TcpListener::from_std(door),
+            counts: counts.clone(),
+            folder: folder.take(),
+        }),
+        taken_out: taken_out.clone(),
     };
     let places = listeners.into_iter().zip(crew).zip(&counts).map(place);
     let mut starts: Vec<Start> = watches
--- a/crates/balancer/tests/sockets/operators.rs
+++ b/crates/balancer/tests/sockets/operators.rs
@@ -149,3 +149,74 @@
         assert!(began.elapsed() < 2 * DUE, "{:?}", began.elapsed());
     }
 }
+
+#[test]
+fn a_server_taken_out_gets_nothing_until_a_call_puts_it_back() {
+    let (servers, director) = ([Node::new(), Node::new()], Director::new());
+    let both = [("s-1", servers[0].address()), ("s-2", servers[1].address())];
+    let mut settings = with_door(asking(&both[..1], &director));
+    let program = start(&settings);
+    let mut watch = director.watch();
+    let (mut client, _s) = program.stand(&servers[0]);
+    let [one, two] = [0, 1].map(|i| endpoint(both[i].0, both[i].1, "Ready"));
+    watch.tell(42, false, vec![two.clone()]);
+    comes_to(&program, "targets", 2);
+    assert_eq!(program.call("exclude s-1"), ["YES"]);
+    assert_eq!(program.figure("targets_disabled"), 1);
+    assert_eq!(client.line(), "MOVE");
+    assert_eq!(program.call("exclude s-1"), ["YES"], "a second call changes nothing");
+    // Changes, whole lists, its going and coming, and another configuration.
+    watch.tell(43, false, vec![endpoint("s-1", both[0].1, "Gone")]);
+    comes_to(&program, "targets", 1);
+    watch.tell(44, false, vec![one.clone()]);
+    comes_to(&program, "targets", 2);
+    watch.tell(45, true, vec![one, two]);
+    settings["limits"]["sockets"] = json!(1000);
+    program.reconfigure(&settings.to_string());
+    program.logged("event=reloaded");
+    assert_eq!(program.figure("targets_disabled"), 1);
+    let _stands: Vec<_> = (0..8).map(|_| program.stand(&servers[1])).collect();
+    assert!(!servers[0].is_called());
+    assert_eq!(program.call("include s-1"), ["YES"]);
+    assert_eq!(program.call("include s-1"), ["YES"], "it is in");
+    assert_eq!(program.figure("targets_disabled"), 0);
+    // With the other one out they go there, one by one, as it may be cold.
+    assert_eq!(program.call("exclude s-2"), ["YES"]);
+    let began = Instant::now();
+    while servers[0].accept_or_hear(&mut program.open("")).is_err() {
+        assert!(began.elapsed() < LIMIT, "nobody comes");
+    }
+}
+
+#[test]
+fn with_every_server_taken_out_clients_are_told_so_at_once() {
+    let server = Node::new();
+    let program = start(&with_door(config(&[("s-1", server.address())])));
+    assert_eq!(program.call("exclude s-1"), ["YES"]);
+    let (began, mut client) = (Instant::now(), program.open(""));
+    assert!(client.line().starts_with("BUSY "));
+    // The class's aim, for which a client may be held where a server may come back, is a second.
+    assert!(began.elapsed() < Duration::from_millis(700), "{:?}", began.elapsed());
+    assert!(!server.is_called());
+}
+
+#[test]
+fn processes_of_one_balancer_agree_on_who_is_out_and_a_new_one_starts_with_it() {
+    let servers = [Node::new(), Node::new()];
+    let listed = [("s-1", servers[0].address()), ("s-2", servers[1].address())];
+    let settings = with_door(config(&listed));
+    let old = start(&settings);
+    assert_eq!(old.call("exclude s-1"), ["YES"]);
+    // What lies in the folder beside it stops no start.
+    let folder =
+        std::fs::read_dir(old.common()).expect("a folder").next().expect("the balancer's").expect("it");
+    std::fs::write(folder.path().join("out/what"), "?").expect("a file");
+    let mut same = settings.clone();
+    same["listen"] = json!(old.address());
+    let new = old.start_beside(BINARY, &same);
+    assert_eq!(new.figure("targets_disabled"), 1);
+    assert_eq!(new.call("exclude s-2"), ["YES"]);
+    comes_to(&old, "targets_disabled", 2);
+    assert_eq!(old.call("include s-1"), ["YES"]);
+    comes_to(&new, "targets_disabled", 1);
+}
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -393,7 +393,10 @@
         }
         let Some(server) = self.choose(now, &c) else {
             let serving = self.servers.values().any(|s| self.in_service(s, now));
-            return if serving && !self.soon(now, &c) {
+            // Where all that are here leave, or were taken out, none comes back within a moment.
+            let barred =
+                !self.servers.is_empty() && self.servers.values().all(|s| s.entry.stage != Stage::Ready);
+            return if barred || (serving && !self.soon(now, &c)) {
                 self.answer(id, out)
             } else {
                 self.hold(now, &c, out)
--- a/crates/emulator/src/standin/program.rs
+++ b/crates/emulator/src/standin/program.rs
@@ -5,8 +5,9 @@
 use std::ffi::OsStr;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, channel};
 use std::thread;
@@ -63,6 +64,12 @@
     }
 }
 
+impl Default for Folder {
+    fn default() -> Self {
+        Folder::new()
+    }
+}
+
 impl Drop for Folder {
     fn drop(&mut self) {
         // What is left over harms nobody.
@@ -77,7 +84,7 @@
 }
 
 impl Started {
-    fn new(binary: &OsStr, config: &str, operator: Option<&str>) -> Self {
+    fn new(binary: &OsStr, config: &str, operator: Option<&str>, common: &Path) -> Self {
         let folder = Folder::new();
         let file = folder.0.join(CONFIG);
         std::fs::write(&file, config).expect("a file");
@@ -88,7 +95,8 @@
             command.env("SHOREWHARF_OPERATOR", file);
         }
         // At this level each step of a client's is an event that a test can wait for.
-        let command = command.env("ROUTER_CONFIG", &file).env("SHOREWHARF_LOG", "debug");
+        let command =
+            command.env("ROUTER_CONFIG", &file).env("SHOREWHARF_LOG", "debug").env("TMPDIR", common);
         let child = command.stdin(Stdio::null()).stderr(Stdio::piped()).spawn();
         Started { child: child.expect("the program starts"), folder }
     }
@@ -107,7 +115,8 @@
 
 /// Starts a program on a configuration that it must refuse: its exit code and its log.
 pub fn refused_start(binary: impl AsRef<OsStr>, config: &Value) -> (Option<i32>, String) {
-    let mut started = Started::new(binary.as_ref(), &config.to_string(), None);
+    let common = Folder::new();
+    let mut started = Started::new(binary.as_ref(), &config.to_string(), None, &common.0);
     let stderr = started.child.stderr.take().expect("piped");
     let log = std::io::read_to_string(stderr).expect("text");
     (started.child.wait().expect("it ends").code(), log)
@@ -121,29 +130,42 @@
     heard: RefCell<Vec<String>>,
     address: SocketAddr,
     operators: Option<SocketAddr>,
+    common: Rc<Folder>,
 }
 
 impl Program {
     /// Starts a program on a configuration and waits until it serves.
     #[track_caller]
     pub fn start(binary: impl AsRef<OsStr>, config: &Value) -> Self {
-        Program::begin(binary.as_ref(), config, None)
+        Program::begin(binary.as_ref(), config, None, Rc::default())
     }
 
     /// The same with a file of the operator's own.
     #[track_caller]
     pub fn start_with(binary: impl AsRef<OsStr>, config: &Value, operator: &str) -> Self {
-        Program::begin(binary.as_ref(), config, Some(operator))
+        Program::begin(binary.as_ref(), config, Some(operator), Rc::default())
+    }
+
+    /// Another process of the same balancer: what is in this one's `$TMPDIR` is in its too.
+    #[track_caller]
+    pub fn start_beside(&self, binary: impl AsRef<OsStr>, config: &Value) -> Self {
+        Program::begin(binary.as_ref(), config, None, Rc::clone(&self.common))
+    }
+
+    /// The folder that it has in common with other processes of the same balancer.
+    pub fn common(&self) -> &Path {
+        &self.common.0
     }
 
     #[track_caller]
-    fn begin(binary: &OsStr, config: &Value, operator: Option<&str>) -> Self {
-        let mut started = Started::new(binary, &config.to_string(), operator);
+    fn begin(binary: &OsStr, config: &Value, operator: Option<&str>, common: Rc<Folder>) -> Self {
+        let mut started = Started::new(binary, &config.to_string(), operator, &common.0);
         let stderr = BufReader::new(started.child.stderr.take().expect("piped"));
         let (sender, log) = channel();
         thread::spawn(move || stderr.lines().map_while(Result::ok).try_for_each(|line| sender.send(line)));
         let (next_id, heard) = (Cell::new(0x9b1f), RefCell::default());
-        let mut program = Program { started, next_id, log, heard, address: nobody(), operators: None };
+        let mut program =
+            Program { started, next_id, log, heard, address: nobody(), operators: None, common };
         let line = program.logged("event=serving");
         let at = |key: &str| line.split(key).nth(1)?.split(' ').next()?.parse().ok();
         program.address = at("listen=").expect("an address");
