Hand the listener over to a new process, and be one balancer while both run

The new process asks the old one over a Unix socket in the common folder for the descriptor and the list; with an heir that serves the old one stops accepting at SIGTERM and moves its clients from 0.2 to 2.9 s. Descriptors and the entries to cold servers are shared out.

--- a/crates/balancer/src/net/budget.rs
+++ b/crates/balancer/src/net/budget.rs
@@ -3,7 +3,7 @@
 use tracing::{info, warn};
 
 /// Descriptors that aren't connections: the loop's own, the listener, the log, and some to spare.
-const OWN_DESCRIPTORS: usize = 16;
+pub const OWN_DESCRIPTORS: usize = 16;
 /// Descriptors kept for clients that are only told to come again, and for those whose first line is on its way.
 const SPARE: usize = 16;
 /// Connections that ask for nothing may hold this part of the descriptors: usual clients need two each, one to
--- a/crates/balancer/src/net/crew.rs
+++ b/crates/balancer/src/net/crew.rs
@@ -42,6 +42,10 @@
     Probed(ServerId, Outcome),
     /// An operator has changed something.
     Changed(Change),
+    /// Another process of this balancer holds so many of this worker's descriptors.
+    OthersHold(usize),
+    /// That process takes this one's place, or no longer.
+    Heir(bool),
     /// Another configuration is in force.
     Config(Box<Config>),
     /// The planned end begins.
@@ -101,6 +105,11 @@
         self.me == 0
     }
 
+    /// How many workers there are.
+    pub fn len(&self) -> usize {
+        self.board.len()
+    }
+
     /// This worker's number.
     pub fn me(&self) -> usize {
         self.me
--- a/crates/balancer/src/net/farewell.rs
+++ b/crates/balancer/src/net/farewell.rs
@@ -24,7 +24,15 @@
     pub last: Micros,
 }
 
+/// With another process in its place clients leave from here on, over the time there is.
+const HEIR_FROM: Micros = 200_000;
+
 impl Farewell {
+    /// The same where another process has taken this one's place: who is moved comes back to that one.
+    pub fn with_heir(give_up: &[Micros]) -> Self {
+        Farewell { move_from: HEIR_FROM, ..Farewell::new(give_up) }
+    }
+
     /// The steps where clients of each class wait so long.
     pub fn new(give_up: &[Micros]) -> Self {
         let kill = give_up.iter().copied().max().unwrap_or(0).min(GRACE_WAIT) + GRACE;
@@ -48,6 +56,8 @@
         let usual = Farewell::new(&[3_200_000]);
         assert_eq!((usual.move_from, usual.move_until, usual.last), (2_000_000, 2_900_000, 3_400_000));
         let short = Farewell::new(&[1_000_000]);
+        let heir = Farewell::with_heir(&[1_000_000]);
+        assert!(heir.move_from < heir.move_until && heir.move_until == short.move_until);
         assert!(short.move_from >= LEAVE_AFTER && short.move_until < short.last && short.last < 1_700_000);
     }
 }
--- /dev/null
+++ b/crates/balancer/src/net/handover/forebear.rs
@@ -0,0 +1,198 @@
+//! The new process's side: what the old one leaves, and whether it is still there.
+
+use std::io::{self, ErrorKind, IoSliceMut, Read, Write};
+use std::mem::MaybeUninit;
+use std::net::TcpListener;
+use std::os::unix::net::UnixStream as StdUnixStream;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use mio::net::UnixStream;
+use rustix::net::{RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, recvmsg};
+
+use super::words::{Estate, LEAVES, LISTENERS, LONGEST, SERVES, VERSION, line, read_held};
+use crate::net::poll::{Owner, Poller};
+
+/// The old process has this long to answer: its loop may be busy, and the start has 6 s in all.
+const PATIENCE: Duration = Duration::from_millis(1500);
+
+/// What the old process has left.
+#[derive(Debug)]
+pub struct Inherited {
+    /// Its listeners.
+    pub listeners: Vec<TcpListener>,
+    /// The rest.
+    pub estate: Estate,
+    stream: StdUnixStream,
+}
+
+/// Asks the process that listens at the path.
+///
+/// # Errors
+/// Where nobody does, where it does not answer in time, or with what can't be used.
+pub fn ask(path: &Path) -> io::Result<Inherited> {
+    let stream = StdUnixStream::connect(path)?;
+    let began = Instant::now();
+    let (mut text, mut listeners) = (Vec::new(), Vec::new());
+    let bad = |why: String| io::Error::new(ErrorKind::InvalidData, why);
+    let mut bytes = vec![0; 64 << 10];
+    while text.last() != Some(&b'\n') {
+        let left = PATIENCE.checked_sub(began.elapsed()).filter(|left| !left.is_zero());
+        stream.set_read_timeout(Some(left.ok_or(ErrorKind::TimedOut)?))?;
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(LISTENERS))];
+        let mut control = RecvAncillaryBuffer::new(&mut space);
+        let got =
+            recvmsg(&stream, &mut [IoSliceMut::new(&mut bytes)], &mut control, RecvFlags::CMSG_CLOEXEC)?;
+        for message in control.drain() {
+            if let RecvAncillaryMessage::ScmRights(fds) = message {
+                listeners.extend(fds.map(TcpListener::from));
+            }
+        }
+        if got.bytes == 0 {
+            return Err(ErrorKind::UnexpectedEof.into());
+        }
+        text.extend_from_slice(&bytes[..got.bytes]);
+        if text.len() > LONGEST {
+            return Err(bad(format!("the estate is longer than {LONGEST} bytes")));
+        }
+    }
+    let estate: Estate = serde_json::from_slice(&text).map_err(|e| bad(format!("the estate: {e}")))?;
+    if estate.version != VERSION || estate.listeners != listeners.len() {
+        let (version, n) = (estate.version, listeners.len());
+        return Err(bad(format!("version {version} with {n} listeners of {}", estate.listeners)));
+    }
+    Ok(Inherited { listeners, estate, stream })
+}
+
+/// The old process, while it is there.
+#[derive(Debug)]
+pub struct Forebear {
+    stream: UnixStream,
+    inbox: Vec<u8>,
+    /// Descriptors that it holds or may take.
+    pub held: usize,
+    /// It takes no clients any more.
+    pub leaves: bool,
+}
+
+impl Forebear {
+    /// The old process, told that this one serves.
+    pub fn told(inherited: Inherited, poller: &Poller) -> io::Result<Self> {
+        inherited.stream.set_nonblocking(true)?;
+        let mut stream = UnixStream::from_std(inherited.stream);
+        poller.watch_source(&mut stream, Owner::Forebear)?;
+        stream.write_all(&[SERVES, b"\n"].concat())?;
+        Ok(Forebear { stream, inbox: Vec::new(), held: inherited.estate.held, leaves: false })
+    }
+
+    /// Hears what it says; false once it is gone.
+    pub fn ready(&mut self) -> bool {
+        let mut bytes = [0; 1024];
+        loop {
+            match self.stream.read(&mut bytes) {
+                Ok(0) => return false,
+                Ok(n) => self.inbox.extend_from_slice(&bytes[..n]),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return true,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return false,
+            }
+            while let Some(line) = line(&mut self.inbox) {
+                self.leaves |= line == LEAVES;
+                self.held = read_held(&line).unwrap_or(self.held);
+            }
+            if self.inbox.len() > bytes.len() {
+                return false;
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::net::handover::heirs::Heirs;
+    use crate::net::handover::words::held;
+    use crate::net::poll::Watch;
+    use crate::net::turn::tests::until;
+    use shorewharf_protocol::list::Listing;
+
+    fn poller() -> Poller {
+        Watch::new().and_then(|watch| watch.poller()).expect("a loop")
+    }
+
+    fn listener() -> TcpListener {
+        TcpListener::bind("127.0.0.1:0").expect("a port")
+    }
+
+    /// The old process's loop, until somebody has asked and has an answer.
+    fn asked(heirs: &mut Heirs, path: &Path, estate: &Estate) -> Inherited {
+        std::thread::scope(|s| {
+            let asks = s.spawn(|| ask(path));
+            until(|| {
+                heirs.comes(&poller(), || estate.clone());
+                heirs.hears_all(&poller());
+                asks.is_finished()
+            });
+            asks.join().expect("no panic").expect("an estate")
+        })
+    }
+
+    #[test]
+    fn an_heir_has_the_same_listener_and_list_and_is_one_while_it_serves() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let path = folder.path().join("door");
+        let old = listener();
+        let mut heirs =
+            Heirs::open(path.clone(), vec![old.try_clone().expect("a copy")], &poller()).expect("a socket");
+        // A list that is larger than the socket's buffer.
+        let endpoint = serde_json::json!({"name": "s", "address": "127.0.0.1:1", "status": "Ready"});
+        let endpoints = vec![serde_json::from_value(endpoint).expect("an endpoint"); 10_000];
+        let known = Listing { index: 7, snapshot: true, endpoints };
+        let estate = Estate { version: VERSION, listeners: 0, held: 40, known };
+        let inherited = asked(&mut heirs, &path, &estate);
+        assert_eq!((inherited.estate.known == estate.known, inherited.estate.held), (true, 40));
+        assert_eq!(inherited.listeners[0].local_addr().ok(), old.local_addr().ok());
+        assert!(!heirs.has_one(), "it does not serve yet");
+        let mut forebear = Forebear::told(inherited, &poller()).expect("told");
+        heirs.hears_all(&poller());
+        assert!(heirs.has_one());
+        heirs.tell(held(12).as_bytes());
+        heirs.tell(&[LEAVES, b"\n"].concat());
+        until(|| forebear.ready() && forebear.leaves);
+        assert_eq!(forebear.held, 12);
+        // It took the path and died: the next one finds the old process.
+        std::fs::remove_file(&path).expect("the path");
+        drop(forebear);
+        until(|| {
+            heirs.hears_all(&poller());
+            !heirs.has_one()
+        });
+        let next = asked(&mut heirs, &path, &estate);
+        let mut forebear = Forebear::told(next, &poller()).expect("told");
+        drop(heirs);
+        until(|| !forebear.ready());
+    }
+
+    #[test]
+    fn nobody_and_nonsense_are_errors_in_time() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let path = folder.path().join("door");
+        assert!(ask(&path).is_err(), "nobody is there");
+        let nonsense = std::os::unix::net::UnixListener::bind(&path).expect("a socket");
+        for words in
+            ["nonsense\n", "{\"version\":2,\"listeners\":0,\"held\":0,\"known\":{}}\n", "{\"version\":1", ""]
+        {
+            let asks = std::thread::spawn({
+                let path = path.clone();
+                move || ask(&path)
+            });
+            let (mut one, _) = nonsense.accept().expect("it asks");
+            one.write_all(words.as_bytes()).expect("open");
+            // The last says nothing and stays.
+            let _stays = words.is_empty().then_some(one);
+            assert!(asks.join().expect("no panic").is_err(), "{words}");
+        }
+        drop(nonsense);
+        assert!(ask(&path).is_err(), "the process is gone");
+    }
+}
--- /dev/null
+++ b/crates/balancer/src/net/handover/overlap.rs
@@ -0,0 +1,157 @@
+//! While two processes of one balancer run: what each may take, so that together they keep to what one may.
+
+use shorewharf_driver::Micros;
+use shorewharf_protocol::list::Listing;
+
+use super::forebear::Forebear;
+use super::heirs::Heirs;
+use super::words::{Estate, LEAVES, VERSION, held};
+use crate::net::budget::OWN_DESCRIPTORS;
+use crate::net::crew::{Crew, Order};
+use crate::net::hub::Net;
+use crate::net::operators::counts::Counts;
+use crate::net::poll::Owner;
+use crate::net::turn::Due;
+
+/// How often the old process tells what it holds: as its clients leave, the new one may take more.
+const TELL: Micros = 100_000;
+
+/// The other processes of this balancer, as far as they are there.
+#[derive(Debug, Default)]
+pub struct Kin {
+    /// Where a new one asks; nowhere without a folder in common.
+    pub heirs: Option<Heirs>,
+    /// The old one.
+    pub forebear: Option<Forebear>,
+    /// Two processes take clients, by what was put in force last.
+    shared: bool,
+    /// Descriptors that this process may hold beside an heir, by what it was told last.
+    may_hold: Option<usize>,
+}
+
+impl Kin {
+    /// Those that are there at the start.
+    pub fn new(heirs: Option<Heirs>, forebear: Option<Forebear>) -> Self {
+        Kin { heirs, forebear, shared: false, may_hold: None }
+    }
+
+    /// Whether another process has taken this one's place.
+    pub fn has_heir(&self) -> bool {
+        self.heirs.as_ref().is_some_and(Heirs::has_one)
+    }
+
+    /// Whether two processes take clients now.
+    fn shares(&self, leaving: bool) -> bool {
+        (self.has_heir() && !leaving) || self.forebear.as_ref().is_some_and(|f| !f.leaves)
+    }
+}
+
+impl Net {
+    /// Whether two processes of this balancer take clients now, where that is to be put in force anew.
+    pub fn shares_anew(&mut self) -> Option<bool> {
+        let shares = self.kin.shares(self.leaving.is_some());
+        (std::mem::replace(&mut self.kin.shared, shares) != shares).then_some(shares)
+    }
+
+    /// Whether two processes take clients, by what was asked last.
+    pub fn shares(&self) -> bool {
+        self.kin.shared
+    }
+
+    /// The loop has seen something of another process.
+    pub fn kin_ready(&mut self, owner: Owner) {
+        let poller = &self.turn.poller;
+        match owner {
+            Owner::Heirs => {
+                let estate =
+                    Estate { version: VERSION, listeners: 0, held: self.may_hold(), known: self.listing() };
+                if let Some(heirs) = &mut self.kin.heirs {
+                    heirs.comes(poller, || estate.clone());
+                }
+            }
+            Owner::Heir(number) => self.kin.heirs.iter_mut().for_each(|heirs| heirs.ready(poller, number)),
+            _ => {
+                if self.kin.forebear.as_mut().is_some_and(|forebear| !forebear.ready()) {
+                    self.kin.forebear = None;
+                }
+                let others = self.kin.forebear.as_ref().map_or(0, |forebear| forebear.held);
+                self.others_hold(others);
+            }
+        }
+        self.heirs_change();
+    }
+
+    /// Hears heirs before a planned end: one that serves has said so before this process was told to end.
+    pub fn hears_heirs(&mut self) {
+        let poller = &self.turn.poller;
+        self.kin.heirs.iter_mut().for_each(|heirs| heirs.hears_all(poller));
+        self.heirs_change();
+    }
+
+    fn heirs_change(&mut self) {
+        let has = self.kin.has_heir();
+        if has != self.serving.has_heir {
+            self.tell_others(|_| Order::Heir(has));
+            self.has_heir(has);
+        }
+        if has && self.kin.may_hold.is_none() {
+            self.tells_heirs();
+        }
+    }
+
+    /// Another process takes clients in this one's place, or no longer: it may have died, and who waits at the listener
+    /// is this one's again.
+    pub fn has_heir(&mut self, has: bool) {
+        self.serving.has_heir = has;
+        if !has {
+            self.accepts_again();
+        }
+    }
+
+    /// What this process holds or may take, told to its heirs, and kept to.
+    pub fn tells_heirs(&mut self) {
+        if !self.kin.has_heir() {
+            self.kin.may_hold = None;
+            return self.others_hold(0);
+        }
+        // Only ever less: what it holds at times beyond that, to turn clients away, is not to become its own.
+        let may = self.may_hold().min(self.kin.may_hold.unwrap_or(usize::MAX));
+        self.kin.may_hold = Some(may);
+        if let Some(heirs) = &mut self.kin.heirs {
+            if self.leaving.is_some() {
+                heirs.tell(&[LEAVES, b"\n"].concat());
+            }
+            heirs.tell(held(may).as_bytes());
+        }
+        self.others_hold(self.serving.terms.sockets * self.workers() - may);
+        self.turn.after(TELL, Due::Kin);
+    }
+
+    fn workers(&self) -> usize {
+        self.crew.as_ref().map_or(1, Crew::len)
+    }
+
+    /// Descriptors that this process may hold beside another one: half of all, or what it has if that is more. One that
+    /// ends takes no more than those who wait still need.
+    fn may_hold(&self) -> usize {
+        self.serving.note_held();
+        let sums = self.desk.as_ref().map(|desk| Counts::of_all(&desk.counts)).unwrap_or_default();
+        let limit = self.serving.terms.sockets * self.workers();
+        let holds = OWN_DESCRIPTORS * self.workers() + sums.descriptors;
+        let half = if self.leaving.is_some() { 0 } else { limit / 2 };
+        holds.max(half).min(limit)
+    }
+
+    /// Another process holds so many descriptors of those that are allowed.
+    fn others_hold(&mut self, descriptors: usize) {
+        let each = descriptors / self.workers();
+        self.tell_others(|_| Order::OthersHold(each));
+        self.serving.others_hold(each);
+    }
+
+    /// The list as it stands, in discovery's form.
+    fn listing(&self) -> Listing {
+        let endpoints = self.serving.backends.endpoints(&self.serving.terms.names);
+        Listing { index: self.director.index(), snapshot: true, endpoints }
+    }
+}
--- /dev/null
+++ b/crates/balancer/src/net/handover/words.rs
@@ -0,0 +1,61 @@
+//! What the two processes tell each other, a line each, over a Unix socket that nobody else is to use. The listening
+//! descriptors come along with the first bytes of the first line.
+
+use serde::{Deserialize, Serialize};
+use shorewharf_protocol::list::Listing;
+
+/// Another form of these lines is another version; who finds one starts by itself.
+pub const VERSION: u32 = 1;
+/// Listeners that are handed over at most: one for each worker.
+pub const LISTENERS: usize = 16;
+/// The first line is no longer than this: a list takes up to a quarter of the memory, and more than this none.
+pub const LONGEST: usize = 16 << 20;
+/// The new process takes clients from now on.
+pub const SERVES: &[u8] = b"SERVES";
+/// The old process takes none from now on.
+pub const LEAVES: &[u8] = b"LEAVES";
+
+/// The first line: what the old process leaves to the new one.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Estate {
+    /// The version of these words.
+    pub version: u32,
+    /// Listeners that come along.
+    pub listeners: usize,
+    /// Descriptors that the old process holds or may take.
+    pub held: usize,
+    /// The list as it stands.
+    pub known: Listing,
+}
+
+/// The line that tells how many descriptors the old process holds or may take.
+pub fn held(descriptors: usize) -> String {
+    format!("HELD {descriptors}\n")
+}
+
+/// Reads that line, without its end.
+pub fn read_held(line: &[u8]) -> Option<usize> {
+    std::str::from_utf8(line.strip_prefix(b"HELD ")?).ok()?.parse().ok()
+}
+
+/// Takes the next line out of what has come, without its end.
+pub fn line(inbox: &mut Vec<u8>) -> Option<Vec<u8>> {
+    let end = inbox.iter().position(|b| *b == b'\n')?;
+    let mut line: Vec<u8> = inbox.drain(..=end).collect();
+    line.pop();
+    Some(line)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn lines_come_out_one_by_one_and_tell_what_was_said() {
+        let mut inbox = [held(17).as_bytes(), LEAVES, b"\nHEL"].concat();
+        assert_eq!(line(&mut inbox).as_deref().and_then(read_held), Some(17));
+        assert_eq!(line(&mut inbox).as_deref(), Some(LEAVES));
+        assert_eq!((line(&mut inbox), inbox.as_slice()), (None, &b"HEL"[..]));
+        assert_eq!([&b"HELD"[..], b"HELD x", b"HELD -1"].map(read_held), [None; 3]);
+    }
+}
--- a/crates/balancer/src/net/hub.rs
+++ b/crates/balancer/src/net/hub.rs
@@ -13,6 +13,7 @@
 use super::clients::open_ids::OpenIds;
 use super::crew::{Crew, Help, Order};
 use super::farewell::{Farewell, LEAVE_AFTER};
+use super::handover::overlap::Kin;
 use super::link::is_shortage;
 use super::list::director::{Director, News};
 use super::list::incoming::Incoming;
@@ -48,6 +49,8 @@
     pub desk: Option<Opened>,
     /// Servers that are taken out by hand.
     pub taken_out: BTreeMap<ServerId, Out>,
+    /// Other processes of this balancer.
+    pub kin: Kin,
 }
 
 /// All peers, and the turn that they act in.
@@ -56,7 +59,7 @@
     pub(super) turn: Turn,
     listener: TcpListener,
     /// The other workers, if there are any.
-    crew: Option<Crew>,
+    pub(super) crew: Option<Crew>,
     /// Clients may wait at the listener of a neighbour that stalls.
     can_help: bool,
     /// Clients may wait to be accepted: the last look did not show that none does.
@@ -66,9 +69,11 @@
     /// The next look for room is set.
     waits_for_room: bool,
     pub(super) serving: Serving,
-    director: Director,
+    pub(super) director: Director,
     /// Where operators call.
     pub(super) desk: Option<Desk>,
+    /// Other processes of this balancer.
+    pub(super) kin: Kin,
     /// When SIGTERM came.
     pub(super) leaving: Option<Micros>,
     /// It has ended, with so many clients still here.
@@ -89,6 +94,7 @@
             serving: Serving::new(terms, at.open_ids, at.counts),
             director: Director::new(discovery),
             desk: at.desk.map(Desk::from),
+            kin: at.kin,
             leaving: None,
             done: None,
         };
@@ -99,6 +105,8 @@
             net.serving.backends.change(Change::Out(server, out));
         }
         net.looks_into_folder();
+        // What the old process holds is taken off the limit from the start.
+        net.kin_ready(Owner::Forebear);
         net
     }
 
@@ -139,6 +147,7 @@
             Owner::Neighbour => (self.can_help, self.accepts) = (true, true),
             // Orders are not the peers'.
             Owner::Signals | Owner::Orders => {}
+            Owner::Heirs | Owner::Heir(_) | Owner::Forebear => self.kin_ready(owner),
             Owner::Operators | Owner::Caller(_) => {
                 self.desk.iter_mut().for_each(|d| d.door.ready(&mut self.turn, owner, ready));
             }
@@ -198,6 +207,7 @@
                 turn.after(DELAY_PERIOD, Due::Delays);
             }
             Due::Folder => self.looks_into_folder(),
+            Due::Kin => self.tells_heirs(),
             Due::Leaves => self.serving.leave_some(turn),
             Due::Caller(number) => self.desk.iter_mut().for_each(|d| d.door.alarmed(turn, number)),
             Due::Door => {
@@ -227,7 +237,16 @@
         self.done
     }
 
+    /// Those who wait at the listener are looked for again.
+    pub(super) fn accepts_again(&mut self) {
+        (self.can_accept, self.accepts) = (true, true);
+    }
+
     fn accept(&mut self, mut heard: impl FnMut(&mut Self)) {
+        if self.leaving.is_some() && self.serving.has_heir {
+            // Those who wait are the other process's, which has the same listener.
+            return;
+        }
         for _ in 0..self.turn.pressure.accepts() {
             if !self.can_accept && !self.can_help {
                 break;
@@ -295,10 +314,12 @@
     /// The planned end begins.
     pub fn stop_soon(&mut self) {
         if self.leaving.is_none() {
+            self.hears_heirs();
             self.leaving = Some(self.turn.now);
             let (sessions, waiting) = self.serving.close();
             let worker = self.crew.as_ref().map(Crew::me);
-            info!(event = "leaving", worker, sessions, waiting);
+            let heir = self.serving.has_heir;
+            info!(event = "leaving", worker, sessions, waiting, heir);
             self.turn.after(STEP, Due::Leave);
         }
     }
@@ -306,7 +327,9 @@
     /// The steps of a planned end: accept and answer, move everybody, refuse who still waits, go.
     fn leave(&mut self) {
         let Some(since) = self.leaving.map(|at| self.turn.now - at) else { return };
-        let farewell = Farewell::new(&self.serving.terms.give_up);
+        let give_up = &self.serving.terms.give_up;
+        let has_heir = self.serving.has_heir;
+        let farewell = if has_heir { Farewell::with_heir(give_up) } else { Farewell::new(give_up) };
         if since >= farewell.answers {
             self.serving.refuse_all(&mut self.turn);
         }
@@ -314,7 +337,7 @@
             self.serving.move_some(&mut self.turn, farewell.move_until.saturating_sub(since) / STEP);
         }
         let clients = self.serving.clients();
-        if since >= farewell.last || (since >= LEAVE_AFTER + STEP && clients == 0) {
+        if since >= farewell.last || (clients == 0 && (has_heir || since >= LEAVE_AFTER + STEP)) {
             self.done = Some(clients);
         }
         self.turn.after(STEP, Due::Leave);
@@ -336,6 +359,8 @@
             Order::Watch => self.watch(),
             Order::Probe(other, server) => self.check_on(server, Some(other)),
             Order::Changed(change) => self.changes(change),
+            Order::OthersHold(descriptors) => self.serving.others_hold(descriptors),
+            Order::Heir(has) => self.has_heir(has),
             Order::Probed(server, outcome) => self.turn.tell(Happening::Probed(server, outcome)),
             Order::Stop => self.stop_soon(),
             Order::Config(_) => {}
--- a/crates/balancer/src/net/list/director.rs
+++ b/crates/balancer/src/net/list/director.rs
@@ -77,6 +77,11 @@
         self.index = index;
     }
 
+    /// The version of the list that is held.
+    pub fn index(&self) -> u64 {
+        self.index
+    }
+
     /// Discovery is at another address from now on. Guards against an old list: the watch at the address
     /// before may live on for seconds and tell nothing, so a new one starts at once. It goes on from the
     /// version that is held; the list stays in force meanwhile.
--- a/crates/balancer/src/net/mod.rs
+++ b/crates/balancer/src/net/mod.rs
@@ -5,6 +5,7 @@
 mod complaints;
 mod crew;
 mod farewell;
+mod handover;
 mod hub;
 mod link;
 mod list;
--- a/crates/balancer/src/net/operators/counts.rs
+++ b/crates/balancer/src/net/operators/counts.rs
@@ -24,6 +24,8 @@
     pub dispatches: u64,
     /// Connections that were taken and have not ended.
     pub concurrent: usize,
+    /// Descriptors that connections hold.
+    pub descriptors: usize,
 }
 
 impl Sums {
@@ -39,6 +41,7 @@
         }
         self.dispatches += other.dispatches;
         self.concurrent += other.concurrent;
+        self.descriptors += other.descriptors;
     }
 }
 
@@ -71,9 +74,10 @@
         self.sums().dispatches += 1;
     }
 
-    /// So many connections that were taken have not ended.
-    pub fn holds(&self, concurrent: usize) {
-        self.sums().concurrent = concurrent;
+    /// So many connections that were taken have not ended, and so many descriptors are held in all.
+    pub fn holds(&self, concurrent: usize, descriptors: usize) {
+        let mut sums = self.sums();
+        (sums.concurrent, sums.descriptors) = (concurrent, descriptors);
     }
 
     /// All loops' sums together.
@@ -95,11 +99,11 @@
         loops[1].replied(1, Reply::Overload);
         loops[1].replied(1, Reply::Error);
         loops.iter().for_each(Counts::dispatched);
-        loops[0].holds(3);
-        loops[1].holds(4);
-        loops[0].holds(2);
+        loops[0].holds(3, 9);
+        loops[1].holds(4, 5);
+        loops[0].holds(2, 7);
         let sums = Counts::of_all(&loops);
-        assert_eq!((sums.dispatches, sums.concurrent), (2, 6));
+        assert_eq!((sums.dispatches, sums.concurrent, sums.descriptors), (2, 6, 12));
         let (first, second) =
             (Replies { success: 1, ..Replies::default() }, Replies { success: 0, overload: 1, error: 1 });
         assert_eq!(sums.replies, [first, second]);
--- a/crates/balancer/src/net/operators/folder.rs
+++ b/crates/balancer/src/net/operators/folder.rs
@@ -39,6 +39,11 @@
         Ok(Folder { path, odd: BTreeSet::new() })
     }
 
+    /// A place in it.
+    pub fn place(&self, name: &str) -> PathBuf {
+        self.path.join(name)
+    }
+
     fn file(&self, server: ServerId) -> PathBuf {
         self.path.join("out").join(hex(server))
     }
--- a/crates/balancer/src/net/poll.rs
+++ b/crates/balancer/src/net/poll.rs
@@ -40,6 +40,12 @@
     Operators,
     /// The operator's connection of this number.
     Caller(u64),
+    /// The socket at which new processes of this balancer ask.
+    Heirs,
+    /// The one of this number, which has asked.
+    Heir(u64),
+    /// The process that this one has asked.
+    Forebear,
 }
 
 /// An owner's kind stands in a token above its number.
@@ -64,6 +70,9 @@
             Owner::Neighbour => (7, 0),
             Owner::Operators => (8, 0),
             Owner::Caller(number) => (9, number),
+            Owner::Heirs => (10, 0),
+            Owner::Heir(number) => (11, number),
+            Owner::Forebear => (12, 0),
         };
         Token((kind << KIND | number) as usize)
     }
@@ -80,7 +89,10 @@
             6 => Owner::Orders,
             7 => Owner::Neighbour,
             8 => Owner::Operators,
-            _ => Owner::Caller(number),
+            9 => Owner::Caller(number),
+            10 => Owner::Heirs,
+            11 => Owner::Heir(number),
+            _ => Owner::Forebear,
         }
     }
 }
@@ -151,6 +163,11 @@
         self.0.register(link.stream(), owner.token(), Interest::READABLE | Interest::WRITABLE).is_ok()
     }
 
+    /// The same for what is no link.
+    pub fn watch_source(&self, source: &mut impl Source, owner: Owner) -> io::Result<()> {
+        self.0.register(source, owner.token(), Interest::READABLE | Interest::WRITABLE)
+    }
+
     /// Has the loop watch something that is only read.
     pub fn listen(&self, source: &mut impl Source, owner: Owner) -> io::Result<()> {
         self.0.register(source, owner.token(), Interest::READABLE)
@@ -185,6 +202,9 @@
             Owner::Neighbour,
             Owner::Operators,
             Owner::Caller(1 << 40),
+            Owner::Heirs,
+            Owner::Heir(7),
+            Owner::Forebear,
         ] {
             assert_eq!(Owner::of(owner.token()), owner);
         }
--- a/crates/balancer/src/net/servers/backends.rs
+++ b/crates/balancer/src/net/servers/backends.rs
@@ -5,6 +5,8 @@
 
 use shorewharf_decisions::interface::{ListEntry, ServerId, Stage};
 use shorewharf_driver::Micros;
+use shorewharf_protocol::list::Endpoint;
+use shorewharf_protocol::names::Names;
 use tracing::{info, warn};
 
 use crate::net::list::incoming::{Entry, Incoming};
@@ -151,6 +153,23 @@
         self.table.contains_key(&server)
     }
 
+    /// The list in discovery's form, as it stands but for who is taken out: that is kept apart.
+    pub fn endpoints(&self, names: &Names) -> Vec<Endpoint> {
+        let listed = self.table.iter().filter(|(id, _)| !self.gone.contains(id));
+        let zone = |at: u32| names.zones.iter().find(|(_, zone)| **zone == at).map(|(name, _)| name.clone());
+        let endpoint = |b: &Backend| Endpoint {
+            name: b.name.to_string(),
+            address: b.address.to_string(),
+            zone: zone(b.entry.zone).unwrap_or_default(),
+            kind: String::new(),
+            group: b.entry.cell,
+            status: if b.entry.stage == Stage::Ready { "Ready" } else { "Terminating" }.to_owned(),
+            weight: b.entry.weight,
+            since_ms: self.taken_out.seen(b.entry).born * 1e3,
+        };
+        listed.map(|(_, b)| endpoint(b)).collect()
+    }
+
     /// Servers that the last list names.
     pub fn listed(&self) -> usize {
         self.table.len() - self.gone.len()
@@ -231,7 +250,6 @@
     use super::*;
     use crate::net::list::incoming::server_id;
     use serde_json::json;
-    use shorewharf_protocol::names::Names;
 
     fn listing(snapshot: bool, servers: &[(&str, &str, &str)]) -> Incoming {
         let one = |(n, a, s): &(&str, &str, &str)| json!({"name": n, "address": a, "status": s});
--- a/crates/balancer/src/net/serving/mod.rs
+++ b/crates/balancer/src/net/serving/mod.rs
@@ -33,6 +33,8 @@
 const CARRY: Micros = 38_000_000;
 /// The wait told to clients whom the program refuses by itself.
 const COME_BACK: Micros = 300_000;
+/// The same where another process takes clients in this one's place.
+const COME_BACK_SOON: Micros = 10_000;
 /// The same where the program can't keep up: what helps is that fewer come.
 const COME_BACK_LATER: Micros = 1_000_000;
 
@@ -58,8 +60,12 @@
     leaves_in: usize,
     /// What operators are told of.
     counts: Counts,
+    /// Descriptors that another process of this balancer holds.
+    others_hold: usize,
     /// The program is about to end: nobody new is served.
     closing: bool,
+    /// Another process takes its clients.
+    pub has_heir: bool,
 }
 
 impl Serving {
@@ -78,14 +84,22 @@
             leaves: VecDeque::new(),
             leaves_in: 0,
             counts,
+            others_hold: 0,
             closing: false,
+            has_heir: false,
         }
     }
 
     /// Puts other terms in force; peers that are here stay.
     pub fn take_terms(&mut self, terms: Terms) {
-        self.budget.set_limit(terms.sockets);
         self.terms = terms;
+        self.others_hold(self.others_hold);
+    }
+
+    /// Another process of this balancer holds so many of the descriptors.
+    pub fn others_hold(&mut self, descriptors: usize) {
+        self.others_hold = descriptors;
+        self.budget.set_limit(self.terms.sockets.saturating_sub(descriptors));
     }
 
     /// Takes in a list from discovery: what the module is told of it.
@@ -230,7 +244,8 @@
         }
         if self.closing {
             // What is taken now would only have to move: the front stops sending here in a moment.
-            return self.refuse(turn, id, LEAVE_AFTER);
+            let after = if self.has_heir { COME_BACK_SOON } else { LEAVE_AFTER };
+            return self.refuse(turn, id, after);
         }
         if home.is_none() && !turn.pressure.admits() {
             // Guards those who stand: a refusal costs a tenth of a set-up.
@@ -273,7 +288,8 @@
 
     /// Tells operators how many connections are held that were taken.
     pub fn note_held(&self) {
-        self.counts.holds(self.sessions.len() - self.sessions.unserved());
+        let held = self.held();
+        self.counts.holds(self.sessions.len() - held.unserved, held.all);
     }
 
     fn answer(&mut self, turn: &mut Turn, id: RequestId, words: &[u8]) {
--- a/crates/balancer/src/net/turn.rs
+++ b/crates/balancer/src/net/turn.rs
@@ -39,6 +39,8 @@
     Folder,
     /// More clients leave servers that were taken out.
     Leaves,
+    /// Other processes of this balancer are told what this one holds.
+    Kin,
     /// Operators that could not be accepted may be by now.
     Door,
 }
--- a/crates/balancer/src/net/workers.rs
+++ b/crates/balancer/src/net/workers.rs
@@ -21,11 +21,14 @@
 use super::Clock;
 use super::clients::open_ids::OpenIds;
 use super::crew::{Crew, Order, Seat};
+use super::handover::forebear::{self, Forebear, Inherited};
+use super::handover::heirs::Heirs;
+use super::handover::overlap::Kin;
 use super::hub::{Net, Place};
 use super::operators::counts::Counts;
 use super::operators::desk::Opened;
 use super::operators::folder::Folder;
-use super::poll::{Owner, Ready, Watch};
+use super::poll::{Owner, Poller, Ready, Watch};
 use super::reload;
 use super::terms::Terms;
 use super::turn::Turn;
@@ -48,6 +51,18 @@
     workers: usize,
 }
 
+impl Lead {
+    /// What one of the workers goes by. Two processes that take clients are one balancer: each keeps to half of what
+    /// pushes a cold server over.
+    fn own(&self, worker: usize, shares: bool) -> Config {
+        let mut own = self.config.of_worker(worker, self.workers);
+        if shares {
+            own.settings.fall_multiple *= 0.5;
+        }
+        own
+    }
+}
+
 /// The peers of a worker, and the driver that stands between them and the decisions.
 struct Worker {
     net: Net,
@@ -73,6 +88,17 @@
         }
         let driver = &mut self.driver;
         self.net.finish(|net| driver.settle(net));
+        if self.net.shares_anew().is_some() {
+            self.enforce();
+        }
+    }
+
+    /// Puts the configuration in force again: another process of this balancer has come or gone.
+    fn enforce(&mut self) {
+        let Some(lead) = &self.lead else { return };
+        let shares = self.net.shares();
+        self.net.tell_others(|worker| Order::Config(Box::new(lead.own(worker, shares))));
+        reload::apply(&lead.own(0, shares), &mut self.net, &mut self.driver);
     }
 
     fn ordered(&mut self) {
@@ -106,9 +132,7 @@
             // Nothing of a file that is wrong anywhere is applied.
             return error!(event = "reload-refused", key = e.key(), why = %e.why());
         }
-        let own = |worker| lead.config.of_worker(worker, lead.workers);
-        self.net.tell_others(|worker| Order::Config(Box::new(own(worker))));
-        reload::apply(&own(0), &mut self.net, &mut self.driver);
+        self.enforce();
     }
 }
 
@@ -208,6 +232,44 @@
         .ok()
 }
 
+/// Where new processes ask this one.
+const SOCKET: &str = "process";
+
+/// What another process of this balancer leaves, with its listeners; none where there is none, or it does not fit.
+fn inherit(folder: &Folder, config: &Config) -> Option<(Vec<std::net::TcpListener>, Inherited)> {
+    let mut inherited = forebear::ask(&folder.place(SOCKET))
+        .inspect_err(|e| {
+            if !matches!(e.kind(), io::ErrorKind::NotFound | io::ErrorKind::ConnectionRefused) {
+                warn!(event = "not-inherited", why = %e);
+            }
+        })
+        .ok()?;
+    let listeners = std::mem::take(&mut inherited.listeners);
+    let fits = listeners.len() == config.operator.workers
+        && listeners.iter().all(|l| l.local_addr().is_ok_and(|at| at == config.listen));
+    if !fits {
+        let why =
+            format!("{} listeners, not all at {} or not for as many workers", listeners.len(), config.listen);
+        warn!(event = "not-inherited", why);
+    }
+    fits.then_some((listeners, inherited))
+}
+
+/// Stands between the process before and the next: tells the one that this one serves, and offers all to the other.
+fn between(
+    folder: &Folder,
+    listeners: &[std::net::TcpListener],
+    inherited: Option<Inherited>,
+    poller: &Poller,
+) -> io::Result<Kin> {
+    let listeners = listeners.iter().map(|l| l.try_clone()).collect::<io::Result<_>>()?;
+    let heirs = Heirs::open(folder.place(SOCKET), listeners, poller).inspect_err(|e| {
+        warn!(event = "not-offered", why = %e);
+    });
+    let forebear = inherited.map(|i| Forebear::told(i, poller)).transpose();
+    Ok(Kin::new(heirs.ok(), forebear.unwrap_or(None)))
+}
+
 /// Ends the program if its thread panics: clients must not wait for a worker that is gone.
 struct OneForAll;
 
@@ -232,13 +294,19 @@
     // Before anything is opened: a SIGHUP that nobody waits for ends the program.
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     watches[0].poller()?.listen(&mut signals, Owner::Signals)?;
-    // Another process may come to listen beside this one.
-    let several = workers > 1 || config.operator_at.is_some();
-    let mut listeners = vec![listen(config.listen, several)?];
+    // Where operators may call there may be another process of this balancer, with as many listeners.
+    let mut folder = config.operator_at.filter(|_| config.listen.port() != 0);
+    let mut folder = folder.take().and_then(|_| common_folder(config.listen));
+    let inherited = folder.as_ref().and_then(|f| inherit(f, &config));
+    let (mut listeners, inherited) = match inherited {
+        Some((listeners, inherited)) => (listeners, Some(inherited)),
+        // It may have to listen beside another one.
+        None => (vec![listen(config.listen, workers > 1 || config.operator_at.is_some())?], None),
+    };
     let mut door = config.operator_at.map(listen_to_operators).transpose()?;
     // The port may have been left to the system for the first one only.
     let at = listeners[0].local_addr()?;
-    for _ in 1..workers {
+    for _ in listeners.len()..workers {
         listeners.push(listen(at, true)?);
     }
     let mut crew = Vec::new();
@@ -250,10 +318,20 @@
     let mut crew = Crew::of(crew).into_iter().map(Some).collect::<Vec<_>>();
     crew.resize_with(workers, || None);
     let (clock, open_ids) = (Clock::new(), OpenIds::default());
-    let mut folder = door.as_ref().and_then(|_| common_folder(at));
+    if door.is_some() && folder.is_none() {
+        folder = common_folder(at);
+    }
     let taken_out = folder.as_mut().and_then(|f| f.read(&BTreeMap::new()).ok()).unwrap_or_default();
     let counts: Vec<_> = (0..workers).map(|_| Counts::default()).collect();
+    if let Some(inherited) = inherited.as_ref().filter(|i| !i.estate.known.endpoints.is_empty()) {
+        config.known = inherited.estate.known.clone();
+    }
     let known = Arc::new(std::mem::take(&mut config.known));
+    let mut kin = Kin::default();
+    if let (Some(folder), Some(_)) = (&folder, &door) {
+        kin = between(folder, &listeners, inherited, &watches[0].poller()?)?;
+    }
+    let mut kin = Some(kin);
     let place = |((listener, crew), own): (_, &Counts)| Place {
         listener: TcpListener::from_std(listener),
         crew,
@@ -265,6 +343,7 @@
             folder: folder.take(),
         }),
         taken_out: taken_out.clone(),
+        kin: kin.take().unwrap_or_default(),
     };
     let places = listeners.into_iter().zip(crew).zip(&counts).map(place);
     let mut starts: Vec<Start> = watches
--- a/crates/balancer/tests/sockets/main.rs
+++ b/crates/balancer/tests/sockets/main.rs
@@ -5,6 +5,7 @@
 mod model;
 mod operators;
 mod reload;
+mod upgrade;
 mod workers;
 
 use std::io::{ErrorKind, Write};
--- a/crates/emulator/src/standin/peer.rs
+++ b/crates/emulator/src/standin/peer.rs
@@ -57,6 +57,11 @@
         self.0.get_mut().write_all(bytes).expect("the program reads");
     }
 
+    /// The same to one that may have left.
+    pub fn try_put(&mut self, bytes: &[u8]) -> bool {
+        self.0.get_mut().write_all(bytes).is_ok()
+    }
+
     /// Waits for what comes next.
     #[track_caller]
     pub fn hear(&mut self) -> Heard {
