Hand standing connections to the new process with their descriptors

Traced with logs at debug, per second and server. A quiet connection goes over the socket between the processes with both its descriptors, its request and its load; the module takes it as one that stood before the start. What is not quiet for a second is moved as before.

--- a/crates/balancer/src/net/clients/session.rs
+++ b/crates/balancer/src/net/clients/session.rs
@@ -165,6 +165,22 @@
         }
     }
 
+    /// One that stands, from another process of this balancer.
+    pub(super) fn adopted(
+        link: Link,
+        from: SocketAddr,
+        now: Micros,
+        (open_id, asked): (u64, Option<Micros>),
+    ) -> Self {
+        let (open_id, asked) = (Some(open_id), asked.map(|at| at.min(now)));
+        Session { stage: Stage::Open, open_id, asked, ..Session::new(link, from, now) }
+    }
+
+    /// Whether it can go on in another process as it is.
+    pub fn can_go(&self) -> bool {
+        self.stage == Stage::Open && self.half_open.is_none() && self.link.is_idle()
+    }
+
     /// When something of it is due next.
     pub(super) fn due(&self, turn: &Turn) -> Option<Micros> {
         let judges_from = turn.judges_from();
@@ -231,7 +247,7 @@
     }
 
     /// The id that it opened with, while that is its own.
-    pub(super) fn open_id(&self) -> Option<u64> {
+    pub fn open_id(&self) -> Option<u64> {
         self.open_id
     }
 
--- a/crates/balancer/src/net/clients/sessions.rs
+++ b/crates/balancer/src/net/clients/sessions.rs
@@ -6,6 +6,7 @@
 use mio::net::TcpStream;
 use rustc_hash::FxHashMap;
 use shorewharf_decisions::interface::RequestId;
+use shorewharf_driver::Micros;
 
 use super::open_ids::OpenIds;
 use super::session::{Asking, Session, Stage, next_free};
@@ -52,6 +53,32 @@
         Some(id)
     }
 
+    /// Takes in a session that stands, from another process of this balancer; none where an open request has its id, or
+    /// it can't be watched.
+    pub fn adopt(
+        &mut self,
+        turn: &mut Turn,
+        stream: TcpStream,
+        from: SocketAddr,
+        (open_id, asked): (u64, Option<Micros>),
+        in_use: impl Fn(RequestId) -> bool,
+    ) -> Option<RequestId> {
+        let mut link = Link::new(stream);
+        let id = next_free(RequestId(self.next), |id| self.table.contains_key(&id) || in_use(id));
+        self.next = id.0.wrapping_add(1);
+        if !self.open_ids.claim(open_id) {
+            return None;
+        }
+        if !turn.poller.watch(&mut link, Owner::Session(id)) {
+            self.open_ids.free(open_id);
+            return None;
+        }
+        let session = Session::adopted(link, from, turn.now, (open_id, asked));
+        self.table.insert(id, Box::new(session));
+        self.arm(turn, id);
+        Some(id)
+    }
+
     /// A session.
     pub fn get(&self, id: RequestId) -> Option<&Session> {
         self.table.get(&id).map(|s| &**s)
--- a/crates/balancer/src/net/farewell.rs
+++ b/crates/balancer/src/net/farewell.rs
@@ -24,13 +24,15 @@
     pub last: Micros,
 }
 
-/// With another process in its place clients leave from here on, over the time there is.
-const HEIR_FROM: Micros = 200_000;
+/// With another process in its place standing connections go on there; clients whose connections could not go by now are
+/// moved, over the time there is.
+const HEIR_FROM: Micros = 1_000_000;
 
 impl Farewell {
     /// The same where another process has taken this one's place: who is moved comes back to that one.
     pub fn with_heir(give_up: &[Micros]) -> Self {
-        Farewell { move_from: HEIR_FROM, ..Farewell::new(give_up) }
+        let usual = Farewell::new(give_up);
+        Farewell { move_from: usual.move_from.min(HEIR_FROM), ..usual }
     }
 
     /// The steps where clients of each class wait so long.
--- a/crates/balancer/src/net/handover/forebear.rs
+++ b/crates/balancer/src/net/handover/forebear.rs
@@ -1,21 +1,27 @@
 //! The new process's side: what the old one leaves, and whether it is still there.
 
-use std::io::{self, ErrorKind, IoSliceMut, Read, Write};
+use std::collections::VecDeque;
+use std::io::{self, ErrorKind, IoSliceMut, Write};
 use std::mem::MaybeUninit;
 use std::net::TcpListener;
+use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixStream as StdUnixStream;
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-use mio::net::UnixStream;
+use mio::net::{TcpStream, UnixStream};
 use rustix::net::{RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, recvmsg};
+use tracing::warn;
 
-use super::words::{Estate, LEAVES, LISTENERS, LONGEST, SERVES, VERSION, line, read_held};
+use super::words::{Estate, LEAVES, LISTENERS, LONGEST, SERVES, Standing, VERSION, line, read_held};
 use crate::net::poll::{Owner, Poller};
 
 /// The old process has this long to answer: its loop may be busy, and the start has 6 s in all.
 const PATIENCE: Duration = Duration::from_millis(1500);
 
+/// A line of the old process's is no longer: names are lines of the platform's at the most.
+const LINE: usize = 16 << 10;
+
 /// What the old process has left.
 #[derive(Debug)]
 pub struct Inherited {
@@ -73,6 +79,10 @@
     pub held: usize,
     /// It takes no clients any more.
     pub leaves: bool,
+    /// Descriptors that came along, in their order.
+    ends: VecDeque<OwnedFd>,
+    /// Standing connections that came along and are to be taken in: the client's end and the server's.
+    pub stands: Vec<(Standing, TcpStream, TcpStream)>,
 }
 
 impl Forebear {
@@ -82,16 +92,26 @@
         let mut stream = UnixStream::from_std(inherited.stream);
         poller.watch_source(&mut stream, Owner::Forebear)?;
         stream.write_all(&[SERVES, b"\n"].concat())?;
-        Ok(Forebear { stream, inbox: Vec::new(), held: inherited.estate.held, leaves: false })
+        let (inbox, ends, stands) = Default::default();
+        Ok(Forebear { stream, inbox, held: inherited.estate.held, leaves: false, ends, stands })
     }
 
     /// Hears what it says; false once it is gone.
     pub fn ready(&mut self) -> bool {
-        let mut bytes = [0; 1024];
+        let mut bytes = [0; LINE];
         loop {
-            match self.stream.read(&mut bytes) {
-                Ok(0) => return false,
-                Ok(n) => self.inbox.extend_from_slice(&bytes[..n]),
+            let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(LISTENERS))];
+            let mut control = RecvAncillaryBuffer::new(&mut space);
+            let into = &mut [IoSliceMut::new(&mut bytes)];
+            let got = recvmsg(&self.stream, into, &mut control, RecvFlags::CMSG_CLOEXEC);
+            for message in control.drain() {
+                if let RecvAncillaryMessage::ScmRights(fds) = message {
+                    self.ends.extend(fds);
+                }
+            }
+            match got.map_err(io::Error::from) {
+                Ok(got) if got.bytes == 0 => return false,
+                Ok(got) => self.inbox.extend_from_slice(&bytes[..got.bytes]),
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return true,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(_) => return false,
@@ -99,12 +119,31 @@
             while let Some(line) = line(&mut self.inbox) {
                 self.leaves |= line == LEAVES;
                 self.held = read_held(&line).unwrap_or(self.held);
+                if let Some(standing) = Standing::read(&line) {
+                    self.comes_along(standing);
+                }
             }
-            if self.inbox.len() > bytes.len() {
+            if self.inbox.len() > LINE {
                 return false;
             }
         }
     }
+
+    /// A standing connection has come along. Its ends came with the first byte of its line, so they are here.
+    fn comes_along(&mut self, standing: Result<Standing, serde_json::Error>) {
+        let (client, server) = (self.ends.pop_front(), self.ends.pop_front());
+        match (standing, client, server) {
+            (Ok(standing), Some(client), Some(server)) => {
+                let [client, server] = [client, server].map(|end| TcpStream::from_std(end.into()));
+                self.stands.push((standing, client, server));
+            }
+            (standing, ..) => {
+                let why =
+                    standing.err().map_or_else(|| "without its descriptors".to_owned(), |e| e.to_string());
+                warn!(event = "not-taken-over", why);
+            }
+        }
+    }
 }
 
 #[cfg(test)]
--- a/crates/balancer/src/net/handover/heirs.rs
+++ b/crates/balancer/src/net/handover/heirs.rs
@@ -4,7 +4,7 @@
 use std::io::{self, ErrorKind, IoSlice, Read, Write};
 use std::mem::MaybeUninit;
 use std::net::TcpListener;
-use std::os::fd::AsFd;
+use std::os::fd::{AsFd, BorrowedFd};
 use std::path::{Path, PathBuf};
 
 use mio::net::{UnixListener, UnixStream};
@@ -162,6 +162,25 @@
         self.table.values().any(|heir| heir.serves)
     }
 
+    /// Hands a standing connection to the one that serves: false where it can't be now. What is sent is sent whole.
+    pub fn hand_over(&mut self, line: &[u8], ends: &[BorrowedFd<'_>]) -> bool {
+        let Some(heir) = self.table.values_mut().rev().find(|heir| heir.serves) else { return false };
+        if !heir.writes(&self.listeners) || !heir.outbox.is_empty() {
+            return false;
+        }
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
+        let mut control = SendAncillaryBuffer::new(&mut space);
+        control.push(SendAncillaryMessage::ScmRights(ends));
+        match sendmsg(&heir.stream, &[IoSlice::new(line)], &mut control, SendFlags::NOSIGNAL) {
+            Ok(sent) => {
+                heir.outbox.extend_from_slice(&line[sent..]);
+                heir.writes(&self.listeners);
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
     /// Tells them a line; one that does not read gets what it can hold.
     pub fn tell(&mut self, line: &[u8]) {
         for heir in self.table.values_mut().filter(|heir| heir.outbox.is_empty()) {
--- a/crates/balancer/src/net/handover/overlap.rs
+++ b/crates/balancer/src/net/handover/overlap.rs
@@ -1,7 +1,9 @@
 //! While two processes of one balancer run: what each may take, so that together they keep to what one may.
 
+use shorewharf_decisions::interface::{Request, RequestId};
 use shorewharf_driver::Micros;
 use shorewharf_protocol::list::Listing;
+use tracing::warn;
 
 use super::forebear::Forebear;
 use super::heirs::Heirs;
@@ -71,7 +73,15 @@
             }
             Owner::Heir(number) => self.kin.heirs.iter_mut().for_each(|heirs| heirs.ready(poller, number)),
             _ => {
-                if self.kin.forebear.as_mut().is_some_and(|forebear| !forebear.ready()) {
+                let Some(forebear) = &mut self.kin.forebear else { return };
+                let stays = forebear.ready();
+                for (standing, client, server) in std::mem::take(&mut forebear.stands) {
+                    let from = standing.client;
+                    if !self.serving.take_over(&mut self.turn, standing, client, server) {
+                        warn!(event = "not-taken-over", client = %from);
+                    }
+                }
+                if !stays {
                     self.kin.forebear = None;
                 }
                 let others = self.kin.forebear.as_ref().map_or(0, |forebear| forebear.held);
@@ -127,6 +137,20 @@
         self.turn.after(TELL, Due::Kin);
     }
 
+    /// Hands standing connections to the process in this one's place. `module` tells what the module has of one.
+    pub fn hands_over(&mut self, module: impl Fn(RequestId) -> Option<(Request, Option<f64>)>) {
+        if !std::mem::take(&mut self.hands_over) || !self.serving.has_heir {
+            return;
+        }
+        let Some(heirs) = &mut self.kin.heirs else { return };
+        for id in self.serving.can_go() {
+            let Some(state) = module(id) else { continue };
+            if !self.serving.hand_over(&mut self.turn, id, state, heirs) {
+                break;
+            }
+        }
+    }
+
     fn workers(&self) -> usize {
         self.crew.as_ref().map_or(1, Crew::len)
     }
--- a/crates/balancer/src/net/handover/words.rs
+++ b/crates/balancer/src/net/handover/words.rs
@@ -1,7 +1,10 @@
 //! What the two processes tell each other, a line each, over a Unix socket that nobody else is to use. The listening
 //! descriptors come along with the first bytes of the first line.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
+use shorewharf_driver::Micros;
 use shorewharf_protocol::list::Listing;
 
 /// Another form of these lines is another version; who finds one starts by itself.
@@ -28,6 +31,47 @@
     pub known: Listing,
 }
 
+/// A standing connection that goes along; the client's descriptor and the server's come with its first byte.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Standing {
+    /// Where the client comes from.
+    pub client: SocketAddr,
+    /// The server's id.
+    pub server: u64,
+    /// The id that it opened with.
+    pub id: u64,
+    /// Its class, by name.
+    pub class: String,
+    /// Its tenant, by name; empty where it named none.
+    pub tenant: String,
+    /// Its key.
+    pub key: u64,
+    /// Its group.
+    pub group: u64,
+    /// Its load as it was guessed first, in work a second.
+    pub hint: Option<f64>,
+    /// Its load as it was told last.
+    pub load: Option<f64>,
+    /// Since when a line of the client's has gone unanswered, in microseconds of Unix time.
+    pub asked: Option<Micros>,
+}
+
+/// What such a line begins with.
+const STANDS: &[u8] = b"STANDS ";
+
+impl Standing {
+    /// Its line.
+    pub fn line(&self) -> Vec<u8> {
+        // Names and numbers, which can be written as JSON.
+        [STANDS, &serde_json::to_vec(self).unwrap_or_default(), b"\n"].concat()
+    }
+
+    /// Reads a line, without its end; none where it is another one.
+    pub fn read(line: &[u8]) -> Option<Result<Self, serde_json::Error>> {
+        line.strip_prefix(STANDS).map(serde_json::from_slice)
+    }
+}
+
 /// The line that tells how many descriptors the old process holds or may take.
 pub fn held(descriptors: usize) -> String {
     format!("HELD {descriptors}\n")
--- a/crates/balancer/src/net/hub.rs
+++ b/crates/balancer/src/net/hub.rs
@@ -74,6 +74,8 @@
     pub(super) desk: Option<Desk>,
     /// Other processes of this balancer.
     pub(super) kin: Kin,
+    /// Standing connections are to go on in another process, in this turn.
+    pub(super) hands_over: bool,
     /// When SIGTERM came.
     pub(super) leaving: Option<Micros>,
     /// It has ended, with so many clients still here.
@@ -95,6 +97,7 @@
             director: Director::new(discovery),
             desk: at.desk.map(Desk::from),
             kin: at.kin,
+            hands_over: false,
             leaving: None,
             done: None,
         };
@@ -321,6 +324,7 @@
             let heir = self.serving.has_heir;
             info!(event = "leaving", worker, sessions, waiting, heir);
             self.turn.after(STEP, Due::Leave);
+            self.hands_over = heir;
         }
     }
 
@@ -336,6 +340,7 @@
         if since >= farewell.move_from {
             self.serving.move_some(&mut self.turn, farewell.move_until.saturating_sub(since) / STEP);
         }
+        self.hands_over = has_heir;
         let clients = self.serving.clients();
         if since >= farewell.last || (clients == 0 && (has_heir || since >= LEAVE_AFTER + STEP)) {
             self.done = Some(clients);
--- a/crates/balancer/src/net/link.rs
+++ b/crates/balancer/src/net/link.rs
@@ -64,6 +64,11 @@
         Ok(Link { can_read: false, can_write: false, ..Link::new(stream) })
     }
 
+    /// Whether nothing of it is on its way here: it can go on elsewhere as it is.
+    pub fn is_idle(&self) -> bool {
+        self.inbox.is_none() && self.outbox.is_none() && !self.mid_line && self.ended.is_none() && !self.shut
+    }
+
     /// The stream, for the loop to watch.
     pub fn stream(&mut self) -> &mut TcpStream {
         &mut self.stream
--- a/crates/balancer/src/net/poll.rs
+++ b/crates/balancer/src/net/poll.rs
@@ -163,6 +163,12 @@
         self.0.register(link.stream(), owner.token(), Interest::READABLE | Interest::WRITABLE).is_ok()
     }
 
+    /// No longer, though its other side goes on elsewhere.
+    pub fn unwatch(&self, link: &mut Link) {
+        // Fails only where it was not watched.
+        let _ = self.0.deregister(link.stream());
+    }
+
     /// The same for what is no link.
     pub fn watch_source(&self, source: &mut impl Source, owner: Owner) -> io::Result<()> {
         self.0.register(source, owner.token(), Interest::READABLE | Interest::WRITABLE)
--- a/crates/balancer/src/net/servers/fetches.rs
+++ b/crates/balancer/src/net/servers/fetches.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use mio::net::TcpStream;
 use rustc_hash::FxHashMap;
 use shorewharf_decisions::interface::{Outcome, RequestId, ServerId};
 use shorewharf_driver::Micros;
@@ -154,6 +155,11 @@
         })
     }
 
+    /// Whether it can go on in another process as it is.
+    pub fn can_go(&self) -> bool {
+        self.stage == Stage::Up && self.last == LastWord::Other && self.link.is_idle()
+    }
+
     /// The server has taken the client.
     pub fn stands(&mut self, now: Micros, id: RequestId) {
         self.stage = Stage::Up;
@@ -271,6 +277,21 @@
         Ok(())
     }
 
+    /// Takes in a fetch that stands, from another process of this balancer; false where it can't be watched.
+    pub fn adopt(&mut self, turn: &mut Turn, id: RequestId, server: ServerId, stream: TcpStream) -> bool {
+        let mut link = Link::new(stream);
+        if !turn.poller.watch(&mut link, Owner::Fetch(id)) {
+            return false;
+        }
+        let voice = Rc::clone(self.voices.entry(server).or_default());
+        let (stage, last, connected_by, until) = (Stage::Up, LastWord::Other, turn.now, turn.now);
+        let (alarm, answered, dispatched) = (Alarm::default(), None, true);
+        let fetch =
+            Fetch { link, server, voice, stage, connected_by, until, last, alarm, answered, dispatched };
+        self.table.insert(id, Box::new(fetch));
+        true
+    }
+
     /// A req's fetch.
     pub fn get(&self, id: RequestId) -> Option<&Fetch> {
         self.table.get(&id).map(|f| &**f)
--- a/crates/balancer/src/net/serving/mod.rs
+++ b/crates/balancer/src/net/serving/mod.rs
@@ -2,6 +2,7 @@
 //! happens, and carries out what it wants of them.
 
 mod due;
+mod handing;
 mod standing;
 
 use std::collections::VecDeque;
--- a/crates/balancer/src/net/workers.rs
+++ b/crates/balancer/src/net/workers.rs
@@ -88,6 +88,9 @@
         }
         let driver = &mut self.driver;
         self.net.finish(|net| driver.settle(net));
+        let gate = driver.gate();
+        self.net.hands_over(|id| gate.standing(id));
+        driver.settle(&mut self.net);
         if self.net.shares_anew().is_some() {
             self.enforce();
         }
--- a/crates/decisions/src/outside.rs
+++ b/crates/decisions/src/outside.rs
@@ -1,7 +1,7 @@
 //! What others who decide beside the module may tell it, and what they share with it: whether repeats are worth their
 //! cost, who was asked to move and where to, and the order of servers that all instances draw alike.
 
-use crate::interface::{RequestId, ServerId};
+use crate::interface::{Request, RequestId, ServerId};
 use crate::state::{Balancer, Reservation, Server, hash, unit};
 
 /// A server's place for a group, the same at every instance: weighted rendezvous hashing, lowest first.
@@ -20,6 +20,12 @@
         self.repeats = yes;
     }
 
+    /// What is known of a standing connection that is not about to move: what it asked for, and its load where that was told.
+    pub fn standing(&self, id: RequestId) -> Option<(Request, Option<f64>)> {
+        let client = self.clients.get(&id).filter(|c| c.on.is_some() && !c.answered)?;
+        Some((client.request, client.told.then_some(client.load)))
+    }
+
     /// Servers that get nothing new now: frozen, locked or spent.
     pub fn avoided(&self, now: f64) -> Vec<ServerId> {
         let avoided = |s: &&Server| !self.in_service(s, now) || now < s.slow_until;
--- a/crates/driver/src/gate.rs
+++ b/crates/driver/src/gate.rs
@@ -106,6 +106,11 @@
         self.balancer.care()
     }
 
+    /// What is known of a standing connection: what it asked for, and its load where that was told.
+    pub fn standing(&self, id: RequestId) -> Option<(Request, Option<f64>)> {
+        self.balancer.standing(id)
+    }
+
     /// Servers that get nothing new now, whatever the reason.
     pub fn avoided(&self, now: f64) -> Vec<ServerId> {
         self.balancer.avoided(now)
--- a/crates/recovery/src/care.rs
+++ b/crates/recovery/src/care.rs
@@ -494,6 +494,11 @@
         self.estimate.fleet(now, &self.module)
     }
 
+    /// What is known of a standing connection: what it asked for, and its load where that was told.
+    pub fn standing(&self, id: RequestId) -> Option<(Request, Option<f64>)> {
+        self.module.standing(id)
+    }
+
     /// Servers that get nothing new now.
     pub fn avoided(&self, now: f64) -> Vec<ServerId> {
         self.module.avoided(now)
