--- a/crates/balancer/tests/sockets/main.rs
+++ b/crates/balancer/tests/sockets/main.rs
@@ -2,6 +2,7 @@
 
 mod bad;
 mod cli;
+mod counts;
 mod model;
 mod operators;
 mod reload;
