Move a client that can't go on in the new process, and heed a folder that is readable again

Need, found in a last read: a standing connection whose class the new process does not know was cut off without MOVE, which breaks the rule on lost connections; after one failed read of the common folder this process ignored for good what others put back; and an heir that died took the path from another one that serves. Each has its line; the first two have a test on sockets.

--- a/crates/balancer/src/net/handover/heirs.rs
+++ b/crates/balancer/src/net/handover/heirs.rs
@@ -141,8 +141,9 @@
         }
         let served = heir.serves;
         self.table.remove(&number);
-        // It had taken the path; the next one must find this process again.
+        // The last of them had taken the path; the next one must find this process again.
         if served
+            && !self.has_one()
             && let Ok(mut listener) = listen(&self.path)
             && poller.listen(&mut listener, Owner::Heirs).is_ok()
         {
--- a/crates/balancer/src/net/operators/desk.rs
+++ b/crates/balancer/src/net/operators/desk.rs
@@ -1,5 +1,7 @@
 //! What the calls ask for, done: the door's words go to those whose they are.
 
+use std::collections::BTreeSet;
+
 use mio::net::TcpListener;
 use shorewharf_decisions::interface::ServerId;
 use shorewharf_driver::{Happening, Micros, seconds};
@@ -33,7 +35,7 @@
 impl From<Opened> for Desk {
     fn from(opened: Opened) -> Self {
         let Opened { listener, counts, folder } = opened;
-        Desk { door: Door::new(listener), counts, folder, ails: false }
+        Desk { door: Door::new(listener), counts, folder, unkept: BTreeSet::new(), ails: false }
     }
 }
 
@@ -46,8 +48,10 @@
     pub counts: Vec<Counts>,
     /// What is kept for the next process; none where there is no place for it.
     pub folder: Option<Folder>,
+    /// Servers that are out and could not be kept: that the folder does not have them says nothing.
+    unkept: BTreeSet<ServerId>,
     /// The folder could not be read or written, and that was told.
-    pub ails: bool,
+    ails: bool,
 }
 
 impl Desk {
@@ -109,6 +113,10 @@
         }
         if let Some(desk) = &mut self.desk {
             let done = desk.folder.as_ref().map_or(Ok(()), |folder| folder.keep(server, &name));
+            match done {
+                Ok(()) => desk.unkept.remove(&server),
+                Err(_) => desk.unkept.insert(server),
+            };
             desk.told(done);
         }
         Answer::Yes
@@ -123,6 +131,7 @@
         // The file first: as long as it is there it would be taken out again.
         if let Some(desk) = &mut self.desk {
             let done = desk.folder.as_ref().map_or(Ok(()), |folder| folder.let_go(server));
+            desk.unkept.remove(&server);
             desk.told(done);
         }
         self.change(Change::Back(server, seconds(self.turn.now)), "a call");
@@ -165,8 +174,12 @@
         self.turn.after(LOOK, Due::Folder);
         match folder.read(&known) {
             Ok(out) => {
+                desk.ails &= !desk.unkept.is_empty();
                 // What could not be kept is out all the same.
-                let back = known.keys().filter(|server| !out.contains_key(server) && !desk.ails).copied();
+                let back = known
+                    .keys()
+                    .filter(|server| !out.contains_key(server) && !desk.unkept.contains(server))
+                    .copied();
                 let back: Vec<_> = back.map(|server| Change::Back(server, seconds(self.turn.now))).collect();
                 let news = out.into_iter().filter(|(server, _)| !known.contains_key(server));
                 let news: Vec<_> = news.map(|(server, out)| Change::Out(server, out)).collect();
--- a/crates/balancer/src/net/serving/handing.rs
+++ b/crates/balancer/src/net/serving/handing.rs
@@ -70,17 +70,18 @@
         server: TcpStream,
     ) -> bool {
         let names = &self.terms.names;
-        let Some(class) = names.classes.get(&standing.class).copied() else { return false };
+        let class = names.classes.get(&standing.class).copied();
         let tenant = names.tenants.get(&standing.tenant).copied().unwrap_or(0);
         let (fetches, asked) = (&self.fetches, standing.asked);
         let adopted =
             self.sessions.adopt(turn, client, standing.client, (standing.id, asked), |id| fetches.has(id));
         let Some(id) = adopted else { return false };
         let at = ServerId(standing.server);
-        if !self.fetches.adopt(turn, id, at, server) {
-            self.sessions.drop(turn, id);
+        // Its server still answers: whoever can't go on here is told to come again, and not cut off.
+        let Some(class) = class.filter(|_| self.fetches.adopt(turn, id, at, server)) else {
+            self.answer(turn, id, b"MOVE\r\n");
             return false;
-        }
+        };
         let (key, group, load) = (standing.key, standing.group, standing.hint);
         let req = Req { id, class, tenant, key, deadline: turn.now, load, group, returning: false };
         turn.tell(Happening::Carried(req, at));
--- a/crates/balancer/tests/sockets/operators.rs
+++ b/crates/balancer/tests/sockets/operators.rs
@@ -220,3 +220,22 @@
     assert_eq!(old.call("include s-1"), ["YES"]);
     comes_to(&new, "targets_disabled", 1);
 }
+
+#[test]
+fn a_folder_that_could_not_be_read_for_a_while_is_heeded_again() {
+    let server = Node::new();
+    let program = start(&with_door(config(&[("s-1", server.address())])));
+    assert_eq!(program.call("exclude s-1"), ["YES"]);
+    let own =
+        std::fs::read_dir(program.common()).expect("a folder").next().expect("the balancer's").expect("it");
+    let (out, away) = (own.path().join("out"), own.path().join("away"));
+    std::fs::rename(&out, &away).expect("the same folder");
+    program.logged("event=not-kept");
+    assert_eq!(program.figure("targets_disabled"), 1, "what is out stays out");
+    std::fs::rename(&away, &out).expect("the same folder");
+    // Another process puts it back.
+    for file in std::fs::read_dir(&out).expect("a folder") {
+        std::fs::remove_file(file.expect("a file").path()).expect("removed");
+    }
+    comes_to(&program, "targets_disabled", 0);
+}
--- a/crates/balancer/tests/sockets/upgrade.rs
+++ b/crates/balancer/tests/sockets/upgrade.rs
@@ -237,3 +237,18 @@
     assert!(client.line().starts_with("BUSY "));
     assert!(new.wait().success());
 }
+
+#[test]
+fn a_client_whose_class_the_new_process_does_not_know_is_moved_and_not_cut_off() {
+    let node = Node::new();
+    let settings = with_door(config(&[("s-1", node.address())]));
+    let mut old = start(&settings);
+    let (mut client, _s) = old.stand(&node);
+    let mut other = same(&settings, &old);
+    other["settings"]["classes"][0]["name"] = json!("feed");
+    let new = old.start_beside(BINARY, &other);
+    old.terminate();
+    assert_eq!((client.hear(), client.hear()), (Heard::Line("MOVE".into()), Heard::Fin));
+    assert!(old.wait().success());
+    comes_to(&new, "concurrent", 0);
+}
