Keep what a balancer knows over its end, and tell it to the process that takes its place

Need: all that a balancer has learned (who is slow, what each server bears, who is expected back where) died with it, and a process that takes another one's place by an upgrade started knowing nothing but the list.

The decision module and recovery read out what they know in portions and recall it piece by piece, faded as it would have faded; nothing is believed of a server that was started anew or is not listed. Off unless the operator's file names a folder; on the platform only the way from one process to the next is in force. Way not taken: one record read out in one turn, which would hold 5,000 servers' loop up.

--- a/crates/balancer/src/config.rs
+++ b/crates/balancer/src/config.rs
@@ -317,6 +317,7 @@
             ("listen", self.listen != next.listen),
             ("operator", self.operator_at != next.operator_at),
             ("workers", self.operator.workers != next.operator.workers),
+            ("snapshot", self.operator.snapshot != next.operator.snapshot),
             ("tenancy.on", self.operator.tenancy.on != next.operator.tenancy.on),
         ];
         changed.into_iter().filter(|c| c.1).map(|c| c.0).collect()
--- a/crates/balancer/src/net/handover/forebear.rs
+++ b/crates/balancer/src/net/handover/forebear.rs
@@ -187,7 +187,7 @@
         let endpoint = serde_json::json!({"name": "s", "address": "127.0.0.1:1", "status": "Ready"});
         let endpoints = vec![serde_json::from_value(endpoint).expect("an endpoint"); 10_000];
         let known = Listing { index: 7, snapshot: true, endpoints };
-        let estate = Estate { version: VERSION, listeners: 0, held: 40, known };
+        let estate = Estate { version: VERSION, held: 40, known, ..Estate::default() };
         let inherited = asked(&mut heirs, &path, &estate);
         assert_eq!((inherited.estate.known == estate.known, inherited.estate.held), (true, 40));
         assert_eq!(inherited.listeners[0].local_addr().ok(), old.local_addr().ok());
--- a/crates/balancer/src/net/handover/overlap.rs
+++ b/crates/balancer/src/net/handover/overlap.rs
@@ -3,6 +3,7 @@
 use shorewharf_decisions::interface::{Request, RequestId};
 use shorewharf_driver::Micros;
 use shorewharf_protocol::list::Listing;
+use shorewharf_recovery::memory::Learned;
 use tracing::warn;
 
 use super::forebear::Forebear;
@@ -64,13 +65,6 @@
     pub fn kin_ready(&mut self, owner: Owner) {
         let poller = &self.turn.poller;
         match owner {
-            Owner::Heirs => {
-                let estate =
-                    Estate { version: VERSION, listeners: 0, held: self.may_hold(), known: self.listing() };
-                if let Some(heirs) = &mut self.kin.heirs {
-                    heirs.comes(poller, || estate.clone());
-                }
-            }
             Owner::Heir(number) => self.kin.heirs.iter_mut().for_each(|heirs| heirs.ready(poller, number)),
             _ => {
                 let Some(forebear) = &mut self.kin.forebear else { return };
@@ -91,6 +85,22 @@
         self.heirs_change();
     }
 
+    /// Other processes ask for what this one leaves; `memory` tells what the module knows.
+    pub fn heirs_ask(&mut self, memory: impl FnOnce() -> Vec<Learned>) {
+        let estate = Estate {
+            version: VERSION,
+            listeners: 0,
+            held: self.may_hold(),
+            known: self.listing(),
+            memory: memory(),
+            taken: self.turn.now,
+        };
+        if let Some(heirs) = &mut self.kin.heirs {
+            heirs.comes(&self.turn.poller, || estate.clone());
+        }
+        self.heirs_change();
+    }
+
     /// Hears heirs before a planned end: one that serves has said so before this process was told to end.
     pub fn hears_heirs(&mut self) {
         let poller = &self.turn.poller;
--- a/crates/balancer/src/net/handover/words.rs
+++ b/crates/balancer/src/net/handover/words.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use shorewharf_driver::Micros;
 use shorewharf_protocol::list::Listing;
+use shorewharf_recovery::memory::Learned;
 
 /// Another form of these lines is another version; who finds one starts by itself.
 pub const VERSION: u32 = 1;
@@ -29,6 +30,12 @@
     pub held: usize,
     /// The list as it stands.
     pub known: Listing,
+    /// What the first worker knows; its standing connections come by themselves, later.
+    #[serde(default)]
+    pub memory: Vec<Learned>,
+    /// When that was read out, in microseconds of Unix time.
+    #[serde(default)]
+    pub taken: Micros,
 }
 
 /// A standing connection that goes along; the client's descriptor and the server's come with its first byte.
--- a/crates/balancer/src/net/hub.rs
+++ b/crates/balancer/src/net/hub.rs
@@ -76,6 +76,8 @@
     pub(super) kin: Kin,
     /// Standing connections are to go on in another process, in this turn.
     pub(super) hands_over: bool,
+    /// What is known is to be read out, or read on, in this turn.
+    pub(super) reads_out: bool,
     /// When SIGTERM came.
     pub(super) leaving: Option<Micros>,
     /// It has ended, with so many clients still here.
@@ -98,6 +100,7 @@
             desk: at.desk.map(Desk::from),
             kin: at.kin,
             hands_over: false,
+            reads_out: false,
             leaving: None,
             done: None,
         };
@@ -148,9 +151,9 @@
             // Those who are here come first: what they do may make room, and the module should know of it.
             Owner::Listener => (self.can_accept, self.accepts) = (true, true),
             Owner::Neighbour => (self.can_help, self.accepts) = (true, true),
-            // Orders are not the peers'.
-            Owner::Signals | Owner::Orders => {}
-            Owner::Heirs | Owner::Heir(_) | Owner::Forebear => self.kin_ready(owner),
+            // Orders are not the peers', and who asks for what is known asks the worker.
+            Owner::Signals | Owner::Orders | Owner::Heirs => {}
+            Owner::Heir(_) | Owner::Forebear => self.kin_ready(owner),
             Owner::Operators | Owner::Caller(_) => {
                 self.desk.iter_mut().for_each(|d| d.door.ready(&mut self.turn, owner, ready));
             }
@@ -213,6 +216,7 @@
             Due::Kin => self.tells_heirs(),
             Due::Leaves => self.serving.leave_some(turn),
             Due::Caller(number) => self.desk.iter_mut().for_each(|d| d.door.alarmed(turn, number)),
+            Due::Snapshot => self.reads_out = true,
             Due::Door => {
                 self.desk.iter_mut().for_each(|d| d.door.ready(turn, Owner::Operators, Ready::default()))
             }
--- /dev/null
+++ b/crates/balancer/src/net/keeping.rs
@@ -0,0 +1,203 @@
+//! What a worker knows, kept in a folder over the program's end: read out in portions between turns, written by a thread
+//! that nobody waits for, and recalled at the next start. Off unless the operator's file names a folder.
+
+use std::io;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use shorewharf_decisions::ServerId;
+use shorewharf_driver::{Driver, Gate, Micros, micros, seconds};
+use shorewharf_protocol::list::Listing;
+use shorewharf_recovery::memory::{Cursor, Learned};
+use shorewharf_settings::operator::Snapshot;
+use shorewharf_snapshot::choice::choose;
+use shorewharf_snapshot::folder::Folder;
+use shorewharf_snapshot::judge::{Asks, later};
+use shorewharf_snapshot::record::{Head, Line, VERSION};
+use shorewharf_snapshot::writer::Writer;
+use tracing::{debug, info, warn};
+
+use super::hub::Net;
+use super::turn::Due;
+use crate::config::Config;
+
+/// Read out in one turn: servers with their names, and things known; each takes well under 0.2 ms.
+const SERVERS: usize = 64;
+const THINGS: usize = 512;
+/// Between two portions: others have their turn.
+const STEP: Micros = 1_000;
+
+/// What one before has known, and how long ago that was.
+#[derive(Debug, Default)]
+pub struct Memory {
+    /// All of it.
+    pub learned: Vec<Learned>,
+    /// When it was read out, on this program's clock.
+    pub taken: Micros,
+    /// The connections of the one before are gone, and their clients expected back.
+    pub away: bool,
+    /// Where it is from.
+    pub from: String,
+}
+
+impl Memory {
+    /// Has the module recall it, and says what became of it.
+    pub fn recall(self, now: Micros, gate: &mut Gate) {
+        let age = now.saturating_sub(self.taken);
+        let recalled = gate.recall(seconds(now), seconds(age), self.away, self.learned);
+        let (taken, outdated, faded, odd) = (recalled.taken, recalled.outdated, recalled.faded, recalled.odd);
+        info!(event = "recalled", from = self.from, ms = age / 1000, taken, outdated, faded, odd);
+    }
+}
+
+/// How far a reading has come.
+#[derive(Debug)]
+enum At {
+    Servers(Option<ServerId>),
+    Known(Cursor),
+}
+
+/// The folder of one worker.
+#[derive(Debug)]
+pub struct Keeping {
+    writer: Writer<Learned>,
+    every: Micros,
+    balancer: String,
+    worker: usize,
+    workers: usize,
+    at: Option<At>,
+    began: Micros,
+    /// The last record could not be written: that is told once until one can.
+    fails: bool,
+}
+
+/// All that is known, at once.
+pub fn everything(gate: &Gate) -> Vec<Learned> {
+    let (mut learned, mut at) = (Vec::new(), Cursor::default());
+    while at != Cursor::End {
+        at = gate.recollect(at, THINGS, &mut learned);
+    }
+    learned
+}
+
+/// What is found in the folder by a worker that starts: what keeps it, what is recalled, and the list if it is later
+/// than the configuration's. None where nothing is kept, or the folder can't be used, which is told.
+pub fn open(
+    config: &Config,
+    (worker, workers): (usize, usize),
+) -> Option<(Keeping, Option<(Memory, Listing)>)> {
+    let set = &config.operator.snapshot;
+    let path = set.folder.as_ref()?;
+    let opened = Folder::open(path, worker, set.keep).and_then(|folder| {
+        let found = find(&folder, config, set, (worker, workers))?;
+        Ok((Writer::start(folder)?, found))
+    });
+    let (writer, found) =
+        opened.inspect_err(|e| warn!(event = "no-snapshots", folder = %path.display(), error = %e)).ok()?;
+    let balancer = config.name.clone();
+    let (at, began, fails) = (None, 0, false);
+    let every = micros(set.every_s);
+    Some((Keeping { writer, every, balancer, worker, workers, at, began, fails }, found))
+}
+
+/// Unix time in microseconds.
+fn unix() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64
+}
+
+fn find(
+    folder: &Folder,
+    config: &Config,
+    set: &Snapshot,
+    (worker, workers): (usize, usize),
+) -> io::Result<Option<(Memory, Listing)>> {
+    let (balancer, now, oldest, list) = (&*config.name, unix(), micros(set.oldest_s), &config.known);
+    let choice = choose(folder, &Asks { balancer, worker, workers, now, oldest, list })?;
+    for (path, why) in &choice.left {
+        warn!(event = "snapshot-left-aside", file = %path.display(), %why);
+    }
+    Ok(choice.taken.map(|(path, record, _)| {
+        if record.unknown > 0 {
+            warn!(event = "snapshot-unknown", file = %path.display(), lines = record.unknown);
+        }
+        let from = path.display().to_string();
+        let memory = Memory { learned: record.known, taken: record.head.taken, away: true, from };
+        (memory, later(list, &record.list).clone())
+    }))
+}
+
+impl Keeping {
+    /// A record is begun, or read on; the next turn for it is set.
+    pub fn turn(&mut self, net: &mut Net, driver: &mut Driver) {
+        if !std::mem::take(&mut net.reads_out) {
+            return;
+        }
+        let now = net.turn.now;
+        match self.writer.told() {
+            Some(Ok(lines)) => {
+                self.fails = false;
+                debug!(event = "snapshot-written", lines, ms = (now - self.began) / 1000);
+            }
+            // Once until it works again: it is tried every few seconds.
+            Some(Err(e)) if !std::mem::replace(&mut self.fails, true) => {
+                warn!(event = "snapshot-not-written", error = %e);
+            }
+            Some(Err(_)) | None => {}
+        }
+        self.goes_on(net, driver.gate());
+        let next = match self.at {
+            Some(_) => STEP,
+            // A disk that takes longer than that is not asked for more.
+            None => {
+                Some((self.began + self.every).saturating_sub(now)).filter(|n| *n > 0).unwrap_or(self.every)
+            }
+        };
+        net.turn.after(next, Due::Snapshot);
+    }
+
+    /// Reads a portion, of a new record where none is being read and the one before is on the disk.
+    fn goes_on(&mut self, net: &Net, gate: &Gate) {
+        if self.at.is_none() && self.writer.is_idle() {
+            self.began = net.turn.now;
+            let (balancer, worker, workers) = (self.balancer.clone(), self.worker, self.workers);
+            let (taken, index) = (unix(), net.director.index());
+            self.writer.begin(Head { snapshot: VERSION, balancer, worker, workers, taken, index });
+            self.at = Some(At::Servers(None));
+        }
+        if let Some(at) = self.at.take() {
+            self.reads(at, net, gate);
+        }
+    }
+
+    /// The program has ended: what it knew last is read out whole, and written before the thread is let go.
+    pub fn ends(mut self, net: &Net, driver: &mut Driver) {
+        loop {
+            self.goes_on(net, driver.gate());
+            if self.at.is_none() {
+                return;
+            }
+        }
+    }
+
+    fn reads(&mut self, at: At, net: &Net, gate: &Gate) {
+        let mut lines = Vec::new();
+        self.at = match at {
+            At::Servers(behind) => {
+                let terms = &net.serving.terms;
+                let some = net.serving.backends.some_endpoints(&terms.names, behind, SERVERS);
+                let (read, last) = (some.len(), some.last().map(|(id, _)| *id));
+                lines.extend(some.into_iter().filter_map(|(_, endpoint)| endpoint.map(Line::Endpoint)));
+                Some(if read < SERVERS { At::Known(Cursor::default()) } else { At::Servers(last) })
+            }
+            At::Known(cursor) => {
+                let mut learned = Vec::new();
+                let cursor = gate.recollect(cursor, THINGS, &mut learned);
+                lines.extend(learned.into_iter().map(Line::Known));
+                (cursor != Cursor::End).then_some(At::Known(cursor))
+            }
+        };
+        self.writer.lines(lines);
+        if self.at.is_none() {
+            self.writer.end();
+        }
+    }
+}
--- a/crates/balancer/src/net/mod.rs
+++ b/crates/balancer/src/net/mod.rs
@@ -7,6 +7,7 @@
 mod farewell;
 mod handover;
 mod hub;
+mod keeping;
 mod link;
 mod list;
 mod operators;
--- a/crates/balancer/src/net/servers/backends.rs
+++ b/crates/balancer/src/net/servers/backends.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::ops::Bound::{Excluded, Unbounded};
 
 use shorewharf_decisions::interface::{ListEntry, ServerId, Stage};
 use shorewharf_driver::Micros;
@@ -155,7 +156,19 @@
 
     /// The list in discovery's form, as it stands but for who is taken out: that is kept apart.
     pub fn endpoints(&self, names: &Names) -> Vec<Endpoint> {
-        let listed = self.table.iter().filter(|(id, _)| !self.gone.contains(id));
+        self.some_endpoints(names, None, usize::MAX)
+            .into_iter()
+            .filter_map(|(_, endpoint)| endpoint)
+            .collect()
+    }
+
+    /// The same for so many servers behind this one; none for a server that is in use and no longer listed.
+    pub fn some_endpoints(
+        &self,
+        names: &Names,
+        behind: Option<ServerId>,
+        most: usize,
+    ) -> Vec<(ServerId, Option<Endpoint>)> {
         let zone = |at: u32| names.zones.iter().find(|(_, zone)| **zone == at).map(|(name, _)| name.clone());
         let endpoint = |b: &Backend| Endpoint {
             name: b.name.to_string(),
@@ -167,7 +180,8 @@
             weight: b.entry.weight,
             since_ms: self.taken_out.seen(b.entry).born * 1e3,
         };
-        listed.map(|(_, b)| endpoint(b)).collect()
+        let some = self.table.range((behind.map_or(Unbounded, Excluded), Unbounded)).take(most);
+        some.map(|(id, b)| (*id, (!self.gone.contains(id)).then(|| endpoint(b)))).collect()
     }
 
     /// Servers that the last list names.
--- a/crates/balancer/src/net/turn.rs
+++ b/crates/balancer/src/net/turn.rs
@@ -43,6 +43,8 @@
     Kin,
     /// Operators that could not be accepted may be by now.
     Door,
+    /// What is known is read out, or read on.
+    Snapshot,
 }
 
 /// The one timer of something that has its deadlines itself: set no later than the first of them, and looked at when
--- a/crates/balancer/src/net/workers.rs
+++ b/crates/balancer/src/net/workers.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use mio::net::TcpListener;
-use shorewharf_driver::{Driver, Micros, seconds};
+use shorewharf_driver::{Driver, Micros, Peers, micros, seconds};
 use shorewharf_protocol::list::Listing;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
@@ -25,13 +25,14 @@
 use super::handover::heirs::Heirs;
 use super::handover::overlap::Kin;
 use super::hub::{Net, Place};
+use super::keeping::{self, Keeping, Memory, everything};
 use super::operators::counts::Counts;
 use super::operators::desk::Opened;
 use super::operators::folder::Folder;
 use super::poll::{Owner, Poller, Ready, Watch};
 use super::reload;
 use super::terms::Terms;
-use super::turn::Turn;
+use super::turn::{Due, Turn};
 use crate::config::{Config, ConfigError};
 
 /// Connections that the system holds until they are accepted.
@@ -68,6 +69,7 @@
     net: Net,
     driver: Driver,
     lead: Option<Lead>,
+    keeping: Option<Keeping>,
 }
 
 impl Worker {
@@ -82,6 +84,10 @@
             match owner {
                 Owner::Signals => self.signalled(),
                 Owner::Orders => self.ordered(),
+                Owner::Heirs => {
+                    let gate = self.driver.gate();
+                    self.net.heirs_ask(|| everything(gate));
+                }
                 owner => self.net.seen(owner, ready),
             }
             self.driver.settle(&mut self.net);
@@ -94,6 +100,9 @@
         if self.net.shares_anew().is_some() {
             self.enforce();
         }
+        if let Some(keeping) = &mut self.keeping {
+            keeping.turn(&mut self.net, &mut self.driver);
+        }
     }
 
     /// Puts the configuration in force again: another process of this balancer has come or gone.
@@ -146,6 +155,9 @@
     config: Config,
     known: Arc<Listing>,
     clock: Clock,
+    keeping: Option<Keeping>,
+    /// What one before has known.
+    memory: Option<Memory>,
     /// The first one's.
     lead: Option<Lead>,
 }
@@ -168,17 +180,26 @@
         let known = net.list_known(&self.known);
         drop(self.known);
         let servers = known.len();
-        let driver = Driver::start(config.settings, &config.operator, config.seed, known, &mut net);
+        let mut driver = Driver::start(config.settings, &config.operator, config.seed, known, &mut net);
+        if let Some(memory) = self.memory {
+            memory.recall(net.now(), driver.gate());
+        }
+        if self.keeping.is_some() {
+            net.turn.after(micros(config.operator.snapshot.every_s), Due::Snapshot);
+        }
         if let Some(lead) = &self.lead {
             // The address that is bound: the port may have been left to the system.
             let workers = (lead.workers > 1).then_some(lead.workers);
             let operator = operator.map(tracing::field::display);
             info!(event = "serving", name = config.name, listen = %address, operator, servers, workers);
         }
-        let mut worker = Worker { net, driver, lead: self.lead };
+        let mut worker = Worker { net, driver, lead: self.lead, keeping: self.keeping };
         worker.turn(clock.read(), std::iter::empty());
         loop {
             if let Some(clients) = worker.net.is_done() {
+                if let Some(keeping) = worker.keeping {
+                    keeping.ends(&worker.net, &mut worker.driver);
+                }
                 return Ok(clients);
             }
             let now = clock.read();
@@ -301,7 +322,7 @@
     let mut folder = config.operator_at.filter(|_| config.listen.port() != 0);
     let mut folder = folder.take().and_then(|_| common_folder(config.listen));
     let inherited = folder.as_ref().and_then(|f| inherit(f, &config));
-    let (mut listeners, inherited) = match inherited {
+    let (mut listeners, mut inherited) = match inherited {
         Some((listeners, inherited)) => (listeners, Some(inherited)),
         // It may have to listen beside another one.
         None => (vec![listen(config.listen, workers > 1 || config.operator_at.is_some())?], None),
@@ -326,8 +347,18 @@
     }
     let taken_out = folder.as_mut().and_then(|f| f.read(&BTreeMap::new()).ok()).unwrap_or_default();
     let counts: Vec<_> = (0..workers).map(|_| Counts::default()).collect();
-    if let Some(inherited) = inherited.as_ref().filter(|i| !i.estate.known.endpoints.is_empty()) {
-        config.known = inherited.estate.known.clone();
+    let opened =
+        |worker| keeping::open(&config, (worker, workers)).map_or((None, None), |(k, f)| (Some(k), f));
+    let mut kept: Vec<_> = (0..workers).map(opened).collect();
+    if let Some(inherited) = &mut inherited {
+        // What the process before knows goes before what was kept of it.
+        kept.iter_mut().for_each(|(_, found)| *found = None);
+        let (learned, taken) = (std::mem::take(&mut inherited.estate.memory), inherited.estate.taken);
+        let memory = Memory { learned, taken, away: false, from: "the process before".to_owned() };
+        kept[0].1 = Some((memory, std::mem::take(&mut inherited.estate.known)));
+    }
+    if let Some((_, list)) = kept[0].1.as_ref().filter(|(_, list)| !list.endpoints.is_empty()) {
+        config.known = list.clone();
     }
     let known = Arc::new(std::mem::take(&mut config.known));
     let mut kin = Kin::default();
@@ -352,10 +383,12 @@
     let mut starts: Vec<Start> = watches
         .into_iter()
         .zip(places)
+        .zip(kept)
         .enumerate()
-        .map(|(worker, (watch, place))| {
+        .map(|(worker, ((watch, place), (keeping, found)))| {
             let config = config.of_worker(worker, workers);
-            Start { watch, place, config, known: Arc::clone(&known), clock, lead: None }
+            let memory = found.map(|(memory, _)| memory);
+            Start { watch, place, config, known: Arc::clone(&known), clock, keeping, memory, lead: None }
         })
         .collect();
     drop(known);
--- a/crates/balancer/tests/sockets/main.rs
+++ b/crates/balancer/tests/sockets/main.rs
@@ -6,6 +6,7 @@
 mod model;
 mod operators;
 mod reload;
+mod snapshot;
 mod upgrade;
 mod workers;
 
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod interface;
 mod load;
+pub mod memory;
 pub mod outside;
 pub mod policy;
 mod state;
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -17,9 +17,9 @@
 /// Clients assumed elsewhere when few have been seen, so that the first one's group is not taken for all.
 const PRIOR: f64 = 3.0;
 /// Share of the group counts that remains after one housekeeping period.
-const KEEP: f64 = 0.985;
+pub(crate) const KEEP: f64 = 0.985;
 /// Share of the arrival count that remains after one.
-const MEMORY: f64 = 0.95;
+pub(crate) const MEMORY: f64 = 0.95;
 /// Housekeeping period, seconds; also the period of message notes.
 const PERIOD: f64 = 1.0;
 /// Crossing price (parts of the result) from which pools are cut to the proxy's own zone.
@@ -36,11 +36,11 @@
 const UNHEARD: f64 = 8.0;
 /// `have` falls to this share at each sign of trouble and regains this share of the gap a period.
 const FALL: f64 = 0.6;
-const REGAIN: f64 = 0.03;
-const LEAST: f64 = 0.05;
+pub(crate) const REGAIN: f64 = 0.03;
+pub(crate) const LEAST: f64 = 0.05;
 /// Connections that broke lately (this share of them counts on a period later) speak of their server from so
 /// many on, if they are this share of what stood there.
-const DROPS_KEEP: f64 = 0.7;
+pub(crate) const DROPS_KEEP: f64 = 0.7;
 const DROPS: f64 = 1.8;
 const DROPPED: f64 = 0.2;
 /// Entries to a cold server, in even shares of the clients for each multiple that would push it over.
@@ -67,18 +67,18 @@
 /// Set-up pace: share kept at a failed set-up, growth at a good one, and where it starts and ends to bind.
 const PACE_FALL: f64 = 0.6;
 const PACE_GROW: f64 = 1.15;
-const PACE_LEAST: f64 = 0.2;
-const PACE_FREE: f64 = 50.0;
+pub(crate) const PACE_LEAST: f64 = 0.2;
+pub(crate) const PACE_FREE: f64 = 50.0;
 /// The pace falls when set-ups failed within so many periods at more than this share of the servers.
 const FAILING: f64 = 2.0;
 const WIDE: f64 = 0.5;
 /// Latency time of a reservation in honoured waits, drawn between 1 and 2 times this.
-const LATENCY: f64 = 1.5;
+pub(crate) const LATENCY: f64 = 1.5;
 /// Failed registry calls double the pause up to so many times, to 0.3 of `ask_within` at most: what the
 /// registry has to say soon counts as told, and a server that drained meanwhile must not be sent to.
 const ASKS_MOST: u32 = 2;
 /// Bound on remembered clients.
-const KEYS_MOST: usize = 8192;
+pub(crate) const KEYS_MOST: usize = 8192;
 
 const HOUSEKEEPING: u64 = 1 << 40;
 const SUBSCRIBE: u64 = 2 << 40;
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -9,7 +9,7 @@
 use crate::load::Borne;
 
 /// Bound on remembered groups: what the table may grow to.
-const GROUPS_MOST: usize = 2048;
+pub(crate) const GROUPS_MOST: usize = 2048;
 
 #[derive(Clone, Debug)]
 pub(crate) struct Server {
--- a/crates/driver/src/gate.rs
+++ b/crates/driver/src/gate.rs
@@ -4,8 +4,10 @@
 use std::collections::{BTreeMap, HashMap};
 
 use shorewharf_decisions::interface::*;
+use shorewharf_decisions::memory::Recalled;
 use shorewharf_recovery::care::{Care, Guarded, Options};
 use shorewharf_recovery::estimate::Fleet;
+use shorewharf_recovery::memory::{Cursor, Learned};
 use shorewharf_settings::operator::{Operator, Recovery};
 
 use crate::admission::{Admission, Fate, Verdict};
@@ -116,6 +118,17 @@
         self.balancer.avoided(now)
     }
 
+    /// Reads on in what is known, so many things at most, and where to go on from.
+    pub fn recollect(&self, from: Cursor, most: usize, out: &mut Vec<Learned>) -> Cursor {
+        self.balancer.recollect(from, most, out)
+    }
+
+    /// Recalls what one before has known `past` seconds ago. The list is to be told first; clients that stood then are
+    /// expected back if their connections are `away`.
+    pub fn recall(&mut self, now: f64, past: f64, away: bool, learned: Vec<Learned>) -> Recalled {
+        self.balancer.recall(now, past, away, learned)
+    }
+
     /// Takes one event, as the module does, and appends what is to be done.
     pub fn handle(&mut self, now: f64, event: Event, out: &mut Vec<Action>) {
         if self.admissions.all().next().is_none() {
--- a/crates/emulator/src/standin/program.rs
+++ b/crates/emulator/src/standin/program.rs
@@ -11,6 +11,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, channel};
 use std::thread;
+use std::time::Instant;
 
 use serde_json::{Value, json};
 use shorewharf_protocol::list::Endpoint;
@@ -204,8 +205,11 @@
     /// Waits for the next log line that has these words; those before it are passed over.
     #[track_caller]
     pub fn logged(&self, words: &str) -> String {
+        // In all: a program that logs all the time must not put it off for ever.
+        let by = Instant::now() + LIMIT;
         loop {
-            let Ok(line) = self.log.recv_timeout(LIMIT) else {
+            let left = by.saturating_duration_since(Instant::now());
+            let Ok(line) = self.log.recv_timeout(left) else {
                 panic!("no log line has '{words}'");
             };
             self.heard.borrow_mut().push(line.clone());
@@ -215,6 +219,18 @@
         }
     }
 
+    /// A log line that was passed over so far and has these words.
+    pub fn has_logged(&self, words: &str) -> Option<String> {
+        self.heard.borrow().iter().find(|line| line.contains(words)).cloned()
+    }
+
+    /// Ends it as a machine's failure would, and waits until it has.
+    pub fn kill(mut self) {
+        // Its end shows in its log; one that has ended by itself needs no signal.
+        let _ = self.started.child.kill();
+        self.wait();
+    }
+
     /// A client that has connected and said nothing yet.
     #[track_caller]
     pub fn client(&self) -> Peer {
--- a/crates/recovery/src/care.rs
+++ b/crates/recovery/src/care.rs
@@ -405,6 +405,14 @@
         self.moves = moves;
     }
 
+    pub(crate) fn table(&self) -> &Table {
+        &self.table
+    }
+
+    pub(crate) fn table_mut(&mut self) -> &mut Table {
+        &mut self.table
+    }
+
     /// Connections of this instance's that stand.
     pub fn standing(&self) -> usize {
         self.table.standing()
@@ -424,9 +432,9 @@
 /// The decision module with the care round it: takes events and gives actions as [`Balancer`] does.
 #[derive(Debug)]
 pub struct Guarded {
-    module: Balancer,
-    care: Care,
-    estimate: Estimate,
+    pub(crate) module: Balancer,
+    pub(crate) care: Care,
+    pub(crate) estimate: Estimate,
     queue: Queue,
     shortage: Shortage,
     looked: f64,
--- a/crates/recovery/src/estimate.rs
+++ b/crates/recovery/src/estimate.rs
@@ -8,11 +8,14 @@
 //! it give way or grow by the same share.
 
 use std::collections::BTreeMap;
+use std::ops::Bound::{Excluded, Unbounded};
 
 use shorewharf_decisions::interface::{
     Action, Event, ListEntry, RequestId, ServerId, Settings, Stage, Weights,
 };
 
+use crate::memory::{Loads, OneServer};
+
 /// How far servers are filled: beyond this share of what they can do, messages begin to be late.
 const FULL: f64 = 0.86;
 /// Period of the notes, and of growth, in seconds.
@@ -291,6 +294,37 @@
         Fleet { servers: servers.collect(), mean: self.mean }
     }
 
+    pub(crate) fn loads(&self) -> Loads {
+        Loads { mean: self.mean, loads: self.loads, work: self.work, set_ups: self.set_ups }
+    }
+
+    /// What was learned of servers behind this one, so many at most.
+    pub(crate) fn learned(&self, behind: Option<ServerId>, most: usize) -> Vec<OneServer> {
+        let from = behind.map_or(Unbounded, Excluded);
+        let one = |(id, s): (&ServerId, &Learned)| {
+            (*id, s.entry.born, s.factor, s.noted.is_finite().then_some(s.noted))
+        };
+        self.servers.range((from, Unbounded)).take(most).map(one).collect()
+    }
+
+    /// Goes on from what loads and set-ups were like, unless this one knows by itself.
+    pub(crate) fn start_from(&mut self, known: &Loads) {
+        if self.loads <= 0.0 {
+            (self.mean, self.loads) = (known.mean, known.loads);
+        }
+        if self.set_ups <= 0.0 {
+            (self.work, self.set_ups) = (known.work, known.set_ups);
+        }
+    }
+
+    /// Goes on from what a server bore; false unless it is listed and the same process.
+    pub(crate) fn start_server(&mut self, id: ServerId, born: f64, factor: f64, noted: Option<f64>) -> bool {
+        let Some(s) = self.servers.get_mut(&id).filter(|s| s.entry.born == born) else { return false };
+        s.factor = factor.clamp(LEAST, MOST);
+        s.noted = noted.map_or(s.noted, |at| s.noted.max(at));
+        true
+    }
+
     fn listed(&mut self, now: f64, full: bool, entries: &[ListEntry]) {
         if full {
             self.servers.retain(|id, _| entries.iter().any(|e| e.server == *id));
--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod care;
 pub mod estimate;
 pub mod levels;
+pub mod memory;
 pub mod queue;
 pub mod rebalance;
 pub mod report;
--- a/crates/recovery/src/table.rs
+++ b/crates/recovery/src/table.rs
@@ -302,6 +302,23 @@
         Some(Ended { conn, server, stood })
     }
 
+    /// Until when a server takes no moves, where attempts have failed there.
+    pub fn barred(&self, server: ServerId) -> Option<f64> {
+        self.servers.get(&server).map(|s| s.barred).filter(|until| until.is_finite())
+    }
+
+    /// A server takes no moves until then, as far as that can be.
+    pub fn bar(&mut self, now: f64, server: ServerId, until: f64) {
+        if let Some(s) = self.servers.get_mut(&server) {
+            s.barred = s.barred.max(until.min(now + BARRED_LONGEST));
+        }
+    }
+
+    /// Goes on from a mean load, unless one was told here.
+    pub fn start_mean(&mut self, mean: f64) {
+        self.mean.get_or_insert(mean);
+    }
+
     /// A probe has come to something.
     pub fn probed(&mut self, server: ServerId, outcome: Outcome) {
         if let Some(s) = self.servers.get_mut(&server) {
--- a/crates/settings/src/operator.rs
+++ b/crates/settings/src/operator.rs
@@ -1,6 +1,8 @@
 //! The operator's own file: what the platform's configuration says nothing of. Nothing of it is needed; every part has
 //! a default, and a key that is unknown or out of its range is refused by name.
 
+use std::path::PathBuf;
+
 use serde::Deserialize;
 use thiserror::Error;
 
@@ -35,6 +37,29 @@
     pub tenancy: Tenancy,
     /// What is done when much of the fleet fails.
     pub recovery: Recovery,
+    /// What is known, kept over the program's end.
+    pub snapshot: Snapshot,
+}
+
+/// What is known, kept over the program's end.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct Snapshot {
+    /// Where it is kept; without one nothing is.
+    pub folder: Option<PathBuf>,
+    /// How often, in seconds.
+    pub every_s: f64,
+    /// Generations that are kept.
+    pub keep: usize,
+    /// Nothing older is believed at a start, in seconds.
+    pub oldest_s: f64,
+}
+
+impl Default for Snapshot {
+    /// Servers warm up, and groups fade, within minutes: what is older says little.
+    fn default() -> Self {
+        Snapshot { folder: None, every_s: 2.0, keep: 3, oldest_s: 600.0 }
+    }
 }
 
 /// What is done when much of the fleet fails.
@@ -65,7 +90,8 @@
 
 impl Default for Operator {
     fn default() -> Self {
-        Operator { workers: 1, tenancy: Tenancy::default(), recovery: Recovery::default() }
+        let (tenancy, recovery, snapshot) = Default::default();
+        Operator { workers: 1, tenancy, recovery, snapshot }
     }
 }
 
@@ -97,11 +123,15 @@
     pub fn parse(text: &str) -> Result<Operator, OperatorError> {
         let operator: Operator = serde_path_to_error::deserialize(toml::Deserializer::parse(text)?)?;
         let Tenancy { lend, moves_per_s, .. } = operator.tenancy;
+        let Snapshot { every_s, keep, oldest_s, .. } = operator.snapshot;
         let workers = operator.workers;
         for (key, value, good, allowed) in [
             ("workers", workers as f64, (1..=MOST_WORKERS).contains(&workers), "from 1 to 64"),
             ("tenancy.lend", lend, (0.05..=1.0).contains(&lend), "from 0.05 to 1"),
             ("tenancy.moves_per_s", moves_per_s, (0.1..=1e9).contains(&moves_per_s), "from 0.1 to 1e9"),
+            ("snapshot.every_s", every_s, (0.1..=3600.0).contains(&every_s), "from 0.1 to 3600"),
+            ("snapshot.keep", keep as f64, (1..=1000).contains(&keep), "from 1 to 1000"),
+            ("snapshot.oldest_s", oldest_s, (0.0..=1e7).contains(&oldest_s), "from 0 to 1e7"),
         ] {
             if !good {
                 return Err(OperatorError::Range { key, value, allowed });
