Hand standing connections over whole, with half lines, acknowledged, from all workers

Need: a connection in the middle of a line was moved, those of other workers than the first too, and a new process that died or stood still between being sent a connection and taking it lost that connection: nobody owned it.

Change: what is on its way on both ends goes along. The old process keeps its descriptors, unread, until the new one says TOOK, which it does before it passes anything on. Where none is taken for 0.5 s, the old one stops hearing, says KEEPS and goes on with all that was not taken; a new one that finds the old one gone without that word goes on with what it holds. A new process says TAKES 2 first; to one that does not, nothing is handed over. Other workers' connections go through the first. Portions of 64 a turn on both sides. The way not taken, resuming on a time-out alone, has two owners where the new process wakes up.

--- a/crates/balancer/benches/whole/main.rs
+++ b/crates/balancer/benches/whole/main.rs
@@ -5,6 +5,7 @@
 //! that shares its cores with anything else is worth little.
 
 mod bare;
+mod handover;
 mod measures;
 mod peers;
 mod subject;
@@ -31,12 +32,14 @@
     Overload,
     /// One worker and four
     Workers,
+    /// Standing connections with lines on all of them, handed to a new process
+    HandOver,
 }
 
 /// The whole program under load
 #[derive(Parser)]
 struct Args {
-    /// What to measure; all but workers where nothing is named
+    /// What to measure; all but overload, workers and hand-over where nothing is named
     measures: Vec<Measure>,
     /// The program; the one that was just built unless another is named
     #[arg(long, default_value = env!("CARGO_BIN_EXE_shorewharf"))]
@@ -59,6 +62,9 @@
     /// Idle connections; two descriptors each
     #[arg(long, default_value_t = 8000)]
     idle: usize,
+    /// Connections that are handed over; two descriptors each
+    #[arg(long, default_value_t = 8000)]
+    standing: usize,
     /// Lines a second of the paced run
     #[arg(long, default_value_t = 50_000.0)]
     rate: f64,
@@ -88,6 +94,7 @@
             Measure::List => bench.list()?,
             Measure::Overload => bench.overload()?,
             Measure::Workers => bench.workers()?,
+            Measure::HandOver => bench.hand_over()?,
         }
     }
     Ok(())
--- a/crates/balancer/benches/whole/measures.rs
+++ b/crates/balancer/benches/whole/measures.rs
@@ -16,7 +16,7 @@
 /// Uncounted before each run.
 const WARM: Duration = Duration::from_millis(700);
 /// Servers behind the runs that are not about lists.
-const FEW: usize = 4;
+pub const FEW: usize = 4;
 /// Servers of the long list, and its changes a second.
 const LONG: usize = 10_000;
 const CHANGES: u64 = 100;
@@ -25,9 +25,9 @@
 
 /// The machine round the program, and what was asked for.
 pub struct Bench {
-    args: Args,
+    pub args: Args,
     /// The nodes' port.
-    port: u16,
+    pub port: u16,
     client_threads: usize,
 }
 
@@ -73,16 +73,20 @@
         use rustix::thread::{CpuSet, sched_getaffinity, sched_setaffinity};
         let (all, mut rest) = (sched_getaffinity(None)?, CpuSet::new());
         let cores: Vec<usize> = (0..CpuSet::MAX_CPU).filter(|c| all.is_set(*c)).collect();
-        let own = if args.measures.contains(&Measure::Workers) { WORKERS } else { 1 };
+        let own = match &*args.measures {
+            m if m.contains(&Measure::Workers) => WORKERS,
+            m if m.contains(&Measure::HandOver) => 2,
+            _ => 1,
+        };
         let owns = |core: usize| (0..own).any(|i| args.core.checked_sub(i) == Some(core));
         cores.iter().filter(|c| !owns(**c)).for_each(|c| rest.set(*c));
         sched_setaffinity(None, &rest)?;
         Ok(Bench { port: peers::nodes()?, args, client_threads: 3 })
     }
 
-    fn start(&self, servers: usize) -> Start {
+    pub fn start(&self, servers: usize) -> Start {
         let (program, args) = (self.args.program.clone(), self.args.args.clone());
-        Start { program, args, cores: vec![self.args.core], servers }
+        Start { program, args, cores: vec![self.args.core], servers, common: None }
     }
 
     fn run(&self, subject: &Subject, plan: Plan, seconds: f64) -> io::Result<Run> {
--- a/crates/balancer/benches/whole/peers.rs
+++ b/crates/balancer/benches/whole/peers.rs
@@ -156,6 +156,8 @@
     pub done: u64,
     /// Set-ups that were answered otherwise or cut off, and connections that ended.
     pub failed: u64,
+    /// Lines that were not back at the end.
+    pub lost: u64,
     /// Microseconds to the answer.
     pub took: Histogram<u64>,
 }
@@ -234,7 +236,7 @@
         let tallies = self.threads.into_iter().map(|t| t.join().expect("a thread"));
         tallies
             .reduce(|mut a, b| {
-                (a.done, a.failed) = (a.done + b.done, a.failed + b.failed);
+                (a.done, a.failed, a.lost) = (a.done + b.done, a.failed + b.failed, a.lost + b.lost);
                 a.took.add(b.took).expect("the same range");
                 a
             })
@@ -282,7 +284,7 @@
             conns: Vec::new(),
             opening: 0,
             begun: 0,
-            tally: Tally { done: 0, failed: 0, took },
+            tally: Tally { done: 0, failed: 0, lost: 0, took },
             bytes: vec![0; 16 << 10],
         })
     }
@@ -371,6 +373,8 @@
                 self.ready(event.token().0, event);
             }
         }
+        let out = |conn: &&Option<Conn>| conn.as_ref().is_some_and(|c| matches!(c.state, State::Out(_)));
+        self.tally.lost = self.conns.iter().filter(out).count() as u64;
         self.tally
     }
 
@@ -416,7 +420,10 @@
                     self.again(slot);
                 }
             }
-            State::Out(left) if n > 0 => {
+            // What is not the line that was sent was doubled, or is of the balancer's own.
+            State::Out(left)
+                if n > 0 && n <= left && LINE[LINE.len() - left..].starts_with(&self.bytes[..n]) =>
+            {
                 conn.state = if n < left { State::Out(left - n) } else { State::Stands };
                 if n >= left {
                     self.answered(since);
@@ -426,7 +433,6 @@
                     }
                 }
             }
-            State::Stands if n > 0 => {}
             _ => {
                 if matches!(state, State::Connects | State::Asks) {
                     self.opening -= 1;
--- a/crates/balancer/benches/whole/subject.rs
+++ b/crates/balancer/benches/whole/subject.rs
@@ -28,6 +28,8 @@
     pub cores: Vec<usize>,
     /// Servers listed, all of them the same few nodes.
     pub servers: usize,
+    /// Its temporary folder, where it is another one than this program's.
+    pub common: Option<PathBuf>,
 }
 
 /// A process under load, killed when it is dropped.
@@ -90,6 +92,7 @@
         fs::write(&path, file.to_string())?;
         let mut command = Command::new(&start.program);
         command.args(&start.args).env("ROUTER_CONFIG", &path).stderr(Stdio::piped());
+        command.envs(start.common.iter().map(|common| ("TMPDIR", common)));
         let mut child = spawn(command, &start.cores)?;
         let mut log = BufReader::new(child.stderr.take().expect("piped"));
         let address = loop {
@@ -133,6 +136,14 @@
         used
     }
 
+    /// Tells it to end and waits until it has.
+    pub fn ends(&mut self) -> io::Result<()> {
+        let Some(child) = &mut self.child else { return Ok(()) };
+        let id = rustix::process::Pid::from_child(child);
+        rustix::process::kill_process(id, rustix::process::Signal::TERM)?;
+        child.wait().map(drop)
+    }
+
     /// The most memory that it has held, in KiB.
     pub fn peak_kb(&self) -> u64 {
         let Some(child) = &self.child else { return 0 };
--- a/crates/balancer/src/net/clients/session.rs
+++ b/crates/balancer/src/net/clients/session.rs
@@ -176,9 +176,9 @@
         Session { stage: Stage::Open, open_id, asked, ..Session::new(link, from, now) }
     }
 
-    /// Whether it can go on in another process as it is.
+    /// Whether it can go on in another process.
     pub fn can_go(&self) -> bool {
-        self.stage == Stage::Open && self.half_open.is_none() && self.link.is_idle()
+        self.stage == Stage::Open && self.half_open.is_none() && self.link.can_go()
     }
 
     /// When something of it is due next.
--- a/crates/balancer/src/net/clients/sessions.rs
+++ b/crates/balancer/src/net/clients/sessions.rs
@@ -58,12 +58,11 @@
     pub fn adopt(
         &mut self,
         turn: &mut Turn,
-        stream: TcpStream,
+        mut link: Link,
         from: SocketAddr,
         (open_id, asked): (u64, Option<Micros>),
         in_use: impl Fn(RequestId) -> bool,
     ) -> Option<RequestId> {
-        let mut link = Link::new(stream);
         let id = next_free(RequestId(self.next), |id| self.table.contains_key(&id) || in_use(id));
         self.next = id.0.wrapping_add(1);
         if !self.open_ids.claim(open_id) {
@@ -133,12 +132,18 @@
 
     /// Ends a session's connection, whatever is still on its way.
     pub fn drop(&mut self, turn: &mut Turn, id: RequestId) {
-        let Some(mut s) = self.table.remove(&id) else { return };
+        self.take(turn, id);
+    }
+
+    /// Takes a session out, with its connection; its id is free.
+    pub fn take(&mut self, turn: &mut Turn, id: RequestId) -> Option<Box<Session>> {
+        let mut s = self.table.remove(&id)?;
         s.alarm.off(turn);
         self.unserved.forget(s.since(), id);
         if let Some(open_id) = s.open_id() {
             self.open_ids.free(open_id);
         }
+        Some(s)
     }
 
     /// How many there are.
--- a/crates/balancer/src/net/crew.rs
+++ b/crates/balancer/src/net/crew.rs
@@ -16,6 +16,7 @@
 use shorewharf_driver::Micros;
 use tracing::{info, warn};
 
+use super::handover::words::Handed;
 use super::list::director::News;
 use super::servers::taken_out::Change;
 use crate::config::Config;
@@ -50,6 +51,10 @@
     Config(Box<Config>),
     /// The planned end begins.
     Stop,
+    /// A standing connection that is to go on in another process.
+    GoesAlong(Box<Handed>),
+    /// One that has come from another process.
+    Stands(Box<Handed>),
 }
 
 /// A worker, as the others see it.
@@ -148,6 +153,11 @@
         })
     }
 
+    /// Whether all others have ended.
+    pub fn is_alone(&self) -> bool {
+        self.board.iter().enumerate().all(|(who, post)| who == self.me || post.turns_by.load(Relaxed) == 0)
+    }
+
     /// This worker's turn has ended: it holds so many clients, and the next turn begins by then.
     pub fn turns(&self, held: usize, next: Micros) {
         self.board[self.me].clients.store(held, Relaxed);
--- a/crates/balancer/src/net/handover/forebear.rs
+++ b/crates/balancer/src/net/handover/forebear.rs
@@ -13,14 +13,21 @@
 use rustix::net::{RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, recvmsg};
 use tracing::warn;
 
-use super::words::{Estate, LEAVES, LISTENERS, LONGEST, SERVES, Standing, VERSION, line, read_held};
+use super::words::{
+    Estate, Handed, KEEPS, LEAVES, LISTENERS, LONGEST, SERVES, Standing, TAKES, VERSION, line, read_held,
+    took,
+};
 use crate::net::poll::{Owner, Poller};
 
 /// The old process has this long to answer: its loop may be busy, and the start has 6 s in all.
 const PATIENCE: Duration = Duration::from_millis(1500);
 
-/// A line of the old process's is no longer: names are lines of the platform's at the most.
-const LINE: usize = 16 << 10;
+/// A line of the old process's is no longer: names are lines of the platform's at the most, and four buffers go along as
+/// text.
+const LINE: usize = 64 << 10;
+
+/// Standing connections that are taken in in one turn: their lines wait no longer than that.
+const PORTION: usize = 64;
 
 /// What the old process has left.
 #[derive(Debug)]
@@ -81,8 +88,16 @@
     pub leaves: bool,
     /// Descriptors that came along, in their order.
     ends: VecDeque<OwnedFd>,
-    /// Standing connections that came along and are to be taken in: the client's end and the server's.
-    pub stands: Vec<(Standing, TcpStream, TcpStream)>,
+    /// Standing connections that came along and are not this process's yet.
+    stands: Vec<Handed>,
+    /// So many are.
+    took: u64,
+    /// The old process goes on with those that it was not told of.
+    keeps: bool,
+    /// It can't be told any more, or not now.
+    deaf: bool,
+    /// More may have come than was taken in.
+    pub more: bool,
 }
 
 impl Forebear {
@@ -91,15 +106,30 @@
         inherited.stream.set_nonblocking(true)?;
         let mut stream = UnixStream::from_std(inherited.stream);
         poller.watch_source(&mut stream, Owner::Forebear)?;
-        stream.write_all(&[SERVES, b"\n"].concat())?;
-        let (inbox, ends, stands) = Default::default();
-        Ok(Forebear { stream, inbox, held: inherited.estate.held, leaves: false, ends, stands })
+        stream.write_all(&[TAKES, b"\n", SERVES, b"\n"].concat())?;
+        Ok(Forebear {
+            stream,
+            inbox: Vec::new(),
+            held: inherited.estate.held,
+            leaves: false,
+            ends: VecDeque::new(),
+            stands: Vec::new(),
+            took: 0,
+            keeps: false,
+            deaf: false,
+            more: false,
+        })
     }
 
-    /// Hears what it says; false once it is gone.
+    /// Hears what it says, up to a portion of standing connections; false once it is gone.
     pub fn ready(&mut self) -> bool {
         let mut bytes = [0; LINE];
+        self.more = false;
         loop {
+            if self.stands.len() >= PORTION && !self.deaf {
+                self.more = true;
+                return true;
+            }
             let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(LISTENERS))];
             let mut control = RecvAncillaryBuffer::new(&mut space);
             let into = &mut [IoSliceMut::new(&mut bytes)];
@@ -118,6 +148,7 @@
             }
             while let Some(line) = line(&mut self.inbox) {
                 self.leaves |= line == LEAVES;
+                self.keeps |= line == KEEPS;
                 self.held = read_held(&line).unwrap_or(self.held);
                 if let Some(standing) = Standing::read(&line) {
                     self.comes_along(standing);
@@ -129,6 +160,26 @@
         }
     }
 
+    /// Standing connections that are this process's from now on. Each is exactly one's: the old process is told before
+    /// anything is passed on here, and goes on with those it was not told of, which it says, unless it is gone.
+    pub fn taken(&mut self, gone: bool) -> Vec<Handed> {
+        if gone && !self.keeps {
+            return std::mem::take(&mut self.stands);
+        }
+        let all = self.took + self.stands.len() as u64;
+        if gone || self.deaf || self.stands.is_empty() {
+            return Vec::new();
+        }
+        // One line is far less than the socket holds: it goes whole or not at all.
+        let line = took(all);
+        self.deaf = !matches!((&self.stream).write(line.as_bytes()), Ok(n) if n == line.len());
+        if self.deaf {
+            return Vec::new();
+        }
+        self.took = all;
+        std::mem::take(&mut self.stands)
+    }
+
     /// A standing connection has come along. Its ends came with the first byte of its line, so they are here.
     fn comes_along(&mut self, standing: Result<Standing, serde_json::Error>) {
         let (client, server) = (self.ends.pop_front(), self.ends.pop_front());
@@ -169,7 +220,7 @@
             let asks = s.spawn(|| ask(path));
             until(|| {
                 heirs.comes(&poller(), || estate.clone());
-                heirs.hears_all(&poller());
+                heirs.hears_all(&poller(), 0);
                 asks.is_finished()
             });
             asks.join().expect("no panic").expect("an estate")
@@ -193,7 +244,7 @@
         assert_eq!(inherited.listeners[0].local_addr().ok(), old.local_addr().ok());
         assert!(!heirs.has_one(), "it does not serve yet");
         let mut forebear = Forebear::told(inherited, &poller()).expect("told");
-        heirs.hears_all(&poller());
+        heirs.hears_all(&poller(), 0);
         assert!(heirs.has_one());
         heirs.tell(held(12).as_bytes());
         heirs.tell(&[LEAVES, b"\n"].concat());
@@ -203,7 +254,7 @@
         std::fs::remove_file(&path).expect("the path");
         drop(forebear);
         until(|| {
-            heirs.hears_all(&poller());
+            heirs.hears_all(&poller(), 0);
             !heirs.has_one()
         });
         let next = asked(&mut heirs, &path, &estate);
--- a/crates/balancer/src/net/handover/heirs.rs
+++ b/crates/balancer/src/net/handover/heirs.rs
@@ -1,16 +1,19 @@
 //! The old process's side: whoever asks gets the listeners and the list, and is an heir once it serves.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, ErrorKind, IoSlice, Read, Write};
 use std::mem::MaybeUninit;
-use std::net::TcpListener;
-use std::os::fd::{AsFd, BorrowedFd};
+use std::net::{Shutdown, TcpListener};
+use std::os::fd::AsFd;
 use std::path::{Path, PathBuf};
 
 use mio::net::{UnixListener, UnixStream};
 use rustix::net::{SendAncillaryBuffer, SendAncillaryMessage, SendFlags, sendmsg};
 
-use super::words::{Estate, LISTENERS, SERVES, line};
+use shorewharf_driver::Micros;
+use tracing::warn;
+
+use super::words::{Estate, Handed, KEEPS, LISTENERS, SERVES, TAKES, line, read_took};
 use crate::net::poll::{Owner, Poller};
 
 /// Processes that may have asked at once: one, a second one before the first serves, and some that hang.
@@ -18,6 +21,9 @@
 /// A line of an heir's is no longer.
 const LINE: usize = 64;
 
+/// An heir that takes nothing for so long, of what is on its way to it, stands still: its clients wait.
+const STALLS: Micros = 500_000;
+
 /// A process that has asked.
 #[derive(Debug)]
 struct Heir {
@@ -27,6 +33,16 @@
     /// The listeners have gone out, with the first bytes.
     given: bool,
     serves: bool,
+    /// It says of each standing connection that it took it.
+    takes: bool,
+    /// It took nothing for long.
+    stalls: bool,
+    /// Standing connections on their way there, in their order.
+    out: VecDeque<Handed>,
+    /// So many before those are its own.
+    took: u64,
+    /// When it took one last, or the first that is on its way was sent.
+    since: Micros,
 }
 
 impl Heir {
@@ -56,7 +72,7 @@
     }
 
     /// Reads what it says; false where it is gone.
-    fn reads(&mut self) -> bool {
+    fn reads(&mut self, now: Micros) -> bool {
         let mut bytes = [0; LINE];
         loop {
             match self.stream.read(&mut bytes) {
@@ -68,6 +84,13 @@
             }
             while let Some(line) = line(&mut self.inbox) {
                 self.serves |= line == SERVES;
+                self.takes |= line == TAKES;
+                if let Some(all) = read_took(&line) {
+                    let some = all.saturating_sub(self.took).min(self.out.len() as u64);
+                    // Its own from now on: what is let go here is this process's descriptors of them.
+                    self.out.drain(..some as usize);
+                    (self.took, self.since) = (self.took + some, now);
+                }
             }
             if self.inbox.len() > LINE {
                 return false;
@@ -86,6 +109,8 @@
     listeners: Vec<TcpListener>,
     table: BTreeMap<u64, Heir>,
     next: u64,
+    /// Standing connections that their heir has not taken, and will not.
+    back: Vec<Handed>,
 }
 
 /// Listens at the path, in the place of whoever did before.
@@ -107,7 +132,7 @@
         }
         let mut listener = listen(&path)?;
         poller.listen(&mut listener, Owner::Heirs)?;
-        Ok(Heirs { path, listener, listeners, table: BTreeMap::new(), next: 0 })
+        Ok(Heirs { path, listener, listeners, table: BTreeMap::new(), next: 0, back: Vec::new() })
     }
 
     /// Processes ask: each is given the estate.
@@ -119,7 +144,9 @@
                 continue;
             }
             if self.table.len() >= HEIRS {
-                let idle = self.table.iter().find(|(_, heir)| !heir.serves).map(|(number, _)| *number);
+                // One that stands still must hear that it may take nothing.
+                let idle = |heir: &Heir| !heir.serves && !heir.stalls;
+                let idle = self.table.iter().find(|(_, heir)| idle(heir)).map(|(number, _)| *number);
                 let Some(idle) = idle else { continue };
                 self.table.remove(&idle);
             }
@@ -127,20 +154,35 @@
             // A list is text and numbers, which can be written as JSON.
             let Ok(mut outbox) = serde_json::to_vec(&estate) else { continue };
             outbox.push(b'\n');
-            let heir = Heir { stream, inbox: Vec::new(), outbox, given: false, serves: false };
+            let heir = Heir {
+                stream,
+                inbox: Vec::new(),
+                outbox,
+                given: false,
+                serves: false,
+                takes: false,
+                stalls: false,
+                out: VecDeque::new(),
+                took: 0,
+                since: 0,
+            };
             self.table.insert(number, heir);
-            self.ready(poller, number);
+            self.ready(poller, 0, number);
         }
     }
 
     /// One of them is ready to be heard or written to.
-    pub fn ready(&mut self, poller: &Poller, number: u64) {
+    pub fn ready(&mut self, poller: &Poller, now: Micros, number: u64) {
         let Some(heir) = self.table.get_mut(&number) else { return };
-        if heir.writes(&self.listeners) && heir.reads() {
+        // What it has said before its end counts, whether it can be written to or not.
+        let writes = heir.writes(&self.listeners);
+        if heir.reads(now) && writes {
             return;
         }
         let served = heir.serves;
-        self.table.remove(&number);
+        if let Some(heir) = self.table.remove(&number) {
+            self.back.extend(heir.out);
+        }
         // The last of them had taken the path; the next one must find this process again.
         if served
             && !self.has_one()
@@ -152,33 +194,79 @@
     }
 
     /// Hears all of them now: what they have said must not be overlooked.
-    pub fn hears_all(&mut self, poller: &Poller) {
+    pub fn hears_all(&mut self, poller: &Poller, now: Micros) {
         for number in self.table.keys().copied().collect::<Vec<_>>() {
-            self.ready(poller, number);
+            self.ready(poller, now, number);
+        }
+    }
+
+    /// Looks after those that have standing connections on their way to them and take none: such an heir stands still. From
+    /// here on it can't take any: what it says is not heard any more, which it finds out when it says so, and it is told.
+    pub fn look_after(&mut self, now: Micros) {
+        for heir in self.table.values_mut() {
+            if heir.out.is_empty() || now < heir.since + STALLS {
+                continue;
+            }
+            // Fails only where the other side is gone.
+            let _ = heir.stream.shutdown(Shutdown::Read);
+            heir.reads(now);
+            (heir.serves, heir.takes, heir.stalls) = (false, false, true);
+            heir.outbox.extend_from_slice(&[KEEPS, b"\n"].concat());
+            heir.writes(&self.listeners);
+            warn!(event = "heir-stalls", back = heir.out.len());
+            self.back.extend(heir.out.drain(..));
         }
     }
 
+    /// Standing connections that are this process's again.
+    pub fn take_back(&mut self) -> Vec<Handed> {
+        std::mem::take(&mut self.back)
+    }
+
+    /// Standing connections that are on their way.
+    pub fn on_their_way(&self) -> usize {
+        self.table.values().map(|heir| heir.out.len()).sum()
+    }
+
+    /// Whether a standing connection can be sent to the one that serves now.
+    pub fn can_hand_over(&mut self) -> bool {
+        let heir = self.table.values_mut().rev().find(|heir| heir.serves);
+        heir.is_some_and(|heir| heir.takes && heir.writes(&self.listeners) && heir.outbox.is_empty())
+    }
+
     /// Whether one of them serves.
     pub fn has_one(&self) -> bool {
         self.table.values().any(|heir| heir.serves)
     }
 
-    /// Hands a standing connection to the one that serves: false where it can't be now. What is sent is sent whole.
-    pub fn hand_over(&mut self, line: &[u8], ends: &[BorrowedFd<'_>]) -> bool {
-        let Some(heir) = self.table.values_mut().rev().find(|heir| heir.serves) else { return false };
-        if !heir.writes(&self.listeners) || !heir.outbox.is_empty() {
-            return false;
-        }
-        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
-        let mut control = SendAncillaryBuffer::new(&mut space);
-        control.push(SendAncillaryMessage::ScmRights(ends));
-        match sendmsg(&heir.stream, &[IoSlice::new(line)], &mut control, SendFlags::NOSIGNAL) {
-            Ok(sent) => {
-                heir.outbox.extend_from_slice(&line[sent..]);
+    /// Hands a standing connection to the one that serves. What can't be sent now is this process's again.
+    pub fn hand_over(&mut self, now: Micros, handed: Handed) -> bool {
+        let line = handed.0.line();
+        let heir = self.table.values_mut().rev().find(|heir| heir.serves && heir.takes);
+        let sent = heir.and_then(|heir| {
+            let ends = [handed.1.as_fd(), handed.2.as_fd()];
+            let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
+            let mut control = SendAncillaryBuffer::new(&mut space);
+            control.push(SendAncillaryMessage::ScmRights(&ends));
+            let sent =
+                sendmsg(&heir.stream, &[IoSlice::new(&line)], &mut control, SendFlags::NOSIGNAL).ok()?;
+            // What is sent is sent whole, the rest when there is room.
+            heir.outbox.extend_from_slice(&line[sent..]);
+            if heir.out.is_empty() {
+                heir.since = now;
+            }
+            Some(heir)
+        });
+        match sent {
+            Some(heir) => {
+                heir.out.push_back(handed);
                 heir.writes(&self.listeners);
                 true
             }
-            Err(_) => false,
+            None => {
+                self.back.push(handed);
+                false
+            }
         }
     }
 
--- a/crates/balancer/src/net/handover/overlap.rs
+++ b/crates/balancer/src/net/handover/overlap.rs
@@ -1,5 +1,8 @@
 //! While two processes of one balancer run: what each may take, so that together they keep to what one may.
 
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
 use shorewharf_decisions::interface::{Request, RequestId};
 use shorewharf_driver::Micros;
 use shorewharf_protocol::list::Listing;
@@ -8,7 +11,7 @@
 
 use super::forebear::Forebear;
 use super::heirs::Heirs;
-use super::words::{Estate, LEAVES, VERSION, held};
+use super::words::{Estate, Handed, LEAVES, VERSION, held};
 use crate::net::budget::OWN_DESCRIPTORS;
 use crate::net::crew::{Crew, Order};
 use crate::net::hub::Net;
@@ -18,6 +21,8 @@
 
 /// How often the old process tells what it holds: as its clients leave, the new one may take more.
 const TELL: Micros = 100_000;
+/// Standing connections that go along in one turn: those that stay, or wait for their turn to go, are not held up.
+const PORTION: usize = 64;
 
 /// The other processes of this balancer, as far as they are there.
 #[derive(Debug, Default)]
@@ -30,12 +35,14 @@
     shared: bool,
     /// Descriptors that this process may hold beside an heir, by what it was told last.
     may_hold: Option<usize>,
+    /// Other workers' standing connections that are to go along.
+    going: VecDeque<Handed>,
 }
 
 impl Kin {
     /// Those that are there at the start.
     pub fn new(heirs: Option<Heirs>, forebear: Option<Forebear>) -> Self {
-        Kin { heirs, forebear, shared: false, may_hold: None }
+        Kin { heirs, forebear, ..Kin::default() }
     }
 
     /// Whether another process has taken this one's place.
@@ -65,15 +72,18 @@
     pub fn kin_ready(&mut self, owner: Owner) {
         let poller = &self.turn.poller;
         match owner {
-            Owner::Heir(number) => self.kin.heirs.iter_mut().for_each(|heirs| heirs.ready(poller, number)),
+            Owner::Heir(number) => {
+                let now = self.turn.now;
+                self.kin.heirs.iter_mut().for_each(|heirs| heirs.ready(poller, now, number));
+                // There may be room for more to go along.
+                self.hands_over |= self.leaving.is_some();
+            }
             _ => {
                 let Some(forebear) = &mut self.kin.forebear else { return };
                 let stays = forebear.ready();
-                for (standing, client, server) in std::mem::take(&mut forebear.stands) {
-                    let from = standing.client;
-                    if !self.serving.take_over(&mut self.turn, standing, client, server) {
-                        warn!(event = "not-taken-over", client = %from);
-                    }
+                for handed in forebear.taken(!stays) {
+                    let from = handed.0.client;
+                    self.takes_over(handed, from);
                 }
                 if !stays {
                     self.kin.forebear = None;
@@ -104,12 +114,57 @@
     /// Hears heirs before a planned end: one that serves has said so before this process was told to end.
     pub fn hears_heirs(&mut self) {
         let poller = &self.turn.poller;
-        self.kin.heirs.iter_mut().for_each(|heirs| heirs.hears_all(poller));
+        let now = self.turn.now;
+        self.kin.heirs.iter_mut().for_each(|heirs| heirs.hears_all(poller, now));
         self.heirs_change();
     }
 
+    /// A standing connection goes on here: at this worker, or at another one that has fewer.
+    fn takes_over(&mut self, handed: Handed, from: SocketAddr) {
+        let (now, clients) = (self.turn.now, self.serving.clients());
+        let better = self.crew.as_ref().and_then(|crew| Some((crew, crew.better(now, clients)?)));
+        let left = match better {
+            Some((crew, who)) => match crew.tell(who, Order::Stands(Box::new(handed))) {
+                Err(Order::Stands(handed)) => Some(*handed),
+                _ => None,
+            },
+            None => Some(handed),
+        };
+        if let Some(handed) = left {
+            self.stands_here(handed, from);
+        }
+    }
+
+    /// A standing connection goes on here.
+    pub fn stands_here(&mut self, handed: Handed, from: SocketAddr) {
+        if !self.serving.take_over(&mut self.turn, handed) {
+            warn!(event = "not-taken-over", client = %from);
+        }
+    }
+
+    /// Whether more may have come from the old process than was taken in.
+    pub fn kin_is_busy(&self) -> bool {
+        self.hands_over || self.kin.forebear.as_ref().is_some_and(|forebear| forebear.more)
+    }
+
+    /// Standing connections that are on their way to another process, or wait for that.
+    pub fn on_their_way(&self) -> usize {
+        self.kin.going.len() + self.kin.heirs.as_ref().map_or(0, Heirs::on_their_way)
+    }
+
     fn heirs_change(&mut self) {
+        let back = self.kin.heirs.as_mut().map(Heirs::take_back).unwrap_or_default();
+        for handed in back {
+            let from = handed.0.client;
+            self.stands_here(handed, from);
+        }
         let has = self.kin.has_heir();
+        if !has {
+            for handed in std::mem::take(&mut self.kin.going) {
+                let from = handed.0.client;
+                self.stands_here(handed, from);
+            }
+        }
         if has != self.serving.has_heir {
             self.tell_others(|_| Order::Heir(has));
             self.has_heir(has);
@@ -147,18 +202,56 @@
         self.turn.after(TELL, Due::Kin);
     }
 
-    /// Hands standing connections to the process in this one's place. `module` tells what the module has of one.
+    /// Hands standing connections to the process in this one's place, a portion of them. `module` tells what the module has
+    /// of one. Workers but the first, which alone knows that process, give theirs to it.
     pub fn hands_over(&mut self, module: impl Fn(RequestId) -> Option<(Request, Option<f64>)>) {
-        if !std::mem::take(&mut self.hands_over) || !self.serving.has_heir {
+        if !std::mem::take(&mut self.hands_over) {
             return;
         }
-        let Some(heirs) = &mut self.kin.heirs else { return };
-        for id in self.serving.can_go() {
-            let Some(state) = module(id) else { continue };
-            if !self.serving.hand_over(&mut self.turn, id, state, heirs) {
-                break;
+        let now = self.turn.now;
+        self.kin.heirs.iter_mut().for_each(|heirs| heirs.look_after(now));
+        self.heirs_change();
+        if !self.serving.has_heir {
+            return;
+        }
+        let can: Vec<_> = self.serving.can_go();
+        let mut can = can.into_iter();
+        for _ in 0..PORTION {
+            let leads = self.crew.as_ref().is_none_or(Crew::leads);
+            // What waits for room there is told by the loop.
+            if leads && !self.kin.heirs.as_mut().is_some_and(Heirs::can_hand_over) {
+                return;
+            }
+            let mut own =
+                |net: &mut Net| can.by_ref().find_map(|id| net.serving.goes(&mut net.turn, id, module(id)?));
+            let Some(handed) = self.kin.going.pop_front().or_else(|| own(self)) else { return };
+            let from = handed.0.client;
+            match (&mut self.kin.heirs, &self.crew) {
+                (Some(heirs), _) if leads => {
+                    if !heirs.hand_over(now, handed) {
+                        return self.heirs_change();
+                    }
+                }
+                (_, Some(crew)) => {
+                    if let Err(Order::GoesAlong(handed)) = crew.tell(0, Order::GoesAlong(Box::new(handed))) {
+                        self.stands_here(*handed, from);
+                    }
+                }
+                _ => self.stands_here(handed, from),
             }
         }
+        self.hands_over = true;
+    }
+
+    /// Another worker's standing connection is to go on in the process in this one's place.
+    pub fn goes_along(&mut self, handed: Handed) {
+        if self.serving.has_heir {
+            self.kin.going.push_back(handed);
+            self.hands_over = true;
+        } else {
+            let from = handed.0.client;
+            self.stands_here(handed, from);
+        }
     }
 
     fn workers(&self) -> usize {
@@ -171,7 +264,7 @@
         self.serving.note_held();
         let sums = self.desk.as_ref().map(|desk| Counts::of_all(&desk.counts)).unwrap_or_default();
         let limit = self.serving.terms.sockets * self.workers();
-        let holds = OWN_DESCRIPTORS * self.workers() + sums.descriptors;
+        let holds = OWN_DESCRIPTORS * self.workers() + sums.descriptors + 2 * self.on_their_way();
         let half = if self.leaving.is_some() { 0 } else { limit / 2 };
         holds.max(half).min(limit)
     }
--- a/crates/balancer/src/net/handover/words.rs
+++ b/crates/balancer/src/net/handover/words.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 
+use mio::net::TcpStream;
 use serde::{Deserialize, Serialize};
 use shorewharf_driver::Micros;
 use shorewharf_protocol::list::Listing;
@@ -16,6 +17,10 @@
 pub const LONGEST: usize = 16 << 20;
 /// The new process takes clients from now on.
 pub const SERVES: &[u8] = b"SERVES";
+/// The new process takes standing connections with what is on its way on them, and says of each that it is its own.
+pub const TAKES: &[u8] = b"TAKES 2";
+/// The old process goes on with all that the new one has not said of that it took it.
+pub const KEEPS: &[u8] = b"KEEPS";
 /// The old process takes none from now on.
 pub const LEAVES: &[u8] = b"LEAVES";
 
@@ -61,6 +66,51 @@
     pub load: Option<f64>,
     /// Since when a line of the client's has gone unanswered, in microseconds of Unix time.
     pub asked: Option<Micros>,
+    /// What is on its way from and to the client.
+    #[serde(default, skip_serializing_if = "OnTheWay::is_nothing")]
+    pub at_client: OnTheWay,
+    /// The same for the server.
+    #[serde(default, skip_serializing_if = "OnTheWay::is_nothing")]
+    pub at_server: OnTheWay,
+}
+
+/// What is on its way on one end of a connection.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct OnTheWay {
+    /// Bytes that came from there and were not passed on.
+    #[serde(default, with = "bytes", skip_serializing_if = "Vec::is_empty")]
+    pub came: Vec<u8>,
+    /// So many of them are lines that were looked at.
+    #[serde(default)]
+    pub seen: usize,
+    /// Words of the balancer's own that could not be sent there yet.
+    #[serde(default, with = "bytes", skip_serializing_if = "Vec::is_empty")]
+    pub said: Vec<u8>,
+    /// A part of a line has gone out there.
+    #[serde(default)]
+    pub mid_line: bool,
+}
+
+impl OnTheWay {
+    fn is_nothing(&self) -> bool {
+        *self == OnTheWay::default()
+    }
+}
+
+/// Bytes as text.
+mod bytes {
+    use base64::Engine;
+    use base64::engine::general_purpose::STANDARD_NO_PAD;
+    use serde::{Deserialize, Deserializer, Serializer, de::Error};
+
+    pub fn serialize<S: Serializer>(bytes: &[u8], to: S) -> Result<S::Ok, S::Error> {
+        to.serialize_str(&STANDARD_NO_PAD.encode(bytes))
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<u8>, D::Error> {
+        let text = std::borrow::Cow::<str>::deserialize(from)?;
+        STANDARD_NO_PAD.decode(text.as_bytes()).map_err(D::Error::custom)
+    }
 }
 
 /// What such a line begins with.
@@ -89,6 +139,19 @@
     std::str::from_utf8(line.strip_prefix(b"HELD ")?).ok()?.parse().ok()
 }
 
+/// The line that tells that so many standing connections, counted from the first, are the new process's own.
+pub fn took(connections: u64) -> String {
+    format!("TOOK {connections}\n")
+}
+
+/// Reads that line, without its end.
+pub fn read_took(line: &[u8]) -> Option<u64> {
+    std::str::from_utf8(line.strip_prefix(b"TOOK ")?).ok()?.parse().ok()
+}
+
+/// A standing connection between two processes: its words, the client's end and the server's.
+pub type Handed = (Standing, TcpStream, TcpStream);
+
 /// Takes the next line out of what has come, without its end.
 pub fn line(inbox: &mut Vec<u8>) -> Option<Vec<u8>> {
     let end = inbox.iter().position(|b| *b == b'\n')?;
--- a/crates/balancer/src/net/hub.rs
+++ b/crates/balancer/src/net/hub.rs
@@ -172,6 +172,10 @@
             self.seen(Owner::Director, Ready::default());
             heard(self);
         }
+        if self.kin_is_busy() {
+            self.kin_ready(Owner::Forebear);
+            heard(self);
+        }
         while let Some(due) = self.turn.timers.due() {
             self.due(due);
             heard(self);
@@ -228,7 +232,12 @@
         self.turn.pressure.turn(self.turn.now, now, self.accepts);
         self.serving.note_held();
         let calls = self.desk.as_ref().is_some_and(|d| d.door.is_busy());
-        let next = match self.serving.is_busy() || self.director.is_busy() || self.accepts || calls {
+        let next = match self.serving.is_busy()
+            || self.director.is_busy()
+            || self.accepts
+            || calls
+            || self.kin_is_busy()
+        {
             true => self.turn.now,
             false => self.turn.timers.next().unwrap_or(self.turn.now + LONGEST),
         };
@@ -345,7 +354,13 @@
             self.serving.move_some(&mut self.turn, farewell.move_until.saturating_sub(since) / STEP);
         }
         self.hands_over = has_heir;
-        let clients = self.serving.clients();
+        // What other workers have given before they ended is theirs no more.
+        while let Some(order) = self.next_order() {
+            self.order(order);
+        }
+        let waits = self.on_their_way() > 0
+            || (has_heir && self.crew.as_ref().is_some_and(|crew| crew.leads() && !crew.is_alone()));
+        let clients = self.serving.clients() + usize::from(waits);
         if since >= farewell.last || (clients == 0 && (has_heir || since >= LEAVE_AFTER + STEP)) {
             self.done = Some(clients);
         }
@@ -372,6 +387,11 @@
             Order::Heir(has) => self.has_heir(has),
             Order::Probed(server, outcome) => self.turn.tell(Happening::Probed(server, outcome)),
             Order::Stop => self.stop_soon(),
+            Order::GoesAlong(handed) => self.goes_along(*handed),
+            Order::Stands(handed) => {
+                let from = handed.0.client;
+                self.stands_here(*handed, from);
+            }
             Order::Config(_) => {}
         }
     }
--- a/crates/balancer/src/net/link.rs
+++ b/crates/balancer/src/net/link.rs
@@ -7,6 +7,7 @@
 use mio::net::TcpStream;
 use socket2::SockRef;
 
+use super::handover::words::OnTheWay;
 use super::poll::Ready;
 use super::pool::{Buffer, Pool};
 use shorewharf_protocol::line::{Front, front};
@@ -64,9 +65,32 @@
         Ok(Link { can_read: false, can_write: false, ..Link::new(stream) })
     }
 
-    /// Whether nothing of it is on its way here: it can go on elsewhere as it is.
-    pub fn is_idle(&self) -> bool {
-        self.inbox.is_none() && self.outbox.is_none() && !self.mid_line && self.ended.is_none() && !self.shut
+    /// Whether it can go on elsewhere, with what is on its way here.
+    pub fn can_go(&self) -> bool {
+        self.ended.is_none() && !self.shut
+    }
+
+    /// What is on its way here.
+    pub fn on_the_way(&self) -> OnTheWay {
+        let said = self.outbox.as_ref().map_or(&[][..], Buffer::held).to_vec();
+        OnTheWay { came: self.held().to_vec(), seen: self.seen, said, mid_line: self.mid_line }
+    }
+
+    /// The connection itself, to go on elsewhere.
+    pub fn into_stream(self) -> TcpStream {
+        self.stream
+    }
+
+    /// Goes on with a connection that had so much on its way elsewhere; none where that can't be.
+    pub fn going_on(stream: TcpStream, pool: &Pool, on_the_way: &OnTheWay) -> Option<Self> {
+        let mut link = Link { mid_line: on_the_way.mid_line, ..Link::new(stream) };
+        for (bytes, buffer) in [(&on_the_way.came, &mut link.inbox), (&on_the_way.said, &mut link.outbox)] {
+            if !bytes.is_empty() && !buffer.get_or_insert_with(|| pool.take()).append(bytes) {
+                return None;
+            }
+        }
+        link.seen = on_the_way.seen;
+        (link.seen <= on_the_way.came.len()).then_some(link)
     }
 
     /// The stream, for the loop to watch.
--- a/crates/balancer/src/net/servers/fetches.rs
+++ b/crates/balancer/src/net/servers/fetches.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use mio::net::TcpStream;
 use rustc_hash::FxHashMap;
 use shorewharf_decisions::interface::{Outcome, RequestId, ServerId};
 use shorewharf_driver::Micros;
@@ -155,9 +154,9 @@
         })
     }
 
-    /// Whether it can go on in another process as it is.
+    /// Whether it can go on in another process.
     pub fn can_go(&self) -> bool {
-        self.stage == Stage::Up && self.last == LastWord::Other && self.link.is_idle()
+        self.stage == Stage::Up && self.last == LastWord::Other && self.link.can_go()
     }
 
     /// The server has taken the client.
@@ -278,8 +277,7 @@
     }
 
     /// Takes in a fetch that stands, from another process of this balancer; false where it can't be watched.
-    pub fn adopt(&mut self, turn: &mut Turn, id: RequestId, server: ServerId, stream: TcpStream) -> bool {
-        let mut link = Link::new(stream);
+    pub fn adopt(&mut self, turn: &mut Turn, id: RequestId, server: ServerId, mut link: Link) -> bool {
         if !turn.poller.watch(&mut link, Owner::Fetch(id)) {
             return false;
         }
@@ -314,13 +312,18 @@
 
     /// Ends a req's fetch; false where there is none.
     pub fn end(&mut self, turn: &mut Turn, id: RequestId) -> bool {
-        let Some(mut fetch) = self.table.remove(&id) else { return false };
+        self.take(turn, id).is_some()
+    }
+
+    /// Takes a req's fetch out, with its connection.
+    pub fn take(&mut self, turn: &mut Turn, id: RequestId) -> Option<Box<Fetch>> {
+        let mut fetch = self.table.remove(&id)?;
         fetch.alarm.off(turn);
         // The table's own is the other one that is left.
         if Rc::strong_count(&fetch.voice) == 2 {
             self.voices.remove(&fetch.server);
         }
-        true
+        Some(fetch)
     }
 
     fn arm(&mut self, turn: &mut Turn, id: RequestId) {
--- a/crates/balancer/tests/sockets/main.rs
+++ b/crates/balancer/tests/sockets/main.rs
@@ -3,6 +3,7 @@
 mod bad;
 mod cli;
 mod counts;
+mod handover;
 mod model;
 mod operators;
 mod reload;
--- a/crates/balancer/tests/sockets/upgrade.rs
+++ b/crates/balancer/tests/sockets/upgrade.rs
@@ -154,7 +154,7 @@
 }
 
 #[test]
-fn standing_connections_go_along_and_those_in_the_middle_of_a_line_are_moved() {
+fn standing_connections_go_along_between_lines_and_in_the_middle_of_one() {
     let node = Node::new();
     let settings = with_door(config(&[("s-1", node.address())]));
     let mut old = start(&settings);
@@ -164,26 +164,30 @@
     passes(&mut one, &mut at_one, "M 1");
     at_one.say("LOAD 5000");
     assert_eq!(one.line(), "LOAD 5000");
-    // What is on its way here, or half here, can't go along; what waits in the system goes.
+    // What is on its way here, or half here, goes along, and so does what waits in the system.
     at_three.put(b"half a li");
+    three.put(b"M 5\r\nM 6 an");
+    assert_eq!(at_three.line(), "M 5");
     old.settled();
     let new = old.start_beside(BINARY, &same(&settings, &old));
     two.say("M 2");
     assert_eq!(at_two.line(), "M 2");
     old.terminate();
     // Its answer is still to come when it goes along.
-    comes_to(&new, "concurrent", 2);
+    comes_to(&new, "concurrent", 3);
     at_two.say("M 2");
     assert_eq!(two.line(), "M 2");
-    assert_eq!((three.line(), three.hear()), ("MOVE".into(), Heard::Fin));
     assert!(old.wait().success());
+    at_three.put(b"ne\r\n");
+    three.put(b"swer\r\n");
+    assert_eq!((three.line(), at_three.line()), ("half a line".into(), "M 6 answer".into()));
     passes(&mut one, &mut at_one, "M 3");
-    assert_eq!(new.figure("concurrent"), 2);
+    assert_eq!(new.figure("concurrent"), 3);
     assert_eq!(new.figure("replies.chat.success"), 0, "they came up in the other process");
     // The module has them: it moves them off a server that is taken out, and their ids are in use.
     assert_eq!(new.open_as("9b1f", "").line(), "ERR");
     assert_eq!(new.call("exclude s-1"), ["YES"]);
-    assert_eq!((one.line(), two.line()), ("MOVE".into(), "MOVE".into()));
+    assert_eq!((one.line(), two.line(), three.line()), ("MOVE".into(), "MOVE".into(), "MOVE".into()));
     comes_to(&new, "concurrent", 0);
 }
 
