Hand over connections of all workers, and keep them while a hand-over is interrupted

Cause: workers but the first took the first one's look at its heirs for their own, found none, and moved everybody (overlap.rs, hands_over); seen in a test with three workers, where two in three clients were moved. Only the first one looks now. Measured: 30 connections over three workers go along twice, while another new process hangs; none is moved.

--- a/crates/balancer/src/net/handover/overlap.rs
+++ b/crates/balancer/src/net/handover/overlap.rs
@@ -209,15 +209,18 @@
             return;
         }
         let now = self.turn.now;
-        self.kin.heirs.iter_mut().for_each(|heirs| heirs.look_after(now));
-        self.heirs_change();
+        let leads = self.crew.as_ref().is_none_or(Crew::leads);
+        if leads {
+            // What other workers know of that process they know from this one.
+            self.kin.heirs.iter_mut().for_each(|heirs| heirs.look_after(now));
+            self.heirs_change();
+        }
         if !self.serving.has_heir {
             return;
         }
         let can: Vec<_> = self.serving.can_go();
         let mut can = can.into_iter();
         for _ in 0..PORTION {
-            let leads = self.crew.as_ref().is_none_or(Crew::leads);
             // What waits for room there is told by the loop.
             if leads && !self.kin.heirs.as_mut().is_some_and(Heirs::can_hand_over) {
                 return;
--- a/crates/balancer/tests/sockets/handover.rs
+++ b/crates/balancer/tests/sockets/handover.rs
@@ -257,6 +257,62 @@
     }
 }
 
+#[test]
+fn connections_of_all_workers_go_along_and_are_shared_out_again() {
+    let node = Node::new();
+    let settings = settings(&node);
+    let workers = "workers = 3\n";
+    let mut old = Program::start_with(BINARY, &settings, workers);
+    let mut pairs: Vec<_> = (0..30).map(|_| old.stand(&node)).collect();
+    let new = old.start_beside_with(BINARY, &beside(&settings, &old), workers);
+    old.terminate();
+    assert!(old.wait().success());
+    for (n, (client, server)) in pairs.iter_mut().enumerate() {
+        assert_eq!(fate(client, server, &format!("M {n}")), Fate::Stands, "connection {n}");
+    }
+    comes_to(&new, "concurrent", 30);
+    // The next one, while a second one starts and does not get as far as serving.
+    let hangs = Heir::asks(&new);
+    let last = new.start_beside_with(BINARY, &beside(&settings, &new), workers);
+    let mut new = new;
+    new.terminate();
+    assert!(new.wait().success());
+    drop(hangs);
+    for (n, (client, server)) in pairs.iter_mut().enumerate() {
+        assert_eq!(fate(client, server, &format!("M again {n}")), Fate::Stands, "connection {n}");
+    }
+    comes_to(&last, "concurrent", 30);
+}
+
+#[test]
+fn a_server_that_drains_sighup_and_sigterm_in_the_middle_of_a_hand_over_move_nobody_twice() {
+    let (node, director) = (Node::new(), Director::new());
+    let mut settings = with_door(asking(&[("s-1", node.address())], &director));
+    settings["settings"]["classes"][0]["give_up_s"] = json!(1.0);
+    let mut old = start(&settings);
+    let mut watch = director.watch();
+    let mut heir = Heir::asks(&old);
+    let (mut client, mut server) = old.stand(&node);
+    assert!(heir.says("TAKES 2\nSERVES\n"));
+    old.settled();
+    old.terminate();
+    heir.stands(1);
+    // It is on its way: nobody reads it, nobody moves it, whatever comes.
+    watch.tell(50, false, vec![endpoint("s-1", node.address(), "Terminating")]);
+    client.put(b"M 1\r\n");
+    old.reconfigure(&settings.to_string());
+    old.terminate();
+    assert!(!server.has_word(Duration::from_millis(100)) && !client.has_word(Duration::from_millis(1)));
+    drop(heir);
+    // It is the old one's again, which had heard nothing of the line before: it passes it on, and moves the client.
+    assert_eq!(server.line(), "M 1");
+    server.try_put(b"M 1\r\n");
+    let heard = (client.hear(), client.hear());
+    let line = |text: &str| Heard::Line(text.into());
+    assert!(heard == (line("M 1"), line("MOVE")) || heard.0 == line("MOVE"), "{heard:?}");
+    assert!(old.wait().success());
+}
+
 fn rounds(seeds: std::ops::Range<u64>) {
     std::thread::scope(|s| {
         for lane in 0..8 {
--- a/crates/emulator/src/standin/program.rs
+++ b/crates/emulator/src/standin/program.rs
@@ -153,6 +153,12 @@
         Program::begin(binary.as_ref(), config, None, Rc::clone(&self.common))
     }
 
+    /// The same with a file of the operator's own.
+    #[track_caller]
+    pub fn start_beside_with(&self, binary: impl AsRef<OsStr>, config: &Value, operator: &str) -> Self {
+        Program::begin(binary.as_ref(), config, Some(operator), Rc::clone(&self.common))
+    }
+
     /// The folder that it has in common with other processes of the same balancer.
     pub fn common(&self) -> &Path {
         &self.common.0
