--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -21,7 +21,7 @@
 
 Exit codes:
   0  it ended as it was told to, or the configuration is good
-  1  it can't listen or go on; the log says why
+  1  it can't listen, take over or go on; the log says why
   2  the configuration or the command line can't be used; nothing was started";
 
 /// Balances long-lived connections: decides which server a client's connection lives on, and passes its lines
@@ -33,6 +33,10 @@
     /// The operator's own file (TOML): what the platform's configuration says nothing of
     #[arg(long, global = true, value_name = "FILE", env = "SHOREWHARF_OPERATOR")]
     operator: Option<PathBuf>,
+    /// Serves at this Unix socket whoever takes this process's place, and takes the place of the one that serves there now,
+    /// with its listeners and standing connections; that one ends
+    #[arg(long, value_name = "SOCKET", env = "SHOREWHARF_TAKE_OVER")]
+    take_over: Option<PathBuf>,
     #[command(subcommand)]
     command: Option<Command>,
 }
@@ -55,12 +59,12 @@
         _ => std::env::var(var).ok(),
     };
     match cli.command {
-        None => serve(env),
+        None => serve(env, cli.take_over),
         Some(Command::CheckConfig { file }) => check_config(&file, env),
     }
 }
 
-fn serve(env: impl Fn(&str) -> Option<String> + Send + 'static) -> ExitCode {
+fn serve(env: impl Fn(&str) -> Option<String> + Send + 'static, take_over: Option<PathBuf>) -> ExitCode {
     let config = match Config::read(&env) {
         Ok(config) => config,
         Err(e) => {
@@ -68,7 +72,7 @@
             return ExitCode::from(BAD_CONFIG);
         }
     };
-    match net::run(config, move || Config::read(&env)) {
+    match net::run(config, take_over, move || Config::read(&env)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(Failure::Config(e)) => {
             error!(event = "bad-config", key = e.key(), why = %e.why());
--- a/crates/balancer/src/net/handover/forebear.rs
+++ b/crates/balancer/src/net/handover/forebear.rs
@@ -13,9 +13,10 @@
 use rustix::net::{RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, recvmsg};
 use tracing::warn;
 
+use super::is_own;
 use super::words::{
-    Estate, Handed, KEEPS, LEAVES, LISTENERS, LONGEST, SERVES, Standing, TAKES, VERSION, line, read_held,
-    took,
+    ENDS, Estate, Handed, KEEPS, LEAVES, LISTENERS, LONGEST, SERVES, Standing, TAKES, VERSION, line,
+    read_held, took,
 };
 use crate::net::poll::{Owner, Poller};
 
@@ -45,6 +46,7 @@
 /// Where nobody does, where it does not answer in time, or with what can't be used.
 pub fn ask(path: &Path) -> io::Result<Inherited> {
     let stream = StdUnixStream::connect(path)?;
+    is_own(&stream)?;
     let began = Instant::now();
     let (mut text, mut listeners) = (Vec::new(), Vec::new());
     let bad = |why: String| io::Error::new(ErrorKind::InvalidData, why);
@@ -101,12 +103,15 @@
 }
 
 impl Forebear {
-    /// The old process, told that this one serves.
-    pub fn told(inherited: Inherited, poller: &Poller) -> io::Result<Self> {
+    /// The old process, told that this one serves, and that it is to end if it is.
+    pub fn told(inherited: Inherited, ends: bool, poller: &Poller) -> io::Result<Self> {
         inherited.stream.set_nonblocking(true)?;
         let mut stream = UnixStream::from_std(inherited.stream);
         poller.watch_source(&mut stream, Owner::Forebear)?;
         stream.write_all(&[TAKES, b"\n", SERVES, b"\n"].concat())?;
+        if ends {
+            stream.write_all(&[ENDS, b"\n"].concat())?;
+        }
         Ok(Forebear {
             stream,
             inbox: Vec::new(),
@@ -243,7 +248,7 @@
         assert_eq!((inherited.estate.known == estate.known, inherited.estate.held), (true, 40));
         assert_eq!(inherited.listeners[0].local_addr().ok(), old.local_addr().ok());
         assert!(!heirs.has_one(), "it does not serve yet");
-        let mut forebear = Forebear::told(inherited, &poller()).expect("told");
+        let mut forebear = Forebear::told(inherited, false, &poller()).expect("told");
         heirs.hears_all(&poller(), 0);
         assert!(heirs.has_one());
         heirs.tell(held(12).as_bytes());
@@ -258,7 +263,7 @@
             !heirs.has_one()
         });
         let next = asked(&mut heirs, &path, &estate);
-        let mut forebear = Forebear::told(next, &poller()).expect("told");
+        let mut forebear = Forebear::told(next, false, &poller()).expect("told");
         drop(heirs);
         until(|| !forebear.ready());
     }
--- a/crates/balancer/src/net/handover/heirs.rs
+++ b/crates/balancer/src/net/handover/heirs.rs
@@ -1,10 +1,12 @@
 //! The old process's side: whoever asks gets the listeners and the list, and is an heir once it serves.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::fs::Permissions;
 use std::io::{self, ErrorKind, IoSlice, Read, Write};
 use std::mem::MaybeUninit;
 use std::net::{Shutdown, TcpListener};
 use std::os::fd::AsFd;
+use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 
 use mio::net::{UnixListener, UnixStream};
@@ -13,7 +15,8 @@
 use shorewharf_driver::Micros;
 use tracing::warn;
 
-use super::words::{Estate, Handed, KEEPS, LISTENERS, SERVES, TAKES, line, read_took};
+use super::is_own;
+use super::words::{ENDS, Estate, Handed, KEEPS, LISTENERS, SERVES, TAKES, line, read_took};
 use crate::net::poll::{Owner, Poller};
 
 /// Processes that may have asked at once: one, a second one before the first serves, and some that hang.
@@ -37,6 +40,8 @@
     takes: bool,
     /// It took nothing for long.
     stalls: bool,
+    /// This process is to end, by its word.
+    ends: bool,
     /// Standing connections on their way there, in their order.
     out: VecDeque<Handed>,
     /// So many before those are its own.
@@ -85,6 +90,7 @@
             while let Some(line) = line(&mut self.inbox) {
                 self.serves |= line == SERVES;
                 self.takes |= line == TAKES;
+                self.ends |= line == ENDS;
                 if let Some(all) = read_took(&line) {
                     let some = all.saturating_sub(self.took).min(self.out.len() as u64);
                     // Its own from now on: what is let go here is this process's descriptors of them.
@@ -119,6 +125,7 @@
     // Left over by a process of this number, long ago.
     let _ = std::fs::remove_file(&own);
     let listener = UnixListener::bind(&own)?;
+    std::fs::set_permissions(&own, Permissions::from_mode(0o600))?;
     std::fs::rename(&own, path)?;
     Ok(listener)
 }
@@ -138,6 +145,10 @@
     /// Processes ask: each is given the estate.
     pub fn comes(&mut self, poller: &Poller, estate: impl Fn() -> Estate) {
         while let Ok((mut stream, _)) = self.listener.accept() {
+            if let Err(e) = is_own(&stream) {
+                warn!(event = "heir-refused", why = %e);
+                continue;
+            }
             self.next += 1;
             let number = self.next;
             if poller.watch_source(&mut stream, Owner::Heir(number)).is_err() {
@@ -162,6 +173,7 @@
                 serves: false,
                 takes: false,
                 stalls: false,
+                ends: false,
                 out: VecDeque::new(),
                 took: 0,
                 since: 0,
@@ -239,6 +251,11 @@
         self.table.values().any(|heir| heir.serves)
     }
 
+    /// Whether one that serves has said that this process is to end.
+    pub fn ends_this(&self) -> bool {
+        self.table.values().any(|heir| heir.serves && heir.ends)
+    }
+
     /// Hands a standing connection to the one that serves. What can't be sent now is this process's again.
     pub fn hand_over(&mut self, now: Micros, handed: Handed) -> bool {
         let line = handed.0.line();
--- a/crates/balancer/src/net/handover/mod.rs
+++ b/crates/balancer/src/net/handover/mod.rs
@@ -5,3 +5,17 @@
 pub mod heirs;
 pub mod overlap;
 pub mod words;
+
+use std::io;
+use std::os::fd::AsFd;
+
+/// Whether the other side of a Unix socket is a process of this user's, or the system's own: connections are given to
+/// nobody else, nor taken from anybody else.
+fn is_own(stream: impl AsFd) -> io::Result<()> {
+    let (peer, own) = (rustix::net::sockopt::socket_peercred(stream)?.uid, rustix::process::getuid());
+    if peer == own || peer.is_root() {
+        return Ok(());
+    }
+    let why = format!("the other process is of user {}, and this one of {}", peer.as_raw(), own.as_raw());
+    Err(io::Error::new(io::ErrorKind::PermissionDenied, why))
+}
--- a/crates/balancer/src/net/handover/overlap.rs
+++ b/crates/balancer/src/net/handover/overlap.rs
@@ -172,6 +172,10 @@
         if has && self.kin.may_hold.is_none() {
             self.tells_heirs();
         }
+        if self.leaving.is_none() && self.kin.heirs.as_ref().is_some_and(Heirs::ends_this) {
+            self.tell_others(|_| Order::Stop);
+            self.stop_soon();
+        }
     }
 
     /// Another process takes clients in this one's place, or no longer: it may have died, and who waits at the listener
--- a/crates/balancer/src/net/handover/words.rs
+++ b/crates/balancer/src/net/handover/words.rs
@@ -19,6 +19,8 @@
 pub const SERVES: &[u8] = b"SERVES";
 /// The new process takes standing connections with what is on its way on them, and says of each that it is its own.
 pub const TAKES: &[u8] = b"TAKES 2";
+/// The old process is to end now: whoever started the new one won't say so.
+pub const ENDS: &[u8] = b"ENDS";
 /// The old process goes on with all that the new one has not said of that it took it.
 pub const KEEPS: &[u8] = b"KEEPS";
 /// The old process takes none from now on.
--- a/crates/balancer/src/net/hub.rs
+++ b/crates/balancer/src/net/hub.rs
@@ -330,8 +330,8 @@
     /// The planned end begins.
     pub fn stop_soon(&mut self) {
         if self.leaving.is_none() {
-            self.hears_heirs();
             self.leaving = Some(self.turn.now);
+            self.hears_heirs();
             let (sessions, waiting) = self.serving.close();
             let worker = self.crew.as_ref().map(Crew::me);
             let heir = self.serving.has_heir;
--- a/crates/balancer/src/net/mod.rs
+++ b/crates/balancer/src/net/mod.rs
@@ -10,6 +10,7 @@
 mod keeping;
 mod link;
 mod list;
+mod notify;
 mod operators;
 mod poll;
 mod pool;
--- a/crates/balancer/src/net/workers.rs
+++ b/crates/balancer/src/net/workers.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::exit;
 use std::sync::Arc;
 use std::thread;
@@ -26,6 +26,7 @@
 use super::handover::overlap::Kin;
 use super::hub::{Net, Place};
 use super::keeping::{self, Keeping, Memory, everything};
+use super::notify;
 use super::operators::counts::Counts;
 use super::operators::desk::Opened;
 use super::operators::folder::Folder;
@@ -192,6 +193,7 @@
             let workers = (lead.workers > 1).then_some(lead.workers);
             let operator = operator.map(tracing::field::display);
             info!(event = "serving", name = config.name, listen = %address, operator, servers, workers);
+            notify::serves();
         }
         let mut worker = Worker { net, driver, lead: self.lead, keeping: self.keeping };
         worker.turn(clock.read(), std::iter::empty());
@@ -237,9 +239,9 @@
     System(#[from] io::Error),
 }
 
-/// Listens for operators. That they can't call is found out at the start, not when they do.
-fn listen_to_operators(at: SocketAddr) -> Result<std::net::TcpListener, ConfigError> {
-    listen(at, false).map_err(|e| ConfigError::Form("operator".into(), format!("no listening at {at}: {e}")))
+/// Listens for operators, where one process takes another's place beside it. That they can't call is found out at the start, not when they do.
+fn listen_to_operators(at: SocketAddr, beside: bool) -> Result<std::net::TcpListener, ConfigError> {
+    listen(at, beside).map_err(|e| ConfigError::Form("operator".into(), format!("no listening at {at}: {e}")))
 }
 
 /// What processes of this balancer have in common; none where there is no place for it.
@@ -259,38 +261,38 @@
 /// Where new processes ask this one.
 const SOCKET: &str = "process";
 
-/// What another process of this balancer leaves, with its listeners; none where there is none, or it does not fit.
-fn inherit(folder: &Folder, config: &Config) -> Option<(Vec<std::net::TcpListener>, Inherited)> {
-    let mut inherited = forebear::ask(&folder.place(SOCKET))
-        .inspect_err(|e| {
-            if !matches!(e.kind(), io::ErrorKind::NotFound | io::ErrorKind::ConnectionRefused) {
-                warn!(event = "not-inherited", why = %e);
-            }
-        })
-        .ok()?;
+/// What another process of this balancer leaves, with its listeners; none where nobody is there.
+fn inherit(path: &Path, config: &Config) -> io::Result<Option<(Vec<std::net::TcpListener>, Inherited)>> {
+    let mut inherited = match forebear::ask(path) {
+        Err(e) if matches!(e.kind(), io::ErrorKind::NotFound | io::ErrorKind::ConnectionRefused) => {
+            return Ok(None);
+        }
+        asked => asked?,
+    };
     let listeners = std::mem::take(&mut inherited.listeners);
     let fits = listeners.len() == config.operator.workers
         && listeners.iter().all(|l| l.local_addr().is_ok_and(|at| at == config.listen));
     if !fits {
-        let why =
-            format!("{} listeners, not all at {} or not for as many workers", listeners.len(), config.listen);
-        warn!(event = "not-inherited", why);
+        let n = listeners.len();
+        let why = format!("{n} listeners, not all at {} or not for as many workers", config.listen);
+        return Err(io::Error::new(io::ErrorKind::InvalidData, why));
     }
-    fits.then_some((listeners, inherited))
+    Ok(Some((listeners, inherited)))
 }
 
 /// Stands between the process before and the next: tells the one that this one serves, and offers all to the other.
 fn between(
-    folder: &Folder,
+    path: PathBuf,
     listeners: &[std::net::TcpListener],
     inherited: Option<Inherited>,
+    ends: bool,
     poller: &Poller,
 ) -> io::Result<Kin> {
     let listeners = listeners.iter().map(|l| l.try_clone()).collect::<io::Result<_>>()?;
-    let heirs = Heirs::open(folder.place(SOCKET), listeners, poller).inspect_err(|e| {
+    let heirs = Heirs::open(path, listeners, poller).inspect_err(|e| {
         warn!(event = "not-offered", why = %e);
     });
-    let forebear = inherited.map(|i| Forebear::told(i, poller)).transpose();
+    let forebear = inherited.map(|i| Forebear::told(i, ends, poller)).transpose();
     Ok(Kin::new(heirs.ok(), forebear.unwrap_or(None)))
 }
 
@@ -305,12 +307,15 @@
     }
 }
 
-/// Runs the balancer until it is told to end. On SIGHUP it takes what `reread` brings.
+/// Runs the balancer until it is told to end. On SIGHUP it takes what `reread` brings. With `take_over` it takes the place of
+/// the process that serves at that socket, if there is one, and has it end.
 ///
 /// # Errors
-/// Where it can't listen at a configured address, or the event loop fails.
+/// Where it can't listen at a configured address, or the event loop fails; with `take_over`, where a process is there and
+/// can't be taken over: nothing has changed then.
 pub fn run(
     mut config: Config,
+    take_over: Option<PathBuf>,
     reread: impl Fn() -> Result<Config, ConfigError> + Send + 'static,
 ) -> Result<(), Failure> {
     let workers = config.operator.workers;
@@ -321,13 +326,23 @@
     // Where operators may call there may be another process of this balancer, with as many listeners.
     let mut folder = config.operator_at.filter(|_| config.listen.port() != 0);
     let mut folder = folder.take().and_then(|_| common_folder(config.listen));
-    let inherited = folder.as_ref().and_then(|f| inherit(f, &config));
+    let inherited = match (&take_over, &folder) {
+        // Whoever wants the other one's place does not want to stand beside it.
+        (Some(path), _) => inherit(path, &config).map_err(|e| {
+            io::Error::new(e.kind(), format!("nothing is taken over from {}: {e}", path.display()))
+        })?,
+        (None, Some(folder)) => inherit(&folder.place(SOCKET), &config).unwrap_or_else(|e| {
+            warn!(event = "not-inherited", why = %e);
+            None
+        }),
+        (None, None) => None,
+    };
     let (mut listeners, mut inherited) = match inherited {
         Some((listeners, inherited)) => (listeners, Some(inherited)),
         // It may have to listen beside another one.
         None => (vec![listen(config.listen, workers > 1 || config.operator_at.is_some())?], None),
     };
-    let mut door = config.operator_at.map(listen_to_operators).transpose()?;
+    let mut door = config.operator_at.map(|at| listen_to_operators(at, take_over.is_some())).transpose()?;
     // The port may have been left to the system for the first one only.
     let at = listeners[0].local_addr()?;
     for _ in listeners.len()..workers {
@@ -362,8 +377,10 @@
     }
     let known = Arc::new(std::mem::take(&mut config.known));
     let mut kin = Kin::default();
-    if let (Some(folder), Some(_)) = (&folder, &door) {
-        kin = between(folder, &listeners, inherited, &watches[0].poller()?)?;
+    let place = folder.as_ref().filter(|_| door.is_some()).map(|folder| folder.place(SOCKET));
+    let ends = take_over.is_some();
+    if let Some(place) = take_over.or(place) {
+        kin = between(place, &listeners, inherited, ends, &watches[0].poller()?)?;
     }
     let mut kin = Some(kin);
     let place = |((listener, crew), own): (_, &Counts)| Place {
--- a/crates/balancer/tests/sockets/handover.rs
+++ b/crates/balancer/tests/sockets/handover.rs
@@ -313,6 +313,45 @@
     assert!(old.wait().success());
 }
 
+/// No operators, no common folder: one command, the same each time.
+#[test]
+fn one_command_takes_over_in_place_and_a_refused_one_changes_nothing() {
+    let place = tempfile::tempdir().expect("a folder");
+    let socket = place.path().join("shorewharf");
+    let notify = std::os::unix::net::UnixDatagram::bind(place.path().join("notify")).expect("a socket");
+    notify.set_read_timeout(Some(LIMIT)).expect("a time-out");
+    let told = |id: u32| {
+        let mut words = [0; 64];
+        let n = notify.recv(&mut words).expect("told that it serves");
+        assert_eq!(String::from_utf8_lossy(&words[..n]), format!("READY=1\nMAINPID={id}\n"));
+    };
+    let notify_at = place.path().join("notify");
+    let env = [("SHOREWHARF_TAKE_OVER", socket.as_os_str()), ("NOTIFY_SOCKET", notify_at.as_os_str())];
+    let node = Node::new();
+    let mut settings = settings(&node);
+    settings.as_object_mut().expect("an object").remove("operator");
+    let mut old = Program::start_in(BINARY, &settings, &env);
+    told(old.id());
+    let (mut client, mut server) = old.stand(&node);
+    let same = beside(&settings, &old);
+    // Another address is another balancer's.
+    let (code, log) = refused_start_with(BINARY, &settings, &env);
+    assert!(code == Some(1) && log.contains("nothing is taken over from"), "{code:?} {log}");
+    assert_eq!(fate(&mut client, &mut server, "M 1"), Fate::Stands);
+    for n in 0..2 {
+        let new = Program::start_in(BINARY, &same, &env);
+        told(new.id());
+        // Nobody told it: the new one has.
+        assert!(old.wait().success());
+        assert_eq!(fate(&mut client, &mut server, &format!("M again {n}")), Fate::Stands);
+        old = new;
+    }
+    old.stand_as(&node, "77");
+    use std::os::unix::fs::PermissionsExt;
+    let mode = std::fs::metadata(&socket).expect("a socket").permissions().mode();
+    assert_eq!(mode & 0o777, 0o600, "its owner's alone");
+}
+
 fn rounds(seeds: std::ops::Range<u64>) {
     std::thread::scope(|s| {
         for lane in 0..8 {
--- a/crates/emulator/src/standin/mod.rs
+++ b/crates/emulator/src/standin/mod.rs
@@ -29,7 +29,7 @@
 pub use director::{Director, Watch};
 pub use node::{Node, loopback, nobody};
 pub use peer::{Heard, Peer};
-pub use program::{Program, asking, config, endpoint, refused_start};
+pub use program::{Program, asking, config, endpoint, refused_start, refused_start_with};
 
 use std::time::Duration;
 
--- a/crates/emulator/src/standin/program.rs
+++ b/crates/emulator/src/standin/program.rs
@@ -78,6 +78,13 @@
     }
 }
 
+/// What else a program is started with.
+#[derive(Clone, Copy, Debug, Default)]
+struct More<'a> {
+    operator: Option<&'a str>,
+    env: &'a [(&'a str, &'a OsStr)],
+}
+
 /// A program that has been started and may have failed to.
 struct Started {
     child: Child,
@@ -85,16 +92,19 @@
 }
 
 impl Started {
-    fn new(binary: &OsStr, config: &str, operator: Option<&str>, common: &Path) -> Self {
+    fn new(binary: &OsStr, config: &str, more: &More, common: &Path) -> Self {
         let folder = Folder::new();
         let file = folder.0.join(CONFIG);
         std::fs::write(&file, config).expect("a file");
         let mut command = Command::new(binary);
-        if let Some(operator) = operator {
+        if let Some(operator) = more.operator {
             let file = folder.0.join("operator.toml");
             std::fs::write(&file, operator).expect("a file");
             command.env("SHOREWHARF_OPERATOR", file);
         }
+        more.env.iter().for_each(|(var, value)| {
+            command.env(var, value);
+        });
         // At this level each step of a client's is an event that a test can wait for.
         let command =
             command.env("ROUTER_CONFIG", &file).env("SHOREWHARF_LOG", "debug").env("TMPDIR", common);
@@ -116,8 +126,18 @@
 
 /// Starts a program on a configuration that it must refuse: its exit code and its log.
 pub fn refused_start(binary: impl AsRef<OsStr>, config: &Value) -> (Option<i32>, String) {
+    refused_start_with(binary, config, &[])
+}
+
+/// The same with variables of its environment.
+pub fn refused_start_with(
+    binary: impl AsRef<OsStr>,
+    config: &Value,
+    env: &[(&str, &OsStr)],
+) -> (Option<i32>, String) {
     let common = Folder::new();
-    let mut started = Started::new(binary.as_ref(), &config.to_string(), None, &common.0);
+    let mut started =
+        Started::new(binary.as_ref(), &config.to_string(), &More { operator: None, env }, &common.0);
     let stderr = started.child.stderr.take().expect("piped");
     let log = std::io::read_to_string(stderr).expect("text");
     (started.child.wait().expect("it ends").code(), log)
@@ -138,25 +158,41 @@
     /// Starts a program on a configuration and waits until it serves.
     #[track_caller]
     pub fn start(binary: impl AsRef<OsStr>, config: &Value) -> Self {
-        Program::begin(binary.as_ref(), config, None, Rc::default())
+        Program::begin(binary.as_ref(), config, More::default(), Rc::default())
     }
 
     /// The same with a file of the operator's own.
     #[track_caller]
     pub fn start_with(binary: impl AsRef<OsStr>, config: &Value, operator: &str) -> Self {
-        Program::begin(binary.as_ref(), config, Some(operator), Rc::default())
+        Program::begin(binary.as_ref(), config, More { operator: Some(operator), env: &[] }, Rc::default())
+    }
+
+    /// The same with variables of its environment.
+    #[track_caller]
+    pub fn start_in(binary: impl AsRef<OsStr>, config: &Value, env: &[(&str, &OsStr)]) -> Self {
+        Program::begin(binary.as_ref(), config, More { operator: None, env }, Rc::default())
+    }
+
+    /// Its number in the system.
+    pub fn id(&self) -> u32 {
+        self.started.child.id()
     }
 
     /// Another process of the same balancer: what is in this one's `$TMPDIR` is in its too.
     #[track_caller]
     pub fn start_beside(&self, binary: impl AsRef<OsStr>, config: &Value) -> Self {
-        Program::begin(binary.as_ref(), config, None, Rc::clone(&self.common))
+        Program::begin(binary.as_ref(), config, More::default(), Rc::clone(&self.common))
     }
 
     /// The same with a file of the operator's own.
     #[track_caller]
     pub fn start_beside_with(&self, binary: impl AsRef<OsStr>, config: &Value, operator: &str) -> Self {
-        Program::begin(binary.as_ref(), config, Some(operator), Rc::clone(&self.common))
+        Program::begin(
+            binary.as_ref(),
+            config,
+            More { operator: Some(operator), env: &[] },
+            Rc::clone(&self.common),
+        )
     }
 
     /// The folder that it has in common with other processes of the same balancer.
@@ -165,8 +201,8 @@
     }
 
     #[track_caller]
-    fn begin(binary: &OsStr, config: &Value, operator: Option<&str>, common: Rc<Folder>) -> Self {
-        let mut started = Started::new(binary, &config.to_string(), operator, &common.0);
+    fn begin(binary: &OsStr, config: &Value, more: More, common: Rc<Folder>) -> Self {
+        let mut started = Started::new(binary, &config.to_string(), &more, &common.0);
         let stderr = BufReader::new(started.child.stderr.take().expect("piped"));
         let (sender, log) = channel();
         thread::spawn(move || stderr.lines().map_while(Result::ok).try_for_each(|line| sender.send(line)));
--- a/crates/lab/src/instances/mod.rs
+++ b/crates/lab/src/instances/mod.rs
@@ -11,11 +11,12 @@
 use std::sync::{Arc, RwLock};
 
 use shorewharf_decisions::interface::{ListEntry, Settings};
-use shorewharf_driver::{Driver, micros};
+use shorewharf_driver::{Driver, micros, seconds};
 use shorewharf_emulator::Micros;
 use shorewharf_emulator::day::Day;
 use shorewharf_emulator::edge::{BalancerId, FromBalancer, ToBalancer};
 use shorewharf_emulator::virtual_time::{Host, Instance, Told, Truth};
+use shorewharf_recovery::memory::{Cursor, Learned};
 use shorewharf_settings::operator::{Operator, OperatorError, Recovery, Tenancy};
 use thiserror::Error;
 
@@ -41,7 +42,7 @@
 #[derive(Debug, Error)]
 #[error(
     "no policy is named {0:?}; there are module (module@FILE with an operator's file, module-with-tenancy, \
-     module-without-tenancy, module-alone, module-levels, module-repeats, module-moves, module-care), random, \
+     module-without-tenancy, module-with-snapshot, module-alone, module-levels, module-repeats, module-moves, module-care), random, \
      round-robin and oracle"
 )]
 pub struct UnknownPolicy(String);
@@ -79,17 +80,22 @@
     who: Who,
     operator: Operator,
     truth: Arc<RwLock<Vec<Truth>>>,
+    /// What the module knows is kept over its end.
+    keeps: bool,
 }
 
 impl Hosts {
     /// Hosts balancers that are run by `who`.
     pub fn new(who: Who) -> Self {
-        Hosts { who, operator: Operator::default(), truth: Arc::default() }
+        Hosts { who, operator: Operator::default(), truth: Arc::default(), keeps: false }
     }
 
     /// Hosts balancers that are run by the policy of this name. The module takes an operator's file behind an `@`.
     pub fn named(policy: &str) -> Result<Hosts, PolicyError> {
         let care = |recovery| Operator { recovery, ..Operator::default() };
+        if policy == "module-with-snapshot" {
+            return Ok(Hosts { keeps: true, ..Hosts::new(Who::Module) });
+        }
         let tenancy = |on| Operator { tenancy: Tenancy { on, ..Tenancy::default() }, ..Operator::default() };
         let operator = match policy {
             "module-with-tenancy" => tenancy(true),
@@ -120,7 +126,8 @@
         let settings = settings.expect("settings that the emulator wrote are read");
         let first_link = u64::from(_id.0) << 40;
         let make = Make { who: self.who, operator: self.operator.clone(), truth: Arc::clone(&self.truth) };
-        Box::new(Hosted { places: Places::new(day), settings, make, next_link: first_link, life: None })
+        let (places, life, kept) = (Places::new(day), None, self.keeps.then(Kept::default));
+        Box::new(Hosted { places, settings, make, next_link: first_link, life, kept })
     }
 
     fn wants_truth(&self) -> bool {
@@ -173,6 +180,39 @@
     }
 }
 
+/// A record is read out so often, as the program does unless it is told otherwise.
+const KEEP_EVERY: Micros = 2_000_000;
+
+/// What a balancer knew when it was read out last.
+#[derive(Default)]
+struct Kept {
+    at: Micros,
+    learned: Vec<Learned>,
+}
+
+impl Kept {
+    /// Reads out what a module knows, if it is time to.
+    fn read(&mut self, now: Micros, brain: &mut Brain) {
+        let Brain::Module(driver) = brain else { return };
+        if now < self.at + KEEP_EVERY {
+            return;
+        }
+        (self.at, self.learned) = (now, Vec::new());
+        let mut at = Cursor::default();
+        while at != Cursor::End {
+            at = driver.gate().recollect(at, 512, &mut self.learned);
+        }
+    }
+
+    /// Has the module of the next life recall it.
+    fn recall(&mut self, now: Micros, brain: &mut Brain) {
+        if let Brain::Module(driver) = brain {
+            let (past, learned) = (seconds(now.saturating_sub(self.at)), std::mem::take(&mut self.learned));
+            driver.gate().recall(seconds(now), past, true, learned);
+        }
+    }
+}
+
 /// A balancer through all its lives.
 struct Hosted {
     places: Places,
@@ -180,6 +220,7 @@
     make: Make,
     next_link: u64,
     life: Option<(Emulated, Brain)>,
+    kept: Option<Kept>,
 }
 
 impl Instance for Hosted {
@@ -200,6 +241,7 @@
                     let known = peers.listed(true, known);
                     let mut brain = self.make.brain(&self.settings, *seed, known, &mut peers);
                     brain.settle(&mut peers);
+                    self.kept.iter_mut().for_each(|kept| kept.recall(now, &mut brain));
                     self.life = Some((peers, brain));
                 }
                 ToBalancer::Kill => {
@@ -220,6 +262,7 @@
         if let Some((peers, brain)) = &mut self.life {
             peers.due();
             brain.settle(peers);
+            self.kept.iter_mut().for_each(|kept| kept.read(now, brain));
             self.next_link = peers.next_link();
             peers.hand_over(out);
         }
