Have all balancers take turns at a cold server, so that a crowd can't push it over

Ruled out: calls by balancers that did not know of the start (all had listed it 5 s before); probes (none out); the rate of entries (7 in the 5 s before). Change: a cold server's time is dealt out by the balancers' numbers, as time slots: one client a turn, a turn not used is lost, a turn lasts for the settings' window (rules.overload_for_s, read now), and any window meets no more turns than the settings bear, with a margin of a fifth. What a server bears comes from the tenants' quotas and listed sizes, the same at every balancer and after a restart; turns that began before the process count as used. Where a balancer is blind more turns are dealt out, until connections break in numbers.

--- a/crates/balancer/src/check.rs
+++ b/crates/balancer/src/check.rs
@@ -76,6 +76,7 @@
     row("settings.rules.start_capacity", &s.start_capacity);
     row("settings.rules.warm_within_s", &format_args!("{} s", s.warm_within));
     row("settings.rules.fall_multiple", &s.fall_multiple);
+    row("settings.rules.overload_for_s", &format_args!("{} s", s.overload_for));
     rows
 }
 
--- a/crates/balancer/src/config.rs
+++ b/crates/balancer/src/config.rs
@@ -231,6 +231,7 @@
             ("settings.tick_s", set.tick),
             ("settings.limits.connect_timeout_s", set.connect_timeout),
             ("settings.rules.ask_within_s", set.ask_within),
+            ("settings.rules.overload_for_s", set.overload_for),
         ] {
             if !(value > 0.0 && value < LONGEST) {
                 return Err(form(key, format!("{value} s is not over 0 and under {LONGEST} s")));
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -86,6 +86,8 @@
     pub warm_within: f64,
     /// A cold server falls over when sent more than this multiple of its capacity.
     pub fall_multiple: f64,
+    /// For so long.
+    pub overload_for: f64,
     /// Attempts allowed for a request.
     pub max_attempts: u32,
     /// A connection not made within this time has failed.
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -93,7 +93,7 @@
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: f64, event: Event, out: &mut Vec<Action>) {
         match event {
-            Event::Start => self.start(out),
+            Event::Start => self.start(now, out),
             Event::Servers { full, cached, entries } => self.list(now, full, cached, &entries, out),
             Event::RegistryFailed => self.ask_later(out),
             Event::Arrived(request) => self.arrived(now, request, out),
@@ -115,7 +115,8 @@
         }
     }
 
-    fn start(&mut self, out: &mut Vec<Action>) {
+    fn start(&mut self, now: f64, out: &mut Vec<Action>) {
+        self.begins(now);
         out.push(Action::SetTimer { after: PERIOD * (0.5 + self.draw()), token: HOUSEKEEPING });
         if self.set.ask_registry {
             // All proxies may start at once: the first call comes at a drawn time, not in a stampede.
@@ -159,6 +160,7 @@
             (s.entry, s.thawed) = (entry, thawed || (s.thawed && entry.stage == Stage::Ready));
         }
         self.servers.retain(|_, s| s.entry.stage != Stage::Gone || s.open > 0);
+        self.resized();
         let leaving = |s: &Server| s.entry.stage == Stage::Draining;
         let frozen: Vec<ServerId> = self.servers.iter().filter(|(_, s)| leaving(s)).map(|x| *x.0).collect();
         for id in frozen {
@@ -399,14 +401,12 @@
         }
         self.sends += 1.0;
         self.drop_reservation(c.request.key);
-        let saved = self.entry_share(&self.servers[&server], now) - 1.0;
+        self.enters(now, server);
         let s = self.servers.get_mut(&server).expect("chosen from the table");
         s.used += c.load;
         s.open += 1;
         s.in_hand += 1;
         s.thawed = false;
-        // Entries saved up while nobody came are lost: a lone proxy's burst could push the server over.
-        s.entries = s.entries.max(saved) + 1.0;
         // A trial is single: the lock holds for everyone else until it has ended.
         s.retry_at = s.retry_at.max(now + left);
         self.count_at(server, c.group, true);
@@ -645,6 +645,10 @@
             _ => self.judge(now, server, outcome, stood),
         }
         if stood && !moved {
+            let leaves = self.servers.get(&server).is_some_and(|s| s.entry.stage == Stage::Draining);
+            if outcome == Outcome::Reset || (outcome == Outcome::Cancelled && !leaves) {
+                self.breaks(now);
+            }
             self.reserve(now, &c, server);
         }
         if c.answered {
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -5,6 +5,7 @@
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 
+use crate::cold::Crowd;
 use crate::interface::*;
 use crate::load::Borne;
 use crate::sounding::Soundings;
@@ -25,6 +26,8 @@
     pub retry_at: f64,
     pub backoff: f64,
     pub entries: f64,
+    /// When it was last sent a client.
+    pub entered: f64,
     /// When a set-up failed there that no good one has followed.
     pub failed_at: f64,
     /// Connections that broke there lately.
@@ -79,6 +82,7 @@
             retry_at: 0.0,
             backoff: 0.0,
             entries: 0.0,
+            entered: f64::NEG_INFINITY,
             failed_at: f64::NEG_INFINITY,
             drops: 0.0,
             thawed: false,
@@ -136,6 +140,11 @@
     pub(crate) sends: f64,
     pub(crate) asks: u32,
     pub(crate) subscribed: bool,
+    /// When this proxy started.
+    pub(crate) began: f64,
+    pub(crate) crowd: Crowd,
+    /// The sizes of all ready servers together, at the most that was listed.
+    pub(crate) sizes: f64,
     /// Attempts may be repeated.
     pub(crate) repeats: bool,
 }
@@ -169,6 +178,9 @@
             sends: 0.0,
             asks: 0,
             subscribed: false,
+            began: f64::NEG_INFINITY,
+            crowd: Crowd::default(),
+            sizes: 0.0,
             repeats: true,
         }
     }
--- a/crates/recovery/tests/moves.rs
+++ b/crates/recovery/tests/moves.rs
@@ -63,6 +63,7 @@
             start_capacity: COLD,
             warm_within: WARM,
             fall_multiple: 3.0,
+            overload_for: 1.5,
             max_attempts: 3,
             connect_timeout: 0.25,
             max_retry_after: 1.5,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -49,6 +49,7 @@
     start_capacity: Option<f64>,
     warm_within_s: Option<f64>,
     fall_multiple: Option<f64>,
+    overload_for_s: Option<f64>,
 }
 
 #[derive(Deserialize, Default)]
@@ -137,6 +138,7 @@
             start_capacity: raw.rules.start_capacity.unwrap_or(0.1),
             warm_within: raw.rules.warm_within_s.unwrap_or(30.0),
             fall_multiple: raw.rules.fall_multiple.unwrap_or(1.0),
+            overload_for: raw.rules.overload_for_s.unwrap_or(1.0),
             max_attempts: raw.limits.max_attempts.unwrap_or(1).max(1),
             connect_timeout: raw.limits.connect_timeout_s.unwrap_or(0.25),
             max_retry_after: raw.limits.max_retry_after_s,
