Ask for the list again within the six seconds after which its news counts as told

Need: whatever is allowed after a failed call, a change counts as told 6 s after discovery had it. Read: a silent watch was left after 3.5 s, the pause before the next call doubled to 3 s, a call had 1.5 s to its head and, once that had come, 3.5 s more to the first byte of the list: 11.5 s at worst. Change: a call whose list has not begun 1.8 s after the dial is given up, head or not; a watch is silent after 2.8 s (blank lines come every 2 s); the pause is drawn from 0.45 to 1.35 s however often calls fail. The sum is checked at build time (director.rs). The director's tests moved to a file of their own. Test: a call whose list does not begin, and the registry is asked again soon however often calls fail; both fail with the figures of before by reading (3.5 s, 3 s), the first was not run against them.

--- a/crates/balancer/src/net/list/answer.rs
+++ b/crates/balancer/src/net/list/answer.rs
@@ -27,11 +27,6 @@
         Answer { body: Body::Head }
     }
 
-    /// Whether the call has been answered at all.
-    pub fn has_begun(&self) -> bool {
-        self.body != Body::Head
-    }
-
     /// Takes in what it can of `bytes` and says how much; the body's text goes to `text`.
     pub fn take(
         &mut self,
--- a/crates/balancer/src/net/list/director.rs
+++ b/crates/balancer/src/net/list/director.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use shorewharf_driver::Micros;
+use shorewharf_driver::{Micros, PAUSE_MOST};
 use tracing::{info, warn};
 
 use super::answer::Answer;
@@ -13,12 +13,16 @@
 use crate::net::terms::Terms;
 use crate::net::turn::{Alarm, Due, Turn};
 
-/// A call that has not begun to answer by then has failed: discovery itself gives up after about a second. After a
-/// reload its news counts as told within 4 s, and there must be time for another call by then.
-const ANSWER: Micros = 1_500_000;
+/// A call of whose list nothing has come by then has failed, whatever else of it has come up: discovery itself gives up
+/// after about a second. After a reload its news counts as told within 4 s, and there must be time for another call by then.
+const FIRST: Micros = 1_800_000;
 /// A watch has a blank line every 2 s; one that stays silent for this long is dead though TCP says nothing.
-/// Together with the next call this must stay under 6 s: by then its news counts as told.
-const SILENT: Micros = 3_500_000;
+const SILENT: Micros = 2_800_000;
+/// What a watch misses counts as told so long after it fell silent, and what discovery has to tell so long after it could
+/// be reached.
+const TOLD: Micros = 6_000_000;
+// The pause before the next call is the module's.
+const _: () = assert!(SILENT + PAUSE_MOST + FIRST < TOLD && 2 * FIRST < 4_000_000);
 /// Pieces of a list that are read in one turn: a list of megabytes must not hold up those who stand.
 const PIECES: usize = 8;
 
@@ -47,6 +51,8 @@
     index: u64,
     /// When something came last, or the call began.
     heard: Micros,
+    /// Something of the list has come, or a blank line.
+    tells: bool,
     failing: bool,
     /// The module has asked for the list; without that nobody watches.
     wanted: bool,
@@ -66,6 +72,7 @@
             more: false,
             index: 0,
             heard: 0,
+            tells: false,
             failing: false,
             wanted: false,
             alarm: Alarm::default(),
@@ -107,6 +114,7 @@
             return self.failed(turn, Vec::new(), "the loop takes no more connections");
         }
         (self.link, self.asked, self.answer, self.heard) = (Some(link), false, Answer::new(), turn.now);
+        self.tells = false;
         // Nothing of a list that did not come to its end counts.
         (self.reader, self.incoming) = (Reader::new(), Incoming::default());
         self.arm(turn);
@@ -146,7 +154,11 @@
                 Part::Entry(e) => incoming.add(&e, &terms.names, terms.most_servers),
                 Part::End { index, snapshot } => lists.push(incoming.end(index, snapshot)),
             };
-            let took = match self.answer.take(link.held(), |text| reader.read(text, &mut part)) {
+            let tells = &mut self.tells;
+            let took = match self.answer.take(link.held(), |text| {
+                *tells |= !text.is_empty();
+                reader.read(text, &mut part)
+            }) {
                 Ok(n) => n,
                 Err(why) => {
                     failure = Some(why);
@@ -154,7 +166,7 @@
                 }
             };
             link.take(took);
-            if any {
+            if any && self.tells {
                 self.heard = turn.now;
             }
             if !any || (took == 0 && link.ended.is_none()) {
@@ -193,7 +205,7 @@
 
     /// By when the watch must have said something.
     fn due(&self, turn: &Turn) -> Option<Micros> {
-        let limit = if self.answer.has_begun() { SILENT } else { ANSWER };
+        let limit = if self.tells { SILENT } else { FIRST };
         self.link.as_ref().map(|_| (self.heard + limit).max(turn.judges_from()))
     }
 
@@ -214,43 +226,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::net::turn::tests::{READ, turn, until};
-    use std::io::Write;
-    use std::net::TcpListener;
-
-    /// What comes of the timer, if it comes, so much later.
-    fn alarmed(director: &mut Director, turn: &mut Turn, later: Micros) -> Option<Vec<News>> {
-        turn.ends(turn.now + later);
-        turn.begin(turn.now + later);
-        turn.timers.due().map(|due| {
-            assert_eq!(due, Due::Director);
-            director.alarmed(turn)
-        })
-    }
-
-    #[test]
-    fn a_silent_address_is_given_up_in_time_for_another_call() {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let mut director = Director::new(listener.local_addr().expect("bound"));
-        let (mut turn, terms) = (turn(1_000_000), Terms::few());
-        assert_eq!(director.watch(&mut turn), []);
-        assert_eq!(alarmed(&mut director, &mut turn, ANSWER - 1), None);
-        // What discovery tells after a reload counts as told within 4 s, so two calls must fit.
-        const { assert!(2 * ANSWER < 4_000_000) };
-        assert_eq!(alarmed(&mut director, &mut turn, 1), Some(vec![News::Failed]));
-        assert_eq!(director.watch(&mut turn), []);
-        let (_first, (mut second, _)) = (listener.accept(), listener.accept().expect("a second call"));
-        second.write_all(b"HTTP/1.1 200 OK\r\n\r\n{\"index\":7}\n").expect("open");
-        let mut news = Vec::new();
-        until(|| {
-            news.extend(director.ready(&mut turn, &terms, READ));
-            !news.is_empty()
-        });
-        assert!(matches!(&news[..], [News::List(listing)] if listing.index == 7));
-        // A timer that comes for what is no longer due finds the next one.
-        assert_eq!(alarmed(&mut director, &mut turn, SILENT - 1), Some(vec![]));
-        assert_eq!(alarmed(&mut director, &mut turn, 1), Some(vec![News::Failed]));
-    }
-}
+mod tests;
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -73,9 +73,9 @@
 const WIDE: f64 = 0.5;
 /// Latency time of a reservation in honoured waits, drawn between 1 and 2 times this.
 pub(crate) const LATENCY: f64 = 1.5;
-/// Failed registry calls double the pause up to so many times, to 0.3 of `ask_within` at most: what the
-/// registry has to say soon counts as told, and a server that drained meanwhile must not be sent to.
-const ASKS_MOST: u32 = 2;
+/// The pause before the next registry call, in parts of `ask_within`, which counts up to 10 s: drawn between this and three
+/// times as much, however often calls fail. What the registry has to say soon counts as told.
+const PAUSE: f64 = 0.045;
 /// Bound on remembered clients.
 pub(crate) const KEYS_MOST: usize = 8192;
 
@@ -94,7 +94,7 @@
     pub fn handle(&mut self, now: f64, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Start => self.start(now, out),
-            Event::Servers { full, cached, entries } => self.list(now, full, cached, &entries, out),
+            Event::Servers { full, entries, .. } => self.list(now, full, &entries, out),
             Event::RegistryFailed => self.ask_later(out),
             Event::Arrived(request) => self.arrived(now, request, out),
             Event::Open(request, server) => self.opened(now, request, server),
@@ -130,8 +130,7 @@
             return;
         }
         self.subscribed = false;
-        self.asks = (self.asks + 1).min(ASKS_MOST);
-        let after = self.set.ask_within * 0.05 * f64::from(1 << self.asks) * (0.5 + self.draw());
+        let after = self.set.ask_within.min(10.0) * PAUSE * (1.0 + 2.0 * self.draw());
         out.push(Action::SetTimer { after, token: SUBSCRIBE });
     }
 
@@ -142,8 +141,7 @@
         }
     }
 
-    fn list(&mut self, now: f64, full: bool, cached: bool, entries: &[ListEntry], out: &mut Vec<Action>) {
-        self.asks *= u32::from(cached);
+    fn list(&mut self, now: f64, full: bool, entries: &[ListEntry], out: &mut Vec<Action>) {
         if full {
             self.servers.values_mut().for_each(|s| s.entry.stage = Stage::Gone);
         }
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -138,7 +138,6 @@
     pub(crate) paced_at: f64,
     pub(crate) fell_at: f64,
     pub(crate) sends: f64,
-    pub(crate) asks: u32,
     pub(crate) subscribed: bool,
     /// When this proxy started.
     pub(crate) began: f64,
@@ -176,7 +175,6 @@
             paced_at: 0.0,
             fell_at: 0.0,
             sends: 0.0,
-            asks: 0,
             subscribed: false,
             began: f64::NEG_INFINITY,
             crowd: Crowd::default(),
--- a/crates/decisions/tests/rules.rs
+++ b/crates/decisions/tests/rules.rs
@@ -178,6 +178,25 @@
     assert!(to_cold <= 6, "{to_cold} clients at once on a server half a second old");
 }
 
+#[test]
+fn the_registry_is_asked_again_soon_however_often_calls_fail() {
+    // What it has to tell counts as told 6 s after it could be reached, whatever was allowed after a failed call; the
+    // silence before the call and the wait for its first line take the rest.
+    for ask_within in [1.0, 10.0, 60.0] {
+        let mut p = Proxy::new(Settings { ask_registry: true, ask_within, ..settings() }, 3);
+        for call in 0..50 {
+            let out = p.give(Event::RegistryFailed);
+            let pause = out.iter().find_map(|a| match a {
+                Action::SetTimer { after, token } if *token == 2 << 40 => Some(*after),
+                _ => None,
+            });
+            let pause = pause.expect("another call");
+            assert!(pause > 0.0 && pause <= 1.35, "{pause} s after call {call} with {ask_within} s");
+            p.give(Event::Timer(2 << 40));
+        }
+    }
+}
+
 #[test]
 fn a_warm_server_gets_its_even_share_again() {
     let mut to_it = 0;
--- a/crates/driver/src/lib.rs
+++ b/crates/driver/src/lib.rs
@@ -21,6 +21,9 @@
 /// Whole microseconds.
 pub type Micros = u64;
 
+/// The module asks for the list again at the latest so long after a call has failed.
+pub const PAUSE_MOST: Micros = 1_350_000;
+
 /// Microseconds as the module's seconds.
 pub fn seconds(t: Micros) -> f64 {
     t as f64 / 1e6
