Owe nothing at an end: requests in the system's buffers, clients gone unseen, a full listener

Seen with the program held still by SIGSTOP (tests/sockets/endings.rs): a client that wrote its line and left before it was accepted got an attempt; of 100 clients that wait at the listener when the planned end is due, those beyond one turn's 64 were reset. At fault: Link::fill takes a short read for all there is, and an end that was there before the connection was watched is told in the next turn only (serving/mod.rs, req_comes); hub.rs set done by the sessions alone. By reading: an idle connection that runs out of time or makes room was closed without a look at what had come, and over unread input. Change: after a first line the connection is read once more before the module hears of it; whoever waits at the listener is taken in before the end; idle connections are read before they are ended, and end with the sending shut and the input read out; at a planned end those that have asked for nothing get theirs with the last refusals.

--- a/crates/balancer/src/net/hub.rs
+++ b/crates/balancer/src/net/hub.rs
@@ -371,13 +371,29 @@
         let waits = self.on_their_way() > 0
             || (has_heir && self.crew.as_ref().is_some_and(|crew| crew.leads() && !crew.is_alone()));
         let clients = self.serving.clients() + usize::from(waits);
-        if since >= farewell.last || (clients == 0 && (has_heir || since >= LEAVE_AFTER + STEP)) {
+        let over = clients == 0 && (has_heir || since >= LEAVE_AFTER + STEP);
+        // Whoever waits at the listener would be cut off with it.
+        if since >= farewell.last || (over && (has_heir || !self.more_come())) {
             self.done = Some(clients);
         }
         self.turn.after(STEP, Due::Leave);
     }
 }
 
+impl Net {
+    /// Takes in a client that waits at the listener; false where none does. Others are accepted in this turn and the next.
+    fn more_come(&mut self) -> bool {
+        self.accepts_again();
+        match self.next_client() {
+            Ok((stream, from)) => {
+                self.client_comes(stream, from);
+                true
+            }
+            Err(_) => false,
+        }
+    }
+}
+
 /// Other workers.
 impl Net {
     /// The next order, to be carried out by [`Net::order`] unless it is a configuration.
--- a/crates/balancer/src/net/poll.rs
+++ b/crates/balancer/src/net/poll.rs
@@ -112,6 +112,11 @@
     pub ends: bool,
 }
 
+impl Ready {
+    /// Something may be there to be read of which the loop has not told yet.
+    pub const READ: Ready = Ready { read: true, write: false, ends: false };
+}
+
 impl From<&Event> for Ready {
     fn from(event: &Event) -> Self {
         let ends = event.is_read_closed() || event.is_error();
--- a/crates/balancer/src/net/serving/due.rs
+++ b/crates/balancer/src/net/serving/due.rs
@@ -9,6 +9,7 @@
 use super::{COME_BACK, Serving};
 use crate::net::clients::session::{Session, Stage};
 use crate::net::link::End;
+use crate::net::poll::Ready;
 use crate::net::servers::delays::Sight;
 use crate::net::servers::fetches;
 use crate::net::turn::Turn;
@@ -31,7 +32,13 @@
         let now = turn.now;
         let Some(s) = self.sessions.get_mut(id) else { return };
         match s.stage() {
-            Stage::Opening if s.is_late(now) => self.half_line(turn, id),
+            Stage::Opening if s.is_late(now) => {
+                // A line that has come by now is a request that was taken.
+                self.session_ready(turn, id, Ready::READ);
+                if self.sessions.get(id).is_some_and(|s| s.stage() == Stage::Opening && s.is_late(now)) {
+                    self.half_line(turn, id);
+                }
+            }
             Stage::Waiting if !s.is_late(now) && s.carries_again(now) => {
                 let left = s.until() - now;
                 if let Some(home) = s.home() {
@@ -103,8 +110,14 @@
         open.into_iter().take(n).for_each(|id| self.move_away(turn, id));
     }
 
-    /// Refuses everybody who still waits.
+    /// Refuses everybody who still waits, and ends those that have asked for nothing by now.
     pub fn refuse_all(&mut self, turn: &mut Turn) {
+        for id in self.sessions.those(|s| s.stage() == Stage::Opening) {
+            self.session_ready(turn, id, Ready::READ);
+            if self.sessions.get(id).is_some_and(|s| s.stage() == Stage::Opening) {
+                self.answer(turn, id, b"");
+            }
+        }
         for id in self.sessions.those(Session::waits) {
             turn.tell(Happening::ClientLeft(id));
             self.fetch_over(turn, id, Outcome::Cancelled);
--- a/crates/balancer/src/net/serving/mod.rs
+++ b/crates/balancer/src/net/serving/mod.rs
@@ -125,13 +125,25 @@
     /// Has a descriptor for a connection to a server, at the cost of those who ask for nothing.
     fn make_room(&mut self, turn: &mut Turn) -> bool {
         while !self.has_room() {
-            if !self.budget.can_make_room(self.held()) || !self.sessions.evict(turn) {
+            if !self.budget.can_make_room(self.held()) || !self.evict(turn) {
                 return false;
             }
         }
         true
     }
 
+    /// Ends the one that can best be done without, of those that ask for nothing; false where nobody does. What it has
+    /// sent by now is read first: a whole line is a request that was taken, and a close over unread input would be a
+    /// reset, which could overtake last words.
+    fn evict(&mut self, turn: &mut Turn) -> bool {
+        let Some(id) = self.sessions.least_needed() else { return false };
+        self.session_ready(turn, id, Ready::READ);
+        if self.sessions.get(id).is_some_and(|s| matches!(s.stage(), Stage::Opening | Stage::Ending)) {
+            self.sessions.drop(turn, id);
+        }
+        true
+    }
+
     /// Whether one more client can be accepted. Nobody goes for it before it has come.
     pub fn may_accept(&self) -> bool {
         self.budget.may_accept(self.held())
@@ -150,7 +162,7 @@
         let fetches = &self.fetches;
         let Some(id) = self.sessions.begin(turn, stream, from, |id| fetches.has(id)) else { return };
         // Who has asked for nothing for longest goes first: the one that has just come is the last.
-        while self.budget.is_over(self.held()) && self.sessions.evict(turn) {}
+        while self.budget.is_over(self.held()) && self.evict(turn) {}
         self.session_ready(turn, id, Ready::default());
     }
 
@@ -186,16 +198,21 @@
         }
     }
 
-    /// A client ended, or took too long, with its first line unfinished or unsaid.
+    /// A client ended, or took too long, with its first line unfinished or unsaid. What it may be sending just now must not
+    /// make the close a reset: the sending is ended, and the input read out for a moment.
     fn half_line(&mut self, turn: &mut Turn, id: RequestId) {
         let Some(s) = self.sessions.get(id) else { return };
+        let has_ended = s.link.ended.is_some();
         if !s.link.held().is_empty() {
             let from = s.from();
             if self.complaints.may(turn) {
                 warn!(event = "half-line", client = %from);
             }
         }
-        self.sessions.drop(turn, id);
+        match has_ended {
+            true => self.sessions.drop(turn, id),
+            false => self.answer(turn, id, b""),
+        }
     }
 
     /// A client said what can't be used: it gets an error, and only its own connection ends.
@@ -257,8 +274,9 @@
             self.note_short(true);
             return self.refuse(turn, id, COME_BACK);
         }
-        // The client may have left behind its line already, or said more than it should.
-        self.session_ready(turn, id, Ready::default());
+        // The client may have left behind its line already, or said more than it should. The loop need not have told of
+        // it: the line may have waited with the client's end to be accepted.
+        self.session_ready(turn, id, Ready::READ);
         if !self.sessions.get(id).is_some_and(Session::waits) {
             return;
         }
--- a/crates/balancer/tests/sockets/main.rs
+++ b/crates/balancer/tests/sockets/main.rs
@@ -3,6 +3,7 @@
 mod bad;
 mod cli;
 mod counts;
+mod endings;
 mod gossip;
 mod handover;
 mod model;
--- a/crates/emulator/src/standin/program.rs
+++ b/crates/emulator/src/standin/program.rs
@@ -320,6 +320,27 @@
         self.signal("-TERM");
     }
 
+    /// Has it stand still: what comes to it meanwhile waits in the system.
+    pub fn pause(&self) {
+        self.signal("-STOP");
+        // A signal is on its way for a moment.
+        let stat = format!("/proc/{}/stat", self.started.child.id());
+        let stands = || {
+            std::fs::read_to_string(&stat)
+                .is_ok_and(|s| s.rsplit(") ").next().is_some_and(|s| s.starts_with('T')))
+        };
+        let by = Instant::now() + LIMIT;
+        while !stands() {
+            assert!(Instant::now() < by, "the program does not stand still");
+            thread::yield_now();
+        }
+    }
+
+    /// Has it go on.
+    pub fn resume(&self) {
+        self.signal("-CONT");
+    }
+
     /// Replaces the configuration file and has it read again.
     pub fn reconfigure(&self, text: &str) {
         let file = self.started.folder.0.join(CONFIG);
