Begin no attempt for a client that has gone, whatever was heard first

Seen with the program held still: a server's refusal and the client's end wait together, the refusal is heard first, and the module's next attempt begins for nobody (endings.rs, no_further_attempt_begins_..., failed before). At fault: Serving::fetch went by the session's stage alone; the end of a client is known only once the loop has told of it. It also returned without a word where the session did not wait, which would have left the driver with an attempt that never ends. Change: fetch reads the client's connection once more, in place of the look before the module hears of a request, and says that nothing was sent where nobody waits. Test: the nine of endings.rs, three times in a row; two more crossings found sound (a client that goes as its server takes it, an answer that comes with the deadline).

--- a/crates/balancer/src/net/serving/mod.rs
+++ b/crates/balancer/src/net/serving/mod.rs
@@ -274,9 +274,8 @@
             self.note_short(true);
             return self.refuse(turn, id, COME_BACK);
         }
-        // The client may have left behind its line already, or said more than it should. The loop need not have told of
-        // it: the line may have waited with the client's end to be accepted.
-        self.session_ready(turn, id, Ready::READ);
+        // The client may have left behind its line already, or said more than it should.
+        self.session_ready(turn, id, Ready::default());
         if !self.sessions.get(id).is_some_and(Session::waits) {
             return;
         }
@@ -352,9 +351,18 @@
     /// Begins a fetch; it may take so long.
     pub fn fetch(&mut self, turn: &mut Turn, id: RequestId, server: ServerId, patience: Micros) {
         // Guards against two attempts out at once, whatever asked for the second.
-        if self.fetches.has(id) || !self.sessions.get(id).is_some_and(Session::waits) {
+        if self.fetches.has(id) {
             return;
         }
+        let waits = |s: &Self| s.sessions.get(id).is_some_and(Session::waits);
+        if waits(self) {
+            // The client may have gone, and the loop not have told of it yet: it was accepted with its end, or a server's
+            // refusal was heard first.
+            self.session_ready(turn, id, Ready::READ);
+        }
+        if !waits(self) {
+            return self.fetch_ended(turn, id, Outcome::NotSent);
+        }
         let address = self.address_for(id, server).filter(|_| self.make_room(turn));
         let Some(address) = address else {
             return self.fetch_ended(turn, id, Outcome::NotSent);
--- a/crates/balancer/tests/sockets/endings.rs
+++ b/crates/balancer/tests/sockets/endings.rs
@@ -122,3 +122,80 @@
         server.stand(client);
     }
 }
+
+#[test]
+fn no_further_attempt_begins_for_a_client_that_has_gone_meanwhile() {
+    let servers = [Node::new(), Node::new()];
+    let program = start(&config(&[("s-1", servers[0].address()), ("s-2", servers[1].address())]));
+    let client = program.open("");
+    let (at, mut first) = loop {
+        let turn = Duration::from_millis(20);
+        let came = servers.iter().enumerate().find_map(|(i, s)| Some((i, s.accept_within(turn)?)));
+        if let Some(came) = came {
+            break came;
+        }
+        assert!(!client.has_word(Duration::from_millis(1)), "an answer without an attempt");
+    };
+    first.line();
+    program.pause();
+    // The refusal is there first, so that it is heard first; the client has gone all the same.
+    first.say("BUSY");
+    drop(client);
+    program.resume();
+    assert_eq!(first.hear(), Heard::Fin);
+    program.settled();
+    assert!(!servers[1 - at].is_called(), "another attempt began for a client that had gone");
+}
+
+#[test]
+fn a_client_that_goes_as_its_server_takes_it_leaves_nothing_behind() {
+    let server = Node::new();
+    let program = start(&config(&[("s-1", server.address())]));
+    for up_first in [true, false] {
+        let client = program.open("");
+        let mut s = server.accept();
+        s.line();
+        program.pause();
+        if up_first {
+            s.say("UP 1");
+            drop(client);
+        } else {
+            drop(client);
+            s.say("UP 1");
+        }
+        program.resume();
+        assert!(matches!(s.hear(), Heard::Fin | Heard::Reset));
+        assert!(!server.is_called(), "a second attempt");
+    }
+    program.stand(&server);
+}
+
+#[test]
+fn an_answer_that_comes_with_the_deadline_is_the_only_one() {
+    let server = Node::new();
+    let program = start(&config(&[("s-1", server.address())]));
+    for answer in ["UP 1", "BUSY", "ERR"] {
+        let mut client = program.client();
+        client.say("OPEN 1 2 c=chat,t=acme,d=400");
+        let over = Instant::now() + Duration::from_millis(450);
+        let mut s = server.accept();
+        s.line();
+        program.pause();
+        s.say(answer);
+        while Instant::now() < over {
+            std::thread::yield_now();
+        }
+        program.resume();
+        let line = client.line();
+        if line == "UP 1" {
+            client.say("M 1");
+            assert_eq!(s.line(), "M 1");
+        } else {
+            assert!(line.starts_with("BUSY") || line == "ERR", "{line}");
+            assert_eq!(client.hear(), Heard::Fin);
+            // What the server said may not have been read when the attempt was given up.
+            assert!(matches!(s.hear(), Heard::Fin | Heard::Reset));
+        }
+        assert!(!server.is_called(), "an attempt after the deadline");
+    }
+}
