Repeat a keyed request only where its dial ends within the window

Need: a send counts once its last byte has come; a dial may take a connect time-out longer than the decision. At fault: policy.rs, may_send looked at the window at the time of the decision. Change: what the dial may take, or what is left of the client's time, goes off the window. Test: a_keyed_request_is_not_repeated_where_its_dial_could_outlast_the_window, seen failing before.

--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -265,7 +265,9 @@
             Semantics::Unsafe => false,
             Semantics::Keyed(scope, window) => {
                 let Some(f) = self.servers.get(&first) else { return false };
-                now < sent + window - self.set.tick
+                // It counts once its last byte has come, which a dial may hold up.
+                let dial = self.set.connect_timeout.min(c.request.deadline - now);
+                now + dial < sent + window - self.set.tick
                     && match scope {
                         Scope::All => true,
                         Scope::Zone => f.entry.zone == s.entry.zone,
--- a/crates/decisions/tests/rules.rs
+++ b/crates/decisions/tests/rules.rs
@@ -103,6 +103,18 @@
     assert!(sent(&p.end(1, first, 0, Outcome::Error)).is_none());
 }
 
+#[test]
+fn a_keyed_request_is_not_repeated_where_its_dial_could_outlast_the_window() {
+    let set = with(Semantics::Keyed(Scope::All, 0.5));
+    let dial = set.connect_timeout;
+    for (at, repeats) in [(0.5 - dial - 0.02, true), (0.5 - dial + 0.02, false)] {
+        let mut p = Proxy::new(set.clone(), 6);
+        let first = sent(&p.arrive(request(1, 100.0))).unwrap();
+        p.now += at;
+        assert_eq!(sent(&p.end(1, first, 0, Outcome::Error)).is_some(), repeats, "after {at} s");
+    }
+}
+
 #[test]
 fn a_keyed_request_of_a_narrow_scope_that_may_have_run_is_not_refused() {
     let mut p = Proxy::new(with(Semantics::Keyed(Scope::Cell, 5.0)), 1);
