--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -73,8 +73,8 @@
 const WIDE: f64 = 0.5;
 /// Latency time of a reservation in honoured waits, drawn between 1 and 2 times this.
 pub(crate) const LATENCY: f64 = 1.5;
-/// The pause before the next registry call, in parts of `ask_within`, which counts up to 10 s: drawn between this and three
-/// times as much, however often calls fail. What the registry has to say soon counts as told.
+/// The pause before the next registry call, in parts of `ask_within`, which counts up to 10 s: drawn between
+/// this and three times as much, however often calls fail. What the registry has to say soon counts as told.
 const PAUSE: f64 = 0.045;
 /// Bound on remembered clients.
 pub(crate) const KEYS_MOST: usize = 8192;
