--- a/crates/decisions/src/cold.rs
+++ b/crates/decisions/src/cold.rs
@@ -5,9 +5,9 @@
 //! dealt out to them by their numbers, one client a turn, and a turn that nobody came in is lost. Entries that each proxy
 //! could save up were spent together by a burst: 15 within 0.6 s, one from each of 15 proxies, on a server that bore 8.
 //!
-//! Turns are dealt out so that any window bears all of them. Where a proxy is blind, most pass with no client of its own, or
-//! with one for another server: more are dealt out then, until connections break in numbers, as those who held them come
-//! back to all proxies at once.
+//! Turns are dealt out so that any window bears all of them. Where a proxy's part of a server is thin, or it is blind, most
+//! pass with no client of its own, or with one for another server: more are dealt out then, and the bound is no longer
+//! certain, until connections break in numbers, as those who held them come back to all proxies at once.
 
 use crate::interface::{ServerId, Stage};
 use crate::state::{Balancer, Server, hash, unit};
