Answer each request in one place, past a guard that knows what may have run

Cause: Serving::refuse_all (serving/due.rs) said BUSY 300 to every waiting client at the planned answers of a shutdown, 0.6 s before the longest deadline, whatever its attempt had done; look_at did the same 15 ms after a deadline. The decision module knows when a refusal is harmless (Balancer::answer); these two paths didn't ask. Ruled out: an end read as never run (reset, end, ERR, deadline and BUSY by the server in a shutdown were right before), overload and descriptors (before the first attempt). Class: a final answer decided beside the owner of the request's history.

Change: crates/lifecycle holds each request's state and attempts; every attempt, first line, final answer and close passes it. What it forbids is counted, logged as rule-violation, replaced by a failure, and panics in debug builds. A shutdown refuses who may be refused as before; a request that may have run keeps its server until its own deadline, or fails 0.6 s before SIGKILL. Answers have a cause in the log.

--- a/crates/balancer/src/net/hub.rs
+++ b/crates/balancer/src/net/hub.rs
@@ -7,6 +7,7 @@
 use mio::net::{TcpListener, TcpStream};
 use shorewharf_decisions::interface::{ListEntry, Outcome, RequestId, ServerId};
 use shorewharf_driver::{Happening, Micros, Peers};
+use shorewharf_lifecycle::Answer;
 use shorewharf_protocol::list::Listing;
 use tracing::{error, info};
 
@@ -21,7 +22,7 @@
 use super::operators::desk::{Desk, Opened};
 use super::poll::{Owner, Ready};
 use super::servers::taken_out::{Change, Out};
-use super::serving::Serving;
+use super::serving::{Cause, Serving};
 use super::shutdown::{LEAVE_AFTER, ShutdownSchedule};
 use super::terms::Terms;
 use super::turn::{Due, Turn};
@@ -351,7 +352,7 @@
         }
     }
 
-    /// The steps of a planned end: accept and answer, move everybody, refuse who still waits, go.
+    /// The steps of a planned end: accept and answer, move everybody, answer who still waits, go.
     fn leave(&mut self) {
         let Some(since) = self.leaving.map(|at| self.turn.now - at) else { return };
         let give_up = &self.serving.terms.give_up;
@@ -362,7 +363,7 @@
             ShutdownSchedule::new(give_up)
         };
         if since >= shutdown.answers {
-            self.serving.refuse_all(&mut self.turn);
+            self.serving.answer_waiting(&mut self.turn, since >= shutdown.last_call);
         }
         if since >= shutdown.move_from {
             self.serving.move_some(&mut self.turn, shutdown.move_until.saturating_sub(since) / STEP);
@@ -378,6 +379,7 @@
         let over = clients == 0 && (has_successor || since >= LEAVE_AFTER + STEP);
         // Whoever waits at the listener would be cut off with it.
         if since >= shutdown.last || (over && (has_successor || !self.more_come())) {
+            self.serving.log_totals();
             self.done = Some(clients);
         }
         self.turn.after(STEP, Due::Leave);
@@ -510,11 +512,11 @@
     }
 
     fn refuse(&mut self, req: RequestId, after: Micros) {
-        self.serving.refuse(&mut self.turn, req, after);
+        self.serving.answer(&mut self.turn, req, Answer::Refused { after }, Cause::Decision);
     }
 
     fn fail(&mut self, req: RequestId) {
-        self.serving.answer_failed(&mut self.turn, req);
+        self.serving.answer(&mut self.turn, req, Answer::Failed, Cause::Decision);
     }
 
     fn move_away(&mut self, req: RequestId) {
--- a/crates/balancer/src/net/servers/backends.rs
+++ b/crates/balancer/src/net/servers/backends.rs
@@ -6,6 +6,7 @@
 
 use shorewharf_decisions::interface::{ListEntry, ServerId, Stage};
 use shorewharf_driver::Micros;
+use shorewharf_lifecycle::Target;
 use shorewharf_protocol::list::Endpoint;
 use shorewharf_protocol::names::Names;
 use tracing::{info, warn};
@@ -195,6 +196,12 @@
         servers.iter().filter(listed).count()
     }
 
+    /// A server as the target of an attempt, by its list entry of now.
+    pub fn target(&self, server: ServerId) -> Target {
+        let entry = self.table.get(&server).map(|b| b.entry);
+        Target { server, zone: entry.map_or(0, |e| e.zone), cell: entry.map_or(0, |e| e.cell) }
+    }
+
     /// Where a server is, whether it takes anything new or not.
     pub fn address(&self, server: ServerId) -> Option<SocketAddr> {
         self.table.get(&server).map(|b| b.address)
--- /dev/null
+++ b/crates/balancer/src/net/serving/answers.rs
@@ -0,0 +1,162 @@
+//! Final answers: the one place where a client's last word is said, checked by the guard on what may have run.
+
+use std::fmt;
+
+use shorewharf_decisions::interface::RequestId;
+use shorewharf_driver::Micros;
+use shorewharf_lifecycle::{Answer, Violation};
+use shorewharf_protocol::words::busy;
+use tracing::{debug, error, warn};
+
+use super::Serving;
+use crate::net::clients::session::{Ending, Stage};
+use crate::net::operators::counts::Reply;
+use crate::net::turn::Turn;
+
+/// Why a client gets its final answer, as the log tells it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// The decision module, or an admission before it, says so.
+    Decision,
+    /// The process is about to end.
+    Shutdown,
+    /// The event loop can't keep up.
+    Overload,
+    /// There are no descriptors left.
+    Descriptors,
+    /// Nobody has answered by the deadline.
+    Overdue,
+    /// What the client said can't be used.
+    BadRequest,
+    /// It asked for nothing, or not whole, in the time for that.
+    Idle,
+    /// Its server has answered or ended.
+    Server,
+    /// Its server no longer answers.
+    Silent,
+    /// It is moved off its server.
+    Move,
+    /// It can't go on in this process.
+    Handover,
+}
+
+impl fmt::Display for Cause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Cause::Decision => "decision",
+            Cause::Shutdown => "shutdown",
+            Cause::Overload => "overload",
+            Cause::Descriptors => "descriptors",
+            Cause::Overdue => "overdue",
+            Cause::BadRequest => "bad-request",
+            Cause::Idle => "idle",
+            Cause::Server => "server",
+            Cause::Silent => "silent",
+            Cause::Move => "move",
+            Cause::Handover => "handover",
+        })
+    }
+}
+
+/// The line that says an answer; none for the end of a connection without a word.
+fn line_of(answer: Answer) -> String {
+    match answer {
+        Answer::Refused { after } => busy(after).to_string(),
+        Answer::Failed => "ERR\r\n".to_owned(),
+        Answer::Served => "BYE\r\n".to_owned(),
+        Answer::Moved => "MOVE\r\n".to_owned(),
+        Answer::Closed => String::new(),
+    }
+}
+
+/// What operators count an answer as.
+fn reply_of(answer: Answer) -> Option<Reply> {
+    match answer {
+        Answer::Refused { .. } => Some(Reply::Overload),
+        Answer::Failed => Some(Reply::Error),
+        Answer::Served => Some(Reply::Success),
+        Answer::Moved | Answer::Closed => None,
+    }
+}
+
+impl Serving {
+    /// Says a client's last word and ends its connection; nothing where that was said before.
+    pub fn answer(&mut self, turn: &mut Turn, id: RequestId, answer: Answer, cause: Cause) {
+        if self.sessions.get(id).is_none_or(|s| s.stage() == Stage::Ending) {
+            return;
+        }
+        let answer = match self.guard.answer(id, answer) {
+            Ok(()) => answer,
+            Err((violation, instead)) => {
+                self.report_violation(&violation, cause);
+                match instead {
+                    Some(instead) => instead,
+                    None => return,
+                }
+            }
+        };
+        if let Some(reply) = reply_of(answer) {
+            self.counted(id, reply);
+        }
+        self.log_answer(turn, id, answer, cause);
+        if self.sessions.answer(turn, id, line_of(answer).as_bytes()) {
+            self.session_ends(turn, id);
+        }
+    }
+
+    /// Answers a client that is not served: a refusal where trying again is harmless, and else a failure.
+    pub fn answer_unserved(&mut self, turn: &mut Turn, id: RequestId, after: Micros, cause: Cause) {
+        let answer = self.guard.unserved_answer(id, after);
+        self.answer(turn, id, answer, cause);
+    }
+
+    fn log_answer(&mut self, turn: &mut Turn, id: RequestId, answer: Answer, cause: Cause) {
+        let (attempts, may_have_run) = (self.guard.attempts(id), self.guard.may_have_run(id));
+        let words = line_of(answer);
+        let words = words.trim_end();
+        debug!(event = "answered", req = id.0, words, %cause, attempts, may_have_run);
+        let is_given_up = matches!(cause, Cause::Shutdown | Cause::Overdue) && answer == Answer::Failed;
+        if is_given_up && self.complaints.may(turn) {
+            warn!(event = "given-up", req = id.0, %cause, attempts, may_have_run);
+        }
+    }
+
+    /// Something was to be done that a rule forbids. It was not done; that it was wanted is a fault of the program.
+    pub(super) fn report_violation(&self, violation: &Violation, cause: Cause) {
+        let (rule, req, attempt) = (violation.rule, violation.request.0, violation.attempt);
+        let server = self.backends.name(violation.server);
+        error!(event = "rule-violation", %rule, req, attempt, server, %cause);
+        debug_assert!(false, "{violation}, cause {cause}");
+    }
+
+    /// Ends a client's connection, whatever is still on its way.
+    pub(super) fn close_session(&mut self, turn: &mut Turn, id: RequestId, cause: Cause) {
+        if let Err(violation) = self.guard.close(id) {
+            self.report_violation(&violation, cause);
+        }
+        self.sessions.drop(turn, id);
+    }
+
+    /// Goes on with the end of a client's connection, as far as that goes now.
+    pub(super) fn session_ends(&mut self, turn: &mut Turn, id: RequestId) {
+        match self.sessions.get_mut(id).map(|s| s.ending(&turn.pool)) {
+            Some(Ending::Over) => self.close_session(turn, id, Cause::Server),
+            Some(Ending::More) => self.again.push(id),
+            Some(Ending::Waits) | None => {}
+        }
+    }
+
+    /// Tells the log what has become of all requests.
+    pub fn log_totals(&self) {
+        let stats = self.guard.stats();
+        tracing::info!(
+            event = "requests",
+            first_attempts = stats.first_attempts,
+            retries = stats.retries,
+            withheld = stats.withheld,
+            attempts_ended = ?stats.attempts_ended,
+            answers = ?stats.answers,
+            violations = stats.violations_total(),
+        );
+    }
+}
--- a/crates/balancer/src/net/serving/due.rs
+++ b/crates/balancer/src/net/serving/due.rs
@@ -4,9 +4,10 @@
 
 use shorewharf_decisions::interface::{Outcome, RequestId, ServerId};
 use shorewharf_driver::{Happening, Micros};
+use shorewharf_lifecycle::Answer;
 use tracing::{debug, error, warn};
 
-use super::{COME_BACK, Serving};
+use super::{COME_BACK, Cause, Serving};
 use crate::net::clients::session::{Session, Stage};
 use crate::net::link::End;
 use crate::net::poll::Ready;
@@ -47,10 +48,10 @@
             }
             // Guards the rule that every request is answered before its client gives up.
             Stage::Waiting if s.is_overdue(now) => {
-                error!(event = "overdue", client = %s.from());
+                error!(event = "overdue", req = id.0, client = %s.from());
                 turn.tell(Happening::ClientLeft(id));
                 self.fetch_over(turn, id, Outcome::TimedOut);
-                self.refuse(turn, id, COME_BACK);
+                self.answer_unserved(turn, id, COME_BACK, Cause::Overdue);
             }
             Stage::Open | Stage::Moving => {
                 if s.half_open_due(now) {
@@ -63,7 +64,7 @@
                     self.silent(turn, id, since);
                 }
             }
-            Stage::Ending if s.is_late(now) => self.sessions.drop(turn, id),
+            Stage::Ending if s.is_late(now) => self.close_session(turn, id, Cause::Idle),
             _ => {}
         }
     }
@@ -110,18 +111,22 @@
         open.into_iter().take(n).for_each(|id| self.move_away(turn, id));
     }
 
-    /// Refuses everybody who still waits, and ends those that have asked for nothing by now.
-    pub fn refuse_all(&mut self, turn: &mut Turn) {
+    /// Answers who still waits, and ends those that have asked for nothing by now. A request that may have run can't be
+    /// refused: it waits for its server until its own deadline, or until `is_last_call`, and fails then.
+    pub fn answer_waiting(&mut self, turn: &mut Turn, is_last_call: bool) {
         for id in self.sessions.those(|s| s.stage() == Stage::Opening) {
             self.session_ready(turn, id, Ready::READ);
             if self.sessions.get(id).is_some_and(|s| s.stage() == Stage::Opening) {
-                self.answer(turn, id, b"");
+                self.answer(turn, id, Answer::Closed, Cause::Shutdown);
             }
         }
         for id in self.sessions.those(Session::waits) {
+            if !is_last_call && !self.guard.is_refusable(id) {
+                continue;
+            }
             turn.tell(Happening::ClientLeft(id));
             self.fetch_over(turn, id, Outcome::Cancelled);
-            self.refuse(turn, id, COME_BACK);
+            self.answer_unserved(turn, id, COME_BACK, Cause::Shutdown);
         }
     }
 }
--- a/crates/balancer/src/net/serving/handing.rs
+++ b/crates/balancer/src/net/serving/handing.rs
@@ -2,8 +2,9 @@
 
 use shorewharf_decisions::interface::{Outcome, Request, RequestId, ServerId};
 use shorewharf_driver::{Happening, Req};
+use shorewharf_lifecycle::Answer;
 
-use super::Serving;
+use super::{Cause, Serving};
 use crate::net::clients::session::Session;
 use crate::net::handover::words::{Handed, Standing};
 use crate::net::link::Link;
@@ -49,6 +50,9 @@
         // What is watched is the connection, which goes on, and not this process's descriptor of it.
         turn.poller.unwatch(&mut s.link);
         turn.poller.unwatch(&mut f.link);
+        if let Err(violation) = self.guard.close(id) {
+            self.report_violation(&violation, Cause::Handover);
+        }
         let (s, f) = (self.sessions.take(turn, id)?, self.fetches.take(turn, id)?);
         turn.tell(Happening::FetchEnded(id, Outcome::Cancelled));
         Some((standing, s.link.into_stream(), f.link.into_stream()))
@@ -70,7 +74,8 @@
         let at = ServerId(standing.server);
         // Its server still answers: whoever can't go on here is told to come again, and not cut off.
         let Some(class) = class.filter(|_| self.fetches.adopt(turn, id, at, server)) else {
-            self.answer(turn, id, if between_lines { b"MOVE\r\n" } else { b"" });
+            let answer = if between_lines { Answer::Moved } else { Answer::Closed };
+            self.answer(turn, id, answer, Cause::Handover);
             return false;
         };
         let (key, group, load) = (standing.key, standing.group, standing.hint);
--- a/crates/balancer/src/net/serving/mod.rs
+++ b/crates/balancer/src/net/serving/mod.rs
@@ -1,6 +1,7 @@
 //! Client sessions and the servers they are brought to: composes the tables of both sides, tells the driver what
 //! happens, and carries out what it wants of them.
 
+mod answers;
 mod due;
 mod handing;
 mod standing;
@@ -11,13 +12,13 @@
 use mio::net::TcpStream;
 use shorewharf_decisions::interface::{ListEntry, Outcome, RequestId, ServerId};
 use shorewharf_driver::{Happening, Micros, Req};
+use shorewharf_lifecycle::{Answer as FinalAnswer, RequestGuard};
 use shorewharf_protocol::open::{class_of, parse_open};
-use shorewharf_protocol::words::busy;
 use tracing::{debug, warn};
 
 use crate::net::budget::{Budget, Held};
 use crate::net::clients::open_ids::OpenIds;
-use crate::net::clients::session::{Asking, Ending, First, Patience, Session, Stage};
+use crate::net::clients::session::{Asking, First, Patience, Session, Stage};
 use crate::net::clients::sessions::Sessions;
 use crate::net::complaints::Complaints;
 use crate::net::list::incoming::{Incoming, server_id};
@@ -30,6 +31,8 @@
 use crate::net::terms::Terms;
 use crate::net::turn::Turn;
 
+pub use answers::Cause;
+
 /// A connection from before the start has this long to stand again.
 const CARRY: Micros = 38_000_000;
 /// The wait told to clients whom the program refuses by itself.
@@ -50,6 +53,8 @@
     pub probes: Probes,
     sessions: Sessions,
     fetches: Fetches,
+    /// What each request's attempts may have done, and so what may be done next.
+    guard: RequestGuard,
     budget: Budget,
     complaints: Complaints,
     /// Connections with more to carry or to read, which let the others have their turn.
@@ -79,6 +84,7 @@
             probes: Probes::default(),
             sessions: Sessions::new(open_ids),
             fetches: Fetches::default(),
+            guard: RequestGuard::default(),
             complaints: Complaints::default(),
             again: Vec::new(),
             sighted: Vec::new(),
@@ -139,7 +145,7 @@
         let Some(id) = self.sessions.least_needed() else { return false };
         self.session_ready(turn, id, Ready::READ);
         if self.sessions.get(id).is_some_and(|s| matches!(s.stage(), Stage::Opening | Stage::Ending)) {
-            self.sessions.drop(turn, id);
+            self.close_session(turn, id, Cause::Descriptors);
         }
         true
     }
@@ -182,7 +188,7 @@
                         if self.complaints.may(turn) {
                             warn!(event = "line-too-long", peer = "client", client = %from);
                         }
-                        self.answer_failed(turn, id);
+                        self.answer(turn, id, FinalAnswer::Failed, Cause::BadRequest);
                     }
                 }
             }
@@ -210,8 +216,8 @@
             }
         }
         match has_ended {
-            true => self.sessions.drop(turn, id),
-            false => self.answer(turn, id, b""),
+            true => self.close_session(turn, id, Cause::Idle),
+            false => self.answer(turn, id, FinalAnswer::Closed, Cause::Idle),
         }
     }
 
@@ -226,7 +232,7 @@
             turn.tell(Happening::ClientLeft(id));
             self.fetch_over(turn, id, Outcome::Cancelled);
         }
-        self.answer_failed(turn, id);
+        self.answer(turn, id, FinalAnswer::Failed, Cause::BadRequest);
     }
 
     fn req_comes(&mut self, turn: &mut Turn, id: RequestId, line: &[u8]) {
@@ -260,19 +266,20 @@
             // one from before was let go with its answer or its MOVE.
             return self.malformed(turn, id, "the id is in use");
         }
+        self.guard.receive(id, self.terms.semantics_of(open.class));
         if self.closing {
             // What is taken now would only have to move: the front stops sending here in a moment.
             let after = if self.has_successor { COME_BACK_SOON } else { LEAVE_AFTER };
-            return self.refuse(turn, id, after);
+            return self.answer_unserved(turn, id, after, Cause::Shutdown);
         }
         if home.is_none() && !turn.pressure.admits() {
             // Guards those who stand: a refusal costs a tenth of a set-up.
-            return self.refuse(turn, id, COME_BACK_LATER);
+            return self.answer_unserved(turn, id, COME_BACK_LATER, Cause::Overload);
         }
         if !self.make_room(turn) {
             // Guards the descriptor limit: refused before a fetch could need one more.
             self.note_short(true);
-            return self.refuse(turn, id, COME_BACK);
+            return self.answer_unserved(turn, id, COME_BACK, Cause::Descriptors);
         }
         // The client may have left behind its line already, or said more than it should.
         self.session_ready(turn, id, Ready::default());
@@ -284,6 +291,7 @@
             None => {
                 let (group, key) = (req.group, req.key);
                 debug!(event = "asked", req = id.0, group, key, returning = req.returning);
+                self.guard.queue(id);
                 turn.tell(Happening::Asked(req));
             }
         }
@@ -293,7 +301,9 @@
     fn client_leaves(&mut self, turn: &mut Turn, id: RequestId) {
         turn.tell(Happening::ClientLeft(id));
         self.counted(id, Reply::Error);
-        self.sessions.drop(turn, id);
+        debug!(event = "client-left", req = id.0, attempts = self.guard.attempts(id));
+        self.guard.abandon(id);
+        self.close_session(turn, id, Cause::Decision);
         self.fetch_over(turn, id, Outcome::Cancelled);
     }
 
@@ -309,33 +319,6 @@
         let held = self.held();
         self.counts.holds(self.sessions.len() - held.unserved, held.all);
     }
-
-    fn answer(&mut self, turn: &mut Turn, id: RequestId, words: &[u8]) {
-        if self.sessions.answer(turn, id, words) {
-            debug!(event = "answered", req = id.0, words = %words.trim_ascii_end().escape_ascii());
-            self.session_ends(turn, id);
-        }
-    }
-
-    /// Tells a client to come again, after so long if that is more than 0.
-    pub fn refuse(&mut self, turn: &mut Turn, id: RequestId, after: Micros) {
-        self.counted(id, Reply::Overload);
-        self.answer(turn, id, busy(after).to_string().as_bytes());
-    }
-
-    /// Tells a client that it is not served.
-    pub fn answer_failed(&mut self, turn: &mut Turn, id: RequestId) {
-        self.counted(id, Reply::Error);
-        self.answer(turn, id, b"ERR\r\n");
-    }
-
-    fn session_ends(&mut self, turn: &mut Turn, id: RequestId) {
-        match self.sessions.get_mut(id).map(|s| s.ending(&turn.pool)) {
-            Some(Ending::Over) => self.sessions.drop(turn, id),
-            Some(Ending::More) => self.again.push(id),
-            Some(Ending::Waits) | None => {}
-        }
-    }
 }
 
 /// Fetches, from their beginning to the server's answer.
@@ -367,18 +350,35 @@
         let Some(address) = address else {
             return self.fetch_ended(turn, id, Outcome::NotSent);
         };
-        debug!(event = "fetch", req = id.0, server = self.backends.name(Some(server)), us = patience);
+        if let Err(violation) = self.guard.begin_attempt(id, self.backends.target(server)) {
+            self.report_violation(&violation, Cause::Decision);
+            return self.fetch_ended(turn, id, Outcome::NotSent);
+        }
+        let attempt = self.guard.attempts(id);
+        debug!(
+            event = "fetch",
+            req = id.0,
+            attempt,
+            server = self.backends.name(Some(server)),
+            us = patience
+        );
         match self.fetches.begin(turn, id, (server, address), patience, self.terms.connect_timeout) {
             Ok(()) => self.fetch_goes_on(turn, id),
             Err(Hindrance::Shortage) => {
                 self.note_short(true);
-                self.fetch_ended(turn, id, Outcome::NotSent);
+                self.attempt_not_begun(turn, id, Outcome::NotSent);
             }
-            Err(Hindrance::Unwatched) => self.fetch_ended(turn, id, Outcome::NotSent),
-            Err(Hindrance::Refused) => self.fetch_ended(turn, id, Outcome::ConnectFailed),
+            Err(Hindrance::Unwatched) => self.attempt_not_begun(turn, id, Outcome::NotSent),
+            Err(Hindrance::Refused) => self.attempt_not_begun(turn, id, Outcome::ConnectFailed),
         }
     }
 
+    /// An attempt has failed before there was a connection to watch.
+    fn attempt_not_begun(&mut self, turn: &mut Turn, id: RequestId, outcome: Outcome) {
+        self.guard.end_attempt(id, outcome);
+        self.fetch_ended(turn, id, outcome);
+    }
+
     /// Tells how a fetch ended; a carried connection that never came up was never told of.
     fn fetch_ended(&mut self, turn: &mut Turn, id: RequestId, outcome: Outcome) {
         match self.sessions.get(id).map(|s| (s.home(), s.waits())) {
@@ -395,7 +395,7 @@
         // What has never run is tried again.
         match outcome.never_ran() {
             true => self.sessions.arm(turn, id),
-            false => self.answer_failed(turn, id),
+            false => self.answer(turn, id, FinalAnswer::Failed, Cause::Server),
         }
     }
 
@@ -403,6 +403,7 @@
     pub fn fetch_over(&mut self, turn: &mut Turn, id: RequestId, outcome: Outcome) {
         let server = self.fetches.server(id);
         if self.fetches.end(turn, id) {
+            self.guard.end_attempt(id, outcome);
             debug!(event = "fetch-ended", req = id.0, server = self.backends.name(server), ?outcome);
             self.fetch_ended(turn, id, outcome);
         }
@@ -437,6 +438,14 @@
             if self.address_for(id, fetch.server()).is_none() {
                 return self.fetch_over(turn, id, Outcome::NotSent);
             }
+            match self.guard.send(id, turn.now) {
+                Ok(true) => {}
+                Ok(false) => return self.fetch_over(turn, id, Outcome::NotSent),
+                Err(violation) => {
+                    self.report_violation(&violation, Cause::Decision);
+                    return self.fetch_over(turn, id, Outcome::NotSent);
+                }
+            }
             let Some(line) = self.sessions.get(id).and_then(Session::first_line) else { return };
             self.fetches.get_mut(id).into_iter().for_each(|f| f.ask(turn.now, &turn.pool, line));
         }
@@ -460,8 +469,7 @@
         };
         self.fetch_over(turn, id, outcome);
         if outcome == Outcome::Ok {
-            self.counted(id, Reply::Success);
-            self.answer(turn, id, b"BYE\r\n");
+            self.answer(turn, id, FinalAnswer::Served, Cause::Server);
         }
     }
 
@@ -471,6 +479,7 @@
         debug!(event = "up", req = id.0, client = %s.from(), server = self.backends.name(Some(f.server())));
         f.stands(turn.now, id);
         s.stands();
+        self.guard.serve(id);
         if let Some(class) = s.is_counted() {
             self.counts.replied(class, Reply::Success);
         }
--- a/crates/balancer/src/net/serving/standing.rs
+++ b/crates/balancer/src/net/serving/standing.rs
@@ -2,9 +2,10 @@
 
 use shorewharf_decisions::interface::{Outcome, RequestId, ServerId};
 use shorewharf_driver::{Happening, Micros};
+use shorewharf_lifecycle::Answer;
 use tracing::{debug, warn};
 
-use super::Serving;
+use super::{Cause, Serving};
 use crate::net::clients::session::{Session, Stage};
 use crate::net::link::End;
 use crate::net::relay::{Fate, ends, relay};
@@ -101,12 +102,12 @@
             Fate::ServerEnded(end, outcome) => self.end_both(turn, id, end, outcome),
             Fate::ClientBroke => {
                 f.link.break_off();
-                self.sessions.drop(turn, id);
+                self.close_session(turn, id, Cause::Server);
                 self.fetch_over(turn, id, Outcome::Cancelled);
             }
             Fate::Moves => {
                 self.fetch_over(turn, id, Outcome::Cancelled);
-                self.answer(turn, id, b"MOVE\r\n");
+                self.answer(turn, id, Answer::Moved, Cause::Move);
             }
         }
     }
@@ -127,10 +128,10 @@
     pub(super) fn end_both(&mut self, turn: &mut Turn, id: RequestId, end: End, outcome: Outcome) {
         self.fetch_over(turn, id, outcome);
         match end {
-            End::Fin => self.answer(turn, id, b""),
+            End::Fin => self.answer(turn, id, Answer::Closed, Cause::Server),
             End::Reset => {
                 self.sessions.get_mut(id).into_iter().for_each(|s| s.link.break_off());
-                self.sessions.drop(turn, id);
+                self.close_session(turn, id, Cause::Server);
             }
         }
     }
@@ -141,7 +142,7 @@
         let lives = self.fetches.server_lives(id, since);
         self.fetch_over(turn, id, if lives { Outcome::Cancelled } else { Outcome::Reset });
         if self.sessions.get(id).is_some_and(|s| s.link.between_lines()) {
-            self.answer(turn, id, b"MOVE\r\n");
+            self.answer(turn, id, Answer::Moved, Cause::Silent);
         } else {
             self.end_both(turn, id, End::Reset, Outcome::Reset);
         }
--- a/crates/balancer/src/net/shutdown.rs
+++ b/crates/balancer/src/net/shutdown.rs
@@ -7,6 +7,8 @@
 /// SIGKILL comes no sooner than this after the longest wait of a client, which counts as 3 s where it is longer.
 const GRACE: Micros = 700_000;
 const GRACE_WAIT: Micros = 3_000_000;
+/// Before SIGKILL: the last requests are answered, which leaves their clients time to hear it.
+const LAST_CALL: Micros = 600_000;
 /// The least time for moving everybody.
 const MOVES: Micros = 100_000;
 
@@ -18,8 +20,10 @@
     pub move_from: Micros,
     /// Everybody has been moved.
     pub move_until: Micros,
-    /// Who still waits is refused.
+    /// Who still waits is answered, but for requests that may have run and must not be refused.
     pub answers: Micros,
+    /// These are answered too, if their own deadlines have not come before.
+    pub last_call: Micros,
     /// The program ends.
     pub last: Micros,
 }
@@ -44,6 +48,7 @@
             move_from: move_until.saturating_sub(900_000).max(LEAVE_AFTER),
             move_until: move_until.max(LEAVE_AFTER + MOVES),
             answers: move_until.saturating_sub(500_000),
+            last_call: kill - LAST_CALL,
             last: kill - 300_000,
         }
     }
@@ -60,6 +65,8 @@
         let short = ShutdownSchedule::new(&[1_000_000]);
         let successor = ShutdownSchedule::with_successor(&[1_000_000]);
         assert!(successor.move_from < successor.move_until && successor.move_until == short.move_until);
+        // A request that was taken as SIGTERM came has until its own deadline.
+        assert!(short.last_call >= 1_000_000 && short.last_call < short.last);
         assert!(short.move_from >= LEAVE_AFTER && short.move_until < short.last && short.last < 1_700_000);
     }
 }
--- a/crates/balancer/src/net/terms.rs
+++ b/crates/balancer/src/net/terms.rs
@@ -1,5 +1,6 @@
 //! What the configuration says of the peers; put in force whole, at the start and on a reload.
 
+use shorewharf_decisions::interface::Semantics;
 use shorewharf_driver::{Micros, micros};
 use shorewharf_protocol::names::Names;
 
@@ -10,6 +11,8 @@
 pub struct Terms {
     /// Names in first lines and lists.
     pub names: Names,
+    /// What repeating a request of each class may do.
+    semantics: Vec<Semantics>,
     /// How long a client of each class waits whose line does not say.
     pub give_up: Vec<Micros>,
     /// A connect that takes longer has failed.
@@ -35,10 +38,10 @@
 impl Terms {
     /// What a test needs of them.
     pub fn few() -> Self {
-        let (names, give_up) = (Names::default(), vec![3_000_000]);
+        let (names, give_up, semantics) = (Names::default(), vec![3_000_000], vec![Semantics::Safe]);
         let (connect_timeout, message_aim, tells_delay) = (250_000, 50_000, false);
         let (sockets, most_servers) = (1000, 1000);
-        Terms { names, give_up, connect_timeout, message_aim, tells_delay, sockets, most_servers }
+        Terms { names, semantics, give_up, connect_timeout, message_aim, tells_delay, sockets, most_servers }
     }
 }
 
@@ -47,6 +50,7 @@
         let aims = config.settings.classes.iter().map(|c| c.message_aim);
         Terms {
             names: config.names.clone(),
+            semantics: config.settings.classes.iter().map(|class| class.semantics).collect(),
             give_up: config.give_up.clone(),
             connect_timeout: micros(config.settings.connect_timeout),
             message_aim: micros(aims.fold(f64::INFINITY, f64::min)),
@@ -57,3 +61,10 @@
         }
     }
 }
+
+impl Terms {
+    /// What repeating a request of this class may do; the strictest for a class that is not known.
+    pub fn semantics_of(&self, class: usize) -> Semantics {
+        self.semantics.get(class).copied().unwrap_or(Semantics::Unsafe)
+    }
+}
--- a/crates/balancer/tests/sockets/final_answers.rs
+++ b/crates/balancer/tests/sockets/final_answers.rs
@@ -63,6 +63,35 @@
     EFFECTS.iter().enumerate().map(send).collect()
 }
 
+/// The next attempt, at whichever of the servers.
+#[track_caller]
+fn accept_at_any(servers: &[Node]) -> Peer {
+    let by = Instant::now() + Duration::from_secs(10);
+    while Instant::now() < by {
+        let within = Duration::from_millis(10);
+        if let Some(attempt) = servers.iter().find_map(|server| server.accept_within(within)) {
+            return attempt;
+        }
+    }
+    panic!("no attempt at any server");
+}
+
+/// The next attempt, at whichever of the servers, or what the client is told instead.
+#[track_caller]
+fn next_attempt_or_answer(servers: &[Node], client: &mut Peer) -> Result<Peer, String> {
+    let by = Instant::now() + Duration::from_secs(10);
+    while Instant::now() < by {
+        let within = Duration::from_millis(10);
+        if let Some(attempt) = servers.iter().find_map(|server| server.accept_within(within)) {
+            return Ok(attempt);
+        }
+        if client.has_word(within) {
+            return Err(client.line());
+        }
+    }
+    panic!("neither an attempt nor an answer");
+}
+
 /// Checks the final answer of a request that may have run.
 #[track_caller]
 fn expect_answer_after_run(effect: &Effect, client: &mut Peer) {
@@ -106,3 +135,178 @@
     drop(requests);
     assert!(program.wait().success());
 }
+
+/// Checks the answer of a request that has certainly never run: it may be refused, whatever its class.
+#[track_caller]
+fn expect_answer_before_run(effect: &Effect, client: &mut Peer) {
+    let answer = client.line();
+    assert!(answer.starts_with("BUSY"), "{effect:?}: never sent, and told {answer}");
+    assert_eq!(client.hear(), Heard::Fin);
+}
+
+#[test]
+fn an_error_from_the_server_during_the_shutdown_is_no_refusal() {
+    let server = Node::new();
+    let mut program = start(&config_of_effects(&[("s-1", server.address())]));
+    let mut requests = sent_requests(&program, &server);
+    program.terminate();
+    program.logged("leaving");
+    for (effect, client, attempt) in &mut requests {
+        attempt.say("ERR");
+        expect_answer_after_run(effect, client);
+    }
+    assert!(!server.is_called(), "an attempt at the only server, which has failed");
+    drop(requests);
+    assert!(program.wait().success());
+}
+
+#[test]
+fn a_reset_after_the_line_during_the_shutdown_is_no_refusal_and_not_repeated_where_it_must_not_be() {
+    let servers = [Node::new(), Node::new()];
+    let near = endpoint("s-1", servers[0].address(), "Ready");
+    let mut far = endpoint("s-2", servers[1].address(), "Ready");
+    far.zone = "b".into();
+    let mut settings = config_of_effects(&[]);
+    settings["known"]["endpoints"] = json!([near, far]);
+    let mut program = start(&settings);
+    let mut requests = Vec::new();
+    for (id, effect) in EFFECTS.iter().enumerate() {
+        let client = request(&program, id, effect);
+        let mut attempt = accept_at_any(&servers);
+        attempt.line();
+        requests.push((*effect, client, attempt));
+    }
+    program.terminate();
+    program.logged("leaving");
+    for (effect, mut client, attempt) in requests {
+        attempt.reset();
+        if effect.is_refusable {
+            // It may be tried at the other server, or refused.
+            match next_attempt_or_answer(&servers, &mut client) {
+                Ok(mut second) => {
+                    second.line();
+                    second.say("UP 2");
+                    assert_eq!(client.line(), "UP 2");
+                }
+                Err(answer) => assert!(answer.starts_with("BUSY"), "{effect:?}: {answer}"),
+            }
+            continue;
+        }
+        expect_answer_after_run(&effect, &mut client);
+        assert!(!servers.iter().any(Node::is_called), "{effect:?}: sent again");
+    }
+    assert!(program.wait().success());
+}
+
+#[test]
+fn a_request_whose_dial_is_pending_at_the_planned_answers_is_refused() {
+    let (server, _queue) = Node::full();
+    let mut settings = config_of_effects(&[("s-1", server.address())]);
+    settings["settings"]["limits"]["connect_timeout_s"] = json!(30.0);
+    let mut program = start(&settings);
+    let mut clients: Vec<_> =
+        EFFECTS.iter().enumerate().map(|(id, effect)| (effect, request(&program, id, effect))).collect();
+    program.settled();
+    program.terminate();
+    for (effect, client) in &mut clients {
+        expect_answer_before_run(effect, client);
+    }
+    drop(clients);
+    assert!(program.wait().success());
+}
+
+#[test]
+fn a_request_that_a_server_turned_away_before_the_shutdown_is_refused() {
+    let server = Node::new();
+    let mut program = start(&config_of_effects(&[("s-1", server.address())]));
+    let mut requests = sent_requests(&program, &server);
+    program.terminate();
+    program.logged("leaving");
+    for (effect, client, attempt) in &mut requests {
+        attempt.say("BUSY");
+        expect_answer_before_run(effect, client);
+    }
+    drop(requests);
+    assert!(program.wait().success());
+}
+
+#[test]
+fn a_request_that_arrives_during_the_shutdown_is_refused_and_never_sent() {
+    let server = Node::new();
+    let mut program = start(&config_of_effects(&[("s-1", server.address())]));
+    program.terminate();
+    program.logged("leaving");
+    for (id, effect) in EFFECTS.iter().enumerate() {
+        expect_answer_before_run(effect, &mut request(&program, id, effect));
+    }
+    assert!(!server.is_called());
+    assert!(program.wait().success());
+}
+
+#[test]
+fn a_second_order_to_end_and_a_reload_change_no_final_answer() {
+    let server = Node::new();
+    let settings = config_of_effects(&[("s-1", server.address())]);
+    let mut program = start(&settings);
+    let mut requests = sent_requests(&program, &server);
+    program.reconfigure(&settings.to_string());
+    program.logged("reloaded");
+    program.terminate();
+    program.logged("leaving");
+    program.terminate();
+    for (effect, client, _) in &mut requests {
+        expect_answer_after_run(effect, client);
+    }
+    drop(requests);
+    assert!(program.wait().success());
+}
+
+#[test]
+fn a_request_that_waits_here_while_a_successor_takes_over_is_not_refused_after_it_was_sent() {
+    let server = Node::new();
+    let settings = crate::operators::with_door(config_of_effects(&[("s-1", server.address())]));
+    let mut old = start(&settings);
+    let mut requests = sent_requests(&old, &server);
+    let mut same = settings.clone();
+    same["listen"] = json!(old.address());
+    let _new = old.start_beside(crate::BINARY, &same);
+    old.terminate();
+    assert!(old.logged("event=leaving").contains("successor=true"));
+    for (effect, client, _) in &mut requests {
+        expect_answer_after_run(effect, client);
+    }
+    drop(requests);
+    assert!(old.wait().success());
+}
+
+#[test]
+fn a_deadline_in_the_turn_of_the_planned_answers_is_no_refusal() {
+    let server = Node::new();
+    let mut program = start(&config_of_effects(&[("s-1", server.address())]));
+    let mut requests = sent_requests(&program, &server);
+    program.terminate();
+    program.logged("leaving");
+    let over = Instant::now() + GIVE_UP + Duration::from_millis(50);
+    program.pause();
+    std::thread::sleep(over.saturating_duration_since(Instant::now()));
+    program.resume();
+    for (effect, client, _) in &mut requests {
+        expect_answer_after_run(effect, client);
+    }
+    drop(requests);
+    assert!(program.wait().success());
+}
+
+#[test]
+fn a_deadline_that_passes_while_the_process_stands_still_is_no_refusal() {
+    let server = Node::new();
+    let program = start(&config_of_effects(&[("s-1", server.address())]));
+    let mut requests = sent_requests(&program, &server);
+    let over = Instant::now() + GIVE_UP + Duration::from_millis(200);
+    program.pause();
+    std::thread::sleep(over.saturating_duration_since(Instant::now()));
+    program.resume();
+    for (effect, client, _) in &mut requests {
+        expect_answer_after_run(effect, client);
+    }
+}
--- /dev/null
+++ b/crates/lifecycle/src/request.rs
@@ -0,0 +1,230 @@
+//! One request: its state, and what it allows next.
+
+use shorewharf_decisions::interface::{Outcome, Scope, Semantics, ServerId};
+use thiserror::Error;
+
+use crate::Micros;
+use crate::stats::Rule;
+
+/// The process may be held up for so long between reading its clock and writing: a repeat that could reach its server
+/// after the window of its class is not written.
+const HOLD_UP: Micros = 150_000;
+
+/// Where an attempt goes. Zone and cell are kept as they were when it began: the list may change them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// The server.
+    pub server: ServerId,
+    /// The server's zone.
+    pub zone: u32,
+    /// The server's cell.
+    pub cell: u32,
+}
+
+/// How far a request has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestState {
+    /// Its first line has been read.
+    Received,
+    /// The decision module has it; no attempt is out.
+    Queued,
+    /// An attempt's connection is being made: its server knows nothing of the request.
+    Connecting,
+    /// An attempt's first line is being written or has been: its server may run it.
+    Sent,
+    /// A server has taken it and lines are passed on.
+    Serving,
+    /// Its client has been told to come again elsewhere.
+    Moved,
+    /// It has had its final answer, or its client has gone.
+    Answered,
+}
+
+/// The last word to a client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// Refused: trying again is harmless. Wait so long first, if that is more than 0.
+    Refused {
+        /// The wait in microseconds.
+        after: Micros,
+    },
+    /// Failed: it may have run.
+    Failed,
+    /// A server has served it to its end.
+    Served,
+    /// Come again elsewhere.
+    Moved,
+    /// The end of a connection without a word.
+    Closed,
+}
+
+/// Why a first line must not be written.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum SendError {
+    /// The window of its class may be over when the line arrives. Time passes while a connection is made, so this is
+    /// no fault: the attempt counts as never sent.
+    #[error("the window for repeats is over")]
+    WindowOver,
+    /// A rule forbids it.
+    #[error("forbidden: {0}")]
+    Forbidden(Rule),
+}
+
+/// The first attempt that may have run.
+#[derive(Clone, Copy, Debug)]
+struct PossibleRun {
+    target: Target,
+    sent_at: Micros,
+    attempt: u32,
+}
+
+/// One request, from its first line to its end.
+#[derive(Clone, Debug)]
+pub(crate) struct Request {
+    semantics: Semantics,
+    state: RequestState,
+    /// Attempts begun.
+    attempts: u32,
+    target: Option<Target>,
+    possible_run: Option<PossibleRun>,
+}
+
+impl Request {
+    /// A request that has been read. What repeating it may do is settled now: a new configuration does not change it.
+    pub fn new(semantics: Semantics) -> Self {
+        Request { semantics, state: RequestState::Received, attempts: 0, target: None, possible_run: None }
+    }
+
+    pub fn state(&self) -> RequestState {
+        self.state
+    }
+
+    pub fn attempts(&self) -> u32 {
+        self.attempts
+    }
+
+    /// The server of the attempt that is out, or of the first one that may have run.
+    pub fn server(&self) -> Option<ServerId> {
+        self.target.or(self.possible_run.map(|run| run.target)).map(|target| target.server)
+    }
+
+    /// Whether a server may have run it, or may yet.
+    pub fn may_have_run(&self) -> bool {
+        self.possible_run.is_some()
+    }
+
+    /// Whether it still waits for its final answer.
+    pub fn is_waiting(&self) -> bool {
+        use RequestState::*;
+        matches!(self.state, Received | Queued | Connecting | Sent)
+    }
+
+    /// Whether a client that is told to try again can do no harm by it.
+    pub fn is_refusable(&self) -> bool {
+        !self.may_have_run() || matches!(self.semantics, Semantics::Safe | Semantics::Keyed(Scope::All, _))
+    }
+
+    pub fn queue(&mut self) {
+        if self.state == RequestState::Received {
+            self.state = RequestState::Queued;
+        }
+    }
+
+    /// An attempt begins: its connection is made.
+    pub fn begin_attempt(&mut self, target: Target) -> Result<(), Rule> {
+        match self.state {
+            RequestState::Received | RequestState::Queued => {}
+            RequestState::Connecting | RequestState::Sent => return Err(Rule::SecondCopy),
+            RequestState::Serving | RequestState::Moved | RequestState::Answered => {
+                return Err(Rule::AttemptAfterAnswer);
+            }
+        }
+        self.check_repeat(target)?;
+        self.state = RequestState::Connecting;
+        self.target = Some(target);
+        self.attempts += 1;
+        Ok(())
+    }
+
+    /// The first line is about to be written.
+    pub fn send(&mut self, now: Micros) -> Result<(), SendError> {
+        let (RequestState::Connecting, Some(target)) = (self.state, self.target) else {
+            return Err(SendError::Forbidden(Rule::AttemptAfterAnswer));
+        };
+        self.check_repeat(target).map_err(SendError::Forbidden)?;
+        if self.is_window_over(now) {
+            return Err(SendError::WindowOver);
+        }
+        self.state = RequestState::Sent;
+        let run = PossibleRun { target, sent_at: now, attempt: self.attempts };
+        self.possible_run.get_or_insert(run);
+        Ok(())
+    }
+
+    /// The attempt that is out has ended without being taken.
+    pub fn end_attempt(&mut self, outcome: Outcome) {
+        if !matches!(self.state, RequestState::Connecting | RequestState::Sent) {
+            return;
+        }
+        let is_first = self.possible_run.is_some_and(|run| run.attempt == self.attempts);
+        if is_first && outcome.never_ran() {
+            self.possible_run = None;
+        }
+        self.state = RequestState::Queued;
+        self.target = None;
+    }
+
+    /// A server has taken it.
+    pub fn serve(&mut self) {
+        if self.state == RequestState::Sent {
+            self.state = RequestState::Serving;
+        }
+    }
+
+    /// The final answer; what rule it breaks, if it does.
+    pub fn answer(&mut self, answer: Answer) -> Result<(), Rule> {
+        self.check_answer(answer)?;
+        self.state = if answer == Answer::Moved { RequestState::Moved } else { RequestState::Answered };
+        Ok(())
+    }
+
+    fn check_answer(&self, answer: Answer) -> Result<(), Rule> {
+        use RequestState::*;
+        match (self.state, answer) {
+            (Moved | Answered, _) => Err(Rule::SecondAnswer),
+            (Received | Queued | Connecting | Sent, Answer::Refused { .. }) if !self.is_refusable() => {
+                Err(Rule::RefusedAfterRun)
+            }
+            (Received | Queued | Connecting | Sent, Answer::Closed | Answer::Moved) => {
+                Err(Rule::ClosedUnanswered)
+            }
+            (Serving, Answer::Refused { .. }) => Err(Rule::RefusedAfterRun),
+            _ => Ok(()),
+        }
+    }
+
+    /// The client has gone: nothing is owed to it.
+    pub fn abandon(&mut self) {
+        self.state = RequestState::Answered;
+    }
+
+    fn check_repeat(&self, target: Target) -> Result<(), Rule> {
+        let Some(run) = self.possible_run else { return Ok(()) };
+        let is_allowed = match self.semantics {
+            Semantics::Safe => true,
+            Semantics::Unsafe => false,
+            Semantics::Keyed(Scope::All, _) => true,
+            Semantics::Keyed(Scope::Zone, _) => run.target.zone == target.zone,
+            Semantics::Keyed(Scope::Cell, _) => run.target.cell == target.cell,
+        };
+        if is_allowed { Ok(()) } else { Err(Rule::RepeatedAfterRun) }
+    }
+
+    fn is_window_over(&self, now: Micros) -> bool {
+        let (Some(run), Semantics::Keyed(_, window)) = (self.possible_run, self.semantics) else {
+            return false;
+        };
+        let window = (window * 1e6) as Micros;
+        now + HOLD_UP >= run.sent_at + window
+    }
+}
--- /dev/null
+++ b/crates/lifecycle/tests/duplicates.rs
@@ -0,0 +1,215 @@
+//! The guard beside a plain model of the rule on duplicates: every drawn class and sequence of steps gets the same
+//! verdict from both.
+
+use proptest::prelude::*;
+use shorewharf_decisions::interface::{Outcome, RequestId, Scope, Semantics, ServerId};
+use shorewharf_lifecycle::{Answer, Micros, RequestGuard, Rule, Target};
+
+const ID: RequestId = RequestId(3);
+/// What the guard keeps between a repeat and the end of its window.
+const HOLD_UP: Micros = 150_000;
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Begin(Target),
+    Send,
+    End(Outcome),
+    Refuse,
+    Fail,
+    Close,
+    Wait(Micros),
+}
+
+/// An attempt as the rule sees it.
+#[derive(Clone, Copy, Debug)]
+struct Attempt {
+    target: Target,
+    sent_at: Option<Micros>,
+    outcome: Option<Outcome>,
+}
+
+impl Attempt {
+    fn may_have_run(&self) -> bool {
+        self.sent_at.is_some() && !self.outcome.is_some_and(Outcome::never_ran)
+    }
+}
+
+/// The rule, written down without a state machine: all attempts so far, and whether the client has its answer.
+#[derive(Debug)]
+struct Model {
+    semantics: Semantics,
+    attempts: Vec<Attempt>,
+    is_answered: bool,
+}
+
+impl Model {
+    fn runs(&self) -> impl Iterator<Item = &Attempt> {
+        self.attempts.iter().filter(|attempt| attempt.may_have_run())
+    }
+
+    fn may_refuse(&self) -> bool {
+        let is_harmless = matches!(self.semantics, Semantics::Safe | Semantics::Keyed(Scope::All, _));
+        is_harmless || self.runs().next().is_none()
+    }
+
+    fn may_go_to(&self, target: Target) -> bool {
+        self.runs().all(|run| match self.semantics {
+            Semantics::Safe | Semantics::Keyed(Scope::All, _) => true,
+            Semantics::Unsafe => false,
+            Semantics::Keyed(Scope::Zone, _) => run.target.zone == target.zone,
+            Semantics::Keyed(Scope::Cell, _) => run.target.cell == target.cell,
+        })
+    }
+
+    fn is_in_window(&self, now: Micros) -> bool {
+        let Semantics::Keyed(_, window) = self.semantics else { return true };
+        let first = self.runs().filter_map(|run| run.sent_at).min();
+        first.is_none_or(|sent_at| now + HOLD_UP < sent_at + (window * 1e6) as Micros)
+    }
+
+    fn out(&mut self) -> Option<&mut Attempt> {
+        self.attempts.last_mut().filter(|attempt| attempt.outcome.is_none())
+    }
+}
+
+fn semantics() -> impl Strategy<Value = Semantics> {
+    let scope = prop_oneof![Just(Scope::All), Just(Scope::Zone), Just(Scope::Cell)];
+    prop_oneof![
+        Just(Semantics::Safe),
+        Just(Semantics::Unsafe),
+        (scope, 0.2..3.0f64).prop_map(|(scope, window)| Semantics::Keyed(scope, window)),
+    ]
+}
+
+fn target() -> impl Strategy<Value = Target> {
+    (0..4u64, 0..2u32, 0..2u32).prop_map(|(server, zone, cell)| Target {
+        server: ServerId(server),
+        zone,
+        cell,
+    })
+}
+
+fn outcome() -> impl Strategy<Value = Outcome> {
+    use Outcome::*;
+    prop::sample::select(vec![Error, Full, TimedOut, ConnectFailed, Reset, Cancelled, NotSent])
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => target().prop_map(Step::Begin),
+        4 => Just(Step::Send),
+        4 => outcome().prop_map(Step::End),
+        1 => Just(Step::Refuse),
+        1 => Just(Step::Fail),
+        1 => Just(Step::Close),
+        2 => (1..800_000u64).prop_map(Step::Wait),
+    ]
+}
+
+fn begin(guard: &mut RequestGuard, model: &mut Model, target: Target) {
+    let wanted = if model.is_answered {
+        Some(Rule::AttemptAfterAnswer)
+    } else if model.out().is_some() {
+        Some(Rule::SecondCopy)
+    } else if !model.may_go_to(target) {
+        Some(Rule::RepeatedAfterRun)
+    } else {
+        None
+    };
+    assert_eq!(guard.begin_attempt(ID, target).map_err(|violation| violation.rule).err(), wanted);
+    if wanted.is_none() {
+        model.attempts.push(Attempt { target, sent_at: None, outcome: None });
+    }
+}
+
+fn send(guard: &mut RequestGuard, model: &mut Model, now: Micros) {
+    let is_ready = !model.is_answered && model.out().is_some_and(|attempt| attempt.sent_at.is_none());
+    let sent = guard.send(ID, now).map_err(|violation| violation.rule);
+    if !is_ready {
+        return assert_eq!(sent, Err(Rule::AttemptAfterAnswer));
+    }
+    let in_window = model.is_in_window(now);
+    assert_eq!(sent, Ok(in_window));
+    if in_window {
+        model.out().expect("an attempt is out").sent_at = Some(now);
+    }
+}
+
+fn answer(guard: &mut RequestGuard, model: &mut Model, answer: Answer) {
+    let wanted = match answer {
+        _ if model.is_answered => Some(Rule::SecondAnswer),
+        Answer::Refused { .. } if !model.may_refuse() => Some(Rule::RefusedAfterRun),
+        Answer::Closed => Some(Rule::ClosedUnanswered),
+        _ => None,
+    };
+    // Whatever was wanted, what is said in its place is no refusal, and said once.
+    let given = guard.answer(ID, answer);
+    let instead = given.as_ref().err().and_then(|(_, instead)| *instead);
+    assert_eq!(given.map_err(|(violation, _)| violation.rule).err(), wanted);
+    assert_eq!(instead, wanted.filter(|rule| *rule != Rule::SecondAnswer).map(|_| Answer::Failed));
+    model.is_answered = true;
+}
+
+fn play(semantics: Semantics, steps: &[Step]) {
+    let mut guard = RequestGuard::default();
+    let mut model = Model { semantics, attempts: Vec::new(), is_answered: false };
+    let mut now = 1_000_000;
+    guard.receive(ID, semantics);
+    guard.queue(ID);
+    for step in steps {
+        match *step {
+            Step::Begin(target) => begin(&mut guard, &mut model, target),
+            Step::Send => send(&mut guard, &mut model, now),
+            Step::End(outcome) if !model.is_answered => {
+                guard.end_attempt(ID, outcome);
+                model.out().into_iter().for_each(|attempt| attempt.outcome = Some(outcome));
+            }
+            Step::End(_) => {}
+            Step::Refuse => answer(&mut guard, &mut model, Answer::Refused { after: 300_000 }),
+            Step::Fail => answer(&mut guard, &mut model, Answer::Failed),
+            Step::Close => answer(&mut guard, &mut model, Answer::Closed),
+            Step::Wait(time) => now += time,
+        }
+        if !model.is_answered {
+            assert_eq!(guard.is_refusable(ID), model.may_refuse());
+            let refused = matches!(guard.unserved_answer(ID, 1), Answer::Refused { .. });
+            assert_eq!(refused, model.may_refuse());
+        }
+    }
+    assert_eq!(
+        guard.close(ID).is_err(),
+        !model.is_answered,
+        "a request that waits is lost with its connection"
+    );
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 4096, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn the_guard_and_the_rule_agree(semantics in semantics(), steps in prop::collection::vec(step(), 1..24)) {
+        play(semantics, &steps);
+    }
+}
+
+#[test]
+fn every_violation_is_counted_by_rule() {
+    let mut guard = RequestGuard::default();
+    let target = Target { server: ServerId(1), zone: 0, cell: 0 };
+    guard.receive(ID, Semantics::Unsafe);
+    assert_eq!(guard.begin_attempt(ID, target), Ok(()));
+    assert_eq!(guard.begin_attempt(ID, target).expect_err("two at once").rule, Rule::SecondCopy);
+    assert_eq!(guard.send(ID, 5), Ok(true));
+    guard.end_attempt(ID, Outcome::Reset);
+    assert_eq!(guard.begin_attempt(ID, target).expect_err("sent again").rule, Rule::RepeatedAfterRun);
+    let (violation, instead) = guard.answer(ID, Answer::Refused { after: 0 }).expect_err("it may have run");
+    assert_eq!(
+        (violation.rule, violation.attempt, violation.server),
+        (Rule::RefusedAfterRun, 1, Some(ServerId(1)))
+    );
+    assert_eq!(instead, Some(Answer::Failed));
+    assert_eq!(guard.close(ID), Ok(()));
+    let stats = guard.stats();
+    assert_eq!((stats.first_attempts, stats.retries, stats.violations_total()), (1, 0, 3));
+    assert_eq!(stats.answers_of(Answer::Failed), 1);
+}
