Keep what repeating a request may do as it stood when the request arrived

Cause: Balancer::semantics (decisions/state.rs) looked a request's class up in the settings of now. Found by the audit of the incident. Seen failing: a_reload_does_not_make_a_request_repeatable_that_was_taken_before_it.

--- a/crates/balancer/tests/sockets/final_answers.rs
+++ b/crates/balancer/tests/sockets/final_answers.rs
@@ -249,7 +249,12 @@
     let settings = config_of_effects(&[("s-1", server.address())]);
     let mut program = start(&settings);
     let mut requests = sent_requests(&program, &server);
-    program.reconfigure(&settings.to_string());
+    // The reload calls every class safe: what was taken before it stays what it was.
+    let mut safe = settings.clone();
+    for class in safe["settings"]["classes"].as_array_mut().expect("classes") {
+        class["semantics"] = json!("read_like");
+    }
+    program.reconfigure(&safe.to_string());
     program.logged("reloaded");
     program.terminate();
     program.logged("leaving");
@@ -261,6 +266,27 @@
     assert!(program.wait().success());
 }
 
+#[test]
+fn a_reload_does_not_make_a_request_repeatable_that_was_taken_before_it() {
+    let servers = [Node::new(), Node::new()];
+    let known = [("s-1", servers[0].address()), ("s-2", servers[1].address())];
+    let settings = config_of_effects(&known);
+    let program = start(&settings);
+    let write = &EFFECTS[3];
+    let mut client = request(&program, 0, write);
+    let mut attempt = accept_at_any(&servers);
+    attempt.line();
+    let mut safe = settings.clone();
+    for class in safe["settings"]["classes"].as_array_mut().expect("classes") {
+        class["semantics"] = json!("read_like");
+    }
+    program.reconfigure(&safe.to_string());
+    program.logged("reloaded");
+    attempt.reset();
+    expect_answer_after_run(write, &mut client);
+    assert!(!servers.iter().any(Node::is_called), "sent again");
+}
+
 #[test]
 fn a_request_that_waits_here_while_a_successor_takes_over_is_not_refused_after_it_was_sent() {
     let server = Node::new();
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -260,7 +260,7 @@
 
     pub(crate) fn may_send(&self, c: &Client, s: &Server, now: f64) -> bool {
         let Some((first, sent, _)) = c.ran else { return true };
-        match self.semantics(c) {
+        match c.semantics {
             Semantics::Safe => true,
             Semantics::Unsafe => false,
             Semantics::Keyed(scope, window) => {
@@ -477,8 +477,7 @@
     fn answer(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(c) = self.clients.get(&id).filter(|c| !c.answered) else { return };
         let harmless = c.out.is_none()
-            && (c.ran.is_none()
-                || matches!(self.semantics(c), Semantics::Safe | Semantics::Keyed(Scope::All, _)));
+            && (c.ran.is_none() || matches!(c.semantics, Semantics::Safe | Semantics::Keyed(Scope::All, _)));
         let wait = if self.set.retry_after { self.set.max_retry_after * 0.5 } else { 0.0 };
         if harmless {
             let retry_after = wait * (0.5 + self.draw());
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -43,6 +43,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Client {
     pub request: Request,
+    /// What repeating it may do, as its class stood when it arrived: new settings change nothing of what has been sent.
+    pub semantics: Semantics,
     pub group: Option<u64>,
     pub load: f64,
     /// Its load was told.
@@ -233,6 +235,7 @@
         self.count_group(&request);
         Client {
             request,
+            semantics: self.set.classes.get(request.class).map_or(Semantics::Unsafe, |k| k.semantics),
             group: self.group_of(&request),
             load,
             told: false,
@@ -267,10 +270,6 @@
         self.set.classes.iter().map(|c| c.message_aim).fold(f64::INFINITY, f64::min)
     }
 
-    pub(crate) fn semantics(&self, c: &Client) -> Semantics {
-        self.set.classes.get(c.request.class).map_or(Semantics::Unsafe, |k| k.semantics)
-    }
-
     /// Servers known to hold some of a group: those of its clients here, and where the last one was placed.
     pub(crate) fn holding(&self, group: Option<u64>) -> Vec<ServerId> {
         let Some(group) = group else { return Vec::new() };
