Look for the client once more before its first line is written to a server

Cause: fetch_goes_on (serving/mod.rs) wrote the first line as soon as the dial was up. Seen failing: a_client_that_leaves_while_the_dial_comes_up_has_no_attempt.

--- a/crates/balancer/src/net/serving/mod.rs
+++ b/crates/balancer/src/net/serving/mod.rs
@@ -434,7 +434,10 @@
                 Ok(true) => {}
                 Err(_) => return self.fetch_over(turn, id, Outcome::ConnectFailed),
             }
-            // The server may have begun to leave while the connection came up: it gets nothing new.
+            // The client may have gone while the connection came up, and the loop not have told of it yet.
+            self.session_ready(turn, id, Ready::READ);
+            let Some(fetch) = self.fetches.get(id) else { return };
+            // The server may have begun to leave meanwhile: it gets nothing new.
             if self.address_for(id, fetch.server()).is_none() {
                 return self.fetch_over(turn, id, Outcome::NotSent);
             }
--- a/crates/balancer/tests/sockets/endings.rs
+++ b/crates/balancer/tests/sockets/endings.rs
@@ -199,3 +199,21 @@
         assert!(!server.is_called(), "an attempt after the deadline");
     }
 }
+
+#[test]
+fn a_client_that_leaves_while_the_dial_comes_up_has_no_attempt() {
+    let (host, queue) = Node::full();
+    let mut settings = config(&[("s-1", host.address())]);
+    settings["settings"]["limits"]["connect_timeout_s"] = json!(30.0);
+    let program = start(&settings);
+    let client = program.open("");
+    program.settled();
+    program.pause();
+    queue.iter().for_each(|_| drop(host.accept()));
+    // The dial is heard of first, then the client's end.
+    let mut attempt = host.accept();
+    drop(client);
+    std::thread::sleep(Duration::from_millis(150));
+    program.resume();
+    assert_eq!(attempt.hear(), Heard::Fin, "a first line for a client that had gone");
+}
