Read a socket until the system says that there is no more

Cause: Link::fill (net/link.rs) took a read that returned less than there was room for as all there is. The loop is told of input once (edge-triggered), so what was left was read only when something else came: with reads cut to one byte requests waited for their first line to be given up (2.5 s). Now only EWOULDBLOCK or the end stops reading; a write of no bytes is an end and no endless loop.

Seen failing: reads_of_one_byte_delay_nobody (the first request got an end). Sound before: writes of one byte, EINTR of waits, reads and writes, ECONNABORTED, steps of the wall clock, ETIMEDOUT, a line half written as the program ends.

--- a/crates/balancer/src/net/link.rs
+++ b/crates/balancer/src/net/link.rs
@@ -119,17 +119,15 @@
         while self.can_read && self.ended.is_none() {
             let inbox = self.inbox.get_or_insert_with(|| pool.take());
             let room = inbox.room();
-            let most = room.len();
-            if most == 0 {
+            if room.is_empty() {
                 break;
             }
             match (&self.stream).read(room) {
                 Ok(0) => self.ended = Some(End::Fin),
                 Ok(n) => {
+                    // A read may return less than there is (read(2)), and the loop tells of what has come only once:
+                    // only the system's own word that there is no more ends the reading.
                     inbox.added(n);
-                    // Less than there was room for is all there was: the loop tells of what comes later. Of an end
-                    // that it has told of it says no more.
-                    self.can_read = n == most || self.ends;
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
                     self.can_read = false;
@@ -202,6 +200,8 @@
         let mut put = 0;
         while put < bytes.len() && *can_write && *ended != Some(End::Reset) {
             match (&*stream).write(&bytes[put..]) {
+                // No bytes and no error: nothing that a socket says, and nothing to wait for.
+                Ok(0) => *ended = Some(End::Reset),
                 Ok(n) => put += n,
                 Err(e) if e.kind() == ErrorKind::WouldBlock => *can_write = false,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
--- /dev/null
+++ b/crates/balancer/tests/sockets/faults.rs
@@ -0,0 +1,143 @@
+//! System calls of the program that fail as Linux documents, by the library of `crates/faults`.
+
+use std::ffi::OsStr;
+use std::path::PathBuf;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use shorewharf_emulator::standin::*;
+
+use crate::BINARY;
+
+/// Requests that each fault meets.
+const REQUESTS: usize = 40;
+/// An answer after this was waited for without need.
+const PROMPT: Duration = Duration::from_millis(1000);
+
+/// The library that cargo has built beside this test.
+fn library() -> PathBuf {
+    let test = std::env::current_exe().expect("a test has a path");
+    let library = test.parent().expect("a folder").join("libshorewharf_faults.so");
+    assert!(library.exists(), "{} was not built", library.display());
+    library
+}
+
+/// Starts the program with these faults.
+fn start_with_faults(config: &Value, faults: &str) -> Program {
+    let library = library();
+    let env: [(&str, &OsStr); 2] =
+        [("LD_PRELOAD", library.as_os_str()), ("SHOREWHARF_FAULTS", OsStr::new(faults))];
+    Program::start_in(BINARY, config, &env)
+}
+
+/// A server that takes everybody at once, until it has served so many or nobody comes for a while.
+fn serve(node: Node, count: usize) -> JoinHandle<usize> {
+    std::thread::spawn(move || {
+        let mut served = Vec::new();
+        while served.len() < count {
+            let Some(mut peer) = node.accept_within(Duration::from_secs(5)) else { break };
+            if matches!(peer.hear(), Heard::Line(line) if line.starts_with("OPEN")) {
+                peer.try_put(b"UP 7\r\n");
+                served.push(peer);
+            }
+        }
+        served.len()
+    })
+}
+
+/// Sends requests one after the other; how long each took to be taken, or what it was told instead.
+fn send_requests(program: &Program, count: usize) -> Vec<Result<Duration, String>> {
+    let mut clients = Vec::new();
+    let send = |id: usize| {
+        let begun = Instant::now();
+        let mut client = program.open_as(&format!("{id:x}"), "");
+        let line = client.line();
+        clients.push(client);
+        if line.starts_with("UP") { Ok(begun.elapsed()) } else { Err(line) }
+    };
+    (1..=count).map(send).collect()
+}
+
+/// All requests must be taken, and at once, whatever fails.
+#[track_caller]
+fn expect_all_taken(faults: &str) {
+    let nodes = [Node::new(), Node::new()];
+    let known = [("s-1", nodes[0].address()), ("s-2", nodes[1].address())];
+    let program = start_with_faults(&config(&known), faults);
+    let _servers = nodes.map(|node| serve(node, REQUESTS));
+    let taken = send_requests(&program, REQUESTS);
+    let refused: Vec<_> = taken.iter().filter_map(|t| t.as_ref().err()).collect();
+    assert!(refused.is_empty(), "{faults}: {} of {REQUESTS} not taken: {refused:?}", refused.len());
+    let slow = taken.iter().flatten().filter(|took| **took > PROMPT).count();
+    assert_eq!(slow, 0, "{faults}: requests that waited without need");
+}
+
+#[test]
+fn reads_of_one_byte_delay_nobody() {
+    expect_all_taken("recv=short");
+}
+
+#[test]
+fn writes_of_one_byte_delay_nobody() {
+    expect_all_taken("send=short");
+}
+
+#[test]
+fn calls_that_are_interrupted_or_aborted_are_made_again() {
+    for faults in ["wait=EINTR/2", "accept=ECONNABORTED/2", "recv=EINTR/2;send=EINTR/2"] {
+        expect_all_taken(faults);
+    }
+}
+
+#[test]
+fn steps_of_the_wall_clock_change_no_deadline() {
+    for seconds in [3600, -3600, 5, -5] {
+        expect_all_taken(&format!("clock={seconds}@0.1-1e9"));
+    }
+    let (silent, mut settings) = (Node::new(), config(&[]));
+    settings["known"]["endpoints"] = json!([endpoint("s-1", silent.address(), "Ready")]);
+    let program = start_with_faults(&settings, "clock=3600@0.3-1e9;clock=-7200@0.6-1e9");
+    let begun = Instant::now();
+    let mut client = program.client();
+    client.say("OPEN 1 2 c=chat,t=acme,d=1000");
+    client.line();
+    let took = begun.elapsed();
+    assert!(
+        took > Duration::from_millis(900) && took < Duration::from_millis(1500),
+        "answered after {took:?}"
+    );
+}
+
+#[test]
+fn a_connection_that_breaks_by_a_time_out_ends_both_sides() {
+    for error in ["ETIMEDOUT", "EHOSTUNREACH"] {
+        let server = Node::new();
+        // The first read on the server's connection finds its answer, the second one finds it broken.
+        let faults = format!("recv:connected={error}/3");
+        let program = start_with_faults(&config(&[("s-1", server.address())]), &faults);
+        let (mut client, mut attempt) = program.stand(&server);
+        attempt.say("M 1");
+        while client.hear() != Heard::Reset {}
+        while !matches!(attempt.hear(), Heard::Reset | Heard::Fin) {}
+    }
+}
+
+#[test]
+fn a_line_that_is_half_written_as_the_program_ends_gets_its_answer() {
+    let server = Node::new();
+    let mut settings = config(&[("s-1", server.address())]);
+    settings["settings"]["classes"][0]["semantics"] = json!("non_idempotent");
+    settings["settings"]["classes"][0]["give_up_s"] = json!(1.5);
+    let mut program = start_with_faults(&settings, "send:connected=stall");
+    let mut client = program.client();
+    client.say("OPEN 1 2 c=chat,t=acme,d=1500");
+    let mut attempt = server.accept();
+    assert_eq!(attempt.read_exactly(5), b"OPEN ");
+    program.terminate();
+    let answer = client.line();
+    assert!(answer == "ERR" || answer.starts_with("BUSY"), "{answer}");
+    assert_eq!((client.hear(), attempt.hear()), (Heard::Fin, Heard::Fin));
+    drop((client, attempt));
+    assert!(program.wait().success());
+}
--- a/crates/balancer/tests/sockets/main.rs
+++ b/crates/balancer/tests/sockets/main.rs
@@ -4,6 +4,7 @@
 mod cli;
 mod counts;
 mod endings;
+mod faults;
 mod final_answers;
 mod gossip;
 mod handover;
