Begin a connection again that this machine could not begin, and blame no server

Cause: Fetches::begin read each error of connect(2) but a shortage as a refusal by the server: EADDRNOTAVAIL, ENETUNREACH and EHOSTUNREACH locked servers that were well, and a shortage ended the attempt, of which a request has five. Now such a call is made again at once, four times, then after 2 to 128 ms while time is left; the attempt counts as never sent if that is not enough.

--- a/crates/balancer/src/net/hub.rs
+++ b/crates/balancer/src/net/hub.rs
@@ -204,6 +204,7 @@
             Due::Module(token) => turn.tell(Happening::Woken(token)),
             Due::Session(id) => self.serving.session_alarmed(turn, id),
             Due::Fetch(id) => self.serving.fetch_alarmed(turn, id),
+            Due::Dial(id) => self.serving.dial_again(turn, id),
             Due::Probe(number) => self.serving.probes.alarmed(turn, number),
             Due::Director => {
                 let news = self.director.alarmed(turn);
--- a/crates/balancer/src/net/link.rs
+++ b/crates/balancer/src/net/link.rs
@@ -12,6 +12,9 @@
 use super::pool::{Buffer, Pool};
 use shorewharf_protocol::line::{Front, front};
 
+/// How often a connection is begun that this machine itself could not begin. Most such failures are over with the call.
+const CONNECT_TRIES: usize = 4;
+
 /// How a peer ended its side.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
@@ -57,8 +60,20 @@
         }
     }
 
-    /// Starts a connection; whether it came up shows in [`Link::connected`].
+    /// Starts a connection; whether it came up shows in [`Link::connected`]. What this machine fails at for a moment is
+    /// tried again at once.
     pub fn connect(to: SocketAddr) -> io::Result<Self> {
+        let is_own = |e: &io::Error| is_local_failure(e) || is_shortage(e);
+        for _ in 1..CONNECT_TRIES {
+            match Link::connect_once(to) {
+                Err(e) if is_own(&e) => {}
+                connected => return connected,
+            }
+        }
+        Link::connect_once(to)
+    }
+
+    fn connect_once(to: SocketAddr) -> io::Result<Self> {
         let stream = TcpStream::connect(to)?;
         // Lines are short and wanted at once.
         stream.set_nodelay(true)?;
@@ -289,3 +304,10 @@
     e.kind() == ErrorKind::OutOfMemory
         || matches!(e.raw_os_error(), Some(ENFILE) | Some(EMFILE) | Some(ENOBUFS))
 }
+
+/// Whether an error of a call that starts a connection is this machine's own, and says nothing of the peer: there are no
+/// ports left, or no route.
+pub fn is_local_failure(e: &io::Error) -> bool {
+    let no_way = [ErrorKind::AddrNotAvailable, ErrorKind::NetworkUnreachable, ErrorKind::HostUnreachable];
+    no_way.contains(&e.kind()) || matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted)
+}
--- a/crates/balancer/src/net/servers/fetches.rs
+++ b/crates/balancer/src/net/servers/fetches.rs
@@ -10,7 +10,7 @@
 use shorewharf_protocol::open::with_patience;
 use shorewharf_protocol::words::{Word, word};
 
-use crate::net::link::{End, Link, TooLong, is_shortage};
+use crate::net::link::{End, Link, TooLong, is_local_failure, is_shortage};
 use crate::net::poll::Owner;
 use crate::net::pool::Pool;
 use crate::net::turn::{Alarm, Due, Turn};
@@ -54,10 +54,22 @@
     Shortage,
     /// The loop takes no more connections.
     Unwatched,
+    /// This machine could not begin a connection, which says nothing of the server.
+    Local,
     /// The connect failed at once.
     Refused,
 }
 
+fn hindrance_of(error: &std::io::Error) -> Hindrance {
+    if is_shortage(error) {
+        Hindrance::Shortage
+    } else if is_local_failure(error) {
+        Hindrance::Local
+    } else {
+        Hindrance::Refused
+    }
+}
+
 /// What a server has said last, whatever the connection: to one, and before that to another. Shared by its fetches.
 #[derive(Debug, Default)]
 struct Voice {
@@ -257,10 +269,7 @@
         patience: Micros,
         connect_timeout: Micros,
     ) -> Result<(), Hindrance> {
-        let mut link = Link::connect(address).map_err(|e| match is_shortage(&e) {
-            true => Hindrance::Shortage,
-            false => Hindrance::Refused,
-        })?;
+        let mut link = Link::connect(address).map_err(|e| hindrance_of(&e))?;
         if !turn.poller.watch(&mut link, Owner::Fetch(id)) {
             return Err(Hindrance::Unwatched);
         }
--- /dev/null
+++ b/crates/balancer/src/net/serving/dialing.rs
@@ -0,0 +1,75 @@
+//! Connections to servers that this machine could not begin: they are begun again, since that says nothing of the server.
+
+use std::net::SocketAddr;
+
+use shorewharf_decisions::interface::{Outcome, RequestId, ServerId};
+use shorewharf_driver::Micros;
+use tracing::debug;
+
+use super::Serving;
+use crate::net::servers::fetches::Hindrance;
+use crate::net::turn::{Due, Turn};
+
+/// The pauses before a connection is begun again, which together outlast a moment without ports, routes or descriptors.
+const PAUSES: [Micros; 7] = [2_000, 4_000, 8_000, 16_000, 32_000, 64_000, 128_000];
+
+/// An attempt whose connection could not be begun yet.
+#[derive(Clone, Copy, Debug)]
+pub struct PendingDial {
+    /// The server that it goes to.
+    pub server: ServerId,
+    /// The attempt must be over by then.
+    pub until: Micros,
+    /// How often it was tried.
+    pub tries: usize,
+}
+
+impl Serving {
+    /// Begins the connection of an attempt that the guard has let pass.
+    pub(super) fn dial(
+        &mut self,
+        turn: &mut Turn,
+        id: RequestId,
+        mut dial: PendingDial,
+        address: SocketAddr,
+    ) {
+        let (to, patience) = ((dial.server, address), dial.until.saturating_sub(turn.now));
+        match self.fetches.begin(turn, id, to, patience, self.terms.connect_timeout) {
+            Ok(()) => return self.fetch_goes_on(turn, id),
+            Err(Hindrance::Refused) => return self.attempt_not_begun(turn, id, Outcome::ConnectFailed),
+            Err(hindrance) => self.note_hindrance(id, dial.tries, hindrance),
+        }
+        let pause = PAUSES.get(dial.tries).copied().filter(|pause| turn.now + pause < dial.until);
+        dial.tries += 1;
+        match pause {
+            Some(pause) => {
+                self.pending_dials.insert(id, dial);
+                turn.after(pause, Due::Dial(id));
+            }
+            None => self.attempt_not_begun(turn, id, Outcome::NotSent),
+        }
+    }
+
+    fn note_hindrance(&mut self, id: RequestId, tries: usize, hindrance: Hindrance) {
+        debug!(event = "not-begun", req = id.0, tries, ?hindrance);
+        if hindrance == Hindrance::Shortage {
+            self.note_short(true);
+        }
+    }
+
+    /// The pause before a connection is begun again is over.
+    pub fn dial_again(&mut self, turn: &mut Turn, id: RequestId) {
+        let Some(dial) = self.pending_dials.remove(&id) else { return };
+        let address = self.address_for(id, dial.server).filter(|_| self.make_room(turn));
+        match address {
+            Some(address) => self.dial(turn, id, dial, address),
+            None => self.attempt_not_begun(turn, id, Outcome::NotSent),
+        }
+    }
+
+    /// An attempt has failed before there was a connection to watch.
+    fn attempt_not_begun(&mut self, turn: &mut Turn, id: RequestId, outcome: Outcome) {
+        self.guard.end_attempt(id, outcome);
+        self.fetch_ended(turn, id, outcome);
+    }
+}
--- a/crates/balancer/src/net/serving/mod.rs
+++ b/crates/balancer/src/net/serving/mod.rs
@@ -2,11 +2,12 @@
 //! happens, and carries out what it wants of them.
 
 mod answers;
+mod dialing;
 mod due;
 mod handing;
 mod standing;
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
 use mio::net::TcpStream;
@@ -25,13 +26,14 @@
 use crate::net::operators::counts::{Counts, Reply};
 use crate::net::poll::Ready;
 use crate::net::servers::backends::Backends;
-use crate::net::servers::fetches::{self, Answer, Fetches, Hindrance};
+use crate::net::servers::fetches::{self, Answer, Fetches};
 use crate::net::servers::probes::Probes;
 use crate::net::shutdown::LEAVE_AFTER;
 use crate::net::terms::Terms;
 use crate::net::turn::Turn;
 
 pub use answers::Cause;
+use dialing::PendingDial;
 
 /// A connection from before the start has this long to stand again.
 const CARRY: Micros = 38_000_000;
@@ -53,6 +55,8 @@
     pub probes: Probes,
     sessions: Sessions,
     fetches: Fetches,
+    /// Attempts whose connections this machine could not begin yet.
+    pending_dials: BTreeMap<RequestId, PendingDial>,
     /// What each request's attempts may have done, and so what may be done next.
     guard: RequestGuard,
     budget: Budget,
@@ -84,6 +88,7 @@
             probes: Probes::default(),
             sessions: Sessions::new(open_ids),
             fetches: Fetches::default(),
+            pending_dials: BTreeMap::new(),
             guard: RequestGuard::default(),
             complaints: Complaints::default(),
             again: Vec::new(),
@@ -334,7 +339,7 @@
     /// Begins a fetch; it may take so long.
     pub fn fetch(&mut self, turn: &mut Turn, id: RequestId, server: ServerId, patience: Micros) {
         // Guards against two attempts out at once, whatever asked for the second.
-        if self.fetches.has(id) {
+        if self.fetches.has(id) || self.pending_dials.contains_key(&id) {
             return;
         }
         let waits = |s: &Self| s.sessions.get(id).is_some_and(Session::waits);
@@ -355,28 +360,10 @@
             return self.fetch_ended(turn, id, Outcome::NotSent);
         }
         let attempt = self.guard.attempts(id);
-        debug!(
-            event = "fetch",
-            req = id.0,
-            attempt,
-            server = self.backends.name(Some(server)),
-            us = patience
-        );
-        match self.fetches.begin(turn, id, (server, address), patience, self.terms.connect_timeout) {
-            Ok(()) => self.fetch_goes_on(turn, id),
-            Err(Hindrance::Shortage) => {
-                self.note_short(true);
-                self.attempt_not_begun(turn, id, Outcome::NotSent);
-            }
-            Err(Hindrance::Unwatched) => self.attempt_not_begun(turn, id, Outcome::NotSent),
-            Err(Hindrance::Refused) => self.attempt_not_begun(turn, id, Outcome::ConnectFailed),
-        }
-    }
-
-    /// An attempt has failed before there was a connection to watch.
-    fn attempt_not_begun(&mut self, turn: &mut Turn, id: RequestId, outcome: Outcome) {
-        self.guard.end_attempt(id, outcome);
-        self.fetch_ended(turn, id, outcome);
+        let name = self.backends.name(Some(server));
+        debug!(event = "fetch", req = id.0, attempt, server = name, us = patience);
+        let until = turn.now.saturating_add(patience);
+        self.dial(turn, id, PendingDial { server, until, tries: 0 }, address);
     }
 
     /// Tells how a fetch ended; a carried connection that never came up was never told of.
@@ -402,7 +389,8 @@
     /// Ends the fetch that is out, on the network and for the module.
     pub fn fetch_over(&mut self, turn: &mut Turn, id: RequestId, outcome: Outcome) {
         let server = self.fetches.server(id);
-        if self.fetches.end(turn, id) {
+        let is_pending = self.pending_dials.remove(&id).is_some();
+        if self.fetches.end(turn, id) || is_pending {
             self.guard.end_attempt(id, outcome);
             debug!(event = "fetch-ended", req = id.0, server = self.backends.name(server), ?outcome);
             self.fetch_ended(turn, id, outcome);
--- a/crates/balancer/src/net/turn.rs
+++ b/crates/balancer/src/net/turn.rs
@@ -21,6 +21,8 @@
     Session(RequestId),
     /// A fetch should have come further by now.
     Fetch(RequestId),
+    /// A connection that this machine could not begin is tried again.
+    Dial(RequestId),
     /// A probe should be over by now.
     Probe(u64),
     /// The director may have been silent for too long.
--- a/crates/balancer/tests/sockets/faults.rs
+++ b/crates/balancer/tests/sockets/faults.rs
@@ -83,6 +83,23 @@
     expect_all_taken("send=short");
 }
 
+#[test]
+fn a_connect_that_the_machine_could_not_begin_says_nothing_of_the_server() {
+    for error in ["EADDRNOTAVAIL", "ENETUNREACH", "EHOSTUNREACH", "ENOBUFS", "ENOMEM"] {
+        expect_all_taken(&format!("connect={error}/3"));
+    }
+}
+
+#[test]
+fn a_moment_without_any_connect_or_socket_is_waited_out() {
+    // The first requests come within the moment: the program takes them as soon as it has started.
+    for faults in
+        ["connect=EADDRNOTAVAIL@0-0.2", "connect=ENETUNREACH%60", "socket=EMFILE%60", "socket=ENFILE/2"]
+    {
+        expect_all_taken(faults);
+    }
+}
+
 #[test]
 fn calls_that_are_interrupted_or_aborted_are_made_again() {
     for faults in ["wait=EINTR/2", "accept=ECONNABORTED/2", "recv=EINTR/2;send=EINTR/2"] {
