Accept who waits at the listener though accepting fails as the program ends

Cause: Net::more_come (net/hub.rs) took every error of accept(2) for nobody waiting, so that EINTR, ECONNABORTED or EMFILE at the last look ended the process over requests in its queue: they were reset. EINTR also stopped accepting for 0.1 s. Now only EWOULDBLOCK says that nobody waits, and a call that failed is made again.

--- a/crates/balancer/src/net/hub.rs
+++ b/crates/balancer/src/net/hub.rs
@@ -55,6 +55,25 @@
     pub kin: Kin,
 }
 
+/// How often accepting is tried that failed for want of descriptors or memory, or was interrupted: mostly the next call
+/// succeeds, and the loop tells of who waits only once.
+const ACCEPT_TRIES: usize = 4;
+
+fn accept_persistently(listener: &TcpListener) -> io::Result<(TcpStream, SocketAddr)> {
+    for _ in 1..ACCEPT_TRIES {
+        match listener.accept() {
+            Err(e) if is_passing(&e) || is_shortage(&e) => {}
+            accepted => return accepted,
+        }
+    }
+    listener.accept()
+}
+
+/// Whether an error of accept(2) is over with that call: the client has gone, or a signal came.
+fn is_passing(e: &io::Error) -> bool {
+    matches!(e.kind(), io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted)
+}
+
 /// All peers, and the turn that they act in.
 #[derive(Debug)]
 pub struct Net {
@@ -296,8 +315,8 @@
                     self.serving.note_short(true);
                     return self.accept_again();
                 }
-                // The client gave up while it waited; the next one may be fine.
-                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
+                // The client gave up while it waited, or a signal came; the next one may be fine.
+                Err(e) if is_passing(&e) => {}
                 // An error that stays must not become a busy loop.
                 Err(e) => {
                     error!(event = "accept-failed", error = %e);
@@ -389,6 +408,7 @@
 
 impl Net {
     /// Takes in a client that waits at the listener; false where none does. Others are accepted in this turn and the next.
+    /// Where accepting fails, someone may wait all the same.
     fn more_come(&mut self) -> bool {
         self.accepts_again();
         match self.next_client() {
@@ -396,7 +416,7 @@
                 self.client_comes(stream, from);
                 true
             }
-            Err(_) => false,
+            Err(e) => e.kind() != io::ErrorKind::WouldBlock,
         }
     }
 }
@@ -444,13 +464,13 @@
     /// The next client that waits here, or at a neighbour that stalls.
     fn next_client(&mut self) -> io::Result<(TcpStream, SocketAddr)> {
         if self.can_accept {
-            match self.listener.accept() {
+            match accept_persistently(&self.listener) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.can_accept = false,
                 accepted => return accepted,
             }
         }
         match self.crew.as_ref().and_then(Crew::helped) {
-            Some(listener) if self.can_help => listener.accept(),
+            Some(listener) if self.can_help => accept_persistently(listener),
             _ => Err(io::ErrorKind::WouldBlock.into()),
         }
     }
--- a/crates/balancer/tests/sockets/faults.rs
+++ b/crates/balancer/tests/sockets/faults.rs
@@ -102,7 +102,7 @@
 
 #[test]
 fn calls_that_are_interrupted_or_aborted_are_made_again() {
-    for faults in ["wait=EINTR/2", "accept=ECONNABORTED/2", "recv=EINTR/2;send=EINTR/2"] {
+    for faults in ["wait=EINTR/2", "accept=ECONNABORTED/2", "accept=EINTR/2", "recv=EINTR/2;send=EINTR/2"] {
         expect_all_taken(faults);
     }
 }
@@ -158,3 +158,23 @@
     drop((client, attempt));
     assert!(program.wait().success());
 }
+
+#[test]
+fn who_waits_at_the_listener_is_answered_though_accepting_fails_as_the_program_ends() {
+    for faults in ["accept=EINTR/2", "accept=ECONNABORTED/2", "accept=EMFILE%50"] {
+        let mut program = start_with_faults(&config(&[]), faults);
+        program.terminate();
+        program.logged("leaving");
+        let over = Instant::now() + Duration::from_millis(600);
+        program.pause();
+        let mut waiting: Vec<_> = (0..60).map(|id| program.open_as(&format!("{id:x}"), "")).collect();
+        std::thread::sleep(over.saturating_duration_since(Instant::now()));
+        program.resume();
+        for client in &mut waiting {
+            let heard = client.hear();
+            assert!(matches!(&heard, Heard::Line(line) if line.starts_with("BUSY")), "{faults}: {heard:?}");
+        }
+        drop(waiting);
+        assert!(program.wait().success());
+    }
+}
