--- a/crates/balancer/src/net/serving/mod.rs
+++ b/crates/balancer/src/net/serving/mod.rs
@@ -272,6 +272,7 @@
             return self.malformed(turn, id, "the id is in use");
         }
         self.guard.receive(id, self.terms.semantics_of(open.class));
+        debug!(event = "received", req = id.0, id = %format_args!("{:x}", open.id), class = open.class);
         if self.closing {
             // What is taken now would only have to move: the front stops sending here in a moment.
             let after = if self.has_successor { COME_BACK_SOON } else { LEAVE_AFTER };
--- /dev/null
+++ b/crates/balancer/tests/soak/main.rs
@@ -0,0 +1,25 @@
+//! A short soak of the built program with a pinned seed: faults that overlap on ten processes, and the rules as judge.
+
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use shorewharf_soak::plan::Plan;
+use shorewharf_soak::run::play;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_shorewharf");
+
+#[test]
+fn ten_processes_keep_the_rules_under_faults_that_overlap() {
+    let test = std::env::current_exe().expect("a test has a path");
+    let library = test.parent().expect("a folder").join("libshorewharf_faults.so");
+    let folder = tempfile::tempdir().expect("a folder");
+    let plan = Plan::draw(7, Duration::from_secs(5), Some(10));
+    let played = play(&plan, PathBuf::from(BINARY), Some(library), Path::new(folder.path()).to_owned());
+    let verdict = played.expect("the run is played");
+    for broken in &verdict.broken {
+        eprintln!("{broken}");
+        verdict.trace(broken.request).iter().for_each(|line| eprintln!("  {line}"));
+    }
+    assert!(verdict.is_clean(), "{:?} {:?}", verdict.faults, verdict.broken);
+    assert!(verdict.requests > 100, "only {} requests were sent", verdict.requests);
+}
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,89 @@
+//! `shorewharf-soak`: plays one seed after the other and tells what broke.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::Parser;
+use shorewharf_soak::plan::Plan;
+use shorewharf_soak::run::{SoakError, Verdict, play};
+
+/// Lines of a log that are shown for one broken rule.
+const SHOWN: usize = 40;
+
+/// Plays random faults that overlap on 10 to 40 real processes, and holds what servers and clients saw against the rules.
+/// Exit codes: 0 nothing broke; 1 something did; 3 a run could not be played.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Options {
+    /// The first seed.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// So many seeds, one after the other.
+    #[arg(long, default_value_t = 1)]
+    seeds: u64,
+    /// New requests come for so many seconds.
+    #[arg(long, default_value_t = 10.0)]
+    seconds: f64,
+    /// So many balancers; 10 to 40 by the seed if left out.
+    #[arg(long)]
+    balancers: Option<usize>,
+    /// The program that is tested.
+    #[arg(long, default_value = "target/release/shorewharf")]
+    balancer: PathBuf,
+    /// The library of faults, for system calls that fail; none fail without it.
+    #[arg(long)]
+    faults: Option<PathBuf>,
+}
+
+fn main() -> ExitCode {
+    let options = Options::parse();
+    let mut is_clean = true;
+    for seed in options.seed..options.seed + options.seeds {
+        match soak(&options, seed) {
+            Ok(clean) => is_clean &= clean,
+            Err(e) => {
+                eprintln!("seed {seed}: {e}");
+                return ExitCode::from(3);
+            }
+        }
+    }
+    if is_clean { ExitCode::SUCCESS } else { ExitCode::from(1) }
+}
+
+fn soak(options: &Options, seed: u64) -> Result<bool, SoakError> {
+    let plan = Plan::draw(seed, Duration::from_secs_f64(options.seconds), options.balancers);
+    let folder = std::env::temp_dir().join(format!("shorewharf-soak-{}-{seed}", std::process::id()));
+    std::fs::create_dir_all(&folder)?;
+    let verdict = play(&plan, options.balancer.clone(), options.faults.clone(), folder.clone());
+    // What is left over harms nobody.
+    let _ = std::fs::remove_dir_all(folder);
+    let verdict = verdict?;
+    show(&plan, &verdict);
+    Ok(verdict.is_clean())
+}
+
+fn show(plan: &Plan, verdict: &Verdict) {
+    println!(
+        "seed {} balancers {} servers {} faults {} requests {} answers {:?} latest {:?} machine {:?}: {}",
+        plan.seed,
+        plan.balancers,
+        plan.servers,
+        plan.faults.len(),
+        verdict.requests,
+        verdict.answers,
+        verdict.latest_answer,
+        verdict.machine_late,
+        if verdict.is_clean() { "clean" } else { "BROKEN" },
+    );
+    verdict.faults.iter().for_each(|fault| println!("  fault: {fault}"));
+    for broken in &verdict.broken {
+        println!("  rule: {broken}");
+        println!("    system faults: {:?}", plan.system_faults.get(balancer_of(&broken.what)));
+        verdict.trace(broken.request).iter().take(SHOWN).for_each(|line| println!("    {line}"));
+    }
+}
+
+fn balancer_of(what: &str) -> usize {
+    what.split("balancer=").nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok()).unwrap_or(0)
+}
