Keep servers' starts right when the wall clock is stepped while the program runs

Cause: list/incoming.rs takes since_ms as a time on the program's clock, which is set by the wall clock once, at the start. After a step back of the wall clock by an hour a server that has just started was an hour old, and so warm: 20 of 40 requests went to it within a second. Now the wall clock is read with each list; a start that is listed for the first time after a step is taken for the later of the two times that it can mean, and one that is known keeps its time. Seen failing: a_server_that_starts_after_a_step_of_the_wall_clock_is_cold.

--- a/crates/balancer/src/net/hub.rs
+++ b/crates/balancer/src/net/hub.rs
@@ -18,6 +18,7 @@
 use super::link::is_shortage;
 use super::list::director::{Director, News};
 use super::list::incoming::Incoming;
+use super::list::wall_clock::WallClock;
 use super::operators::counts::Counts;
 use super::operators::desk::{Desk, Opened};
 use super::poll::{Owner, Ready};
@@ -351,7 +352,8 @@
         let happening = match news {
             News::List(list) => {
                 let full = list.snapshot;
-                Happening::Listed { full, cached: false, entries: self.serving.take_list(list) }
+                let entries = self.serving.take_list(list, WallClock::read(self.turn.now));
+                Happening::Listed { full, cached: false, entries }
             }
             News::Failed => Happening::DirectorFailed,
         };
--- a/crates/balancer/src/net/list/mod.rs
+++ b/crates/balancer/src/net/list/mod.rs
@@ -4,3 +4,4 @@
 pub mod director;
 pub mod incoming;
 pub mod reader;
+pub mod wall_clock;
--- a/crates/balancer/src/net/servers/backends.rs
+++ b/crates/balancer/src/net/servers/backends.rs
@@ -12,6 +12,7 @@
 use tracing::{info, warn};
 
 use crate::net::list::incoming::{Entry, Incoming};
+use crate::net::list::wall_clock::WallClock;
 
 use super::delays::{Figure, Figures, Sight, typical};
 use super::taken_out::{Change, TakenOut};
@@ -21,8 +22,10 @@
 struct Backend {
     name: Box<str>,
     address: SocketAddr,
-    /// As listed, whoever was taken out by hand.
+    /// As listed, whoever was taken out by hand, but for its start, which is on the program's clock.
     entry: ListEntry,
+    /// When its process started, as listed.
+    listed_start: f64,
     /// The last list that named it.
     list: u64,
     /// The last report was of slow messages.
@@ -42,6 +45,7 @@
     gone: BTreeSet<ServerId>,
     /// Lists that have been taken in.
     lists: u64,
+    wall_clock: WallClock,
     /// Servers are left out for want of room.
     over: bool,
     taken_out: TakenOut,
@@ -77,8 +81,9 @@
         self.lists += 1;
         let (number, mut before, mut left_out) = (self.lists, Before::new(), list.left_out);
         let mut entries = Vec::with_capacity(list.entries.len());
-        for Entry { name, address, entry } in list.entries {
-            let (id, stage) = (entry.server, entry.stage);
+        for Entry { name, address, entry: listed } in list.entries {
+            let (id, stage) = (listed.server, listed.stage);
+            let entry = ListEntry { born: self.start_of(id, listed.born), ..listed };
             // A whole list has its own limit, and takes the place of those that are here.
             let is_full = !list.snapshot && self.table.len() >= most;
             match self.table.get_mut(&id) {
@@ -91,6 +96,7 @@
                         before.entry(id).or_insert(Some(b.entry.stage));
                     }
                     (b.address, b.entry, b.list) = (address, entry, number);
+                    b.listed_start = listed.born;
                 }
                 None if is_full => {
                     left_out += 1;
@@ -98,7 +104,9 @@
                 }
                 None => {
                     let (slow, figures) = (false, Figures::default());
-                    self.table.insert(id, Backend { name, address, entry, list: number, slow, figures });
+                    let (listed_start, list) = (listed.born, number);
+                    let backend = Backend { name, address, entry, listed_start, list, slow, figures };
+                    self.table.insert(id, backend);
                     before.entry(id).or_insert(None);
                 }
             }
@@ -121,6 +129,19 @@
         (entries, before)
     }
 
+    /// When a server's process started, on the program's clock. The same start stays the same time in every list.
+    fn start_of(&self, server: ServerId, listed: f64) -> f64 {
+        match self.table.get(&server) {
+            Some(known) if known.listed_start == listed => known.entry.born,
+            _ => self.wall_clock.start_of(listed),
+        }
+    }
+
+    /// The wall clock as the next list is taken in.
+    pub fn set_wall_clock(&mut self, wall_clock: WallClock) {
+        self.wall_clock = wall_clock;
+    }
+
     /// Says once that servers are left out, and once that a whole list fits again.
     fn note_over(&mut self, left_out: usize, whole: bool, most: usize) {
         if left_out > 0 && !std::mem::replace(&mut self.over, true) {
--- a/crates/balancer/src/net/serving/mod.rs
+++ b/crates/balancer/src/net/serving/mod.rs
@@ -23,6 +23,7 @@
 use crate::net::clients::sessions::Sessions;
 use crate::net::complaints::Complaints;
 use crate::net::list::incoming::{Incoming, server_id};
+use crate::net::list::wall_clock::WallClock;
 use crate::net::operators::counts::{Counts, Reply};
 use crate::net::poll::Ready;
 use crate::net::servers::backends::Backends;
@@ -115,7 +116,8 @@
     }
 
     /// Takes in a list from discovery: what the module is told of it.
-    pub fn take_list(&mut self, list: Incoming) -> Vec<ListEntry> {
+    pub fn take_list(&mut self, list: Incoming, wall_clock: WallClock) -> Vec<ListEntry> {
+        self.backends.set_wall_clock(wall_clock);
         let fetches = &self.fetches;
         self.backends.take(list, self.terms.most_servers, |server| fetches.any_at(server))
     }
--- a/crates/balancer/tests/sockets/faults.rs
+++ b/crates/balancer/tests/sockets/faults.rs
@@ -126,6 +126,32 @@
     );
 }
 
+#[test]
+fn a_server_that_starts_after_a_step_of_the_wall_clock_is_cold() {
+    for step in [-3600, 3600] {
+        let (warm, cold, director) = (Node::new(), Node::new(), Director::new());
+        let mut settings = asking(&[("s-1", warm.address())], &director);
+        settings["settings"]["rules"]["overload_for_s"] = json!(1.5);
+        let program = start_with_faults(&settings, &format!("clock={step}@0.5-1e9"));
+        let mut watch = director.watch();
+        watch.blank();
+        std::thread::sleep(Duration::from_millis(600));
+        let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("after 1970");
+        let mut started = endpoint("s-2", cold.address(), "Ready");
+        started.since_ms = (unix.as_secs_f64() + f64::from(step)) * 1e3;
+        watch.tell(42, false, vec![started]);
+        program.logged("event=server-ready server=s-2");
+        let (stop, at_cold) = (cold.listener(), serve(cold, REQUESTS));
+        let _warm = serve(warm, REQUESTS);
+        let taken = send_requests(&program, REQUESTS);
+        drop(stop);
+        let taken = taken.iter().flatten().count();
+        let cold = at_cold.join().expect("no panic");
+        assert!(taken > REQUESTS / 2, "step {step}: {taken} taken");
+        assert!(cold < REQUESTS / 4, "step {step}: a cold server got {cold} of {REQUESTS}");
+    }
+}
+
 #[test]
 fn a_connection_that_breaks_by_a_time_out_ends_both_sides() {
     for error in ["ETIMEDOUT", "EHOSTUNREACH"] {
