Ask again for the listening socket where there is none for a moment

Cause: listen (net/workers.rs) took a shortage of descriptors at the start as final: cannot-run, exit code 1. Now it is asked for again for a second. Seen failing: a_moment_without_sockets_does_not_keep_the_program_from_starting.

--- a/crates/balancer/src/net/workers.rs
+++ b/crates/balancer/src/net/workers.rs
@@ -28,6 +28,7 @@
 use super::handover::successors::Successors;
 use super::hub::{Net, Place};
 use super::keeping::{self, Keeping, Memory, everything};
+use super::link::is_shortage;
 use super::notify;
 use super::operators::counts::Counts;
 use super::operators::desk::Opened;
@@ -236,9 +237,24 @@
     }
 }
 
+/// A socket that could not be had for want of descriptors or memory is asked for again so often, after this pause: at the
+/// start, others of the machine may hold them for a moment.
+const SOCKET_TRIES: usize = 50;
+const SOCKET_PAUSE: Duration = Duration::from_millis(20);
+
+fn new_socket(at: SocketAddr) -> io::Result<Socket> {
+    for _ in 1..SOCKET_TRIES {
+        match Socket::new(Domain::for_address(at), Type::STREAM, None) {
+            Err(e) if is_shortage(&e) => thread::sleep(SOCKET_PAUSE),
+            made => return made,
+        }
+    }
+    Socket::new(Domain::for_address(at), Type::STREAM, None)
+}
+
 /// Listens for one of several workers or processes, or the only one.
 fn listen(at: SocketAddr, one_of_several: bool) -> io::Result<std::net::TcpListener> {
-    let socket = Socket::new(Domain::for_address(at), Type::STREAM, None)?;
+    let socket = new_socket(at)?;
     // A balancer comes back under its address while connections of its past life linger.
     socket.set_reuse_address(true)?;
     if one_of_several {
--- a/crates/balancer/tests/sockets/faults.rs
+++ b/crates/balancer/tests/sockets/faults.rs
@@ -107,6 +107,11 @@
     }
 }
 
+#[test]
+fn a_moment_without_sockets_does_not_keep_the_program_from_starting() {
+    expect_all_taken("socket=EMFILE@0-0.3");
+}
+
 #[test]
 fn steps_of_the_wall_clock_change_no_deadline() {
     for seconds in [3600, -3600, 5, -5] {
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -272,7 +272,8 @@
             Err(_) => {
                 // Ended with the run, whatever it does.
                 let _ = child.kill();
-                Err(SoakError::NotServing(number))
+                let last = self.log().pop().map_or_else(String::new, |(_, line)| line);
+                Err(SoakError::NotServing(number, faults.clone(), last))
             }
         }
     }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -29,8 +29,8 @@
     #[error("{0}")]
     System(#[from] std::io::Error),
     /// A balancer did not serve.
-    #[error("balancer {0} does not serve")]
-    NotServing(usize),
+    #[error("balancer {0} does not serve, system faults '{1}': {2}")]
+    NotServing(usize, String, String),
 }
 
 /// A loopback address of this process's own, one of four.
