--- /dev/null
+++ b/crates/balancer/src/check/tests.rs
@@ -0,0 +1,25 @@
+//! Tests of the module that these stand beside.
+
+use super::*;
+
+#[test]
+fn each_key_stands_with_its_value_and_where_that_comes_from() {
+    let text = br#"{"name": "n3", "discovery": "127.0.0.1:8500", "limits": {"sockets": 96}, "settings":
+            {"classes": [{"name": "chat", "give_up_s": 3.2}], "zones": ["b", "a"], "tick_s": 0.005}}"#;
+    let env = |var: &str| (var == "ROUTER_LISTEN").then(|| "127.0.0.1:0".to_owned());
+    let table = table(text, env).expect("good").to_string();
+    let lines: Vec<Vec<&str>> = table.lines().map(|l| l.split_whitespace().collect()).collect();
+    for line in [
+        "name n3 the file",
+        "listen 127.0.0.1:0 ROUTER_LISTEN",
+        "limits.sockets 96 the file",
+        "limits.cores 1 default",
+        "settings.classes.0.give_up_s 3.2 s the file",
+        "settings.limits.connect_timeout_s 0.25 s default",
+        "settings.zones b, a the file",
+    ] {
+        assert!(lines.contains(&line.split(' ').collect()), "{line} is not in\n{table}");
+    }
+    let bad = super::table(b"{}", env).expect_err("nothing is in it");
+    assert_eq!(bad.key(), "settings");
+}
--- /dev/null
+++ b/crates/balancer/src/fleet/tests.rs
@@ -0,0 +1,42 @@
+//! Tests of the module that these stand beside.
+
+use super::*;
+
+#[test]
+fn terms_that_can_not_be_kept_are_refused_by_key() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let members = folder.path().join("members");
+    std::fs::write(&members, "# the fleet\nn1\nn2 # far\n\n").expect("written");
+    let good = Budgets {
+        store: vec!["http://127.0.0.1:1".to_owned()],
+        members: Some(members.clone()),
+        set_ups: Some(100.0),
+        ..Budgets::default()
+    };
+    let set = shorewharf_settings::settings(br#"{"me": 0}"#).expect("settings").0;
+    let read = |of: &Budgets, me: &str| Fleet::read(of, &set, &Names::default(), me);
+    let fleet = read(&good, "n2").expect("good").expect("named");
+    assert_eq!((fleet.rules.members, fleet.rules.place, fleet.rules.lease), (2, 1, 3_000_000));
+    assert!(read(&Budgets::default(), "n2").expect("nothing is wrong").is_none());
+    let wrong = |change: &dyn Fn(&mut Budgets), me: &str| {
+        let mut of = good.clone();
+        change(&mut of);
+        let e = read(&of, me).expect_err("it can't be kept");
+        (e.key().to_owned(), e.why())
+    };
+    for (change, me, key, why) in [
+        (&(|b: &mut Budgets| b.lease_s = 1.0) as &dyn Fn(&mut Budgets), "n1", "budgets.lease_s", "8 looks"),
+        (&|b| b.margin_s = 2.0, "n1", "budgets.margin_s", "quarter of the lease"),
+        (&|b| b.reserve = 0.9, "n1", "budgets.reserve", "from 0 to 0.5"),
+        (&|b| b.floor = 0.9, "n1", "budgets.floor", "from 0 to 0.5"),
+        (&|b| b.members = None, "n1", "budgets.members", "missing"),
+        (&|b| b.set_ups = None, "n1", "budgets.set_ups", "nothing is shared"),
+        (&|b| b.store = vec!["127.0.0.1:1".to_owned()], "n1", "budgets.store", "http://HOST:PORT"),
+        (&|_| (), "n3", "budgets.members", "n3 is not there"),
+    ] {
+        let (at, said) = wrong(change, me);
+        assert!(at == key && said.contains(why), "{at}: {said}");
+    }
+    std::fs::write(&members, "n1\nn2\nn1\n").expect("written");
+    assert!(wrong(&|_| (), "n1").1.contains("n1 stands there twice"));
+}
--- /dev/null
+++ b/crates/balancer/src/net/list/answer/tests.rs
@@ -0,0 +1,40 @@
+//! Tests of the module that these stand beside.
+
+use super::*;
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// Feeds an answer in pieces of a size, keeping what was not taken, as the inbox does.
+fn feed(text: &str, piece: usize) -> Result<String, String> {
+    let (mut answer, mut body, mut held) = (Answer::new(), Vec::new(), Vec::new());
+    for bytes in text.as_bytes().chunks(piece) {
+        held.extend_from_slice(bytes);
+        let n = answer.take(&held, |text| {
+            body.extend_from_slice(text);
+            Ok(())
+        })?;
+        held.drain(..n);
+    }
+    Ok(String::from_utf8(body).expect("text"))
+}
+
+#[test]
+fn text_comes_out_however_the_answer_is_cut() {
+    let text = format!("{HEAD}4\r\n{{}}\n\n\r\n3\r\n{{\"a\r\n6\r\n\":1}}\n\n\r\n");
+    for piece in 1..text.len() + 1 {
+        assert_eq!(feed(&text, piece), Ok("{}\n\n{\"a\":1}\n\n".to_owned()));
+    }
+}
+
+#[test]
+fn what_is_no_watch_fails() {
+    for (text, why) in [
+        ("HTTP/1.1 503 Busy\r\n\r\n".to_owned(), "status 503"),
+        (format!("{HEAD}0\r\n\r\n"), "the watch was ended"),
+        (format!("{HEAD}zz\r\n"), "bad chunk size"),
+        (format!("{HEAD}1\r\nxyz"), "no line end behind a chunk"),
+    ] {
+        assert_eq!(feed(&text, usize::MAX), Err(why.to_owned()));
+    }
+    assert!(feed("SSH-2.0\r\n\r\n", 4).is_err());
+}
--- /dev/null
+++ b/crates/balancer/src/net/list/incoming/tests.rs
@@ -0,0 +1,17 @@
+//! Tests of the module that these stand beside.
+
+use super::*;
+
+#[test]
+fn a_server_id_is_a_fixed_function_of_the_name() {
+    // Every balancer must come to the same id, in every version of this program.
+    assert_eq!(server_id(""), ServerId(0xcbf2_9ce4_8422_2325));
+    assert_eq!(server_id("a"), ServerId(0xaf63_dc4c_8601_ec8c));
+    assert_ne!(server_id("s-5be2a07c"), server_id("s-5be2a07d"));
+}
+
+#[test]
+fn a_start_is_a_time_in_seconds_or_long_ago() {
+    assert_eq!(born(1_796_115_693_678.0), 1_796_115_693.678);
+    assert_eq!([born(0.0), born(-1.0), born(f64::INFINITY)], [0.0; 3]);
+}
--- /dev/null
+++ b/crates/balancer/src/net/list/reader/tests.rs
@@ -0,0 +1,57 @@
+//! Tests of the module that these stand beside.
+
+use super::*;
+use shorewharf_protocol::list::Listing;
+
+/// The lists that text in pieces of a size comes to.
+fn lists(text: &str, piece: usize) -> Result<Vec<Listing>, String> {
+    let (mut reader, mut lists, mut endpoints) = (Reader::new(), Vec::new(), Vec::new());
+    for bytes in text.as_bytes().chunks(piece) {
+        reader.read(bytes, &mut |part| match part {
+            Part::Entry(e) => endpoints.push(*e),
+            Part::End { index, snapshot } => {
+                lists.push(Listing { index, snapshot, endpoints: std::mem::take(&mut endpoints) });
+            }
+        })?;
+    }
+    Ok(lists)
+}
+
+#[test]
+fn lists_are_the_same_however_they_are_cut() {
+    let a =
+        r#"{"name":"s-1]}\"\\","address":"127.0.0.1:1","status":"Ready","new":{"endpoints":[1,{"x":"]"}]}}"#;
+    let b = r#"{"status":"Gone", "name":"é{[","zone":"a,b","address":"x" , "weight":2.5}"#;
+    let texts = [
+        format!(r#"{{"index":41,"snapshot":true,"endpoints":[{a},{b}]}}"#),
+        format!(r#"{{ "endpoints" : [ {b} , {a} ] , "x":[[],"endpoints",{{}}], "index":7 }}"#),
+        r#"{"index":8,"endpoints":[]}"#.into(),
+        r#"{"a\",\"endpoints":[1],"snapshot":true}"#.into(),
+    ];
+    let whole: Vec<Listing> = texts.iter().map(|t| serde_json::from_str(t).expect("good")).collect();
+    let text = texts.join("\n\r\n\n") + "\n";
+    for piece in 1..text.len() + 1 {
+        assert_eq!(lists(&text, piece), Ok(whole.clone()), "in pieces of {piece}");
+    }
+}
+
+#[test]
+fn what_is_no_list_is_an_error_and_nothing_of_it_counts() {
+    let long = format!(r#"{{"endpoints":[{{"name":"{}"#, "x".repeat(MOST));
+    for text in [
+        "[]",
+        "nonsense",
+        r#"{"index":-1}"#,
+        r#"{"index":1,"index":2}"#,
+        "{\"index\":1,\n\"snapshot\":true}",
+        r#"{"endpoints":[{"name":"s-1"}]}"#,
+        r#"{"endpoints":[{"name":"s-1","address":"x","status":"Ready"} {"name":"s-2"}]}"#,
+        r#"{"endpoints":[,]}"#,
+        r#"{"endpoints":[5]}"#,
+        r#"{"endpoints":[],"endpoints":[]}"#,
+        &long,
+    ] {
+        let found = lists(&(text.to_owned() + "\n"), 7);
+        assert!(found.is_err(), "{text}: {found:?}");
+    }
+}
--- a/crates/balancer/src/net/operators/counts.rs
+++ b/crates/balancer/src/net/operators/counts.rs
@@ -89,23 +89,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn all_loops_are_summed() {
-        let loops = [Counts::default(), Counts::default()];
-        loops[0].replied(0, Reply::Success);
-        loops[1].replied(1, Reply::Overload);
-        loops[1].replied(1, Reply::Error);
-        loops.iter().for_each(Counts::dispatched);
-        loops[0].holds(3, 9);
-        loops[1].holds(4, 5);
-        loops[0].holds(2, 7);
-        let sums = Counts::of_all(&loops);
-        assert_eq!((sums.dispatches, sums.concurrent, sums.descriptors), (2, 6, 12));
-        let (first, second) =
-            (Replies { success: 1, ..Replies::default() }, Replies { success: 0, overload: 1, error: 1 });
-        assert_eq!(sums.replies, [first, second]);
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/balancer/src/net/operators/folder/tests.rs
@@ -0,0 +1,58 @@
+//! Tests of the module that these stand beside.
+
+use super::*;
+
+fn folder(common: &Path) -> Folder {
+    Folder::open(common, "127.0.0.1:8000".parse().expect("an address")).expect("a folder")
+}
+
+fn ids(folder: &mut Folder) -> Vec<u64> {
+    folder.read(&BTreeMap::new()).expect("readable").keys().map(|id| id.0).collect()
+}
+
+#[test]
+fn what_one_process_keeps_the_other_reads_whole_whatever_lies_beside_it() {
+    let common = tempfile::tempdir().expect("a folder");
+    let (one, mut other) = (folder(common.path()), folder(common.path()));
+    one.keep(ServerId(7), "s-7").expect("kept");
+    one.keep(ServerId(7), "s-7").expect("kept again");
+    other.keep(ServerId(8), "s-8").expect("kept");
+    // A process died while it wrote, and somebody has left something.
+    fs::write(one.path.join("0000000000000009.1"), "").expect("a file");
+    fs::write(one.path.join("out/readme"), "hello").expect("a file");
+    fs::write(one.path.join("out/000000000000000a"), [0xff, 0]).expect("a file");
+    let out = other.read(&BTreeMap::new()).expect("readable");
+    assert_eq!(out.keys().map(|id| id.0).collect::<Vec<_>>(), [7, 8, 10]);
+    assert_eq!((&*out[&ServerId(7)].name, &*out[&ServerId(10)].name), ("s-7", ""));
+    assert!(out[&ServerId(7)].since > 1e9);
+    assert_eq!(other.odd.len(), 2);
+    one.let_go(ServerId(7)).expect("gone");
+    one.let_go(ServerId(7)).expect("gone before");
+    assert_eq!(ids(&mut other), [8, 10]);
+    // Another balancer's is another folder.
+    let mut third =
+        Folder::open(common.path(), "127.0.0.1:8001".parse().expect("an address")).expect("a folder");
+    assert!(ids(&mut third).is_empty());
+}
+
+#[test]
+fn calls_to_both_processes_at_once_lose_nothing() {
+    let common = tempfile::tempdir().expect("a folder");
+    let path = common.path();
+    std::thread::scope(|s| {
+        for process in 0..2u64 {
+            s.spawn(move || {
+                let folder = folder(path);
+                for i in 0..200 {
+                    folder.keep(ServerId(process * 1000 + i), "s").expect("kept");
+                    if i % 2 == 1 {
+                        folder.let_go(ServerId(process * 1000 + i)).expect("gone");
+                    }
+                }
+            });
+        }
+    });
+    let wanted: Vec<u64> =
+        [0, 1000].into_iter().flat_map(|p| (0..200).step_by(2).map(move |i| p + i)).collect();
+    assert_eq!(ids(&mut folder(path)), wanted);
+}
--- a/crates/balancer/src/net/pool.rs
+++ b/crates/balancer/src/net/pool.rs
@@ -86,22 +86,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_buffer_is_used_again_and_keeps_its_order() {
-        let pool = Pool::default();
-        let mut b = pool.take();
-        assert!(b.append(b"one two"));
-        b.used(4);
-        assert!(b.append(b" three"));
-        assert_eq!(b.held(), b"two three");
-        assert!(!b.append(&[0; BUFFER]));
-        drop(b);
-        assert_eq!(pool.0.borrow().len(), 1);
-        assert!(pool.take().held().is_empty());
-        drop((pool.take(), pool.take()));
-        assert_eq!(pool.0.borrow().len(), 2);
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/balancer/src/net/servers/backends/tests.rs
@@ -0,0 +1,70 @@
+//! Tests of the module that these stand beside.
+
+use super::*;
+use crate::net::list::incoming::server_id;
+use serde_json::json;
+
+fn listing(snapshot: bool, servers: &[(&str, &str, &str)]) -> Incoming {
+    let one = |(n, a, s): &(&str, &str, &str)| json!({"name": n, "address": a, "status": s});
+    let endpoints: Vec<_> = servers.iter().map(one).collect();
+    let list = json!({"snapshot": snapshot, "endpoints": endpoints});
+    Incoming::of(&serde_json::from_value(list).expect("a list"), &Names::default(), 100)
+}
+
+#[test]
+fn a_list_says_who_takes_something_new_and_who_can_be_reached() {
+    let mut backends = Backends::default();
+    let [a, b, c] = ["a", "b", "c"].map(server_id);
+    let at = |port: u16| Some(SocketAddr::from(([127, 0, 0, 1], port)));
+    let first = [("a", "127.0.0.1:1", "Ready"), ("b", "127.0.0.1:2", "Ready"), ("c", "nowhere", "Ready")];
+    assert_eq!(backends.take(listing(true, &first), 3, |_| false).len(), 2, "c has no address");
+    let news = [("a", "127.0.0.1:3", "Terminating"), ("c", "127.0.0.1:4", "New")];
+    backends.take(listing(false, &news), 3, |_| false);
+    assert_eq!([a, b, c].map(|s| backends.ready_address(s)), [None, at(2), None]);
+    assert_eq!([a, b, c].map(|s| backends.address(s)), [at(3), at(2), at(4)]);
+    // A whole list without them: what is in use can still be reached, and nothing is left of the rest.
+    backends.take(listing(true, &[]), 3, |s| s == b);
+    assert_eq!([a, b, c].map(|s| backends.address(s)), [None, at(2), None]);
+    assert_eq!((backends.ready_address(b), backends.name(Some(b)), backends.name(Some(a))), (None, "b", "?"));
+}
+
+#[test]
+fn a_list_that_is_replaced_whole_leaves_nothing_behind_and_changes_find_no_room_beyond_the_limit() {
+    let name = |n: usize| (format!("s-{n}"), "127.0.0.1:1", "Ready");
+    let list = |snapshot, range: std::ops::Range<usize>| {
+        let names: Vec<_> = range.map(name).collect();
+        let servers: Vec<_> = names.iter().map(|(n, a, s)| (n.as_str(), *a, *s)).collect();
+        listing(snapshot, &servers)
+    };
+    let mut backends = Backends::default();
+    backends.take(list(true, 0..90), 90, |_| false);
+    let told = backends.take(list(true, 100..190), 90, |_| false);
+    assert_eq!((told.len(), backends.table.len(), backends.gone.len()), (90, 90, 0));
+    let told = backends.take(list(false, 188..195), 90, |_| false);
+    assert_eq!(
+        (told.len(), backends.table.len(), backends.over),
+        (2, 90, true),
+        "two are known, five are not"
+    );
+    let told = backends.take(list(true, 100..250), 100, |_| false);
+    assert_eq!((told.len(), backends.over), (100, true), "a whole list has its own limit");
+    backends.take(list(true, 100..110), 100, |_| false);
+    assert!(!backends.over);
+}
+
+#[test]
+fn a_slow_server_is_reported_and_once_more_when_it_no_longer_is() {
+    let (mut backends, a) = (Backends::default(), server_id("a"));
+    backends.take(listing(true, &[("a", "127.0.0.1:1", "Ready")]), 3, |_| false);
+    let mut report = |now, took| {
+        let seen = [(a, vec![Sight { asked: None, answered: Some((now, took)) }])].into();
+        backends.delays(now, 100, &seen)
+    };
+    assert_eq!(report(0, 50), []);
+    assert_eq!(report(1, 500), [(a, 500)]);
+    assert_eq!(report(2, 60), [(a, 60)]);
+    assert_eq!(report(3, 60), []);
+    assert_eq!(backends.read_figure(4, a, 900.0), Figure::Delay);
+    let seen = [(a, vec![Sight { asked: None, answered: Some((5, 500)) }])].into();
+    assert_eq!(backends.delays(5, 100, &seen), [], "what it told itself goes first");
+}
--- /dev/null
+++ b/crates/balancer/src/net/servers/taken_out/tests.rs
@@ -0,0 +1,47 @@
+//! Tests of the module that these stand beside.
+
+use super::*;
+use proptest::prelude::*;
+
+const ONE: ServerId = ServerId(1);
+
+fn listed(stage: Stage, born: f64) -> ListEntry {
+    ListEntry { server: ONE, zone: 0, cell: 0, stage, weight: 1.0, born }
+}
+
+fn out(since: f64) -> Change {
+    Change::Out(ONE, Out { name: "s-1".into(), since })
+}
+
+#[test]
+fn a_server_put_back_is_as_cold_as_it_may_be() {
+    let mut taken = TakenOut::default();
+    assert!(taken.take(out(100.0)) && !taken.take(out(105.0)), "it is out once");
+    assert_eq!(taken.seen(listed(Stage::Ready, 5.0)).stage, Stage::Draining);
+    assert_eq!(taken.seen(listed(Stage::Gone, 5.0)).stage, Stage::Gone);
+    assert!(taken.take(Change::Back(ONE, 110.0)) && !taken.take(Change::Back(ONE, 111.0)));
+    // The list lags: it may have been restarted a moment ago.
+    assert_eq!(taken.seen(listed(Stage::Ready, 5.0)), listed(Stage::Ready, 110.0));
+    // The list tells of a restart while it was out.
+    assert_eq!(taken.seen(listed(Stage::Ready, 107.0)), listed(Stage::Ready, 107.0));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, ..ProptestConfig::default() })]
+    /// Whatever lists and calls come in whatever order, it is out exactly from the first call out to the next call back.
+    #[test]
+    fn only_a_call_puts_a_server_back(steps in prop::collection::vec((0u8..4, 0u8..3), 0..40)) {
+        let (mut taken, mut is_out) = (TakenOut::default(), false);
+        for (now, (step, stage)) in steps.into_iter().enumerate() {
+            let now = now as f64;
+            match step {
+                0 => { prop_assert_eq!(taken.take(out(now)), !is_out); is_out = true; }
+                1 => { prop_assert_eq!(taken.take(Change::Back(ONE, now)), is_out); is_out = false; }
+                _ => taken.forget(ONE),
+            }
+            let stage = [Stage::Ready, Stage::Draining, Stage::Gone][usize::from(stage)];
+            let seen = taken.seen(listed(stage, 0.0)).stage;
+            prop_assert_eq!(seen == Stage::Ready, stage == Stage::Ready && !is_out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/protocol/src/open/tests.rs
@@ -0,0 +1,105 @@
+//! Tests of the module that these stand beside.
+
+use super::*;
+
+fn names() -> Names {
+    Names {
+        classes: [("chat".to_owned(), 0), ("feed".to_owned(), 1)].into(),
+        tenants: [("acme".to_owned(), 2)].into(),
+        zones: Default::default(),
+    }
+}
+
+#[test]
+fn an_open_line_is_read() {
+    let line = b"OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=feed,t=acme,d=2000,g=5c0f,r=1,h=0.25,new=7";
+    let open = parse_open(line, &names()).expect("good");
+    assert_eq!((open.class, open.tenant, open.key, open.group), (1, 2, 0x7f3a_9c21_e0b4_d655, 0x5c0f));
+    assert_eq!((open.load, open.returning, open.home), (Some(0.25), true, None));
+    assert_eq!((open.id, open.patience), (0x9b1f_03aa_5c7e_2d41, Some(2_000_000)));
+    let open = parse_open(b"OPEN 1 2 c=chat,again=1,at=s-1", &names()).expect("good");
+    assert_eq!((open.returning, open.home.as_deref(), open.patience), (true, Some("s-1"), None));
+    let longest = parse_open(b"OPEN 1 2 c=chat,d=4294967", &names()).expect("good");
+    assert_eq!(longest.patience, Some(3_600_000_000));
+}
+
+#[test]
+fn the_class_of_a_bad_line_is_known_where_it_names_one() {
+    for (line, class) in [
+        (&b"OPEN 1 2 t=acme,c=feed,d=x"[..], Some(1)),
+        (b"OPEN c=chat", Some(0)),
+        (b"OPEN 1 2 c=none", None),
+        (b"\xff\xff", None),
+        (b"", None),
+    ] {
+        assert_eq!(class_of(line, &names()), class, "{line:?}");
+    }
+}
+
+#[test]
+fn a_line_is_read_as_it_is_written() {
+    let words =
+        OpenLine { id: 7, key: 9, class: "feed", tenant: "acme", patience_ms: 5, ..OpenLine::default() };
+    let full = OpenLine { group: 3, load: Some(0.5), retry: true, again: true, home: Some("s-1"), ..words };
+    for (words, again) in [(words, false), (full, true)] {
+        let line = words.to_string();
+        let open = parse_open(line.trim_end().as_bytes(), &names()).expect("good");
+        assert_eq!((open.id, open.key, open.class, open.tenant, open.group), (7, 9, 1, 2, words.group));
+        assert_eq!((open.returning, open.load, open.home.as_deref()), (again, words.load, words.home));
+    }
+}
+
+#[test]
+fn only_d_is_changed_in_the_first_line() {
+    let line = b"OPEN 9b1f 7f3a c=chat,t=acme,d=2000,g=5c0f,again=1";
+    let out = with_patience(line, 1_234_567);
+    assert_eq!(out, b"OPEN 9b1f 7f3a c=chat,t=acme,d=1234,g=5c0f,again=1\r\n");
+    assert_eq!(with_patience(b"OPEN 1 2 d=5", 10), b"OPEN 1 2 d=1\r\n");
+    assert_eq!(with_patience(b"OPEN 1 2 c=chat,id=7", 10), b"OPEN 1 2 c=chat,id=7\r\n");
+}
+
+#[test]
+fn malformed_lines_are_told_apart() {
+    for (line, why) in [
+        (&b""[..], "not OPEN ID KEY LIST"),
+        (b"OPEN", "not OPEN ID KEY LIST"),
+        (b"OPEN 1 2", "not OPEN ID KEY LIST"),
+        (b"OPEN 2 c=chat", "not OPEN ID KEY LIST"),
+        (b"HELLO 1 2 c=chat", "not OPEN ID KEY LIST"),
+        (b"open 1 2 c=chat", "not OPEN ID KEY LIST"),
+        (b"OPEN 1 2 c=chat x", "not OPEN ID KEY LIST"),
+        (b"OPEN  2 c=chat", "bad id"),
+        (b"OPEN x 2 c=chat", "bad id"),
+        (b"OPEN +1 2 c=chat", "bad id"),
+        (b"OPEN -1 2 c=chat", "bad id"),
+        (b"OPEN 00000000000000001 2 c=chat", "bad id"),
+        (b"OPEN 1 x c=chat", "bad key"),
+        (b"OPEN 1 +2 c=chat", "bad key"),
+        (b"OPEN 1 2 ", "an item without a value"),
+        (b"OPEN 1 2 c=none", "unknown class"),
+        (b"OPEN 1 2 c=", "unknown class"),
+        (b"OPEN 1 2 t=acme", "no class"),
+        (b"OPEN 1 2 c=chat,c=feed", "an item twice"),
+        (b"OPEN 1 2 c=chat,t=none", "unknown tenant"),
+        (b"OPEN 1 2 c=chat,d=", "bad d"),
+        (b"OPEN 1 2 c=chat,d=-1", "bad d"),
+        (b"OPEN 1 2 c=chat,d=+1", "bad d"),
+        (b"OPEN 1 2 c=chat,d=NaN", "bad d"),
+        (b"OPEN 1 2 c=chat,d=inf", "bad d"),
+        (b"OPEN 1 2 c=chat,d=1e3", "bad d"),
+        (b"OPEN 1 2 c=chat,d=soon", "bad d"),
+        (b"OPEN 1 2 c=chat,d=4294967296", "bad d"),
+        (b"OPEN 1 2 c=chat,d=99999999999999999999999", "bad d"),
+        (b"OPEN 1 2 c=chat,d=5,d=6", "an item twice"),
+        (b"OPEN 1 2 c=chat,g=-1", "bad g"),
+        (b"OPEN 1 2 c=chat,h=-0.5", "bad h"),
+        (b"OPEN 1 2 c=chat,h=NaN", "bad h"),
+        (b"OPEN 1 2 c=chat,g", "an item without a value"),
+        (b"OPEN 1 2 c=chat\nOPEN 3 4 c=chat", "no text"),
+        (b"OPEN 1 2 c=chat\0", "no text"),
+        (b"OPEN 1 2 c=\xff", "no text"),
+    ] {
+        let found = parse_open(line, &names()).map(|open| open.class);
+        assert_eq!(found, Err(why), "{}", String::from_utf8_lossy(line));
+    }
+}
--- /dev/null
+++ b/crates/protocol/src/operators/tests.rs
@@ -0,0 +1,46 @@
+//! Tests of the module that these stand beside.
+
+use super::*;
+
+#[test]
+fn a_call_is_read_or_refused_with_a_reason() {
+    assert_eq!(call(b"readyz"), Ok(Call::Readyz));
+    assert_eq!(call(b" telemetry "), Ok(Call::Telemetry));
+    assert_eq!(call(b"exclude s-5be2a07c"), Ok(Call::Exclude("s-5be2a07c".into())));
+    assert_eq!(call(b"include s-1"), Ok(Call::Include("s-1".into())));
+    let longest = [b"exclude ".as_slice(), &[b'x'; LONGEST]].concat();
+    for (line, why) in [
+        (&b""[..], "no call"),
+        (b"READYZ", "'READYZ' is no call"),
+        (b"readyz now", "readyz takes nothing behind it"),
+        (b"exclude", "exclude needs the id of a server"),
+        (b"include ", "include needs the id of a server"),
+        (b"exclude s-1 s-2", "exclude takes one server at a time"),
+        (b"exclude \xff", "the call is no text"),
+        (b"exclude s\x001", "the call is no text"),
+        (&longest, "the call is longer than 4096 bytes"),
+    ] {
+        let said = Answer::No(call(line).expect_err("refused")).text("\r\n");
+        assert!(said.starts_with(&format!("NO {why}")) && said.ends_with("\r\n"), "{said}");
+    }
+}
+
+#[test]
+fn figures_have_a_line_each_and_an_end() {
+    let replies = vec![("chat".to_owned(), Replies { success: 812, overload: 3, error: 1 })];
+    let figures = Figures { replies, dispatches: 900, concurrent: 14, targets: 12, targets_disabled: 1 };
+    let text = Answer::Figures(figures.lines()).text("\n");
+    let lines: Vec<&str> = text.lines().collect();
+    let wanted = [
+        "svc.replies.chat.success:812|c",
+        "svc.replies.chat.overload:3|c",
+        "svc.replies.chat.error:1|c",
+        "svc.dispatches:900|c",
+        "svc.concurrent:14|g",
+        "svc.targets:12|g",
+        "svc.targets_disabled:1|g",
+        "END",
+    ];
+    assert_eq!(lines, wanted);
+    assert_eq!(part("a b:c|d.e"), "a_b_c_d_e");
+}
