--- a/crates/balancer/src/net/servers/backends.rs
+++ b/crates/balancer/src/net/servers/backends.rs
@@ -200,12 +200,18 @@
             group: b.entry.cell,
             status: if b.entry.stage == Stage::Ready { "Ready" } else { "Terminating" }.to_owned(),
             weight: b.entry.weight,
-            since_ms: self.taken_out.seen(b.entry).born * 1e3,
+            since_ms: self.listed_start(b) * 1e3,
         };
         let some = self.table.range((behind.map_or(Unbounded, Excluded), Unbounded)).take(most);
         some.map(|(id, b)| (*id, (!self.gone.contains(id)).then(|| endpoint(b)))).collect()
     }
 
+    /// When a server's process started, by the wall clock; a server that was put back by hand starts anew.
+    fn listed_start(&self, backend: &Backend) -> f64 {
+        let born = self.taken_out.seen(backend.entry).born;
+        if born == backend.entry.born { backend.listed_start } else { born }
+    }
+
     /// Servers that the last list names.
     pub fn listed(&self) -> usize {
         self.table.len() - self.gone.len()
--- a/crates/balancer/src/net/servers/backends/tests.rs
+++ b/crates/balancer/src/net/servers/backends/tests.rs
@@ -68,3 +68,27 @@
     let seen = [(a, vec![Sight { asked: None, answered: Some((5, 500)) }])].into();
     assert_eq!(backends.delays(5, 100, &seen), [], "what it told itself goes first");
 }
+
+#[test]
+fn a_start_keeps_its_time_through_a_step_of_the_wall_clock_and_is_passed_on_as_listed() {
+    let mut backends = Backends::default();
+    let list = |since_ms: f64| {
+        let server = json!({"name": "a", "address": "127.0.0.1:1", "status": "Ready", "since_ms": since_ms});
+        let list = json!({"snapshot": true, "endpoints": [server]});
+        Incoming::of(&serde_json::from_value(list).expect("a list"), &Names::default(), 100)
+    };
+    let start = |told: Vec<ListEntry>| told[0].born;
+    assert_eq!(start(backends.take(list(10_000_000.0), 3, |_| false)), 10_000.0);
+    // An hour back, 100 s later: the same start is the same time.
+    backends.set_wall_clock(WallClock::at(10_100.0, 6_500.0));
+    assert_eq!(start(backends.take(list(10_000_000.0), 3, |_| false)), 10_000.0);
+    // It starts again, 90 s after the first start.
+    assert_eq!(start(backends.take(list(6_490_000.0), 3, |_| false)), 10_090.0);
+    assert_eq!(backends.endpoints(&Names::default())[0].since_ms, 6_490_000.0);
+    // A time that is in the future either way is now.
+    assert_eq!(start(backends.take(list(99_000_000.0), 3, |_| false)), 10_100.0);
+    // Forward: noted before the step or after it, the later possible time counts.
+    backends.set_wall_clock(WallClock::at(10_200.0, 13_800.0));
+    assert_eq!(start(backends.take(list(13_790_000.0), 3, |_| false)), 10_190.0);
+    assert_eq!(start(backends.take(list(0.0), 3, |_| false)), 0.0, "long ago");
+}
