--- a/crates/decisions/src/together.rs
+++ b/crates/decisions/src/fleet_view.rs
@@ -8,7 +8,7 @@
 
 use crate::interface::*;
 use crate::load::HOLDING;
-use crate::sounding::Bearing;
+use crate::probing::ProbeResult;
 use crate::state::{Balancer, Client, Server};
 
 /// What was told stands for so long, in seconds: it is told anew several times a second, or not at all.
@@ -88,11 +88,16 @@
         all.into_iter().map(held).collect()
     }
 
-    /// Where a client of a proxy goes that hears of others or that sounds; none for one that goes by what it holds.
-    pub(crate) fn bearing(&mut self, now: f64, c: &Client, out: &mut Vec<Action>) -> Option<Bearing> {
+    /// Where a client of a proxy goes that hears of others or that probes; none for one that goes by what it holds.
+    pub(crate) fn probe_result(
+        &mut self,
+        now: f64,
+        c: &Client,
+        out: &mut Vec<Action>,
+    ) -> Option<ProbeResult> {
         match self.others.away.clone().filter(|_| self.hears(now)) {
-            Some(away) => Some(self.together(now, c, &away).map_or(Bearing::Nowhere, Bearing::To)),
-            None => self.is_blind().then(|| self.sounded(now, c, out)),
+            Some(away) => Some(self.together(now, c, &away).map_or(ProbeResult::Nowhere, ProbeResult::To)),
+            None => self.is_blind().then(|| self.probe_for(now, c, out)),
         }
     }
 
--- a/crates/decisions/src/sounding.rs
+++ b/crates/decisions/src/probing.rs
@@ -1,5 +1,5 @@
 //! Where one connection is more than a proxy's whole part of a server, what it holds says nothing of that server, and
-//! nobody may tell it. Then it sounds the servers that a client may go to, in the order of their ranks: a probe is
+//! nobody may tell it. Then it probes the servers that a client may go to, in the order of their ranks: a probe is
 //! served like a request, so its time grows with what all proxies together have put there.
 //!
 //! A server has room if its probe took no longer than is usual for its like. Ranks are the same at every proxy, so a
@@ -10,12 +10,12 @@
 use crate::interface::*;
 use crate::state::{Balancer, Client, Server};
 
-/// The timer at which those who wait for soundings are looked at again.
-pub(crate) const SOUND: u64 = 5 << 40;
+/// The timer at which those who wait for probes are looked at again.
+pub(crate) const PROBE_TIMER: u64 = 5 << 40;
 /// A proxy is blind where its even part of a server is less than so many mean connections: it holds one at a third of the
-/// servers at most. With 0.57 of one (a hundred proxies) sounding lost on 5 days of 12 and pushed a cold server over on 2.
+/// servers at most. With 0.57 of one (a hundred proxies) probing lost on 5 days of 12 and pushed a cold server over on 2.
 const BLIND: f64 = 0.35;
-/// So many ranks are sounded at once, in so many rounds; then the quickest one is taken.
+/// So many ranks are probed at once, in so many rounds; then the quickest one is taken.
 const WIDTH: usize = 3;
 const ROUNDS: usize = 2;
 /// No more than one in so many of the servers, and two: each one that holds any of a group pays for it, and where few
@@ -28,7 +28,7 @@
 /// One that is still out after so much of the usual time tells enough.
 const LATE: f64 = 1.65;
 /// Of so many readings of servers that are alike, the one at this place from the quickest on is the usual one: most of what is
-/// sounded is fuller than the rest.
+/// probed is fuller than the rest.
 const KEPT: usize = 32;
 const USUAL: f64 = 0.25;
 /// A reading stands for so long, that of a cold server for less, in seconds: it holds less, and others send there too.
@@ -67,7 +67,7 @@
 
 /// What probes have told.
 #[derive(Debug, Default)]
-pub(crate) struct Soundings {
+pub(crate) struct ProbeTable {
     servers: BTreeMap<ServerId, Reading>,
     /// The last readings of servers that are alike.
     alike: BTreeMap<Likeness, VecDeque<f64>>,
@@ -75,7 +75,7 @@
     looks: bool,
 }
 
-impl Soundings {
+impl ProbeTable {
     /// The usual reading of servers in this or other zones, of one size or any.
     fn usual_of(&self, like: Likeness) -> Option<f64> {
         let mut all = Vec::from_iter(self.alike.get(&like)?.iter().copied());
@@ -108,7 +108,7 @@
 
 /// Where a client goes, by what is known now.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) enum Bearing {
+pub(crate) enum ProbeResult {
     /// To this server.
     To(ServerId),
     /// Probes are out that will tell.
@@ -135,7 +135,7 @@
     }
 
     /// The server for a client of a blind proxy, or what has to be waited for; appends the probes that are missing.
-    pub(crate) fn sounded(&mut self, now: f64, c: &Client, out: &mut Vec<Action>) -> Bearing {
+    pub(crate) fn probe_for(&mut self, now: f64, c: &Client, out: &mut Vec<Action>) -> ProbeResult {
         let reach = (self.servers.len() / REACH).clamp(2, WIDTH * ROUNDS);
         let mut ranked = self.in_order(now, c);
         ranked.truncate(reach);
@@ -144,18 +144,18 @@
             let mut missing = Vec::new();
             for id in some {
                 match self.reading(now, &self.servers[id]) {
-                    Some(r) if r <= ROOM && missing.is_empty() => return Bearing::To(*id),
+                    Some(r) if r <= ROOM && missing.is_empty() => return ProbeResult::To(*id),
                     Some(r) if best.is_none_or(|(least, _)| r < least) => best = Some((r, *id)),
                     Some(_) => {}
                     None => missing.push(*id),
                 }
             }
             if !missing.is_empty() {
-                self.sound(now, missing, out);
-                return Bearing::Wait;
+                self.send_probes(now, missing, out);
+                return ProbeResult::Wait;
             }
         }
-        best.map_or(Bearing::Nowhere, |(_, id)| Bearing::To(id))
+        best.map_or(ProbeResult::Nowhere, |(_, id)| ProbeResult::To(id))
     }
 
     /// Those who may take this client: where it was, then by rank, the same at every proxy for a group.
@@ -180,10 +180,10 @@
         all.into_iter().map(|x| x.4).collect()
     }
 
-    /// A server's reading over the usual one of its like; none where it must be sounded first.
+    /// A server's reading over the usual one of its like; none where it must be probed first.
     fn reading(&self, now: f64, s: &Server) -> Option<f64> {
-        let r = self.sounding.servers.get(&s.entry.server)?;
-        let usual = self.sounding.usual(self.is_near(s), s.entry.weight);
+        let r = self.probing.servers.get(&s.entry.server)?;
+        let usual = self.probing.usual(self.is_near(s), s.entry.weight);
         if let Some(since) = r.out_at(now) {
             let so_far = (now - since) * self.warmth(s, now);
             let over = usual.map_or(so_far / (self.set.connect_timeout * LOOK), |usual| so_far / usual);
@@ -203,37 +203,37 @@
         self.ramp(s, now).sqrt()
     }
 
-    fn sound(&mut self, now: f64, servers: Vec<ServerId>, out: &mut Vec<Action>) {
+    fn send_probes(&mut self, now: f64, servers: Vec<ServerId>, out: &mut Vec<Action>) {
         for id in servers {
-            let r = self.sounding.servers.entry(id).or_default();
+            let r = self.probing.servers.entry(id).or_default();
             if r.out_at(now).is_none() {
                 r.out = Some(now);
                 out.push(Action::Probe(id));
             }
         }
-        if !std::mem::replace(&mut self.sounding.looks, true) {
-            out.push(Action::SetTimer { after: self.set.connect_timeout * LOOK, token: SOUND });
+        if !std::mem::replace(&mut self.probing.looks, true) {
+            out.push(Action::SetTimer { after: self.set.connect_timeout * LOOK, token: PROBE_TIMER });
         }
     }
 
     /// The timer has come: a probe may be late by now.
-    pub(crate) fn sounding_is_due(&mut self, now: f64, out: &mut Vec<Action>) {
-        self.sounding.looks = false;
-        self.sounding.forget(now);
+    pub(crate) fn probe_is_due(&mut self, now: f64, out: &mut Vec<Action>) {
+        self.probing.looks = false;
+        self.probing.forget(now);
         self.held().into_iter().for_each(|id| self.place(now, id, out));
     }
 
-    /// A probe is over. True if it was a sounding that the server turned away: that is no fault of it.
+    /// A probe is over. True if it was a probe of ours that the server turned away: that is no fault of it.
     pub(crate) fn heard(&mut self, now: f64, server: ServerId, outcome: Outcome) -> bool {
-        let out = self.sounding.servers.get_mut(&server).and_then(|r| r.out.take());
+        let out = self.probing.servers.get_mut(&server).and_then(|r| r.out.take());
         let (Some(since), Some(s)) = (out, self.servers.get(&server)) else { return false };
         let (took, near, size) = ((now - since) * self.warmth(s, now), self.is_near(s), s.entry.weight);
         let passed = outcome == Outcome::Ok;
         if passed {
-            self.sounding.keep(near, size, took);
+            self.probing.keep(near, size, took);
         }
         let came = Some((now, if passed { took } else { f64::INFINITY }));
-        self.sounding.servers.insert(server, Reading { out: None, came });
+        self.probing.servers.insert(server, Reading { out: None, came });
         outcome == Outcome::Error
     }
 }
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -5,11 +5,11 @@
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 
-use crate::cold::Crowd;
+use crate::fleet_view::Others;
 use crate::interface::*;
 use crate::load::Borne;
-use crate::sounding::Soundings;
-use crate::together::Others;
+use crate::probing::ProbeTable;
+use crate::slow_start::Crowd;
 
 /// Bound on remembered groups: what the table may grow to.
 pub(crate) const GROUPS_MOST: usize = 2048;
@@ -131,7 +131,7 @@
     /// Mean load of a connection, 0 while it is not known.
     pub(crate) mean: f64,
     pub(crate) borne: BTreeMap<ServerId, Borne>,
-    pub(crate) sounding: Soundings,
+    pub(crate) probing: ProbeTable,
     pub(crate) others: Others,
     /// A look at who waits is due.
     pub(crate) looks: bool,
@@ -169,7 +169,7 @@
             moves: 0.0,
             mean: 0.0,
             borne: BTreeMap::new(),
-            sounding: Soundings::default(),
+            probing: ProbeTable::default(),
             others: Others::default(),
             looks: false,
             pace,
