--- a/crates/balancer/src/net/hub.rs
+++ b/crates/balancer/src/net/hub.rs
@@ -7,7 +7,7 @@
 use mio::net::{TcpListener, TcpStream};
 use shorewharf_decisions::interface::{ListEntry, Outcome, RequestId, ServerId};
 use shorewharf_driver::{Happening, Micros, Peers};
-use shorewharf_lifecycle::Answer;
+use shorewharf_lifecycle::{Answer, Cause};
 use shorewharf_protocol::list::Listing;
 use tracing::{error, info};
 
@@ -23,7 +23,7 @@
 use super::operators::desk::{Desk, Opened};
 use super::poll::{Owner, Ready};
 use super::servers::taken_out::{Change, Out};
-use super::serving::{Cause, Serving};
+use super::serving::Serving;
 use super::shutdown::{LEAVE_AFTER, ShutdownSchedule};
 use super::terms::Terms;
 use super::turn::{Due, Turn};
--- a/crates/balancer/src/net/serving/answers.rs
+++ b/crates/balancer/src/net/serving/answers.rs
@@ -1,10 +1,11 @@
 //! Final answers: the one place where a client's last word is said, checked by the guard on what may have run.
 
-use std::fmt;
+use std::collections::BTreeMap;
+use std::fmt::Display;
 
 use shorewharf_decisions::interface::RequestId;
 use shorewharf_driver::Micros;
-use shorewharf_lifecycle::{Answer, Violation};
+use shorewharf_lifecycle::{Answer, Cause, Violation};
 use shorewharf_protocol::words::busy;
 use tracing::{debug, error, warn};
 
@@ -13,51 +14,6 @@
 use crate::net::operators::counts::Reply;
 use crate::net::turn::Turn;
 
-/// Why a client gets its final answer, as the log tells it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Cause {
-    /// The decision module, or an admission before it, says so.
-    Decision,
-    /// The process is about to end.
-    Shutdown,
-    /// The event loop can't keep up.
-    Overload,
-    /// There are no descriptors left.
-    Descriptors,
-    /// Nobody has answered by the deadline.
-    Overdue,
-    /// What the client said can't be used.
-    BadRequest,
-    /// It asked for nothing, or not whole, in the time for that.
-    Idle,
-    /// Its server has answered or ended.
-    Server,
-    /// Its server no longer answers.
-    Silent,
-    /// It is moved off its server.
-    Move,
-    /// It can't go on in this process.
-    Handover,
-}
-
-impl fmt::Display for Cause {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Cause::Decision => "decision",
-            Cause::Shutdown => "shutdown",
-            Cause::Overload => "overload",
-            Cause::Descriptors => "descriptors",
-            Cause::Overdue => "overdue",
-            Cause::BadRequest => "bad-request",
-            Cause::Idle => "idle",
-            Cause::Server => "server",
-            Cause::Silent => "silent",
-            Cause::Move => "move",
-            Cause::Handover => "handover",
-        })
-    }
-}
-
 /// The line that says an answer; none for the end of a connection without a word.
 fn line_of(answer: Answer) -> String {
     match answer {
@@ -85,7 +41,7 @@
         if self.sessions.get(id).is_none_or(|s| s.stage() == Stage::Ending) {
             return;
         }
-        let answer = match self.guard.answer(id, answer) {
+        let answer = match self.guard.answer(id, answer, cause) {
             Ok(()) => answer,
             Err((violation, instead)) => {
                 self.report_violation(&violation, cause);
@@ -154,9 +110,15 @@
             first_attempts = stats.first_attempts,
             retries = stats.retries,
             withheld = stats.withheld,
-            attempts_ended = ?stats.attempts_ended,
-            answers = ?stats.answers,
-            violations = stats.violations_total(),
+            attempts_ended = counts(&stats.attempts_ended),
+            answers = counts(&stats.answers),
+            violations = counts(&stats.violations),
         );
     }
 }
+
+/// Counts as a log line has them: `name:count`, separated by commas.
+fn counts<T: Display>(counts: &BTreeMap<T, u64>) -> String {
+    let words: Vec<String> = counts.iter().map(|(what, count)| format!("{what}:{count}")).collect();
+    words.join(",")
+}
--- a/crates/balancer/src/net/serving/due.rs
+++ b/crates/balancer/src/net/serving/due.rs
@@ -4,10 +4,10 @@
 
 use shorewharf_decisions::interface::{Outcome, RequestId, ServerId};
 use shorewharf_driver::{Happening, Micros};
-use shorewharf_lifecycle::Answer;
+use shorewharf_lifecycle::{Answer, Cause};
 use tracing::{debug, error, warn};
 
-use super::{COME_BACK, Cause, Serving};
+use super::{COME_BACK, Serving};
 use crate::net::clients::session::{Session, Stage};
 use crate::net::link::End;
 use crate::net::poll::Ready;
--- a/crates/balancer/src/net/serving/handing.rs
+++ b/crates/balancer/src/net/serving/handing.rs
@@ -2,9 +2,9 @@
 
 use shorewharf_decisions::interface::{Outcome, Request, RequestId, ServerId};
 use shorewharf_driver::{Happening, Req};
-use shorewharf_lifecycle::Answer;
+use shorewharf_lifecycle::{Answer, Cause};
 
-use super::{Cause, Serving};
+use super::Serving;
 use crate::net::clients::session::Session;
 use crate::net::handover::words::{Handed, Standing};
 use crate::net::link::Link;
--- a/crates/balancer/src/net/serving/mod.rs
+++ b/crates/balancer/src/net/serving/mod.rs
@@ -13,7 +13,7 @@
 use mio::net::TcpStream;
 use shorewharf_decisions::interface::{ListEntry, Outcome, RequestId, ServerId};
 use shorewharf_driver::{Happening, Micros, Req};
-use shorewharf_lifecycle::{Answer as FinalAnswer, RequestGuard};
+use shorewharf_lifecycle::{Answer as FinalAnswer, Cause, RequestGuard};
 use shorewharf_protocol::open::{class_of, parse_open};
 use tracing::{debug, warn};
 
@@ -33,7 +33,6 @@
 use crate::net::terms::Terms;
 use crate::net::turn::Turn;
 
-pub use answers::Cause;
 use dialing::PendingDial;
 
 /// A connection from before the start has this long to stand again.
--- a/crates/balancer/src/net/serving/standing.rs
+++ b/crates/balancer/src/net/serving/standing.rs
@@ -2,10 +2,10 @@
 
 use shorewharf_decisions::interface::{Outcome, RequestId, ServerId};
 use shorewharf_driver::{Happening, Micros};
-use shorewharf_lifecycle::Answer;
+use shorewharf_lifecycle::{Answer, Cause};
 use tracing::{debug, warn};
 
-use super::{Cause, Serving};
+use super::Serving;
 use crate::net::clients::session::{Session, Stage};
 use crate::net::link::End;
 use crate::net::relay::{Fate, ends, relay};
--- a/crates/balancer/tests/sockets/faults.rs
+++ b/crates/balancer/tests/sockets/faults.rs
@@ -209,3 +209,33 @@
         assert!(program.wait().success());
     }
 }
+
+#[test]
+fn a_folder_that_fails_for_a_while_stops_no_service_and_leaves_whole_records() {
+    for faults in ["write=ENOSPC@0.2-1", "sync=EIO@0.2-1", "write=short/3@0.2-1", "write=EIO%30;sync=EIO%30"]
+    {
+        let folder = tempfile::tempdir().expect("a folder");
+        let node = Node::new();
+        let settings = config(&[("s-1", node.address())]);
+        let keeping = format!(
+            "[snapshot]\nfolder = {:?}\nevery_s = 0.1\nkeep = 3\n",
+            folder.path().display().to_string()
+        );
+        let library = library();
+        let env = [("LD_PRELOAD", library.as_os_str()), ("SHOREWHARF_FAULTS", OsStr::new(faults))];
+        let program = Program::start_in_with(BINARY, &settings, &keeping, &env);
+        let (mut client, mut server) = program.stand(&node);
+        let until = Instant::now() + Duration::from_millis(1300);
+        while Instant::now() < until {
+            client.say("M 1");
+            assert_eq!(server.line(), "M 1");
+            server.say("M 1");
+            assert_eq!(client.line(), "M 1");
+        }
+        // Killed in the middle of whatever it writes: the next one takes a whole record, or starts without one.
+        program.kill();
+        let next = Program::start_with(BINARY, &settings, &keeping);
+        next.stand(&node);
+        assert!(next.has_logged("snapshot-left-aside").is_none(), "{faults}: a record that is not whole");
+    }
+}
--- a/crates/emulator/src/standin/program.rs
+++ b/crates/emulator/src/standin/program.rs
@@ -173,6 +173,17 @@
         Program::begin(binary.as_ref(), config, More { operator: None, env }, Rc::default())
     }
 
+    /// The same with both.
+    #[track_caller]
+    pub fn start_in_with(
+        binary: impl AsRef<OsStr>,
+        config: &Value,
+        operator: &str,
+        env: &[(&str, &OsStr)],
+    ) -> Self {
+        Program::begin(binary.as_ref(), config, More { operator: Some(operator), env }, Rc::default())
+    }
+
     /// Its number in the system.
     pub fn id(&self) -> u32 {
         self.started.child.id()
--- a/crates/lifecycle/src/guard.rs
+++ b/crates/lifecycle/src/guard.rs
@@ -5,6 +5,7 @@
 use thiserror::Error;
 
 use crate::Micros;
+use crate::cause::Cause;
 use crate::request::{Answer, Request, RequestState, SendError, Target};
 use crate::stats::{Rule, Stats};
 
@@ -113,16 +114,21 @@
 
     /// A final answer is to be given. Where it is forbidden, the error comes with the harmless one in its place, which
     /// counts as given; none where the client has had its answer.
-    pub fn answer(&mut self, id: RequestId, answer: Answer) -> Result<(), (Violation, Option<Answer>)> {
+    pub fn answer(
+        &mut self,
+        id: RequestId,
+        answer: Answer,
+        cause: Cause,
+    ) -> Result<(), (Violation, Option<Answer>)> {
         let Some(request) = self.requests.get_mut(&id) else { return Ok(()) };
         let Err(rule) = request.answer(answer) else {
-            self.stats.answered(answer);
+            self.stats.answered(answer, cause);
             return Ok(());
         };
         let instead = (rule != Rule::SecondAnswer).then_some(Answer::Failed);
         if instead.is_some() {
             request.abandon();
-            self.stats.answered(Answer::Failed);
+            self.stats.answered(Answer::Failed, cause);
         }
         Err((self.violation(id, rule), instead))
     }
--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -5,13 +5,15 @@
 //! paths, so it is checked in one place: [`RequestGuard`] knows what repeating a request may do and what each of its
 //! attempts has done so far. No I/O and no clock: times are arguments, in microseconds of a monotonic clock.
 
+mod cause;
 mod guard;
 mod request;
 mod stats;
 
+pub use cause::Cause;
 pub use guard::{RequestGuard, Violation};
 pub use request::{Answer, RequestState, SendError, Target};
-pub use stats::{Rule, Stats};
+pub use stats::{AnswerCount, Rule, Stats};
 
 /// Whole microseconds.
 pub type Micros = u64;
--- a/crates/lifecycle/src/stats.rs
+++ b/crates/lifecycle/src/stats.rs
@@ -1,10 +1,12 @@
 //! What the guard counts, for operators and tests.
 
 use std::collections::BTreeMap;
+use std::fmt;
 
 use shorewharf_decisions::interface::Outcome;
 use thiserror::Error;
 
+use crate::cause::Cause;
 use crate::request::Answer;
 
 /// A rule that the guard keeps.
@@ -30,6 +32,21 @@
     ClosedUnanswered,
 }
 
+/// What answers are counted by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct AnswerCount {
+    /// The answer's kind.
+    pub kind: &'static str,
+    /// Why it was given.
+    pub cause: Cause,
+}
+
+impl fmt::Display for AnswerCount {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.kind, self.cause)
+    }
+}
+
 /// Counts since the start of the process.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Stats {
@@ -41,8 +58,8 @@
     pub withheld: u64,
     /// Attempts that were not taken, by how they ended.
     pub attempts_ended: BTreeMap<&'static str, u64>,
-    /// Final answers by kind.
-    pub answers: BTreeMap<&'static str, u64>,
+    /// Final answers by kind and cause.
+    pub answers: BTreeMap<AnswerCount, u64>,
     /// What was forbidden, by rule.
     pub violations: BTreeMap<Rule, u64>,
 }
@@ -60,8 +77,9 @@
         *self.attempts_ended.entry(outcome_name(outcome)).or_default() += 1;
     }
 
-    pub(crate) fn answered(&mut self, answer: Answer) {
-        *self.answers.entry(answer_name(answer)).or_default() += 1;
+    pub(crate) fn answered(&mut self, answer: Answer, cause: Cause) {
+        let kind = answer_name(answer);
+        *self.answers.entry(AnswerCount { kind, cause }).or_default() += 1;
     }
 
     pub(crate) fn violated(&mut self, rule: Rule) {
@@ -73,9 +91,10 @@
         self.violations.values().sum()
     }
 
-    /// The answers of one kind.
+    /// The answers of one kind, for whatever cause.
     pub fn answers_of(&self, answer: Answer) -> u64 {
-        self.answers.get(answer_name(answer)).copied().unwrap_or(0)
+        let kind = answer_name(answer);
+        self.answers.iter().filter(|(what, _)| what.kind == kind).map(|(_, count)| count).sum()
     }
 }
 
--- a/crates/lifecycle/tests/duplicates.rs
+++ b/crates/lifecycle/tests/duplicates.rs
@@ -3,7 +3,7 @@
 
 use proptest::prelude::*;
 use shorewharf_decisions::interface::{Outcome, RequestId, Scope, Semantics, ServerId};
-use shorewharf_lifecycle::{Answer, Micros, RequestGuard, Rule, Target};
+use shorewharf_lifecycle::{Answer, Cause, Micros, RequestGuard, Rule, Target};
 
 const ID: RequestId = RequestId(3);
 /// What the guard keeps between a repeat and the end of its window.
@@ -143,7 +143,7 @@
         _ => None,
     };
     // Whatever was wanted, what is said in its place is no refusal, and said once.
-    let given = guard.answer(ID, answer);
+    let given = guard.answer(ID, answer, Cause::Decision);
     let instead = given.as_ref().err().and_then(|(_, instead)| *instead);
     assert_eq!(given.map_err(|(violation, _)| violation.rule).err(), wanted);
     assert_eq!(instead, wanted.filter(|rule| *rule != Rule::SecondAnswer).map(|_| Answer::Failed));
@@ -202,7 +202,8 @@
     assert_eq!(guard.send(ID, 5), Ok(true));
     guard.end_attempt(ID, Outcome::Reset);
     assert_eq!(guard.begin_attempt(ID, target).expect_err("sent again").rule, Rule::RepeatedAfterRun);
-    let (violation, instead) = guard.answer(ID, Answer::Refused { after: 0 }).expect_err("it may have run");
+    let (violation, instead) =
+        guard.answer(ID, Answer::Refused { after: 0 }, Cause::Shutdown).expect_err("it may have run");
     assert_eq!(
         (violation.rule, violation.attempt, violation.server),
         (Rule::RefusedAfterRun, 1, Some(ServerId(1)))
