Name the driver's words network events and effects

Happening is NetworkEvent (Asked RequestReceived, FetchEnded AttemptEnded, Up AttemptTaken, DirectorFailed DiscoveryFailed, Woken TimerFired), Peers is Effects with begin_attempt and cancel_attempt, Req is ReceivedRequest, Turn::tell is emit. Nothing else changes.

--- a/crates/balancer/src/net/clients/session.rs
+++ b/crates/balancer/src/net/clients/session.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use shorewharf_decisions::interface::{RequestId, ServerId};
-use shorewharf_driver::{Micros, Req};
+use shorewharf_driver::{Micros, ReceivedRequest};
 
 use crate::net::link::{End, Link, TooLong};
 use crate::net::pool::{Buffer, Pool};
@@ -122,7 +122,7 @@
 struct Carried {
     /// The server that it stood on.
     home: ServerId,
-    req: Req,
+    req: ReceivedRequest,
     /// When to try again to carry it on, once that has failed.
     again: Option<Micros>,
     failed: bool,
@@ -136,7 +136,7 @@
     /// The id that it names.
     pub open_id: u64,
     /// What it asks for.
-    pub req: Req,
+    pub req: ReceivedRequest,
     /// The server that it stood on before this program started.
     pub home: Option<ServerId>,
     /// When it must have its answer.
@@ -237,7 +237,7 @@
     }
 
     /// What it asks for, where it stood before this program started.
-    pub fn req(&self) -> Option<Req> {
+    pub fn req(&self) -> Option<ReceivedRequest> {
         self.carried.as_ref().map(|c| c.req)
     }
 
--- a/crates/balancer/src/net/clients/sessions/tests.rs
+++ b/crates/balancer/src/net/clients/sessions/tests.rs
@@ -3,13 +3,13 @@
 use super::*;
 use crate::net::clients::session::{Ending, First, Patience};
 use crate::net::turn::tests::{READ, pair, turn, until};
-use shorewharf_driver::Req;
+use shorewharf_driver::ReceivedRequest;
 use std::io::{Read, Write};
 use std::net::TcpStream;
 
-fn req(id: RequestId) -> Req {
+fn req(id: RequestId) -> ReceivedRequest {
     let (class, tenant, key, group) = (0, 0, 0, 0);
-    Req { id, class, tenant, key, deadline: 900, load: None, group, returning: false }
+    ReceivedRequest { id, class, tenant, key, deadline: 900, load: None, group, returning: false }
 }
 
 fn asking(id: RequestId) -> Asking<'static> {
--- a/crates/balancer/src/net/gossip.rs
+++ b/crates/balancer/src/net/gossip.rs
@@ -10,7 +10,7 @@
 use mio::net::UdpSocket;
 use shorewharf_decisions::Holding;
 use shorewharf_decisions::interface::{Away, ServerId};
-use shorewharf_driver::{Happening, Micros};
+use shorewharf_driver::{Micros, NetworkEvent};
 use shorewharf_gossip::{Elsewhere, Gossip, Held, MOST_BYTES, MOST_HELD, Refusal};
 use tracing::{debug, info, warn};
 
@@ -158,7 +158,7 @@
                     others = self.others.len()
                 );
             }
-            turn.tell(Happening::Elsewhere(elsewhere.map(away)));
+            turn.emit(NetworkEvent::Elsewhere(elsewhere.map(away)));
         }
         let untold = self.gossip.stats().untold;
         if untold > 0 && !std::mem::replace(&mut self.said_untold, true) {
--- a/crates/balancer/src/net/hub.rs
+++ b/crates/balancer/src/net/hub.rs
@@ -6,7 +6,7 @@
 
 use mio::net::{TcpListener, TcpStream};
 use shorewharf_decisions::interface::{ListEntry, Outcome, RequestId, ServerId};
-use shorewharf_driver::{Happening, Micros, Peers};
+use shorewharf_driver::{Effects, Micros, NetworkEvent};
 use shorewharf_lifecycle::{Answer, Cause};
 use shorewharf_protocol::list::Listing;
 use tracing::{error, info};
@@ -221,7 +221,7 @@
     fn due(&mut self, due: Due) {
         let turn = &mut self.turn;
         match due {
-            Due::Module(token) => turn.tell(Happening::Woken(token)),
+            Due::Module(token) => turn.emit(NetworkEvent::TimerFired(token)),
             Due::Session(id) => self.serving.session_alarmed(turn, id),
             Due::Fetch(id) => self.serving.fetch_alarmed(turn, id),
             Due::Dial(id) => self.serving.dial_again(turn, id),
@@ -349,15 +349,15 @@
     }
 
     fn listed(&mut self, news: News) {
-        let happening = match news {
+        let event = match news {
             News::List(list) => {
                 let full = list.snapshot;
                 let entries = self.serving.take_list(list, WallClock::read(self.turn.now));
-                Happening::Listed { full, cached: false, entries }
+                NetworkEvent::Listed { full, cached: false, entries }
             }
-            News::Failed => Happening::DirectorFailed,
+            News::Failed => NetworkEvent::DiscoveryFailed,
         };
-        self.turn.tell(happening);
+        self.turn.emit(event);
     }
 
     /// The planned end begins.
@@ -440,7 +440,7 @@
             Order::Changed(change) => self.changes(change),
             Order::OthersHold(descriptors) => self.serving.others_hold(descriptors),
             Order::Successor(has) => self.has_successor(has),
-            Order::Probed(server, outcome) => self.turn.tell(Happening::Probed(server, outcome)),
+            Order::Probed(server, outcome) => self.turn.emit(NetworkEvent::Probed(server, outcome)),
             Order::Stop => self.stop_soon(),
             Order::GoesAlong(handed) => self.goes_along(*handed),
             Order::Stands(handed) => {
@@ -517,20 +517,20 @@
     }
 }
 
-impl Peers for Net {
+impl Effects for Net {
     fn now(&self) -> Micros {
         self.turn.now
     }
 
-    fn next(&mut self) -> Option<Happening> {
+    fn next(&mut self) -> Option<NetworkEvent> {
         self.turn.next()
     }
 
-    fn fetch(&mut self, req: RequestId, server: ServerId, patience: Micros) {
+    fn begin_attempt(&mut self, req: RequestId, server: ServerId, patience: Micros) {
         self.serving.fetch(&mut self.turn, req, server, patience);
     }
 
-    fn call_off(&mut self, req: RequestId) {
+    fn cancel_attempt(&mut self, req: RequestId) {
         self.serving.fetch_over(&mut self.turn, req, Outcome::Cancelled);
     }
 
@@ -550,7 +550,7 @@
         match &self.crew {
             Some(crew) if !crew.leads() => {
                 if crew.tell(0, Order::Probe(crew.me(), server)).is_err() {
-                    self.turn.tell(Happening::Probed(server, Outcome::ConnectFailed));
+                    self.turn.emit(NetworkEvent::Probed(server, Outcome::ConnectFailed));
                 }
             }
             _ => self.check_on(server, None),
--- a/crates/balancer/src/net/operators/desk.rs
+++ b/crates/balancer/src/net/operators/desk.rs
@@ -4,7 +4,7 @@
 
 use mio::net::TcpListener;
 use shorewharf_decisions::interface::ServerId;
-use shorewharf_driver::{Happening, Micros, seconds};
+use shorewharf_driver::{Micros, NetworkEvent, seconds};
 use shorewharf_protocol::operators::{Answer, Call, Figures, Refusal};
 use tracing::{info, warn};
 
@@ -162,7 +162,7 @@
     /// discovery's.
     pub fn changes(&mut self, change: Change) {
         if let Some(entry) = self.serving.backends.change(change) {
-            self.turn.tell(Happening::Listed { full: false, cached: true, entries: vec![entry] });
+            self.turn.emit(NetworkEvent::Listed { full: false, cached: true, entries: vec![entry] });
         }
     }
 
--- a/crates/balancer/src/net/reload.rs
+++ b/crates/balancer/src/net/reload.rs
@@ -3,7 +3,7 @@
 use super::hub::Net;
 use super::terms::Terms;
 use crate::config::{Config, ConfigError};
-use shorewharf_driver::{Driver, Peers};
+use shorewharf_driver::{Driver, Effects};
 use tracing::info;
 
 /// Takes a configuration that has been read in the place of the one in force, if it may be.
--- a/crates/balancer/src/net/servers/probes.rs
+++ b/crates/balancer/src/net/servers/probes.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use shorewharf_decisions::interface::{Outcome, ServerId};
-use shorewharf_driver::{Happening, Micros};
+use shorewharf_driver::{Micros, NetworkEvent};
 use tracing::debug;
 
 use crate::net::link::Link;
@@ -60,7 +60,7 @@
         let Some(link) = address.and_then(|to| Link::connect(to).ok()).and_then(watched) else {
             return match other {
                 Some(other) => self.for_others.push((other, server, Outcome::ConnectFailed)),
-                None => turn.tell(Happening::Probed(server, Outcome::ConnectFailed)),
+                None => turn.emit(NetworkEvent::Probed(server, Outcome::ConnectFailed)),
             };
         };
         let (timer, begun) = (turn.after(PROBE, Due::Probe(number)), turn.now);
@@ -109,7 +109,7 @@
             let (server, us) = (probe.server.0, turn.now - probe.begun);
             debug!(event = "probed", server, us, outcome = ?outcome);
             if probe.own {
-                turn.tell(Happening::Probed(probe.server, outcome));
+                turn.emit(NetworkEvent::Probed(probe.server, outcome));
             }
             self.for_others.extend(probe.others.into_iter().map(|other| (other, probe.server, outcome)));
         }
--- a/crates/balancer/src/net/servers/probes/tests.rs
+++ b/crates/balancer/src/net/servers/probes/tests.rs
@@ -7,7 +7,7 @@
 
 fn told(turn: &mut Turn) -> Option<Outcome> {
     turn.next().map(|h| match h {
-        Happening::Probed(ServerId(4), outcome) => outcome,
+        NetworkEvent::Probed(ServerId(4), outcome) => outcome,
         other => panic!("{other:?}"),
     })
 }
--- a/crates/balancer/src/net/serving/due.rs
+++ b/crates/balancer/src/net/serving/due.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use shorewharf_decisions::interface::{Outcome, RequestId, ServerId};
-use shorewharf_driver::{Happening, Micros};
+use shorewharf_driver::{Micros, NetworkEvent};
 use shorewharf_lifecycle::{Answer, Cause};
 use tracing::{debug, error, warn};
 
@@ -49,7 +49,7 @@
             // Guards the rule that every request is answered before its client gives up.
             Stage::Waiting if s.is_overdue(now) => {
                 error!(event = "overdue", req = id.0, client = %s.from());
-                turn.tell(Happening::ClientLeft(id));
+                turn.emit(NetworkEvent::ClientLeft(id));
                 self.fetch_over(turn, id, Outcome::TimedOut);
                 self.answer_unserved(turn, id, COME_BACK, Cause::Overdue);
             }
@@ -85,7 +85,7 @@
         });
         for (server, delay) in self.backends.delays(turn.now, self.terms.message_aim / 3, &seen) {
             debug!(event = "seen", server = self.backends.name(Some(server)), us = delay);
-            turn.tell(Happening::Delay(server, delay));
+            turn.emit(NetworkEvent::Delay(server, delay));
         }
     }
 }
@@ -124,7 +124,7 @@
             if !is_last_call && !self.guard.is_refusable(id) {
                 continue;
             }
-            turn.tell(Happening::ClientLeft(id));
+            turn.emit(NetworkEvent::ClientLeft(id));
             self.fetch_over(turn, id, Outcome::Cancelled);
             self.answer_unserved(turn, id, COME_BACK, Cause::Shutdown);
         }
--- a/crates/balancer/src/net/serving/handing.rs
+++ b/crates/balancer/src/net/serving/handing.rs
@@ -1,7 +1,7 @@
 //! Standing connections that go on in another process of this balancer, and those that come from one.
 
 use shorewharf_decisions::interface::{Outcome, Request, RequestId, ServerId};
-use shorewharf_driver::{Happening, Req};
+use shorewharf_driver::{NetworkEvent, ReceivedRequest};
 use shorewharf_lifecycle::{Answer, Cause};
 
 use super::Serving;
@@ -54,7 +54,7 @@
             self.report_violation(&violation, Cause::Handover);
         }
         let (s, f) = (self.sessions.take(turn, id)?, self.fetches.take(turn, id)?);
-        turn.tell(Happening::FetchEnded(id, Outcome::Cancelled));
+        turn.emit(NetworkEvent::AttemptEnded(id, Outcome::Cancelled));
         Some((standing, s.link.into_stream(), f.link.into_stream()))
     }
 
@@ -79,10 +79,11 @@
             return false;
         };
         let (key, group, load) = (standing.key, standing.group, standing.hint);
-        let req = Req { id, class, tenant, key, deadline: turn.now, load, group, returning: false };
-        turn.tell(Happening::Carried(req, at));
+        let req =
+            ReceivedRequest { id, class, tenant, key, deadline: turn.now, load, group, returning: false };
+        turn.emit(NetworkEvent::Carried(req, at));
         if let Some(load) = standing.load.filter(|load| load.is_finite() && *load > 0.0) {
-            turn.tell(Happening::Load(id, load));
+            turn.emit(NetworkEvent::Load(id, load));
         }
         self.relay(turn, id);
         true
--- a/crates/balancer/src/net/serving/mod.rs
+++ b/crates/balancer/src/net/serving/mod.rs
@@ -12,7 +12,7 @@
 
 use mio::net::TcpStream;
 use shorewharf_decisions::interface::{ListEntry, Outcome, RequestId, ServerId};
-use shorewharf_driver::{Happening, Micros, Req};
+use shorewharf_driver::{Micros, NetworkEvent, ReceivedRequest};
 use shorewharf_lifecycle::{Answer as FinalAnswer, Cause, RequestGuard};
 use shorewharf_protocol::open::{class_of, parse_open};
 use tracing::{debug, warn};
@@ -235,7 +235,7 @@
             warn!(event = "malformed", client = %from, why);
         }
         if waits {
-            turn.tell(Happening::ClientLeft(id));
+            turn.emit(NetworkEvent::ClientLeft(id));
             self.fetch_over(turn, id, Outcome::Cancelled);
         }
         self.answer(turn, id, FinalAnswer::Failed, Cause::BadRequest);
@@ -256,7 +256,7 @@
             return self.malformed(turn, id, "at= names no server");
         }
         let wait = open.patience.or(self.terms.give_up.get(open.class).copied()).unwrap_or(0);
-        let req = Req {
+        let req = ReceivedRequest {
             id,
             class: open.class,
             tenant: open.tenant,
@@ -299,14 +299,14 @@
                 let (group, key) = (req.group, req.key);
                 debug!(event = "asked", req = id.0, group, key, returning = req.returning);
                 self.guard.queue(id);
-                turn.tell(Happening::Asked(req));
+                turn.emit(NetworkEvent::RequestReceived(req));
             }
         }
     }
 
     /// A client that waited has gone: nobody needs the fetch any more.
     fn client_leaves(&mut self, turn: &mut Turn, id: RequestId) {
-        turn.tell(Happening::ClientLeft(id));
+        turn.emit(NetworkEvent::ClientLeft(id));
         self.counted(id, Reply::Error);
         debug!(event = "client-left", req = id.0, attempts = self.guard.attempts(id));
         self.guard.abandon(id);
@@ -372,7 +372,7 @@
     fn fetch_ended(&mut self, turn: &mut Turn, id: RequestId, outcome: Outcome) {
         match self.sessions.get(id).map(|s| (s.home(), s.waits())) {
             Some((Some(home), true)) => self.carried_fetch_ended(turn, id, home, outcome),
-            _ => turn.tell(Happening::FetchEnded(id, outcome)),
+            _ => turn.emit(NetworkEvent::AttemptEnded(id, outcome)),
         }
     }
 
@@ -476,9 +476,9 @@
         if let Some(class) = s.is_counted() {
             self.counts.replied(class, Reply::Success);
         }
-        turn.tell(match (s.home(), s.req()) {
-            (Some(server), Some(req)) => Happening::Carried(req, server),
-            _ => Happening::Up(id),
+        turn.emit(match (s.home(), s.req()) {
+            (Some(server), Some(req)) => NetworkEvent::Carried(req, server),
+            _ => NetworkEvent::AttemptTaken(id),
         });
         self.relay(turn, id);
     }
--- a/crates/balancer/src/net/serving/standing.rs
+++ b/crates/balancer/src/net/serving/standing.rs
@@ -1,7 +1,7 @@
 //! Standing connections: what passes on them, and how they end.
 
 use shorewharf_decisions::interface::{Outcome, RequestId, ServerId};
-use shorewharf_driver::{Happening, Micros};
+use shorewharf_driver::{Micros, NetworkEvent};
 use shorewharf_lifecycle::{Answer, Cause};
 use tracing::{debug, warn};
 
@@ -118,8 +118,8 @@
         let kind = if tells { self.backends.read_figure(turn.now, server, figure) } else { Figure::Load };
         debug!(event = "told", req = id.0, server = self.backends.name(Some(server)), ?kind, figure);
         match kind {
-            Figure::Load => turn.tell(Happening::Load(id, figure / 1e6)),
-            Figure::Delay => turn.tell(Happening::Delay(server, (figure * 1e3) as Micros)),
+            Figure::Load => turn.emit(NetworkEvent::Load(id, figure / 1e6)),
+            Figure::Delay => turn.emit(NetworkEvent::Delay(server, (figure * 1e3) as Micros)),
             Figure::Unclear => {}
         }
     }
--- a/crates/balancer/src/net/turn.rs
+++ b/crates/balancer/src/net/turn.rs
@@ -4,7 +4,7 @@
 use std::collections::VecDeque;
 
 use shorewharf_decisions::interface::RequestId;
-use shorewharf_driver::{Happening, Micros};
+use shorewharf_driver::{Micros, NetworkEvent};
 use tracing::warn;
 
 use super::poll::Poller;
@@ -99,7 +99,7 @@
     pub timers: Timers<Due>,
     /// What the loop can take on.
     pub pressure: Pressure,
-    happenings: VecDeque<Happening>,
+    events: VecDeque<NetworkEvent>,
     /// When the next turn is to begin at the latest.
     next: Micros,
     /// When it went on after it had been held up last.
@@ -115,20 +115,20 @@
             poller,
             timers: Timers::new(now),
             pressure: Pressure::new(now),
-            happenings: VecDeque::new(),
+            events: VecDeque::new(),
             next: now,
             resumed: 0,
         }
     }
 
     /// Tells the driver what has happened; it is heard in this order.
-    pub fn tell(&mut self, happening: Happening) {
-        self.happenings.push_back(happening);
+    pub fn emit(&mut self, event: NetworkEvent) {
+        self.events.push_back(event);
     }
 
     /// The next thing that happened.
-    pub fn next(&mut self) -> Option<Happening> {
-        self.happenings.pop_front()
+    pub fn next(&mut self) -> Option<NetworkEvent> {
+        self.events.pop_front()
     }
 
     /// The turn begins at this time; time never goes back.
--- a/crates/balancer/src/net/workers.rs
+++ b/crates/balancer/src/net/workers.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use mio::net::TcpListener;
-use shorewharf_driver::{Driver, Micros, Peers, micros, seconds};
+use shorewharf_driver::{Driver, Effects, Micros, micros, seconds};
 use shorewharf_protocol::list::Listing;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
--- a/crates/driver/src/lib.rs
+++ b/crates/driver/src/lib.rs
@@ -1,4 +1,4 @@
-//! Between the peers and the decisions. The only caller of the decision module: what happens to a peer becomes an
+//! Between the effects and the decisions. The only caller of the decision module: what happens to a peer becomes an
 //! event, what the module wants becomes a call on a peer, and microseconds become seconds. It knows no
 //! protocol's text, so that another protocol can be put before the same decisions. Before the module stand the
 //! [`admission`]s ([`Gate`]).
@@ -36,7 +36,7 @@
 
 /// A req: what a client asks for, in the program's own units.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Req {
+pub struct ReceivedRequest {
     /// Its number here; never used twice at once.
     pub id: RequestId,
     /// Index of its class.
@@ -57,7 +57,7 @@
 
 /// What has happened to a peer.
 #[derive(Clone, Debug)]
-pub enum Happening {
+pub enum NetworkEvent {
     /// The director has news of the list.
     Listed {
         /// The whole list.
@@ -68,39 +68,39 @@
         entries: Vec<ListEntry>,
     },
     /// The director's call failed or its watch ended.
-    DirectorFailed,
+    DiscoveryFailed,
     /// A client asks for a connection.
-    Asked(Req),
+    RequestReceived(ReceivedRequest),
     /// A connection from before this program's start stands again.
-    Carried(Req, ServerId),
+    Carried(ReceivedRequest, ServerId),
     /// The fetch that is out for this req has come up.
-    Up(RequestId),
+    AttemptTaken(RequestId),
     /// A standing connection's load is now so much work a second.
     Load(RequestId, f64),
     /// Messages at a server take so long.
     Delay(ServerId, Micros),
     /// The fetch that was out for this req is over, whether it had come up or not.
-    FetchEnded(RequestId, Outcome),
+    AttemptEnded(RequestId, Outcome),
     /// The client has left, or can't be answered any more.
     ClientLeft(RequestId),
     /// A timer of the module's has come.
-    Woken(u64),
+    TimerFired(u64),
     /// A probe is over.
     Probed(ServerId, Outcome),
     /// What other balancers hold by now; none where too few are heard of.
     Elsewhere(Option<Arc<BTreeMap<ServerId, Away>>>),
 }
 
-/// What the driver asks of the peers. What comes of it is told as a [`Happening`], at once or later.
-pub trait Peers {
+/// What the driver asks of the effects. What comes of it is told as a [`NetworkEvent`], at once or later.
+pub trait Effects {
     /// The time, read once a turn.
     fn now(&self) -> Micros;
     /// The next thing that happened.
-    fn next(&mut self) -> Option<Happening>;
+    fn next(&mut self) -> Option<NetworkEvent>;
     /// Begins a fetch; it may take so long.
-    fn fetch(&mut self, req: RequestId, server: ServerId, patience: Micros);
+    fn begin_attempt(&mut self, req: RequestId, server: ServerId, patience: Micros);
     /// Calls off the fetch that is out, if it has not come up.
-    fn call_off(&mut self, req: RequestId);
+    fn cancel_attempt(&mut self, req: RequestId);
     /// Tells the client to come again, after so long if that is more than 0.
     fn refuse(&mut self, req: RequestId, after: Micros);
     /// Tells the client that it is not served.
@@ -143,13 +143,13 @@
         operator: &Operator,
         seed: u64,
         known: Vec<ListEntry>,
-        peers: &mut impl Peers,
+        effects: &mut impl Effects,
     ) -> Self {
         let max_attempts = set.max_attempts;
-        let gate = Gate::new(peers.now(), set, seed, operator);
+        let gate = Gate::new(effects.now(), set, seed, operator);
         let mut driver = Driver { gate, reqs: HashMap::new(), actions: Vec::new(), max_attempts };
-        driver.tell(Event::Start, peers);
-        driver.happened(Happening::Listed { full: true, cached: true, entries: known }, peers);
+        driver.tell(Event::Start, effects);
+        driver.on_network_event(NetworkEvent::Listed { full: true, cached: true, entries: known }, effects);
         driver
     }
 
@@ -165,9 +165,9 @@
     }
 
     /// Tells the module all that has happened, and what comes of its wishes, until nothing is left.
-    pub fn settle(&mut self, peers: &mut impl Peers) {
-        while let Some(happening) = peers.next() {
-            self.happened(happening, peers);
+    pub fn settle(&mut self, effects: &mut impl Effects) {
+        while let Some(network_event) = effects.next() {
+            self.on_network_event(network_event, effects);
         }
     }
 
@@ -176,7 +176,7 @@
         self.reqs.len()
     }
 
-    fn request(req: &Req) -> Request {
+    fn request(req: &ReceivedRequest) -> Request {
         Request {
             id: req.id,
             class: req.class,
@@ -190,34 +190,34 @@
         }
     }
 
-    fn happened(&mut self, happening: Happening, peers: &mut impl Peers) {
-        let event = match happening {
-            Happening::Listed { full, cached, entries } => {
+    fn on_network_event(&mut self, network_event: NetworkEvent, effects: &mut impl Effects) {
+        let event = match network_event {
+            NetworkEvent::Listed { full, cached, entries } => {
                 Event::Servers { full, cached, entries: entries.into() }
             }
-            Happening::DirectorFailed => Event::RegistryFailed,
-            Happening::Asked(req) => {
+            NetworkEvent::DiscoveryFailed => Event::RegistryFailed,
+            NetworkEvent::RequestReceived(req) => {
                 self.reqs.insert(req.id, Sent::default());
                 Event::Arrived(Driver::request(&req))
             }
-            Happening::Carried(req, server) => {
+            NetworkEvent::Carried(req, server) => {
                 let sent = Sent { attempts: 1, out: Some(server), stands: true, finished: false };
                 self.reqs.insert(req.id, sent);
                 Event::Open(Driver::request(&req), server)
             }
-            Happening::Up(request) => {
+            NetworkEvent::AttemptTaken(request) => {
                 let Some(sent) = self.reqs.get_mut(&request).filter(|s| s.out.is_some()) else { return };
                 sent.stands = true;
                 Event::Established { request, attempt: sent.attempts - 1 }
             }
-            Happening::Load(request, load) => {
+            NetworkEvent::Load(request, load) => {
                 if !self.reqs.get(&request).is_some_and(|s| s.stands) {
                     return;
                 }
                 Event::LoadChanged { request, load }
             }
-            Happening::Delay(server, delay) => Event::MessageDelay { server, delay: seconds(delay) },
-            Happening::FetchEnded(request, outcome) => {
+            NetworkEvent::Delay(server, delay) => Event::MessageDelay { server, delay: seconds(delay) },
+            NetworkEvent::AttemptEnded(request, outcome) => {
                 let Some(sent) = self.reqs.get_mut(&request) else { return };
                 let Some(server) = sent.out.take() else { return };
                 // As on the simulator's wire: a request is complete once served, once it has stood, or if
@@ -226,32 +226,32 @@
                 let (attempt, complete) = (sent.attempts - 1, sent.finished);
                 Event::Ended { request, server, attempt, outcome, complete, load_ratio: None }
             }
-            Happening::ClientLeft(request) => {
+            NetworkEvent::ClientLeft(request) => {
                 let Some(sent) = self.reqs.get_mut(&request) else { return };
                 if std::mem::replace(&mut sent.finished, true) {
                     return;
                 }
                 Event::ClientGone(request)
             }
-            Happening::Woken(token) => Event::Timer(token),
-            Happening::Elsewhere(away) => Event::Elsewhere(away),
-            Happening::Probed(server, outcome) => Event::Probed { server, outcome, load_ratio: None },
+            NetworkEvent::TimerFired(token) => Event::Timer(token),
+            NetworkEvent::Elsewhere(away) => Event::Elsewhere(away),
+            NetworkEvent::Probed(server, outcome) => Event::Probed { server, outcome, load_ratio: None },
         };
         let concerned = match &event {
             Event::Ended { request, .. } => Some(*request),
             Event::ClientGone(request) => Some(*request),
             _ => None,
         };
-        self.tell(event, peers);
+        self.tell(event, effects);
         if let Some(request) = concerned {
             self.forget_if_over(request);
         }
     }
 
-    fn tell(&mut self, event: Event, peers: &mut impl Peers) {
-        self.gate.handle(seconds(peers.now()), event, &mut self.actions);
+    fn tell(&mut self, event: Event, effects: &mut impl Effects) {
+        self.gate.handle(seconds(effects.now()), event, &mut self.actions);
         let mut actions = std::mem::take(&mut self.actions);
-        actions.drain(..).for_each(|action| self.carry_out(action, peers));
+        actions.drain(..).for_each(|action| self.carry_out(action, effects));
         self.actions = actions;
     }
 
@@ -268,7 +268,7 @@
         first
     }
 
-    fn carry_out(&mut self, action: Action, peers: &mut impl Peers) {
+    fn carry_out(&mut self, action: Action, effects: &mut impl Effects) {
         match action {
             Action::Send { request, server, timeout } => {
                 let most = self.max_attempts;
@@ -277,33 +277,33 @@
                 let Some(sent) = self.reqs.get_mut(&request).filter(may) else { return };
                 sent.attempts += 1;
                 sent.out = Some(server);
-                peers.fetch(request, server, micros(timeout));
+                effects.begin_attempt(request, server, micros(timeout));
             }
             Action::Refuse { request, retry_after } => {
                 if self.finish(request) {
-                    peers.refuse(request, micros(retry_after));
+                    effects.refuse(request, micros(retry_after));
                 }
             }
             Action::Fail(request) => {
                 if self.finish(request) {
-                    peers.fail(request);
+                    effects.fail(request);
                 }
             }
             Action::Cancel { request, attempt } => {
                 let out = |s: &Sent| s.out.is_some() && !s.stands && s.attempts == attempt + 1;
                 if self.reqs.get(&request).is_some_and(out) {
-                    peers.call_off(request);
+                    effects.cancel_attempt(request);
                 }
             }
             Action::Move(request) => {
                 if self.reqs.get(&request).is_some_and(|s| s.stands) {
-                    peers.move_away(request);
+                    effects.move_away(request);
                 }
             }
-            Action::SetTimer { after, token } => peers.wake(micros(after), token),
-            Action::Probe(server) => peers.probe(server),
-            Action::Subscribe => peers.watch(),
-            Action::Log(line) => peers.log(&line),
+            Action::SetTimer { after, token } => effects.wake(micros(after), token),
+            Action::Probe(server) => effects.probe(server),
+            Action::Subscribe => effects.watch(),
+            Action::Log(line) => effects.log(&line),
         }
     }
 }
--- a/crates/driver/tests/driver.rs
+++ b/crates/driver/tests/driver.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use shorewharf_decisions::interface::*;
-use shorewharf_driver::{Driver, Happening, Micros, Peers, Req};
+use shorewharf_driver::{Driver, Effects, Micros, NetworkEvent, ReceivedRequest};
 use shorewharf_settings::operator::Operator;
 
 #[derive(Clone, Debug, PartialEq)]
@@ -22,22 +22,22 @@
     now: Micros,
     calls: Vec<Call>,
     timers: Vec<(Micros, u64)>,
-    happenings: VecDeque<Happening>,
+    happenings: VecDeque<NetworkEvent>,
 }
 
-impl Peers for Notes {
+impl Effects for Notes {
     fn now(&self) -> Micros {
         self.now
     }
-    fn next(&mut self) -> Option<Happening> {
+    fn next(&mut self) -> Option<NetworkEvent> {
         self.happenings.pop_front()
     }
-    fn fetch(&mut self, req: RequestId, server: ServerId, _: Micros) {
+    fn begin_attempt(&mut self, req: RequestId, server: ServerId, _: Micros) {
         self.calls.push(Call::Fetch(req, server));
     }
-    fn call_off(&mut self, req: RequestId) {
+    fn cancel_attempt(&mut self, req: RequestId) {
         self.calls.push(Call::Cancel(req));
-        self.happenings.push_back(Happening::FetchEnded(req, Outcome::Cancelled));
+        self.happenings.push_back(NetworkEvent::AttemptEnded(req, Outcome::Cancelled));
     }
     fn refuse(&mut self, req: RequestId, after: Micros) {
         self.calls.push(Call::Refuse(req, after));
@@ -47,7 +47,7 @@
     }
     fn move_away(&mut self, req: RequestId) {
         self.calls.push(Call::Move(req));
-        self.happenings.push_back(Happening::FetchEnded(req, Outcome::Cancelled));
+        self.happenings.push_back(NetworkEvent::AttemptEnded(req, Outcome::Cancelled));
     }
     fn probe(&mut self, server: ServerId) {
         self.calls.push(Call::Probe(server));
@@ -83,7 +83,7 @@
     }
 
     /// What the module asks for when this happens.
-    fn happens(&mut self, happening: Happening) -> Vec<Call> {
+    fn happens(&mut self, happening: NetworkEvent) -> Vec<Call> {
         self.peers.happenings.push_back(happening);
         self.driver.settle(&mut self.peers);
         std::mem::take(&mut self.peers.calls)
@@ -91,7 +91,7 @@
 
     fn asked(&mut self, id: u32) -> Vec<Call> {
         let deadline = self.peers.now + 3_000_000;
-        let req = Req {
+        let req = ReceivedRequest {
             id: RequestId(id),
             class: 0,
             tenant: 0,
@@ -101,7 +101,7 @@
             group: 0,
             returning: false,
         };
-        self.happens(Happening::Asked(req))
+        self.happens(NetworkEvent::RequestReceived(req))
     }
 
     /// Lets time pass and brings the timers that are due.
@@ -114,7 +114,7 @@
                 Some((at, token)) => {
                     self.peers.timers.remove(0);
                     self.peers.now = at;
-                    calls.extend(self.happens(Happening::Woken(token)));
+                    calls.extend(self.happens(NetworkEvent::TimerFired(token)));
                 }
                 None => break,
             }
@@ -137,7 +137,7 @@
 fn a_failed_fetch_is_followed_by_one_at_another_server() {
     let mut rig = Rig::new(2);
     let first = fetched(&rig.asked(7));
-    let second = fetched(&rig.happens(Happening::FetchEnded(ID, Outcome::ConnectFailed)));
+    let second = fetched(&rig.happens(NetworkEvent::AttemptEnded(ID, Outcome::ConnectFailed)));
     assert_ne!(first, second);
 }
 
@@ -145,11 +145,11 @@
 fn an_end_that_was_told_already_changes_nothing() {
     let mut rig = Rig::new(3);
     rig.asked(7);
-    rig.happens(Happening::FetchEnded(ID, Outcome::ConnectFailed));
-    rig.happens(Happening::FetchEnded(ID, Outcome::ConnectFailed));
-    let last = rig.happens(Happening::FetchEnded(ID, Outcome::Full));
+    rig.happens(NetworkEvent::AttemptEnded(ID, Outcome::ConnectFailed));
+    rig.happens(NetworkEvent::AttemptEnded(ID, Outcome::ConnectFailed));
+    let last = rig.happens(NetworkEvent::AttemptEnded(ID, Outcome::Full));
     assert!(matches!(last[..], [Call::Refuse(ID, wait)] if wait > 0), "{last:?}");
-    assert_eq!(rig.happens(Happening::FetchEnded(ID, Outcome::Full)), []);
+    assert_eq!(rig.happens(NetworkEvent::AttemptEnded(ID, Outcome::Full)), []);
     assert_eq!(rig.driver.open_reqs(), 0);
 }
 
@@ -159,8 +159,8 @@
     for outcome in [Outcome::Ok, Outcome::Reset, Outcome::Cancelled] {
         let mut rig = Rig::new(3);
         rig.asked(7);
-        assert_eq!(rig.happens(Happening::Up(ID)), []);
-        assert_eq!(rig.happens(Happening::FetchEnded(ID, outcome)), [], "{outcome:?}");
+        assert_eq!(rig.happens(NetworkEvent::AttemptTaken(ID)), []);
+        assert_eq!(rig.happens(NetworkEvent::AttemptEnded(ID, outcome)), [], "{outcome:?}");
         assert_eq!(rig.driver.open_reqs(), 0);
         assert_eq!(rig.waits(4_000_000).iter().filter(|c| **c != Call::Watch).count(), 0);
     }
@@ -170,7 +170,7 @@
 fn a_timed_out_fetch_still_owes_the_answer() {
     let mut rig = Rig::new(1);
     rig.asked(7);
-    let calls = rig.happens(Happening::FetchEnded(ID, Outcome::TimedOut));
+    let calls = rig.happens(NetworkEvent::AttemptEnded(ID, Outcome::TimedOut));
     assert!(matches!(calls[..], [Call::Refuse(ID, wait)] if wait > 0), "{calls:?}");
 }
 
@@ -187,9 +187,9 @@
 fn a_client_that_left_gets_no_answer_and_is_forgotten_with_its_fetch() {
     let mut rig = Rig::new(2);
     rig.asked(7);
-    assert_eq!(rig.happens(Happening::ClientLeft(ID)), []);
+    assert_eq!(rig.happens(NetworkEvent::ClientLeft(ID)), []);
     assert_eq!(rig.driver.open_reqs(), 1);
-    assert_eq!(rig.happens(Happening::FetchEnded(ID, Outcome::Cancelled)), []);
+    assert_eq!(rig.happens(NetworkEvent::AttemptEnded(ID, Outcome::Cancelled)), []);
     assert_eq!(rig.driver.open_reqs(), 0);
 }
 
@@ -197,9 +197,9 @@
 fn clients_of_a_draining_server_are_moved_and_nobody_new_goes_there() {
     let mut rig = Rig::new(2);
     let server = fetched(&rig.asked(7));
-    rig.happens(Happening::Up(ID));
+    rig.happens(NetworkEvent::AttemptTaken(ID));
     let entries = vec![entry(server.0, Stage::Draining)];
-    let calls = rig.happens(Happening::Listed { full: false, cached: false, entries });
+    let calls = rig.happens(NetworkEvent::Listed { full: false, cached: false, entries });
     assert_eq!(calls, [Call::Move(ID)]);
     assert_eq!(rig.driver.open_reqs(), 0);
     for id in 8..20 {
@@ -211,22 +211,31 @@
 fn a_connection_from_before_the_start_is_moved_like_any_other() {
     let mut rig = Rig::new(2);
     let deadline = rig.peers.now + 3_000_000;
-    let req = Req { id: ID, class: 0, tenant: 0, key: 9, deadline, load: None, group: 0, returning: false };
-    assert_eq!(rig.happens(Happening::Carried(req, ServerId(1))), []);
+    let req = ReceivedRequest {
+        id: ID,
+        class: 0,
+        tenant: 0,
+        key: 9,
+        deadline,
+        load: None,
+        group: 0,
+        returning: false,
+    };
+    assert_eq!(rig.happens(NetworkEvent::Carried(req, ServerId(1))), []);
     // It stands: its deadline binds no more.
     assert_eq!(rig.waits(5_000_000).iter().filter(|c| **c != Call::Watch).count(), 0);
     let entries = vec![entry(1, Stage::Draining)];
-    assert_eq!(rig.happens(Happening::Listed { full: false, cached: false, entries }), [Call::Move(ID)]);
+    assert_eq!(rig.happens(NetworkEvent::Listed { full: false, cached: false, entries }), [Call::Move(ID)]);
 }
 
 #[test]
 fn slow_messages_move_clients_away() {
     let mut rig = Rig::new(2);
     let server = fetched(&rig.asked(7));
-    rig.happens(Happening::Up(ID));
-    let before: Vec<Call> = rig.happens(Happening::Delay(server, 17_000));
+    rig.happens(NetworkEvent::AttemptTaken(ID));
+    let before: Vec<Call> = rig.happens(NetworkEvent::Delay(server, 17_000));
     assert_eq!(before, []);
-    let calls: Vec<Call> = (0..20).flat_map(|_| rig.happens(Happening::Delay(server, 900_000))).collect();
+    let calls: Vec<Call> = (0..20).flat_map(|_| rig.happens(NetworkEvent::Delay(server, 900_000))).collect();
     assert_eq!(calls, [Call::Move(ID)]);
 }
 
@@ -236,7 +245,7 @@
     let mut rig = Rig::new(0);
     assert_eq!(rig.waits(3_000_000), [Call::Watch]);
     for _ in 0..8 {
-        assert_eq!(rig.happens(Happening::DirectorFailed), []);
+        assert_eq!(rig.happens(NetworkEvent::DiscoveryFailed), []);
         assert_eq!(rig.waits(3_000_000), [Call::Watch]);
     }
 }
--- a/crates/lab/src/instances/mod.rs
+++ b/crates/lab/src/instances/mod.rs
@@ -12,7 +12,7 @@
 use std::sync::{Arc, RwLock};
 
 use shorewharf_decisions::interface::{ListEntry, Settings};
-use shorewharf_driver::{Driver, Happening, micros, seconds};
+use shorewharf_driver::{Driver, NetworkEvent, micros, seconds};
 use shorewharf_emulator::Micros;
 use shorewharf_emulator::day::Day;
 use shorewharf_emulator::edge::{BalancerId, FromBalancer, ToBalancer};
@@ -251,7 +251,7 @@
         let time = Board::time(now);
         if time >= self.next {
             self.next = time + 1;
-            peers.tell(Happening::Elsewhere(self.board.exchange(time, self.id, driver.gate().holds())));
+            peers.tell(NetworkEvent::Elsewhere(self.board.exchange(time, self.id, driver.gate().holds())));
         }
     }
 }
--- a/crates/lab/src/instances/oracle.rs
+++ b/crates/lab/src/instances/oracle.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, PoisonError, RwLock};
 
 use shorewharf_decisions::interface::{ListEntry, Outcome, RequestId, ServerId, Settings, Stage};
-use shorewharf_driver::{Happening, Micros, Peers};
+use shorewharf_driver::{Effects, Micros, NetworkEvent};
 use shorewharf_emulator::virtual_time::Truth;
 
 use super::Emulated;
@@ -106,14 +106,14 @@
         }
     }
 
-    fn happened(&mut self, happening: Happening, peers: &mut Emulated) {
+    fn happened(&mut self, happening: NetworkEvent, peers: &mut Emulated) {
         match happening {
-            Happening::Listed { full, entries, .. } => self.listed(full, &entries),
-            Happening::DirectorFailed => peers.wake(WATCH_AGAIN, WATCH),
-            Happening::Woken(RELIEVE) => self.relieve(peers),
-            Happening::Woken(LOOK) => self.look(peers),
-            Happening::Woken(_) => peers.watch(),
-            Happening::Asked(req) => {
+            NetworkEvent::Listed { full, entries, .. } => self.listed(full, &entries),
+            NetworkEvent::DiscoveryFailed => peers.wake(WATCH_AGAIN, WATCH),
+            NetworkEvent::TimerFired(RELIEVE) => self.relieve(peers),
+            NetworkEvent::TimerFired(LOOK) => self.look(peers),
+            NetworkEvent::TimerFired(_) => peers.watch(),
+            NetworkEvent::RequestReceived(req) => {
                 let held = Held {
                     deadline: req.deadline,
                     attempts: 0,
@@ -126,7 +126,7 @@
                 self.held.insert(req.id, held);
                 self.try_it(req.id, peers);
             }
-            Happening::Carried(req, server) => {
+            NetworkEvent::Carried(req, server) => {
                 let held = Held {
                     deadline: 0,
                     attempts: 1,
@@ -138,20 +138,20 @@
                 };
                 self.held.insert(req.id, held);
             }
-            Happening::Up(id) => {
+            NetworkEvent::AttemptTaken(id) => {
                 if let Some(h) = self.held.get_mut(&id) {
                     (h.out, h.on) = (false, h.tried);
                 }
             }
-            Happening::Load(id, load) => {
+            NetworkEvent::Load(id, load) => {
                 if let Some(h) = self.held.get_mut(&id) {
                     h.load = load;
                 }
             }
-            Happening::ClientLeft(id) => {
+            NetworkEvent::ClientLeft(id) => {
                 self.held.remove(&id);
             }
-            Happening::FetchEnded(id, outcome) => {
+            NetworkEvent::AttemptEnded(id, outcome) => {
                 let again = self.held.get_mut(&id).is_some_and(|h| {
                     h.out = false;
                     h.on.is_none() && outcome != Outcome::Cancelled
@@ -162,7 +162,7 @@
                     self.held.remove(&id);
                 }
             }
-            Happening::Delay(..) | Happening::Probed(..) | Happening::Elsewhere(_) => {}
+            NetworkEvent::Delay(..) | NetworkEvent::Probed(..) | NetworkEvent::Elsewhere(_) => {}
         }
     }
 
@@ -187,7 +187,7 @@
         if let Some(h) = self.held.get_mut(&id) {
             (h.attempts, h.tried, h.out) = (h.attempts + 1, Some(server), true);
         }
-        peers.fetch(id, server, left);
+        peers.begin_attempt(id, server, left);
     }
 
     fn look(&mut self, peers: &mut Emulated) {
--- a/crates/lab/src/instances/peers.rs
+++ b/crates/lab/src/instances/peers.rs
@@ -7,7 +7,7 @@
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 
 use shorewharf_decisions::interface::{ListEntry, Outcome, RequestId, ServerId, Stage};
-use shorewharf_driver::{Happening, Micros, Peers, Req};
+use shorewharf_driver::{Effects, Micros, NetworkEvent, ReceivedRequest};
 use shorewharf_emulator::edge::*;
 use shorewharf_emulator::virtual_time::Truth;
 
@@ -50,7 +50,7 @@
 struct Session {
     conn: ConnId,
     at: At,
-    req: Req,
+    req: ReceivedRequest,
     home: Option<ServerId>,
     until: Micros,
     /// A line of the client's has gone unanswered since then.
@@ -79,7 +79,7 @@
     places: Places,
     connect_timeout: Micros,
     now: Micros,
-    happenings: VecDeque<Happening>,
+    happenings: VecDeque<NetworkEvent>,
     timers: BinaryHeap<Reverse<(Micros, u64, Due)>>,
     serial: u64,
     /// Numbers of links go on over all lives.
@@ -159,7 +159,7 @@
             }
             self.timers.pop();
             match due {
-                Due::Module(token) => self.tell(Happening::Woken(token)),
+                Due::Module(token) => self.tell(NetworkEvent::TimerFired(token)),
                 Due::Connect(id, link) => {
                     if self.fetch_on(id, link).is_some_and(|f| !f.up_line) {
                         self.fetch_over(id, Outcome::ConnectFailed);
@@ -192,11 +192,11 @@
             ToBalancer::NodeEnded(link, end) => self.node_ended(*link, *end),
             ToBalancer::List { full, entries } => {
                 let entries = self.listed(*full, entries);
-                self.tell(Happening::Listed { full: *full, cached: false, entries });
+                self.tell(NetworkEvent::Listed { full: *full, cached: false, entries });
             }
             ToBalancer::ListFailed => {
                 self.watching = false;
-                self.tell(Happening::DirectorFailed);
+                self.tell(NetworkEvent::DiscoveryFailed);
             }
             // Guards against an old list: the watch at the address before may live on and tell nothing.
             ToBalancer::Reload { moved: true } if self.watching => {
@@ -224,7 +224,7 @@
         told
     }
 
-    pub(super) fn tell(&mut self, happening: Happening) {
+    pub(super) fn tell(&mut self, happening: NetworkEvent) {
         self.happenings.push_back(happening);
     }
 
@@ -240,7 +240,7 @@
     fn asked(&mut self, ask: &Ask, left: Micros) {
         let id = RequestId(self.next_id);
         self.next_id = self.next_id.wrapping_add(1);
-        let req = Req {
+        let req = ReceivedRequest {
             id,
             class: ask.class as usize,
             tenant: ask.tenant as usize,
@@ -261,7 +261,7 @@
         self.at(until + OVERDUE, Due::Overdue(id));
         match home {
             Some(server) => self.fetch_begins(id, server, CARRY),
-            None => self.tell(Happening::Asked(req)),
+            None => self.tell(NetworkEvent::RequestReceived(req)),
         }
     }
 
@@ -294,7 +294,9 @@
     }
 
     fn fetch_ended(&mut self, id: RequestId, outcome: Outcome) {
-        let Some(s) = self.sessions.get(&id) else { return self.tell(Happening::FetchEnded(id, outcome)) };
+        let Some(s) = self.sessions.get(&id) else {
+            return self.tell(NetworkEvent::AttemptEnded(id, outcome));
+        };
         if s.home.is_some() && s.at == At::Waiting {
             // Not told of: the module does not know it yet. Tried again while that is harmless.
             if outcome.never_ran() {
@@ -303,7 +305,7 @@
                 self.answer(id, Answer::Err);
             }
         } else {
-            self.tell(Happening::FetchEnded(id, outcome));
+            self.tell(NetworkEvent::AttemptEnded(id, outcome));
         }
     }
 
@@ -375,8 +377,8 @@
         let server = f.server;
         if s.at == At::Open {
             match word {
-                NodeWord::Load(load) => self.tell(Happening::Load(id, load / 1e6)),
-                NodeWord::Delay(ms) => self.tell(Happening::Delay(server, (ms * 1e3) as Micros)),
+                NodeWord::Load(load) => self.tell(NetworkEvent::Load(id, load / 1e6)),
+                NodeWord::Delay(ms) => self.tell(NetworkEvent::Delay(server, (ms * 1e3) as Micros)),
                 NodeWord::Bye | NodeWord::Move => {}
                 _ => s.asked = None,
             }
@@ -401,7 +403,7 @@
         let (conn, req, carried) = (s.conn, s.req, s.home.is_some());
         self.hear(server, self.now, id);
         self.did.push(FromBalancer::Answer(conn, Answer::Up(link)));
-        self.tell(if carried { Happening::Carried(req, server) } else { Happening::Up(id) });
+        self.tell(if carried { NetworkEvent::Carried(req, server) } else { NetworkEvent::AttemptTaken(id) });
     }
 
     fn hear(&mut self, server: ServerId, now: Micros, id: RequestId) {
@@ -467,7 +469,7 @@
     fn client_ended(&mut self, conn: ConnId) {
         let Some(&id) = self.by_conn.get(&conn) else { return };
         if self.sessions.get(&id).is_some_and(|s| s.at == At::Waiting) {
-            self.tell(Happening::ClientLeft(id));
+            self.tell(NetworkEvent::ClientLeft(id));
         }
         self.fetch_over(id, Outcome::Cancelled);
         self.forget(id);
@@ -475,7 +477,7 @@
 
     fn overdue(&mut self, id: RequestId) {
         if self.sessions.get(&id).is_some_and(|s| s.at == At::Waiting) {
-            self.tell(Happening::ClientLeft(id));
+            self.tell(NetworkEvent::ClientLeft(id));
             self.fetch_over(id, Outcome::TimedOut);
             self.answer(id, Answer::Busy(COME_BACK));
         }
@@ -501,25 +503,25 @@
     fn probe_over(&mut self, link: LinkId, outcome: Outcome) {
         if let Some(server) = self.probes.remove(&link) {
             self.did.push(FromBalancer::EndLink(link, End::Fin));
-            self.tell(Happening::Probed(server, outcome));
+            self.tell(NetworkEvent::Probed(server, outcome));
         }
     }
 }
 
-impl Peers for Emulated {
+impl Effects for Emulated {
     fn now(&self) -> Micros {
         self.places.clock(self.now)
     }
 
-    fn next(&mut self) -> Option<Happening> {
+    fn next(&mut self) -> Option<NetworkEvent> {
         self.happenings.pop_front()
     }
 
-    fn fetch(&mut self, req: RequestId, server: ServerId, patience: Micros) {
+    fn begin_attempt(&mut self, req: RequestId, server: ServerId, patience: Micros) {
         self.fetch_begins(req, server, patience);
     }
 
-    fn call_off(&mut self, req: RequestId) {
+    fn cancel_attempt(&mut self, req: RequestId) {
         self.fetch_over(req, Outcome::Cancelled);
     }
 
@@ -540,7 +542,7 @@
 
     fn probe(&mut self, server: ServerId) {
         let Some(node) = self.places.node(server) else {
-            return self.tell(Happening::Probed(server, Outcome::ConnectFailed));
+            return self.tell(NetworkEvent::Probed(server, Outcome::ConnectFailed));
         };
         let link = LinkId(self.next_link);
         self.next_link += 1;
--- a/crates/lab/src/instances/peers/leaving.rs
+++ b/crates/lab/src/instances/peers/leaving.rs
@@ -2,7 +2,7 @@
 //! moved evenly, and who still waits is refused.
 
 use shorewharf_decisions::interface::{Outcome, RequestId};
-use shorewharf_driver::{Happening, Micros, Peers};
+use shorewharf_driver::{Effects, Micros, NetworkEvent};
 use shorewharf_emulator::edge::{Answer, FromBalancer};
 
 use super::{At, COME_BACK, Due, Emulated, SWEEP};
@@ -28,7 +28,7 @@
         ids.sort_unstable_by_key(|(id, _)| *id);
         if since >= answers {
             for &(id, _) in ids.iter().filter(|(_, at)| *at == At::Waiting) {
-                self.tell(Happening::ClientLeft(id));
+                self.tell(NetworkEvent::ClientLeft(id));
                 self.fetch_over(id, Outcome::Cancelled);
                 self.answer(id, Answer::Busy(COME_BACK));
             }
--- a/crates/lab/src/instances/policies.rs
+++ b/crates/lab/src/instances/policies.rs
@@ -7,7 +7,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use shorewharf_decisions::interface::{ListEntry, Outcome, RequestId, ServerId, Settings, Stage};
-use shorewharf_driver::{Happening, Micros, Peers};
+use shorewharf_driver::{Effects, Micros, NetworkEvent};
 
 use super::Emulated;
 
@@ -90,29 +90,29 @@
         }
     }
 
-    fn happened(&mut self, happening: Happening, peers: &mut Emulated) {
+    fn happened(&mut self, happening: NetworkEvent, peers: &mut Emulated) {
         match happening {
-            Happening::Listed { full, entries, .. } => self.listed(full, &entries),
-            Happening::DirectorFailed => peers.wake(WATCH_AGAIN, WATCH),
-            Happening::Woken(_) => peers.watch(),
-            Happening::Asked(req) => {
+            NetworkEvent::Listed { full, entries, .. } => self.listed(full, &entries),
+            NetworkEvent::DiscoveryFailed => peers.wake(WATCH_AGAIN, WATCH),
+            NetworkEvent::TimerFired(_) => peers.watch(),
+            NetworkEvent::RequestReceived(req) => {
                 let waiting = Waiting { deadline: req.deadline, attempts: 0, last: None, stands: false };
                 self.reqs.insert(req.id, waiting);
                 self.try_it(req.id, peers);
             }
-            Happening::Carried(req, server) => {
+            NetworkEvent::Carried(req, server) => {
                 let waiting = Waiting { deadline: 0, attempts: 1, last: Some(server), stands: true };
                 self.reqs.insert(req.id, waiting);
                 *self.held.entry(server).or_default() += 1;
             }
-            Happening::Up(id) => {
+            NetworkEvent::AttemptTaken(id) => {
                 self.reqs.entry(id).and_modify(|w| w.stands = true);
             }
-            Happening::ClientLeft(id) => {
+            NetworkEvent::ClientLeft(id) => {
                 let on = self.reqs.remove(&id).and_then(|w| w.last);
                 self.no_longer(on);
             }
-            Happening::FetchEnded(id, outcome) => {
+            NetworkEvent::AttemptEnded(id, outcome) => {
                 self.no_longer(self.reqs.get(&id).and_then(|w| w.last));
                 let again = self.reqs.get(&id).is_some_and(|w| !w.stands && outcome != Outcome::Cancelled);
                 if again {
@@ -121,7 +121,10 @@
                     self.reqs.remove(&id);
                 }
             }
-            Happening::Load(..) | Happening::Delay(..) | Happening::Probed(..) | Happening::Elsewhere(_) => {}
+            NetworkEvent::Load(..)
+            | NetworkEvent::Delay(..)
+            | NetworkEvent::Probed(..)
+            | NetworkEvent::Elsewhere(_) => {}
         }
     }
 
@@ -139,7 +142,7 @@
             w.last = Some(server);
         }
         *self.held.entry(server).or_default() += 1;
-        peers.fetch(id, server, left);
+        peers.begin_attempt(id, server, left);
     }
 
     fn no_longer(&mut self, server: Option<ServerId>) {
