--- a/crates/balancer/benches/parts.rs
+++ b/crates/balancer/benches/parts.rs
@@ -7,9 +7,9 @@
 
 use criterion::{BatchSize, Criterion, Throughput};
 use serde_json::json;
-use shorewharf::net::backends::Backends;
 use shorewharf::net::incoming::Incoming;
 use shorewharf::net::reader::{Part, Reader};
+use shorewharf::net::server_table::ServerTable;
 use shorewharf::net::timers::Timers;
 use shorewharf_emulator::standin::endpoint;
 use shorewharf_protocol::line::{Front, front};
@@ -105,11 +105,11 @@
         });
     });
     group.throughput(Throughput::Elements(10_000));
-    let mut backends = Backends::default();
-    backends.take(Incoming::of(&whole, &names, most), most, |_| false);
+    let mut servers = ServerTable::default();
+    servers.take(Incoming::of(&whole, &names, most), most, |_| false);
     group.bench_function("take-whole-10000", |b| {
         let list = || Incoming::of(&whole, &names, most);
-        b.iter_batched(list, |list| backends.take(list, most, |_| false), BatchSize::LargeInput);
+        b.iter_batched(list, |list| servers.take(list, most, |_| false), BatchSize::LargeInput);
     });
     group.throughput(Throughput::Elements(1));
     let changes = ["Terminating", "Ready"].map(|status| {
@@ -122,7 +122,7 @@
         b.iter(|| {
             next += 1;
             let list = Incoming::of(&changes[next % 2], &names, most);
-            backends.take(list, most, |_| false)
+            servers.take(list, most, |_| false)
         });
     });
     group.finish();
--- a/crates/balancer/src/net/budget.rs
+++ b/crates/balancer/src/net/budget.rs
@@ -13,7 +13,7 @@
 /// The connections that are held.
 #[derive(Clone, Copy, Debug)]
 pub struct Held {
-    /// All of them: clients', fetches and probes.
+    /// All of them: clients', attempts and probes.
     pub all: usize,
     /// Of these, those that ask for nothing.
     pub unserved: usize,
--- a/crates/balancer/src/net/handover/overlap.rs
+++ b/crates/balancer/src/net/handover/overlap.rs
@@ -285,7 +285,7 @@
 
     /// The list as it stands, in discovery's form.
     fn listing(&self) -> Listing {
-        let endpoints = self.serving.backends.endpoints(&self.serving.terms.names);
+        let endpoints = self.serving.servers.endpoints(&self.serving.terms.names);
         Listing { index: self.director.index(), snapshot: true, endpoints }
     }
 }
--- a/crates/balancer/src/net/hub.rs
+++ b/crates/balancer/src/net/hub.rs
@@ -133,7 +133,7 @@
         net.turn.after(DELAY_PERIOD, Due::Delays);
         for (server, out) in at.taken_out {
             // Before anything is listed: the first list is told as it stands with them out.
-            net.serving.backends.change(Change::Out(server, out));
+            net.serving.servers.change(Change::Out(server, out));
         }
         net.looks_into_folder();
         // What the old process holds is taken off the limit from the start.
@@ -146,7 +146,7 @@
         self.director.knows(known.index);
         let terms = &self.serving.terms;
         let known = Incoming::of(known, &terms.names, terms.most_servers);
-        self.serving.backends.take_quietly(known, terms.most_servers)
+        self.serving.servers.take_quietly(known, terms.most_servers)
     }
 
     /// A turn begins at this time; time never goes back.
@@ -166,8 +166,8 @@
     pub fn seen(&mut self, owner: Owner, ready: Ready) {
         let turn = &mut self.turn;
         match owner {
-            Owner::Session(id) => self.serving.session_ready(turn, id, ready),
-            Owner::Fetch(id) => self.serving.fetch_ready(turn, id, ready),
+            Owner::Session(id) => self.serving.on_session_ready(turn, id, ready),
+            Owner::Attempt(id) => self.serving.on_attempt_ready(turn, id, ready),
             Owner::Probe(number) => self.serving.probes.ready(turn, number, ready),
             Owner::Director => {
                 let news = self.director.ready(turn, &self.serving.terms, ready);
@@ -222,8 +222,8 @@
         let turn = &mut self.turn;
         match due {
             Due::Module(token) => turn.emit(NetworkEvent::TimerFired(token)),
-            Due::Session(id) => self.serving.session_alarmed(turn, id),
-            Due::Fetch(id) => self.serving.fetch_alarmed(turn, id),
+            Due::Session(id) => self.serving.on_session_timer(turn, id),
+            Due::Attempt(id) => self.serving.on_attempt_timer(turn, id),
             Due::Dial(id) => self.serving.dial_again(turn, id),
             Due::Probe(number) => self.serving.probes.alarmed(turn, number),
             Due::Director => {
@@ -459,7 +459,7 @@
     }
 
     fn check_on(&mut self, server: ServerId, other: Option<usize>) {
-        let address = self.serving.backends.address(server).filter(|_| self.serving.has_room());
+        let address = self.serving.servers.address(server).filter(|_| self.serving.has_room());
         self.serving.probes.begin(&mut self.turn, server, address, other);
     }
 
@@ -527,11 +527,11 @@
     }
 
     fn begin_attempt(&mut self, req: RequestId, server: ServerId, patience: Micros) {
-        self.serving.fetch(&mut self.turn, req, server, patience);
+        self.serving.begin_attempt(&mut self.turn, req, server, patience);
     }
 
     fn cancel_attempt(&mut self, req: RequestId) {
-        self.serving.fetch_over(&mut self.turn, req, Outcome::Cancelled);
+        self.serving.end_attempt(&mut self.turn, req, Outcome::Cancelled);
     }
 
     fn refuse(&mut self, req: RequestId, after: Micros) {
--- a/crates/balancer/src/net/keeping.rs
+++ b/crates/balancer/src/net/keeping.rs
@@ -183,7 +183,7 @@
         self.at = match at {
             At::Servers(behind) => {
                 let terms = &net.serving.terms;
-                let some = net.serving.backends.some_endpoints(&terms.names, behind, SERVERS);
+                let some = net.serving.servers.some_endpoints(&terms.names, behind, SERVERS);
                 let (read, last) = (some.len(), some.last().map(|(id, _)| *id));
                 lines.extend(some.into_iter().filter_map(|(_, endpoint)| endpoint.map(Line::Endpoint)));
                 Some(if read < SERVERS { At::Known(Cursor::default()) } else { At::Servers(last) })
--- a/crates/balancer/src/net/mod.rs
+++ b/crates/balancer/src/net/mod.rs
@@ -32,7 +32,7 @@
 
 pub use list::{incoming, reader};
 pub use operators::door::CALLERS;
-pub use servers::backends;
+pub use servers::server_table;
 pub use workers::{Failure, run};
 
 /// The program's clock: whole microseconds, moved on by the monotonic clock alone. It is set by Unix time
--- a/crates/balancer/src/net/operators/desk.rs
+++ b/crates/balancer/src/net/operators/desk.rs
@@ -101,8 +101,8 @@
 
     fn take_out(&mut self, name: String) -> Answer {
         let server = server_id(&name);
-        let backends = &self.serving.backends;
-        match (backends.taken_out().is_out(server), backends.is_known(server, &name)) {
+        let servers = &self.serving.servers;
+        match (servers.taken_out().is_out(server), servers.is_known(server, &name)) {
             // Kept again: it may not have been the first time.
             (true, _) => {}
             (false, false) => return Answer::No(Refusal::NoSuchServer(name)),
@@ -124,8 +124,8 @@
 
     fn put_back(&mut self, name: String) -> Answer {
         let server = server_id(&name);
-        let backends = &self.serving.backends;
-        if !backends.taken_out().is_out(server) && !backends.is_known(server, &name) {
+        let servers = &self.serving.servers;
+        if !servers.taken_out().is_out(server) && !servers.is_known(server, &name) {
             return Answer::No(Refusal::NoSuchServer(name));
         }
         // The file first: as long as it is there it would be taken out again.
@@ -143,13 +143,13 @@
         let name = match &change {
             Change::Out(_, out) => out.name.clone(),
             Change::Back(server, _) => {
-                let out = self.serving.backends.taken_out().all().get(server);
+                let out = self.serving.servers.taken_out().all().get(server);
                 out.map_or_else(Default::default, |out| out.name.clone())
             }
         };
         match &change {
             Change::Out(..) => info!(event = "server-taken-out", server = %name, by),
-            Change::Back(server, _) if self.serving.backends.taken_out().is_out(*server) => {
+            Change::Back(server, _) if self.serving.servers.taken_out().is_out(*server) => {
                 info!(event = "server-put-back", server = %name, by);
             }
             Change::Back(..) => {}
@@ -161,14 +161,14 @@
     /// Something was changed by hand: the module hears of it as of a change of the list, which is no news of
     /// discovery's.
     pub fn changes(&mut self, change: Change) {
-        if let Some(entry) = self.serving.backends.change(change) {
+        if let Some(entry) = self.serving.servers.change(change) {
             self.turn.emit(NetworkEvent::Listed { full: false, cached: true, entries: vec![entry] });
         }
     }
 
     /// Looks for what other processes of this balancer have changed.
     pub fn looks_into_folder(&mut self) {
-        let known = self.serving.backends.taken_out().all().clone();
+        let known = self.serving.servers.taken_out().all().clone();
         let Some(desk) = &mut self.desk else { return };
         let Some(folder) = &mut desk.folder else { return };
         self.turn.after(LOOK, Due::Folder);
@@ -199,8 +199,8 @@
             .into_iter()
             .map(|(name, at)| (name.clone(), sums.replies.get(*at).copied().unwrap_or_default()))
             .collect();
-        let backends = &self.serving.backends;
-        let (targets, targets_disabled) = (backends.listed(), backends.listed_of(avoided));
+        let servers = &self.serving.servers;
+        let (targets, targets_disabled) = (servers.listed(), servers.listed_of(avoided));
         let (dispatches, concurrent) = (sums.dispatches, sums.concurrent);
         Figures { replies, dispatches, concurrent, targets, targets_disabled }
     }
--- a/crates/balancer/src/net/poll.rs
+++ b/crates/balancer/src/net/poll.rs
@@ -22,8 +22,8 @@
 pub enum Owner {
     /// A client session.
     Session(RequestId),
-    /// The fetch for a req.
-    Fetch(RequestId),
+    /// The attempt for a req.
+    Attempt(RequestId),
     /// The probe of this number.
     Probe(u64),
     /// The director's watch.
@@ -63,7 +63,7 @@
     fn token(self) -> Token {
         let (kind, number) = match self {
             Owner::Session(id) => (0, u64::from(id.0)),
-            Owner::Fetch(id) => (1, u64::from(id.0)),
+            Owner::Attempt(id) => (1, u64::from(id.0)),
             Owner::Probe(number) => (2, number),
             Owner::Director => (3, 0),
             Owner::Listener => (4, 0),
@@ -84,7 +84,7 @@
         let number = token.0 as u64 & ((1 << KIND) - 1);
         match token.0 as u64 >> KIND {
             0 => Owner::Session(RequestId(number as u32)),
-            1 => Owner::Fetch(RequestId(number as u32)),
+            1 => Owner::Attempt(RequestId(number as u32)),
             2 => Owner::Probe(number),
             3 => Owner::Director,
             4 => Owner::Listener,
--- a/crates/balancer/src/net/poll/tests.rs
+++ b/crates/balancer/src/net/poll/tests.rs
@@ -7,7 +7,7 @@
     let id = RequestId(u32::MAX);
     for owner in [
         Owner::Session(id),
-        Owner::Fetch(id),
+        Owner::Attempt(id),
         Owner::Probe(1 << 40),
         Owner::Director,
         Owner::Listener,
--- a/crates/balancer/src/net/relay.rs
+++ b/crates/balancer/src/net/relay.rs
@@ -1,11 +1,11 @@
-//! What passes between a client session and its fetch once they stand: whole lines, both ways, and ends.
+//! What passes between a client session and its attempt once they stand: whole lines, both ways, and ends.
 
 use shorewharf_decisions::interface::{Outcome, RequestId};
 use shorewharf_driver::Micros;
 
 use super::clients::session::{Session, Stage};
 use super::link::End;
-use super::servers::fetches::Fetch;
+use super::servers::attempts::Attempt;
 use super::turn::Turn;
 
 /// Rounds of carrying lines for one connection before the others get their turn.
@@ -23,7 +23,7 @@
 }
 
 /// Passes lines on, both ways, as far as they go now.
-pub fn relay(turn: &Turn, id: RequestId, s: &mut Session, f: &mut Fetch) -> Relayed {
+pub fn relay(turn: &Turn, id: RequestId, s: &mut Session, f: &mut Attempt) -> Relayed {
     let mut relayed = Relayed::default();
     for round in 0.. {
         let (mut went, looked) = s.take_in(turn.now, &turn.pool);
@@ -63,7 +63,7 @@
 }
 
 /// Passes on the end of either side, as far as the lines before it have gone.
-pub fn ends(now: Micros, s: &mut Session, f: &mut Fetch) -> Fate {
+pub fn ends(now: Micros, s: &mut Session, f: &mut Attempt) -> Fate {
     // A server that ends without a word because its client has left is no server that drops clients:
     // read as a reset it would be locked, and its other clients would be spread over the rest.
     // Servers close on what they can't read: an end in good order with a client's line unanswered says as
--- a/crates/balancer/src/net/servers/fetches.rs
+++ b/crates/balancer/src/net/servers/attempts.rs
@@ -1,4 +1,4 @@
-//! Fetches: attempts at servers, and the standing connections that they become.
+//! Attempts: attempts at servers, and the standing connections that they become.
 
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -15,13 +15,13 @@
 use crate::net::pool::Pool;
 use crate::net::turn::{Alarm, Due, Turn};
 
-/// How far a fetch has come.
+/// How far a attempt has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stage {
     /// Its connection is not up yet.
     Connecting,
     /// The first line is out, or on its way; the answer is awaited.
-    Asked,
+    Sent,
     /// The server has taken the client.
     Up,
 }
@@ -47,9 +47,9 @@
     TooLong,
 }
 
-/// Why a fetch could not begin.
+/// Why a attempt could not begin.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Hindrance {
+pub enum DialError {
     /// Descriptors have run out.
     Shortage,
     /// The loop takes no more connections.
@@ -60,17 +60,17 @@
     Refused,
 }
 
-fn hindrance_of(error: &std::io::Error) -> Hindrance {
+fn dial_error_of(error: &std::io::Error) -> DialError {
     if is_shortage(error) {
-        Hindrance::Shortage
+        DialError::Shortage
     } else if is_local_failure(error) {
-        Hindrance::Local
+        DialError::Local
     } else {
-        Hindrance::Refused
+        DialError::Refused
     }
 }
 
-/// What a server has said last, whatever the connection: to one, and before that to another. Shared by its fetches.
+/// What a server has said last, whatever the connection: to one, and before that to another. Shared by its attempts.
 #[derive(Debug, Default)]
 struct Voice {
     last: Cell<Option<(Micros, RequestId)>>,
@@ -93,9 +93,9 @@
     }
 }
 
-/// A fetch: one attempt at a server, and the standing connection that it becomes.
+/// A attempt: one attempt at a server, and the standing connection that it becomes.
 #[derive(Debug)]
-pub struct Fetch {
+pub struct Attempt {
     /// The connection itself.
     pub link: Link,
     server: ServerId,
@@ -112,7 +112,7 @@
     dispatched: bool,
 }
 
-impl Fetch {
+impl Attempt {
     /// The server that it goes to.
     pub fn server(&self) -> ServerId {
         self.server
@@ -130,13 +130,13 @@
 
     /// Writes the first line on a connection that has come up, with what is left of the time as its `d`.
     pub fn ask(&mut self, now: Micros, pool: &Pool, line: &[u8]) {
-        self.stage = Stage::Asked;
+        self.stage = Stage::Sent;
         self.link.say(pool, &with_patience(line, self.until.saturating_sub(now)));
     }
 
     /// Whether the last byte of the first line has gone out, which is told once.
     pub fn is_dispatched(&mut self) -> bool {
-        !self.dispatched && self.stage == Stage::Asked && {
+        !self.dispatched && self.stage == Stage::Sent && {
             self.dispatched = self.link.flush();
             self.dispatched
         }
@@ -181,7 +181,7 @@
     fn due(&self, judges_from: Micros) -> Option<Micros> {
         match self.stage {
             Stage::Connecting => Some(self.connected_by.max(judges_from).min(self.until)),
-            Stage::Asked => Some(self.until),
+            Stage::Sent => Some(self.until),
             Stage::Up => None,
         }
     }
@@ -192,7 +192,7 @@
             // What was never written has never run; what was may have.
             Stage::Connecting if now >= self.connected_by.max(judges_from) => Some(Outcome::ConnectFailed),
             Stage::Connecting if now >= self.until => Some(Outcome::NotSent),
-            Stage::Asked if now >= self.until => Some(Outcome::TimedOut),
+            Stage::Sent if now >= self.until => Some(Outcome::TimedOut),
             _ => None,
         }
     }
@@ -249,18 +249,18 @@
     }
 }
 
-/// The table of fetches, by req: a req has one at most. A timer of one that is over does not end the next: it is
+/// The table of attempts, by req: a req has one at most. A timer of one that is over does not end the next: it is
 /// taken back.
 #[derive(Debug, Default)]
-pub struct Fetches {
+pub struct Attempts {
     /// Boxed: the table of a large fleet has room for more than it holds.
-    table: FxHashMap<RequestId, Box<Fetch>>,
+    table: FxHashMap<RequestId, Box<Attempt>>,
     /// By server, for as long as it has any.
     voices: FxHashMap<ServerId, Rc<Voice>>,
 }
 
-impl Fetches {
-    /// Begins a fetch, which may take as long as `patience`; none may be out for this req.
+impl Attempts {
+    /// Begins a attempt, which may take as long as `patience`; none may be out for this req.
     pub fn begin(
         &mut self,
         turn: &mut Turn,
@@ -268,91 +268,91 @@
         (server, address): (ServerId, SocketAddr),
         patience: Micros,
         connect_timeout: Micros,
-    ) -> Result<(), Hindrance> {
-        let mut link = Link::connect(address).map_err(|e| hindrance_of(&e))?;
-        if !turn.poller.watch(&mut link, Owner::Fetch(id)) {
-            return Err(Hindrance::Unwatched);
+    ) -> Result<(), DialError> {
+        let mut link = Link::connect(address).map_err(|e| dial_error_of(&e))?;
+        if !turn.poller.watch(&mut link, Owner::Attempt(id)) {
+            return Err(DialError::Unwatched);
         }
         // A client that leaves less time than a connect may take must not get its server locked.
         let connected_by = if connect_timeout <= patience { turn.now + connect_timeout } else { Micros::MAX };
         let (stage, last, until) = (Stage::Connecting, LastWord::Other, turn.now.saturating_add(patience));
         let voice = Rc::clone(self.voices.entry(server).or_default());
         let (alarm, answered, dispatched) = (Alarm::default(), None, false);
-        let fetch =
-            Fetch { link, server, voice, stage, connected_by, until, last, alarm, answered, dispatched };
-        self.table.insert(id, Box::new(fetch));
+        let attempt =
+            Attempt { link, server, voice, stage, connected_by, until, last, alarm, answered, dispatched };
+        self.table.insert(id, Box::new(attempt));
         self.arm(turn, id);
         Ok(())
     }
 
-    /// Takes in a fetch that stands, from another process of this balancer; false where it can't be watched.
+    /// Takes in a attempt that stands, from another process of this balancer; false where it can't be watched.
     pub fn adopt(&mut self, turn: &mut Turn, id: RequestId, server: ServerId, mut link: Link) -> bool {
-        if !turn.poller.watch(&mut link, Owner::Fetch(id)) {
+        if !turn.poller.watch(&mut link, Owner::Attempt(id)) {
             return false;
         }
         let voice = Rc::clone(self.voices.entry(server).or_default());
         let (stage, last, connected_by, until) = (Stage::Up, LastWord::Other, turn.now, turn.now);
         let (alarm, answered, dispatched) = (Alarm::default(), None, true);
-        let fetch =
-            Fetch { link, server, voice, stage, connected_by, until, last, alarm, answered, dispatched };
-        self.table.insert(id, Box::new(fetch));
+        let attempt =
+            Attempt { link, server, voice, stage, connected_by, until, last, alarm, answered, dispatched };
+        self.table.insert(id, Box::new(attempt));
         true
     }
 
-    /// A req's fetch.
-    pub fn get(&self, id: RequestId) -> Option<&Fetch> {
+    /// A req's attempt.
+    pub fn get(&self, id: RequestId) -> Option<&Attempt> {
         self.table.get(&id).map(|f| &**f)
     }
 
-    /// A req's fetch, to act on.
-    pub fn get_mut(&mut self, id: RequestId) -> Option<&mut Fetch> {
+    /// A req's attempt, to act on.
+    pub fn get_mut(&mut self, id: RequestId) -> Option<&mut Attempt> {
         self.table.get_mut(&id).map(|f| &mut **f)
     }
 
-    /// Whether a fetch is out, or stands, for a req.
+    /// Whether a attempt is out, or stands, for a req.
     pub fn has(&self, id: RequestId) -> bool {
         self.table.contains_key(&id)
     }
 
-    /// The server that a req's fetch goes to.
+    /// The server that a req's attempt goes to.
     pub fn server(&self, id: RequestId) -> Option<ServerId> {
         self.table.get(&id).map(|f| f.server)
     }
 
-    /// Ends a req's fetch; false where there is none.
+    /// Ends a req's attempt; false where there is none.
     pub fn end(&mut self, turn: &mut Turn, id: RequestId) -> bool {
         self.take(turn, id).is_some()
     }
 
-    /// Takes a req's fetch out, with its connection.
-    pub fn take(&mut self, turn: &mut Turn, id: RequestId) -> Option<Box<Fetch>> {
-        let mut fetch = self.table.remove(&id)?;
-        fetch.alarm.off(turn);
+    /// Takes a req's attempt out, with its connection.
+    pub fn take(&mut self, turn: &mut Turn, id: RequestId) -> Option<Box<Attempt>> {
+        let mut attempt = self.table.remove(&id)?;
+        attempt.alarm.off(turn);
         // The table's own is the other one that is left.
-        if Rc::strong_count(&fetch.voice) == 2 {
-            self.voices.remove(&fetch.server);
+        if Rc::strong_count(&attempt.voice) == 2 {
+            self.voices.remove(&attempt.server);
         }
-        Some(fetch)
+        Some(attempt)
     }
 
     fn arm(&mut self, turn: &mut Turn, id: RequestId) {
-        let Some(fetch) = self.table.get_mut(&id) else { return };
-        let due = fetch.due(turn.judges_from());
-        fetch.alarm.by(turn, due, Due::Fetch(id));
+        let Some(attempt) = self.table.get_mut(&id) else { return };
+        let due = attempt.due(turn.judges_from());
+        attempt.alarm.by(turn, due, Due::Attempt(id));
     }
 
-    /// The timer of a req's fetch has come: how it ends, if it does.
+    /// The timer of a req's attempt has come: how it ends, if it does.
     pub fn alarmed(&mut self, turn: &mut Turn, id: RequestId) -> Option<Outcome> {
-        let fetch = self.table.get_mut(&id)?;
-        fetch.alarm.came();
-        let late = fetch.is_late(turn.now, turn.judges_from());
+        let attempt = self.table.get_mut(&id)?;
+        attempt.alarm.came();
+        let late = attempt.is_late(turn.now, turn.judges_from());
         if late.is_none() {
             self.arm(turn, id);
         }
         late
     }
 
-    /// Whether the server of this req's fetch has said anything to another one since then.
+    /// Whether the server of this req's attempt has said anything to another one since then.
     pub fn server_lives(&self, id: RequestId, since: Micros) -> bool {
         self.table.get(&id).is_some_and(|f| f.voice.lives(id, since))
     }
--- a/crates/balancer/src/net/servers/mod.rs
+++ b/crates/balancer/src/net/servers/mod.rs
@@ -1,8 +1,8 @@
-//! The servers' side: backends as they are listed, fetches, probes, and what messages take. Nothing here knows of
+//! The servers' side: servers as they are listed, attempts, probes, and what messages take. Nothing here knows of
 //! clients' connections.
 
-pub mod backends;
+pub mod attempts;
 pub mod delays;
-pub mod fetches;
 pub mod probes;
+pub mod server_table;
 pub mod taken_out;
--- a/crates/balancer/src/net/servers/backends.rs
+++ b/crates/balancer/src/net/servers/server_table.rs
@@ -1,4 +1,4 @@
-//! Backends: the servers as the director listed them last.
+//! ServerTable: the servers as the director listed them last.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -19,7 +19,7 @@
 
 /// A server as the director listed it last.
 #[derive(Debug)]
-struct Backend {
+struct ServerEntry {
     name: Box<str>,
     address: SocketAddr,
     /// As listed, whoever was taken out by hand, but for its start, which is on the program's clock.
@@ -37,10 +37,10 @@
 /// Log lines that one list may cause; what is over that is counted.
 const LINES: usize = 64;
 
-/// The table of backends. An id belongs to one name; what is gone stays while something of it is in use.
+/// The table of servers. An id belongs to one name; what is gone stays while something of it is in use.
 #[derive(Debug, Default)]
-pub struct Backends {
-    table: BTreeMap<ServerId, Backend>,
+pub struct ServerTable {
+    table: BTreeMap<ServerId, ServerEntry>,
     /// Those that are gone and still here.
     gone: BTreeSet<ServerId>,
     /// Lists that have been taken in.
@@ -54,7 +54,7 @@
 /// The stages that servers have left for others in a list, each with the first; none for those that are new.
 type Before = BTreeMap<ServerId, Option<Stage>>;
 
-impl Backends {
+impl ServerTable {
     /// Takes in a list from discovery: what the module is told of it. Those that are gone and not `in_use` are
     /// forgotten. No more than `most` are taken up by changes.
     pub fn take(&mut self, list: Incoming, most: usize, in_use: impl Fn(ServerId) -> bool) -> Vec<ListEntry> {
@@ -105,8 +105,8 @@
                 None => {
                     let (slow, figures) = (false, Figures::default());
                     let (listed_start, list) = (listed.born, number);
-                    let backend = Backend { name, address, entry, listed_start, list, slow, figures };
-                    self.table.insert(id, backend);
+                    let server = ServerEntry { name, address, entry, listed_start, list, slow, figures };
+                    self.table.insert(id, server);
                     before.entry(id).or_insert(None);
                 }
             }
@@ -192,7 +192,7 @@
         most: usize,
     ) -> Vec<(ServerId, Option<Endpoint>)> {
         let zone = |at: u32| names.zones.iter().find(|(_, zone)| **zone == at).map(|(name, _)| name.clone());
-        let endpoint = |b: &Backend| Endpoint {
+        let endpoint = |b: &ServerEntry| Endpoint {
             name: b.name.to_string(),
             address: b.address.to_string(),
             zone: zone(b.entry.zone).unwrap_or_default(),
@@ -207,9 +207,9 @@
     }
 
     /// When a server's process started, by the wall clock; a server that was put back by hand starts anew.
-    fn listed_start(&self, backend: &Backend) -> f64 {
-        let born = self.taken_out.seen(backend.entry).born;
-        if born == backend.entry.born { backend.listed_start } else { born }
+    fn listed_start(&self, server: &ServerEntry) -> f64 {
+        let born = self.taken_out.seen(server.entry).born;
+        if born == server.entry.born { server.listed_start } else { born }
     }
 
     /// Servers that the last list names.
@@ -236,7 +236,7 @@
 
     /// Where a server is that takes something new; none for any other.
     pub fn ready_address(&self, server: ServerId) -> Option<SocketAddr> {
-        let seen = |b: &&Backend| self.taken_out.seen(b.entry).stage == Stage::Ready;
+        let seen = |b: &&ServerEntry| self.taken_out.seen(b.entry).stage == Stage::Ready;
         self.table.get(&server).filter(seen).map(|b| b.address)
     }
 
--- a/crates/balancer/src/net/servers/backends/tests.rs
+++ b/crates/balancer/src/net/servers/server_table/tests.rs
@@ -13,19 +13,19 @@
 
 #[test]
 fn a_list_says_who_takes_something_new_and_who_can_be_reached() {
-    let mut backends = Backends::default();
+    let mut servers = ServerTable::default();
     let [a, b, c] = ["a", "b", "c"].map(server_id);
     let at = |port: u16| Some(SocketAddr::from(([127, 0, 0, 1], port)));
     let first = [("a", "127.0.0.1:1", "Ready"), ("b", "127.0.0.1:2", "Ready"), ("c", "nowhere", "Ready")];
-    assert_eq!(backends.take(listing(true, &first), 3, |_| false).len(), 2, "c has no address");
+    assert_eq!(servers.take(listing(true, &first), 3, |_| false).len(), 2, "c has no address");
     let news = [("a", "127.0.0.1:3", "Terminating"), ("c", "127.0.0.1:4", "New")];
-    backends.take(listing(false, &news), 3, |_| false);
-    assert_eq!([a, b, c].map(|s| backends.ready_address(s)), [None, at(2), None]);
-    assert_eq!([a, b, c].map(|s| backends.address(s)), [at(3), at(2), at(4)]);
+    servers.take(listing(false, &news), 3, |_| false);
+    assert_eq!([a, b, c].map(|s| servers.ready_address(s)), [None, at(2), None]);
+    assert_eq!([a, b, c].map(|s| servers.address(s)), [at(3), at(2), at(4)]);
     // A whole list without them: what is in use can still be reached, and nothing is left of the rest.
-    backends.take(listing(true, &[]), 3, |s| s == b);
-    assert_eq!([a, b, c].map(|s| backends.address(s)), [None, at(2), None]);
-    assert_eq!((backends.ready_address(b), backends.name(Some(b)), backends.name(Some(a))), (None, "b", "?"));
+    servers.take(listing(true, &[]), 3, |s| s == b);
+    assert_eq!([a, b, c].map(|s| servers.address(s)), [None, at(2), None]);
+    assert_eq!((servers.ready_address(b), servers.name(Some(b)), servers.name(Some(a))), (None, "b", "?"));
 }
 
 #[test]
@@ -36,59 +36,55 @@
         let servers: Vec<_> = names.iter().map(|(n, a, s)| (n.as_str(), *a, *s)).collect();
         listing(snapshot, &servers)
     };
-    let mut backends = Backends::default();
-    backends.take(list(true, 0..90), 90, |_| false);
-    let told = backends.take(list(true, 100..190), 90, |_| false);
-    assert_eq!((told.len(), backends.table.len(), backends.gone.len()), (90, 90, 0));
-    let told = backends.take(list(false, 188..195), 90, |_| false);
-    assert_eq!(
-        (told.len(), backends.table.len(), backends.over),
-        (2, 90, true),
-        "two are known, five are not"
-    );
-    let told = backends.take(list(true, 100..250), 100, |_| false);
-    assert_eq!((told.len(), backends.over), (100, true), "a whole list has its own limit");
-    backends.take(list(true, 100..110), 100, |_| false);
-    assert!(!backends.over);
+    let mut servers = ServerTable::default();
+    servers.take(list(true, 0..90), 90, |_| false);
+    let told = servers.take(list(true, 100..190), 90, |_| false);
+    assert_eq!((told.len(), servers.table.len(), servers.gone.len()), (90, 90, 0));
+    let told = servers.take(list(false, 188..195), 90, |_| false);
+    assert_eq!((told.len(), servers.table.len(), servers.over), (2, 90, true), "two are known, five are not");
+    let told = servers.take(list(true, 100..250), 100, |_| false);
+    assert_eq!((told.len(), servers.over), (100, true), "a whole list has its own limit");
+    servers.take(list(true, 100..110), 100, |_| false);
+    assert!(!servers.over);
 }
 
 #[test]
 fn a_slow_server_is_reported_and_once_more_when_it_no_longer_is() {
-    let (mut backends, a) = (Backends::default(), server_id("a"));
-    backends.take(listing(true, &[("a", "127.0.0.1:1", "Ready")]), 3, |_| false);
+    let (mut servers, a) = (ServerTable::default(), server_id("a"));
+    servers.take(listing(true, &[("a", "127.0.0.1:1", "Ready")]), 3, |_| false);
     let mut report = |now, took| {
         let seen = [(a, vec![Sight { asked: None, answered: Some((now, took)) }])].into();
-        backends.delays(now, 100, &seen)
+        servers.delays(now, 100, &seen)
     };
     assert_eq!(report(0, 50), []);
     assert_eq!(report(1, 500), [(a, 500)]);
     assert_eq!(report(2, 60), [(a, 60)]);
     assert_eq!(report(3, 60), []);
-    assert_eq!(backends.read_figure(4, a, 900.0), Figure::Delay);
+    assert_eq!(servers.read_figure(4, a, 900.0), Figure::Delay);
     let seen = [(a, vec![Sight { asked: None, answered: Some((5, 500)) }])].into();
-    assert_eq!(backends.delays(5, 100, &seen), [], "what it told itself goes first");
+    assert_eq!(servers.delays(5, 100, &seen), [], "what it told itself goes first");
 }
 
 #[test]
 fn a_start_keeps_its_time_through_a_step_of_the_wall_clock_and_is_passed_on_as_listed() {
-    let mut backends = Backends::default();
+    let mut servers = ServerTable::default();
     let list = |since_ms: f64| {
         let server = json!({"name": "a", "address": "127.0.0.1:1", "status": "Ready", "since_ms": since_ms});
         let list = json!({"snapshot": true, "endpoints": [server]});
         Incoming::of(&serde_json::from_value(list).expect("a list"), &Names::default(), 100)
     };
     let start = |told: Vec<ListEntry>| told[0].born;
-    assert_eq!(start(backends.take(list(10_000_000.0), 3, |_| false)), 10_000.0);
+    assert_eq!(start(servers.take(list(10_000_000.0), 3, |_| false)), 10_000.0);
     // An hour back, 100 s later: the same start is the same time.
-    backends.set_wall_clock(WallClock::at(10_100.0, 6_500.0));
-    assert_eq!(start(backends.take(list(10_000_000.0), 3, |_| false)), 10_000.0);
+    servers.set_wall_clock(WallClock::at(10_100.0, 6_500.0));
+    assert_eq!(start(servers.take(list(10_000_000.0), 3, |_| false)), 10_000.0);
     // It starts again, 90 s after the first start.
-    assert_eq!(start(backends.take(list(6_490_000.0), 3, |_| false)), 10_090.0);
-    assert_eq!(backends.endpoints(&Names::default())[0].since_ms, 6_490_000.0);
+    assert_eq!(start(servers.take(list(6_490_000.0), 3, |_| false)), 10_090.0);
+    assert_eq!(servers.endpoints(&Names::default())[0].since_ms, 6_490_000.0);
     // A time that is in the future either way is now.
-    assert_eq!(start(backends.take(list(99_000_000.0), 3, |_| false)), 10_100.0);
+    assert_eq!(start(servers.take(list(99_000_000.0), 3, |_| false)), 10_100.0);
     // Forward: noted before the step or after it, the later possible time counts.
-    backends.set_wall_clock(WallClock::at(10_200.0, 13_800.0));
-    assert_eq!(start(backends.take(list(13_790_000.0), 3, |_| false)), 10_190.0);
-    assert_eq!(start(backends.take(list(0.0), 3, |_| false)), 0.0, "long ago");
+    servers.set_wall_clock(WallClock::at(10_200.0, 13_800.0));
+    assert_eq!(start(servers.take(list(13_790_000.0), 3, |_| false)), 10_190.0);
+    assert_eq!(start(servers.take(list(0.0), 3, |_| false)), 0.0, "long ago");
 }
--- a/crates/balancer/src/net/serving/answers.rs
+++ b/crates/balancer/src/net/serving/answers.rs
@@ -80,7 +80,7 @@
     /// Something was to be done that a rule forbids. It was not done; that it was wanted is a fault of the program.
     pub(super) fn report_violation(&self, violation: &Violation, cause: Cause) {
         let (rule, req, attempt) = (violation.rule, violation.request.0, violation.attempt);
-        let server = self.backends.name(violation.server);
+        let server = self.servers.name(violation.server);
         error!(event = "rule-violation", %rule, req, attempt, server, %cause);
         debug_assert!(false, "{violation}, cause {cause}");
     }
--- a/crates/balancer/src/net/serving/dialing.rs
+++ b/crates/balancer/src/net/serving/dialing.rs
@@ -7,7 +7,7 @@
 use tracing::debug;
 
 use super::Serving;
-use crate::net::servers::fetches::Hindrance;
+use crate::net::servers::attempts::DialError;
 use crate::net::turn::{Due, Turn};
 
 /// The pauses before a connection is begun again, which together outlast a moment without ports, routes or descriptors.
@@ -34,10 +34,10 @@
         address: SocketAddr,
     ) {
         let (to, patience) = ((dial.server, address), dial.until.saturating_sub(turn.now));
-        match self.fetches.begin(turn, id, to, patience, self.terms.connect_timeout) {
-            Ok(()) => return self.fetch_goes_on(turn, id),
-            Err(Hindrance::Refused) => return self.attempt_not_begun(turn, id, Outcome::ConnectFailed),
-            Err(hindrance) => self.note_hindrance(id, dial.tries, hindrance),
+        match self.attempts.begin(turn, id, to, patience, self.terms.connect_timeout) {
+            Ok(()) => return self.advance_attempt(turn, id),
+            Err(DialError::Refused) => return self.attempt_not_begun(turn, id, Outcome::ConnectFailed),
+            Err(error) => self.note_hindrance(id, dial.tries, error),
         }
         let pause = PAUSES.get(dial.tries).copied().filter(|pause| turn.now + pause < dial.until);
         dial.tries += 1;
@@ -50,9 +50,9 @@
         }
     }
 
-    fn note_hindrance(&mut self, id: RequestId, tries: usize, hindrance: Hindrance) {
-        debug!(event = "not-begun", req = id.0, tries, ?hindrance);
-        if hindrance == Hindrance::Shortage {
+    fn note_hindrance(&mut self, id: RequestId, tries: usize, error: DialError) {
+        debug!(event = "not-begun", req = id.0, tries, ?error);
+        if error == DialError::Shortage {
             self.note_short(true);
         }
     }
@@ -70,6 +70,6 @@
     /// An attempt has failed before there was a connection to watch.
     fn attempt_not_begun(&mut self, turn: &mut Turn, id: RequestId, outcome: Outcome) {
         self.guard.end_attempt(id, outcome);
-        self.fetch_ended(turn, id, outcome);
+        self.attempt_ended(turn, id, outcome);
     }
 }
--- a/crates/balancer/src/net/serving/due.rs
+++ b/crates/balancer/src/net/serving/due.rs
@@ -1,4 +1,4 @@
-//! What is due of sessions and fetches, and the steps of a planned end.
+//! What is due of sessions and attempts, and the steps of a planned end.
 
 use std::collections::BTreeMap;
 
@@ -11,8 +11,8 @@
 use crate::net::clients::session::{Session, Stage};
 use crate::net::link::End;
 use crate::net::poll::Ready;
+use crate::net::servers::attempts;
 use crate::net::servers::delays::Sight;
-use crate::net::servers::fetches;
 use crate::net::turn::Turn;
 
 impl Serving {
@@ -22,20 +22,20 @@
     }
 
     /// A session's timer has come: what is due of it, and what comes next.
-    pub fn session_alarmed(&mut self, turn: &mut Turn, id: RequestId) {
+    pub fn on_session_timer(&mut self, turn: &mut Turn, id: RequestId) {
         if self.sessions.alarmed(turn, id) {
-            self.look_at(turn, id);
+            self.on_session_due(turn, id);
             self.sessions.arm(turn, id);
         }
     }
 
-    fn look_at(&mut self, turn: &mut Turn, id: RequestId) {
+    fn on_session_due(&mut self, turn: &mut Turn, id: RequestId) {
         let now = turn.now;
         let Some(s) = self.sessions.get_mut(id) else { return };
         match s.stage() {
             Stage::Opening if s.is_late(now) => {
                 // A line that has come by now is a request that was taken.
-                self.session_ready(turn, id, Ready::READ);
+                self.on_session_ready(turn, id, Ready::READ);
                 if self.sessions.get(id).is_some_and(|s| s.stage() == Stage::Opening && s.is_late(now)) {
                     self.half_line(turn, id);
                 }
@@ -43,14 +43,14 @@
             Stage::Waiting if !s.is_late(now) && s.carries_again(now) => {
                 let left = s.until() - now;
                 if let Some(home) = s.home() {
-                    self.fetch(turn, id, home, left);
+                    self.begin_attempt(turn, id, home, left);
                 }
             }
             // Guards the rule that every request is answered before its client gives up.
             Stage::Waiting if s.is_overdue(now) => {
                 error!(event = "overdue", req = id.0, client = %s.from());
                 turn.emit(NetworkEvent::ClientLeft(id));
-                self.fetch_over(turn, id, Outcome::TimedOut);
+                self.end_attempt(turn, id, Outcome::TimedOut);
                 self.answer_unserved(turn, id, COME_BACK, Cause::Overdue);
             }
             Stage::Open | Stage::Moving => {
@@ -73,18 +73,18 @@
     /// shortest aim, and once more when it is back under.
     pub fn report_delays(&mut self, turn: &mut Turn) {
         let mut seen = BTreeMap::<ServerId, Vec<Sight>>::new();
-        let (sessions, fetches) = (&mut self.sessions, &self.fetches);
+        let (sessions, attempts) = (&mut self.sessions, &self.attempts);
         self.sighted.retain(|id| {
-            let Some((s, f)) = sessions.get_mut(*id).zip(fetches.get(*id)) else { return false };
+            let Some((s, f)) = sessions.get_mut(*id).zip(attempts.get(*id)) else { return false };
             let sight =
                 Sight { asked: s.asked_since().map(|at| turn.took_since(at)), answered: f.answered() };
-            if s.stage() == Stage::Open && f.stage() == fetches::Stage::Up {
+            if s.stage() == Stage::Open && f.stage() == attempts::Stage::Up {
                 seen.entry(f.server()).or_default().push(sight);
             }
             s.stays_sighted(sight.says_something(turn.now))
         });
-        for (server, delay) in self.backends.delays(turn.now, self.terms.message_aim / 3, &seen) {
-            debug!(event = "seen", server = self.backends.name(Some(server)), us = delay);
+        for (server, delay) in self.servers.delays(turn.now, self.terms.message_aim / 3, &seen) {
+            debug!(event = "seen", server = self.servers.name(Some(server)), us = delay);
             turn.emit(NetworkEvent::Delay(server, delay));
         }
     }
@@ -115,7 +115,7 @@
     /// refused: it waits for its server until its own deadline, or until `is_last_call`, and fails then.
     pub fn answer_waiting(&mut self, turn: &mut Turn, is_last_call: bool) {
         for id in self.sessions.those(|s| s.stage() == Stage::Opening) {
-            self.session_ready(turn, id, Ready::READ);
+            self.on_session_ready(turn, id, Ready::READ);
             if self.sessions.get(id).is_some_and(|s| s.stage() == Stage::Opening) {
                 self.answer(turn, id, Answer::Closed, Cause::Shutdown);
             }
@@ -125,7 +125,7 @@
                 continue;
             }
             turn.emit(NetworkEvent::ClientLeft(id));
-            self.fetch_over(turn, id, Outcome::Cancelled);
+            self.end_attempt(turn, id, Outcome::Cancelled);
             self.answer_unserved(turn, id, COME_BACK, Cause::Shutdown);
         }
     }
--- a/crates/balancer/src/net/serving/handing.rs
+++ b/crates/balancer/src/net/serving/handing.rs
@@ -8,7 +8,7 @@
 use crate::net::clients::session::Session;
 use crate::net::handover::words::{Handed, Standing};
 use crate::net::link::Link;
-use crate::net::servers::fetches::Fetch;
+use crate::net::servers::attempts::Attempt;
 use crate::net::turn::Turn;
 
 /// The name that stands at this place.
@@ -20,7 +20,7 @@
     /// Standing connections that can go on in another process.
     pub fn can_go(&self) -> Vec<RequestId> {
         let mut can = self.sessions.those(Session::can_go);
-        can.retain(|id| self.fetches.get(*id).is_some_and(Fetch::can_go));
+        can.retain(|id| self.attempts.get(*id).is_some_and(Attempt::can_go));
         can
     }
 
@@ -32,7 +32,7 @@
         id: RequestId,
         (request, load): (Request, Option<f64>),
     ) -> Option<Handed> {
-        let (s, f) = (self.sessions.get_mut(id)?, self.fetches.get_mut(id)?);
+        let (s, f) = (self.sessions.get_mut(id)?, self.attempts.get_mut(id)?);
         let standing = Standing {
             client: s.from(),
             server: f.server().0,
@@ -53,7 +53,7 @@
         if let Err(violation) = self.guard.close(id) {
             self.report_violation(&violation, Cause::Handover);
         }
-        let (s, f) = (self.sessions.take(turn, id)?, self.fetches.take(turn, id)?);
+        let (s, f) = (self.sessions.take(turn, id)?, self.attempts.take(turn, id)?);
         turn.emit(NetworkEvent::AttemptEnded(id, Outcome::Cancelled));
         Some((standing, s.link.into_stream(), f.link.into_stream()))
     }
@@ -63,17 +63,17 @@
         let names = &self.terms.names;
         let class = names.classes.get(&standing.class).copied();
         let tenant = names.tenants.get(&standing.tenant).copied().unwrap_or(0);
-        let (fetches, asked) = (&self.fetches, standing.asked);
+        let (attempts, asked) = (&self.attempts, standing.asked);
         let client = Link::going_on(client, &turn.pool, &standing.at_client);
         let server = Link::going_on(server, &turn.pool, &standing.at_server);
         let (Some(client), Some(server)) = (client, server) else { return false };
         let between_lines = client.between_lines();
         let adopted =
-            self.sessions.adopt(turn, client, standing.client, (standing.id, asked), |id| fetches.has(id));
+            self.sessions.adopt(turn, client, standing.client, (standing.id, asked), |id| attempts.has(id));
         let Some(id) = adopted else { return false };
         let at = ServerId(standing.server);
         // Its server still answers: whoever can't go on here is told to come again, and not cut off.
-        let Some(class) = class.filter(|_| self.fetches.adopt(turn, id, at, server)) else {
+        let Some(class) = class.filter(|_| self.attempts.adopt(turn, id, at, server)) else {
             let answer = if between_lines { Answer::Moved } else { Answer::Closed };
             self.answer(turn, id, answer, Cause::Handover);
             return false;
--- a/crates/balancer/src/net/serving/mod.rs
+++ b/crates/balancer/src/net/serving/mod.rs
@@ -26,9 +26,9 @@
 use crate::net::list::wall_clock::WallClock;
 use crate::net::operators::counts::{Counts, Reply};
 use crate::net::poll::Ready;
-use crate::net::servers::backends::Backends;
-use crate::net::servers::fetches::{self, Answer, Fetches};
+use crate::net::servers::attempts::{self, Answer, Attempts};
 use crate::net::servers::probes::Probes;
+use crate::net::servers::server_table::ServerTable;
 use crate::net::shutdown::LEAVE_AFTER;
 use crate::net::terms::Terms;
 use crate::net::turn::Turn;
@@ -50,11 +50,11 @@
     /// What the configuration says of them.
     pub terms: Terms,
     /// The servers as listed.
-    pub backends: Backends,
+    pub servers: ServerTable,
     /// Checks on servers.
     pub probes: Probes,
     sessions: Sessions,
-    fetches: Fetches,
+    attempts: Attempts,
     /// Attempts whose connections this machine could not begin yet.
     pending_dials: BTreeMap<RequestId, PendingDial>,
     /// What each request's attempts may have done, and so what may be done next.
@@ -84,10 +84,10 @@
         Serving {
             budget: Budget::new(terms.sockets),
             terms,
-            backends: Backends::default(),
+            servers: ServerTable::default(),
             probes: Probes::default(),
             sessions: Sessions::new(open_ids),
-            fetches: Fetches::default(),
+            attempts: Attempts::default(),
             pending_dials: BTreeMap::new(),
             guard: RequestGuard::default(),
             complaints: Complaints::default(),
@@ -116,16 +116,16 @@
 
     /// Takes in a list from discovery: what the module is told of it.
     pub fn take_list(&mut self, list: Incoming, wall_clock: WallClock) -> Vec<ListEntry> {
-        self.backends.set_wall_clock(wall_clock);
-        let fetches = &self.fetches;
-        self.backends.take(list, self.terms.most_servers, |server| fetches.any_at(server))
+        self.servers.set_wall_clock(wall_clock);
+        let attempts = &self.attempts;
+        self.servers.take(list, self.terms.most_servers, |server| attempts.any_at(server))
     }
 }
 
 /// Descriptors.
 impl Serving {
     fn held(&self) -> Held {
-        let all = self.sessions.len() + self.fetches.len() + self.probes.len();
+        let all = self.sessions.len() + self.attempts.len() + self.probes.len();
         Held { all, unserved: self.sessions.unserved() }
     }
 
@@ -149,7 +149,7 @@
     /// reset, which could overtake last words.
     fn evict(&mut self, turn: &mut Turn) -> bool {
         let Some(id) = self.sessions.least_needed() else { return false };
-        self.session_ready(turn, id, Ready::READ);
+        self.on_session_ready(turn, id, Ready::READ);
         if self.sessions.get(id).is_some_and(|s| matches!(s.stage(), Stage::Opening | Stage::Ending)) {
             self.close_session(turn, id, Cause::Descriptors);
         }
@@ -171,15 +171,15 @@
 impl Serving {
     /// A client has connected.
     pub fn client_comes(&mut self, turn: &mut Turn, stream: TcpStream, from: SocketAddr) {
-        let fetches = &self.fetches;
-        let Some(id) = self.sessions.begin(turn, stream, from, |id| fetches.has(id)) else { return };
+        let attempts = &self.attempts;
+        let Some(id) = self.sessions.begin(turn, stream, from, |id| attempts.has(id)) else { return };
         // Who has asked for nothing for longest goes first: the one that has just come is the last.
         while self.budget.is_over(self.held()) && self.evict(turn) {}
-        self.session_ready(turn, id, Ready::default());
+        self.on_session_ready(turn, id, Ready::default());
     }
 
     /// A client's connection is ready.
-    pub fn session_ready(&mut self, turn: &mut Turn, id: RequestId, ready: Ready) {
+    pub fn on_session_ready(&mut self, turn: &mut Turn, id: RequestId, ready: Ready) {
         let Some(s) = self.sessions.get_mut(id) else { return };
         s.link.ready(ready);
         match s.stage() {
@@ -187,7 +187,7 @@
                 let from = s.from();
                 match s.opens(turn.now, &turn.pool) {
                     First::Part => self.sessions.arm(turn, id),
-                    First::Line(line) => self.req_comes(turn, id, &line),
+                    First::Line(line) => self.on_request(turn, id, &line),
                     First::End => self.half_line(turn, id),
                     First::TooMany => self.malformed(turn, id, "too many commands at a time"),
                     First::TooLong => {
@@ -236,12 +236,12 @@
         }
         if waits {
             turn.emit(NetworkEvent::ClientLeft(id));
-            self.fetch_over(turn, id, Outcome::Cancelled);
+            self.end_attempt(turn, id, Outcome::Cancelled);
         }
         self.answer(turn, id, FinalAnswer::Failed, Cause::BadRequest);
     }
 
-    fn req_comes(&mut self, turn: &mut Turn, id: RequestId, line: &[u8]) {
+    fn on_request(&mut self, turn: &mut Turn, id: RequestId, line: &[u8]) {
         let open = match parse_open(line, &self.terms.names) {
             Ok(open) => open,
             Err(why) => {
@@ -252,7 +252,7 @@
         };
         self.sessions.get_mut(id).into_iter().for_each(|s| s.is_of(open.class));
         let home = open.home.as_deref().map(server_id);
-        if home.is_some_and(|home| !self.backends.is_listed(home)) {
+        if home.is_some_and(|home| !self.servers.is_listed(home)) {
             return self.malformed(turn, id, "at= names no server");
         }
         let wait = open.patience.or(self.terms.give_up.get(open.class).copied()).unwrap_or(0);
@@ -284,17 +284,17 @@
             return self.answer_unserved(turn, id, COME_BACK_LATER, Cause::Overload);
         }
         if !self.make_room(turn) {
-            // Guards the descriptor limit: refused before a fetch could need one more.
+            // Guards the descriptor limit: refused before a attempt could need one more.
             self.note_short(true);
             return self.answer_unserved(turn, id, COME_BACK, Cause::Descriptors);
         }
         // The client may have left behind its line already, or said more than it should.
-        self.session_ready(turn, id, Ready::default());
+        self.on_session_ready(turn, id, Ready::default());
         if !self.sessions.get(id).is_some_and(Session::waits) {
             return;
         }
         match home {
-            Some(server) => self.fetch(turn, id, server, CARRY),
+            Some(server) => self.begin_attempt(turn, id, server, CARRY),
             None => {
                 let (group, key) = (req.group, req.key);
                 debug!(event = "asked", req = id.0, group, key, returning = req.returning);
@@ -304,14 +304,14 @@
         }
     }
 
-    /// A client that waited has gone: nobody needs the fetch any more.
+    /// A client that waited has gone: nobody needs the attempt any more.
     fn client_leaves(&mut self, turn: &mut Turn, id: RequestId) {
         turn.emit(NetworkEvent::ClientLeft(id));
         self.counted(id, Reply::Error);
         debug!(event = "client-left", req = id.0, attempts = self.guard.attempts(id));
         self.guard.abandon(id);
         self.close_session(turn, id, Cause::Decision);
-        self.fetch_over(turn, id, Outcome::Cancelled);
+        self.end_attempt(turn, id, Outcome::Cancelled);
     }
 
     /// A connection has come up or has ended, whichever was first: it counts once.
@@ -328,58 +328,58 @@
     }
 }
 
-/// Fetches, from their beginning to the server's answer.
+/// Attempts, from their beginning to the server's answer.
 impl Serving {
     /// A standing connection's own server is asked for even while it drains.
     fn address_for(&self, id: RequestId, server: ServerId) -> Option<SocketAddr> {
         match self.sessions.get(id).map(Session::home) {
-            Some(Some(home)) if home == server => self.backends.address(server),
-            _ => self.backends.ready_address(server),
+            Some(Some(home)) if home == server => self.servers.address(server),
+            _ => self.servers.ready_address(server),
         }
     }
 
-    /// Begins a fetch; it may take so long.
-    pub fn fetch(&mut self, turn: &mut Turn, id: RequestId, server: ServerId, patience: Micros) {
+    /// Begins a attempt; it may take so long.
+    pub fn begin_attempt(&mut self, turn: &mut Turn, id: RequestId, server: ServerId, patience: Micros) {
         // Guards against two attempts out at once, whatever asked for the second.
-        if self.fetches.has(id) || self.pending_dials.contains_key(&id) {
+        if self.attempts.has(id) || self.pending_dials.contains_key(&id) {
             return;
         }
         let waits = |s: &Self| s.sessions.get(id).is_some_and(Session::waits);
         if waits(self) {
             // The client may have gone, and the loop not have told of it yet: it was accepted with its end, or a server's
             // refusal was heard first.
-            self.session_ready(turn, id, Ready::READ);
+            self.on_session_ready(turn, id, Ready::READ);
         }
         if !waits(self) {
-            return self.fetch_ended(turn, id, Outcome::NotSent);
+            return self.attempt_ended(turn, id, Outcome::NotSent);
         }
         let address = self.address_for(id, server).filter(|_| self.make_room(turn));
         let Some(address) = address else {
-            return self.fetch_ended(turn, id, Outcome::NotSent);
+            return self.attempt_ended(turn, id, Outcome::NotSent);
         };
-        if let Err(violation) = self.guard.begin_attempt(id, self.backends.target(server)) {
+        if let Err(violation) = self.guard.begin_attempt(id, self.servers.target(server)) {
             self.report_violation(&violation, Cause::Decision);
-            return self.fetch_ended(turn, id, Outcome::NotSent);
+            return self.attempt_ended(turn, id, Outcome::NotSent);
         }
         let attempt = self.guard.attempts(id);
-        let name = self.backends.name(Some(server));
-        debug!(event = "fetch", req = id.0, attempt, server = name, us = patience);
+        let name = self.servers.name(Some(server));
+        debug!(event = "attempt", req = id.0, attempt, server = name, us = patience);
         let until = turn.now.saturating_add(patience);
         self.dial(turn, id, PendingDial { server, until, tries: 0 }, address);
     }
 
-    /// Tells how a fetch ended; a carried connection that never came up was never told of.
-    fn fetch_ended(&mut self, turn: &mut Turn, id: RequestId, outcome: Outcome) {
+    /// Tells how a attempt ended; a carried connection that never came up was never told of.
+    fn attempt_ended(&mut self, turn: &mut Turn, id: RequestId, outcome: Outcome) {
         match self.sessions.get(id).map(|s| (s.home(), s.waits())) {
-            Some((Some(home), true)) => self.carried_fetch_ended(turn, id, home, outcome),
+            Some((Some(home), true)) => self.carried_attempt_ended(turn, id, home, outcome),
             _ => turn.emit(NetworkEvent::AttemptEnded(id, outcome)),
         }
     }
 
     /// A connection from before the start has not come up: it is tried again while that is harmless.
-    fn carried_fetch_ended(&mut self, turn: &mut Turn, id: RequestId, home: ServerId, outcome: Outcome) {
+    fn carried_attempt_ended(&mut self, turn: &mut Turn, id: RequestId, home: ServerId, outcome: Outcome) {
         if self.sessions.get_mut(id).is_some_and(|s| s.carry_failed(turn.now)) {
-            warn!(event = "carried-not-up", server = self.backends.name(Some(home)), ?outcome);
+            warn!(event = "carried-not-up", server = self.servers.name(Some(home)), ?outcome);
         }
         // What has never run is tried again.
         match outcome.never_ran() {
@@ -388,68 +388,68 @@
         }
     }
 
-    /// Ends the fetch that is out, on the network and for the module.
-    pub fn fetch_over(&mut self, turn: &mut Turn, id: RequestId, outcome: Outcome) {
-        let server = self.fetches.server(id);
+    /// Ends the attempt that is out, on the network and for the module.
+    pub fn end_attempt(&mut self, turn: &mut Turn, id: RequestId, outcome: Outcome) {
+        let server = self.attempts.server(id);
         let is_pending = self.pending_dials.remove(&id).is_some();
-        if self.fetches.end(turn, id) || is_pending {
+        if self.attempts.end(turn, id) || is_pending {
             self.guard.end_attempt(id, outcome);
-            debug!(event = "fetch-ended", req = id.0, server = self.backends.name(server), ?outcome);
-            self.fetch_ended(turn, id, outcome);
+            debug!(event = "attempt-ended", req = id.0, server = self.servers.name(server), ?outcome);
+            self.attempt_ended(turn, id, outcome);
         }
     }
 
-    /// A fetch's timer has come.
-    pub fn fetch_alarmed(&mut self, turn: &mut Turn, id: RequestId) {
-        if let Some(outcome) = self.fetches.alarmed(turn, id) {
-            self.fetch_over(turn, id, outcome);
+    /// A attempt's timer has come.
+    pub fn on_attempt_timer(&mut self, turn: &mut Turn, id: RequestId) {
+        if let Some(outcome) = self.attempts.alarmed(turn, id) {
+            self.end_attempt(turn, id, outcome);
         }
     }
 
-    /// A fetch's connection is ready.
-    pub fn fetch_ready(&mut self, turn: &mut Turn, id: RequestId, ready: Ready) {
-        let Some(fetch) = self.fetches.get_mut(id) else { return };
-        fetch.link.ready(ready);
-        match fetch.stage() {
-            fetches::Stage::Up => self.relay(turn, id),
-            _ => self.fetch_goes_on(turn, id),
+    /// A attempt's connection is ready.
+    pub fn on_attempt_ready(&mut self, turn: &mut Turn, id: RequestId, ready: Ready) {
+        let Some(attempt) = self.attempts.get_mut(id) else { return };
+        attempt.link.ready(ready);
+        match attempt.stage() {
+            attempts::Stage::Up => self.relay(turn, id),
+            _ => self.advance_attempt(turn, id),
         }
     }
 
-    fn fetch_goes_on(&mut self, turn: &mut Turn, id: RequestId) {
-        let Some(fetch) = self.fetches.get(id) else { return };
-        if fetch.stage() == fetches::Stage::Connecting {
-            match fetch.link.connected() {
+    fn advance_attempt(&mut self, turn: &mut Turn, id: RequestId) {
+        let Some(attempt) = self.attempts.get(id) else { return };
+        if attempt.stage() == attempts::Stage::Connecting {
+            match attempt.link.connected() {
                 Ok(false) => return,
                 Ok(true) => {}
-                Err(_) => return self.fetch_over(turn, id, Outcome::ConnectFailed),
+                Err(_) => return self.end_attempt(turn, id, Outcome::ConnectFailed),
             }
             // The client may have gone while the connection came up, and the loop not have told of it yet.
-            self.session_ready(turn, id, Ready::READ);
-            let Some(fetch) = self.fetches.get(id) else { return };
+            self.on_session_ready(turn, id, Ready::READ);
+            let Some(attempt) = self.attempts.get(id) else { return };
             // The server may have begun to leave meanwhile: it gets nothing new.
-            if self.address_for(id, fetch.server()).is_none() {
-                return self.fetch_over(turn, id, Outcome::NotSent);
+            if self.address_for(id, attempt.server()).is_none() {
+                return self.end_attempt(turn, id, Outcome::NotSent);
             }
             match self.guard.send(id, turn.now) {
                 Ok(true) => {}
-                Ok(false) => return self.fetch_over(turn, id, Outcome::NotSent),
+                Ok(false) => return self.end_attempt(turn, id, Outcome::NotSent),
                 Err(violation) => {
                     self.report_violation(&violation, Cause::Decision);
-                    return self.fetch_over(turn, id, Outcome::NotSent);
+                    return self.end_attempt(turn, id, Outcome::NotSent);
                 }
             }
             let Some(line) = self.sessions.get(id).and_then(Session::first_line) else { return };
-            self.fetches.get_mut(id).into_iter().for_each(|f| f.ask(turn.now, &turn.pool, line));
+            self.attempts.get_mut(id).into_iter().for_each(|f| f.ask(turn.now, &turn.pool, line));
         }
-        let Some(fetch) = self.fetches.get_mut(id) else { return };
-        if fetch.is_dispatched() {
+        let Some(attempt) = self.attempts.get_mut(id) else { return };
+        if attempt.is_dispatched() {
             self.counts.dispatched();
         }
-        let server = self.backends.name(Some(fetch.server()));
-        let outcome = match fetch.answer(&turn.pool) {
+        let server = self.servers.name(Some(attempt.server()));
+        let outcome = match attempt.answer(&turn.pool) {
             None => return,
-            Some(Answer::Up) => return self.fetch_up(turn, id),
+            Some(Answer::Up) => return self.attempt_taken(turn, id),
             Some(Answer::Over(outcome)) => outcome,
             Some(Answer::Odd(line)) => {
                 warn!(event = "odd-answer", server, line);
@@ -460,16 +460,16 @@
                 Outcome::Error
             }
         };
-        self.fetch_over(turn, id, outcome);
+        self.end_attempt(turn, id, outcome);
         if outcome == Outcome::Ok {
             self.answer(turn, id, FinalAnswer::Served, Cause::Server);
         }
     }
 
     /// A server has taken a client.
-    fn fetch_up(&mut self, turn: &mut Turn, id: RequestId) {
-        let (Some(f), Some(s)) = (self.fetches.get_mut(id), self.sessions.get_mut(id)) else { return };
-        debug!(event = "up", req = id.0, client = %s.from(), server = self.backends.name(Some(f.server())));
+    fn attempt_taken(&mut self, turn: &mut Turn, id: RequestId) {
+        let (Some(f), Some(s)) = (self.attempts.get_mut(id), self.sessions.get_mut(id)) else { return };
+        debug!(event = "up", req = id.0, client = %s.from(), server = self.servers.name(Some(f.server())));
         f.stands(turn.now, id);
         s.stands();
         self.guard.serve(id);
@@ -484,6 +484,6 @@
     }
 
     fn server_name(&self, id: RequestId) -> &str {
-        self.backends.name(self.fetches.server(id))
+        self.servers.name(self.attempts.server(id))
     }
 }
--- a/crates/balancer/src/net/serving/standing.rs
+++ b/crates/balancer/src/net/serving/standing.rs
@@ -21,8 +21,8 @@
     /// Asks a connected client to come again: at once, or where its server was taken out by hand, and so does not end
     /// it soon, together with others that leave there, in even parts. All at once they would be a wave.
     pub fn asks_to_move(&mut self, turn: &mut Turn, id: RequestId) {
-        let server = self.fetches.server(id);
-        if !server.is_some_and(|server| self.backends.taken_out().is_out(server)) {
+        let server = self.attempts.server(id);
+        if !server.is_some_and(|server| self.servers.taken_out().is_out(server)) {
             return self.move_away(turn, id);
         }
         if self.leaves.is_empty() {
@@ -77,7 +77,7 @@
 
     /// Passes on what has come on a standing connection, and its ends.
     pub fn relay(&mut self, turn: &mut Turn, id: RequestId) {
-        let (Some(s), Some(f)) = (self.sessions.get_mut(id), self.fetches.get_mut(id)) else { return };
+        let (Some(s), Some(f)) = (self.sessions.get_mut(id), self.attempts.get_mut(id)) else { return };
         let relayed = relay(turn, id, s, f);
         let (from, server) = (s.from(), f.server());
         if relayed.more {
@@ -89,24 +89,24 @@
         relayed.told.into_iter().for_each(|figure| self.figure_told(turn, id, server, figure));
         if let Some(peer) = relayed.too_long {
             if self.complaints.may(turn) {
-                let server = self.backends.name(Some(server));
+                let server = self.servers.name(Some(server));
                 warn!(event = "line-too-long", peer, client = %from, server);
             }
             // Only a server's own fault counts against it.
             let outcome = if peer == "server" { Outcome::Reset } else { Outcome::Cancelled };
             return self.end_both(turn, id, End::Reset, outcome);
         }
-        let (Some(s), Some(f)) = (self.sessions.get_mut(id), self.fetches.get_mut(id)) else { return };
+        let (Some(s), Some(f)) = (self.sessions.get_mut(id), self.attempts.get_mut(id)) else { return };
         match ends(turn.now, s, f) {
             Fate::Stands => self.sessions.arm(turn, id),
             Fate::ServerEnded(end, outcome) => self.end_both(turn, id, end, outcome),
             Fate::ClientBroke => {
                 f.link.break_off();
                 self.close_session(turn, id, Cause::Server);
-                self.fetch_over(turn, id, Outcome::Cancelled);
+                self.end_attempt(turn, id, Outcome::Cancelled);
             }
             Fate::Moves => {
-                self.fetch_over(turn, id, Outcome::Cancelled);
+                self.end_attempt(turn, id, Outcome::Cancelled);
                 self.answer(turn, id, Answer::Moved, Cause::Move);
             }
         }
@@ -115,8 +115,8 @@
     /// A `LOAD` line has come on a connection.
     fn figure_told(&mut self, turn: &mut Turn, id: RequestId, server: ServerId, figure: f64) {
         let tells = self.terms.tells_delay;
-        let kind = if tells { self.backends.read_figure(turn.now, server, figure) } else { Figure::Load };
-        debug!(event = "told", req = id.0, server = self.backends.name(Some(server)), ?kind, figure);
+        let kind = if tells { self.servers.read_figure(turn.now, server, figure) } else { Figure::Load };
+        debug!(event = "told", req = id.0, server = self.servers.name(Some(server)), ?kind, figure);
         match kind {
             Figure::Load => turn.emit(NetworkEvent::Load(id, figure / 1e6)),
             Figure::Delay => turn.emit(NetworkEvent::Delay(server, (figure * 1e3) as Micros)),
@@ -126,7 +126,7 @@
 
     /// Ends a standing connection on both sides, the client's as the server's ended.
     pub(super) fn end_both(&mut self, turn: &mut Turn, id: RequestId, end: End, outcome: Outcome) {
-        self.fetch_over(turn, id, outcome);
+        self.end_attempt(turn, id, outcome);
         match end {
             End::Fin => self.answer(turn, id, Answer::Closed, Cause::Server),
             End::Reset => {
@@ -139,8 +139,8 @@
     /// The server answers nothing: its client is moved, and the module hears of a drop. One that has answered
     /// others meanwhile is not blamed: the connection fell silent, not the server.
     pub(super) fn silent(&mut self, turn: &mut Turn, id: RequestId, since: Micros) {
-        let lives = self.fetches.server_lives(id, since);
-        self.fetch_over(turn, id, if lives { Outcome::Cancelled } else { Outcome::Reset });
+        let lives = self.attempts.server_lives(id, since);
+        self.end_attempt(turn, id, if lives { Outcome::Cancelled } else { Outcome::Reset });
         if self.sessions.get(id).is_some_and(|s| s.link.between_lines()) {
             self.answer(turn, id, Answer::Moved, Cause::Silent);
         } else {
--- a/crates/balancer/src/net/turn.rs
+++ b/crates/balancer/src/net/turn.rs
@@ -19,8 +19,8 @@
     Module(u64),
     /// Something of a client session's may be due.
     Session(RequestId),
-    /// A fetch should have come further by now.
-    Fetch(RequestId),
+    /// A attempt should have come further by now.
+    Attempt(RequestId),
     /// A connection that this machine could not begin is tried again.
     Dial(RequestId),
     /// A probe should be over by now.
--- a/crates/balancer/tests/sockets/bad.rs
+++ b/crates/balancer/tests/sockets/bad.rs
@@ -87,7 +87,7 @@
     drop(client);
     assert_eq!(s.hear(), Heard::Fin);
     drop(s);
-    program.logged("event=fetch-ended");
+    program.logged("event=attempt-ended");
     let (mut client, mut s) = program.stand_as(&server, "5");
     s.say("BYE");
     drop(s);
--- a/crates/balancer/tests/sockets/counts.rs
+++ b/crates/balancer/tests/sockets/counts.rs
@@ -88,7 +88,7 @@
             Heard::Line(line) if line.starts_with("OPEN ") => break at,
             // The server was locked for what it did before, and is looked at.
             Heard::Line(line) if line == "PING" => drop(at.try_put(b"PONG\r\n")),
-            // A fetch that is called off while it connects says nothing.
+            // A attempt that is called off while it connects says nothing.
             _ => {}
         }
     };
--- a/crates/balancer/tests/sockets/main.rs
+++ b/crates/balancer/tests/sockets/main.rs
@@ -142,7 +142,7 @@
     let program = start(&settings);
     let mut watch = director.watch();
     let mut client = program.open("");
-    // The client's line, which came first, has led to a fetch.
+    // The client's line, which came first, has led to a attempt.
     program.settled();
     let one = endpoint("s-1", leaving.address(), "Terminating");
     watch.tell(42, false, vec![one, endpoint("s-2", server.address(), "Ready")]);
