Name the discovery client, overload monitor and peers by the field's terms

Director is DiscoveryClient, News DiscoveryEvent, Pressure OverloadMonitor, Complaints LogRateLimiter, Mates Peers, Unserved IdleConnections, with their files. ConfigError is a file of its own below config, fleet and peers, which imported each other in a circle.

--- a/crates/balancer/src/config.rs
+++ b/crates/balancer/src/config.rs
@@ -2,20 +2,19 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::path::PathBuf;
 
 use serde::Deserialize;
 use serde_json::Value;
-use thiserror::Error;
 
 use shorewharf_decisions::Settings;
 use shorewharf_protocol::list::Listing;
 use shorewharf_protocol::names::Names;
 use shorewharf_settings::operator::Operator;
 
+pub use crate::config_error::ConfigError;
 use crate::fleet::Fleet;
-use crate::mates::Mates;
 use crate::net::CALLERS;
+use crate::peers::Peers;
 
 /// Lengths of time are shorter than this, in seconds: sums of them stay far from the end of the clock.
 const LONGEST: f64 = 1e6;
@@ -26,37 +25,6 @@
 /// Names the operator's own file (TOML): what the platform's configuration says nothing of.
 pub const OPERATOR: &str = "SHOREWHARF_OPERATOR";
 
-/// What is wrong with the configuration; the text names the key at fault.
-#[derive(Debug, Error)]
-pub enum ConfigError {
-    /// Neither the file nor the environment has it.
-    #[error("{0}: missing (neither in the file that ROUTER_CONFIG names nor as {1})")]
-    Missing(&'static str, &'static str),
-    /// The file can't be read.
-    #[error("{0}: {1}")]
-    File(PathBuf, std::io::Error),
-    /// A key has a value of the wrong form.
-    #[error("{0}: {1}")]
-    Form(String, String),
-}
-
-impl ConfigError {
-    /// The key at fault.
-    pub fn key(&self) -> &str {
-        match self {
-            ConfigError::Missing(key, _) => key,
-            ConfigError::File(..) => "ROUTER_CONFIG",
-            ConfigError::Form(key, _) => key,
-        }
-    }
-
-    /// What is wrong with it, and what is allowed.
-    pub fn why(&self) -> String {
-        let text = self.to_string();
-        text.strip_prefix(self.key()).and_then(|t| t.strip_prefix(": ")).unwrap_or(&text).to_owned()
-    }
-}
-
 /// The limits that this machine sets the program.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
 #[serde(default)]
@@ -103,7 +71,7 @@
     /// What the operator's own file says.
     pub operator: Operator,
     /// The other balancers of the fleet, where the operator's file names them.
-    pub mates: Option<Mates>,
+    pub peers: Option<Peers>,
     /// Budgets of the whole fleet, where the operator's file names a store.
     pub fleet: Option<Fleet>,
 }
@@ -259,7 +227,7 @@
             return Err(form("limits.sockets", why));
         }
         let name = or(raw.name, "name", "ROUTER_NAME")?;
-        let mates = Mates::read(&operator.gossip, &name)?;
+        let peers = Peers::read(&operator.gossip, &name)?;
         let names = Names {
             classes: places(named.classes.into_iter().map(|c| c.name)),
             tenants: places(named.tenants.into_iter().map(|t| t.name)),
@@ -279,7 +247,7 @@
             give_up,
             tells_delay: named.specifics.tells_delay,
             operator,
-            mates,
+            peers,
             fleet,
         })
     }
--- a/crates/balancer/src/fleet.rs
+++ b/crates/balancer/src/fleet.rs
@@ -5,7 +5,7 @@
 use shorewharf_protocol::names::Names;
 use shorewharf_settings::operator::Budgets;
 
-use crate::config::ConfigError;
+use crate::config_error::ConfigError;
 
 /// More balancers than this are no fleet of one service.
 const MOST: usize = 4_096;
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod check;
 pub mod config;
+pub mod config_error;
 pub mod fleet;
-pub mod mates;
 pub mod net;
+pub mod peers;
--- a/crates/balancer/src/net/clients/unserved.rs
+++ b/crates/balancer/src/net/clients/idle_connections.rs
@@ -8,12 +8,12 @@
 
 /// Connections that ask for nothing, each with the time since when.
 #[derive(Debug, Default)]
-pub struct Unserved {
+pub struct IdleConnections {
     opening: BTreeSet<(Micros, RequestId)>,
     ending: BTreeSet<(Micros, RequestId)>,
 }
 
-impl Unserved {
+impl IdleConnections {
     /// A connection has come, and its first line has not.
     pub fn opens(&mut self, since: Micros, id: RequestId) {
         self.opening.insert((since, id));
--- a/crates/balancer/src/net/clients/unserved/tests.rs
+++ b/crates/balancer/src/net/clients/idle_connections/tests.rs
@@ -4,7 +4,7 @@
 
 #[test]
 fn the_answered_go_first_and_then_the_oldest() {
-    let mut u = Unserved::default();
+    let mut u = IdleConnections::default();
     u.opens(10, RequestId(9));
     u.opens(10, RequestId(3));
     u.ends(40, RequestId(5));
--- a/crates/balancer/src/net/clients/sessions.rs
+++ b/crates/balancer/src/net/clients/sessions.rs
@@ -8,9 +8,9 @@
 use shorewharf_decisions::interface::RequestId;
 use shorewharf_driver::Micros;
 
+use super::idle_connections::IdleConnections;
 use super::open_ids::OpenIds;
 use super::session::{Asking, Session, Stage, next_free};
-use super::unserved::Unserved;
 use crate::net::link::Link;
 use crate::net::poll::Owner;
 use crate::net::turn::{Due, Turn};
@@ -22,7 +22,7 @@
     /// Boxed: the table of a large fleet has room for more than it holds.
     table: FxHashMap<RequestId, Box<Session>>,
     open_ids: OpenIds,
-    unserved: Unserved,
+    unserved: IdleConnections,
     next: u32,
 }
 
--- a/crates/balancer/src/net/crew.rs
+++ b/crates/balancer/src/net/crew.rs
@@ -17,7 +17,7 @@
 use tracing::{info, warn};
 
 use super::handover::words::Handed;
-use super::list::director::News;
+use super::list::discovery_client::DiscoveryEvent;
 use super::servers::taken_out::Change;
 use crate::config::Config;
 
@@ -34,7 +34,7 @@
     /// A client that has connected elsewhere.
     Client(TcpStream, SocketAddr),
     /// Discovery's news.
-    News(News),
+    DiscoveryEvent(DiscoveryEvent),
     /// A module wants the watch on discovery.
     Watch,
     /// The module of this worker wants a server checked on.
--- a/crates/balancer/src/net/gossip.rs
+++ b/crates/balancer/src/net/gossip.rs
@@ -16,7 +16,7 @@
 
 use super::poll::Owner;
 use super::turn::{Due, Turn};
-use crate::mates::Mates;
+use crate::peers::Peers;
 
 /// What others hold is told to the module this often.
 const TELL: Micros = 200_000;
@@ -51,17 +51,17 @@
 
 impl Tells {
     /// The balancer of this name, which hears there. Nothing is opened yet: the first turn does.
-    pub fn new(turn: &mut Turn, name: &str, at: SocketAddr, mates: &Mates, seed: u64) -> Self {
+    pub fn new(turn: &mut Turn, name: &str, at: SocketAddr, peers: &Peers, seed: u64) -> Self {
         turn.after(0, Due::Gossip);
         let life = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
-        let names: Vec<String> = mates.others.iter().map(|o| o.0.clone()).collect();
-        let gossip = Gossip::new(turn.now, life, name, &names, mates.key.clone(), mates.rules, seed);
+        let names: Vec<String> = peers.others.iter().map(|o| o.0.clone()).collect();
+        let gossip = Gossip::new(turn.now, life, name, &names, peers.key.clone(), peers.rules, seed);
         Tells {
             at,
             socket: None,
-            others: mates.others.clone(),
+            others: peers.others.clone(),
             gossip,
-            every: mates.rules.every,
+            every: peers.rules.every,
             more: false,
             due: false,
             told: turn.now,
@@ -73,10 +73,10 @@
     }
 
     /// The fleet is another one.
-    pub fn take_mates(&mut self, mates: &Mates) {
-        let names: Vec<String> = mates.others.iter().map(|o| o.0.clone()).collect();
+    pub fn take_peers(&mut self, peers: &Peers) {
+        let names: Vec<String> = peers.others.iter().map(|o| o.0.clone()).collect();
         self.gossip.take_others(&names);
-        self.others.clone_from(&mates.others);
+        self.others.clone_from(&peers.others);
     }
 
     /// The timer has come.
--- a/crates/balancer/src/net/handover/overlap.rs
+++ b/crates/balancer/src/net/handover/overlap.rs
@@ -286,6 +286,6 @@
     /// The list as it stands, in discovery's form.
     fn listing(&self) -> Listing {
         let endpoints = self.serving.servers.endpoints(&self.serving.terms.names);
-        Listing { index: self.director.index(), snapshot: true, endpoints }
+        Listing { index: self.discovery.index(), snapshot: true, endpoints }
     }
 }
--- a/crates/balancer/src/net/hub.rs
+++ b/crates/balancer/src/net/hub.rs
@@ -16,7 +16,7 @@
 use super::gossip::Tells;
 use super::handover::overlap::Kin;
 use super::link::is_shortage;
-use super::list::director::{Director, News};
+use super::list::discovery_client::{DiscoveryClient, DiscoveryEvent};
 use super::list::incoming::Incoming;
 use super::list::wall_clock::WallClock;
 use super::operators::counts::Counts;
@@ -91,7 +91,7 @@
     /// The next look for room is set.
     waits_for_room: bool,
     pub(super) serving: Serving,
-    pub(super) director: Director,
+    pub(super) discovery: DiscoveryClient,
     /// Where operators call.
     pub(super) desk: Option<Desk>,
     /// Other processes of this balancer.
@@ -120,7 +120,7 @@
             accepts: true,
             waits_for_room: false,
             serving: Serving::new(terms, at.open_ids, at.counts),
-            director: Director::new(discovery),
+            discovery: DiscoveryClient::new(discovery),
             desk: at.desk.map(Desk::from),
             kin: at.kin,
             tells: None,
@@ -129,7 +129,7 @@
             leaving: None,
             done: None,
         };
-        net.turn.pressure.set_aim(net.serving.terms.message_aim);
+        net.turn.overload.set_aim(net.serving.terms.message_aim);
         net.turn.after(DELAY_PERIOD, Due::Delays);
         for (server, out) in at.taken_out {
             // Before anything is listed: the first list is told as it stands with them out.
@@ -143,7 +143,7 @@
 
     /// The list that the configuration knows: whole, though it may be old.
     pub fn list_known(&mut self, known: &Listing) -> Vec<ListEntry> {
-        self.director.knows(known.index);
+        self.discovery.knows(known.index);
         let terms = &self.serving.terms;
         let known = Incoming::of(known, &terms.names, terms.most_servers);
         self.serving.servers.take_quietly(known, terms.most_servers)
@@ -156,9 +156,9 @@
 
     /// Puts another configuration's terms in force; connections and the list stay.
     pub fn take_terms(&mut self, terms: Terms, discovery: SocketAddr) {
-        self.turn.pressure.set_aim(terms.message_aim);
+        self.turn.overload.set_aim(terms.message_aim);
         self.serving.take_terms(terms);
-        let news = self.director.moves(&mut self.turn, discovery);
+        let news = self.discovery.moves(&mut self.turn, discovery);
         self.news(news);
     }
 
@@ -169,8 +169,8 @@
             Owner::Session(id) => self.serving.on_session_ready(turn, id, ready),
             Owner::Attempt(id) => self.serving.on_attempt_ready(turn, id, ready),
             Owner::Probe(number) => self.serving.probes.ready(turn, number, ready),
-            Owner::Director => {
-                let news = self.director.ready(turn, &self.serving.terms, ready);
+            Owner::DiscoveryClient => {
+                let news = self.discovery.ready(turn, &self.serving.terms, ready);
                 self.news(news);
             }
             // Those who are here come first: what they do may make room, and the module should know of it.
@@ -194,8 +194,8 @@
             self.serving.goes_on(&mut self.turn, id);
             heard(self);
         }
-        if self.director.is_busy() {
-            self.seen(Owner::Director, Ready::default());
+        if self.discovery.is_busy() {
+            self.seen(Owner::DiscoveryClient, Ready::default());
             heard(self);
         }
         if self.kin_is_busy() {
@@ -226,8 +226,8 @@
             Due::Attempt(id) => self.serving.on_attempt_timer(turn, id),
             Due::Dial(id) => self.serving.dial_again(turn, id),
             Due::Probe(number) => self.serving.probes.alarmed(turn, number),
-            Due::Director => {
-                let news = self.director.alarmed(turn);
+            Due::DiscoveryClient => {
+                let news = self.discovery.alarmed(turn);
                 self.news(news);
             }
             Due::Accept => {
@@ -237,7 +237,7 @@
                     self.serving.note_short(false);
                 }
             }
-            Due::Complaints => self.serving.complaints_due(turn.now),
+            Due::LogRateLimiter => self.serving.complaints_due(turn.now),
             Due::Leave => self.leave(),
             Due::Delays => {
                 // What is still to be read would look like a delay.
@@ -260,11 +260,11 @@
 
     /// The turn has ended at this time: when there is something to do again though nothing comes, which may be now.
     pub fn ends(&mut self, now: Micros) -> Micros {
-        self.turn.pressure.turn(self.turn.now, now, self.accepts);
+        self.turn.overload.turn(self.turn.now, now, self.accepts);
         self.serving.note_held();
         let calls = self.desk.as_ref().is_some_and(|d| d.door.is_busy());
         let next = match self.serving.is_busy()
-            || self.director.is_busy()
+            || self.discovery.is_busy()
             || self.accepts
             || calls
             || self.kin_is_busy()
@@ -295,7 +295,7 @@
             // Those who wait are the other process's, which has the same listener.
             return;
         }
-        for _ in 0..self.turn.pressure.accepts() {
+        for _ in 0..self.turn.overload.accepts() {
             if !self.can_accept && !self.can_help {
                 break;
             }
@@ -339,23 +339,23 @@
     }
 
     /// Discovery's news, for all workers.
-    fn news(&mut self, news: Vec<News>) {
+    fn news(&mut self, news: Vec<DiscoveryEvent>) {
         for news in news {
             if let Some(crew) = &self.crew {
-                crew.tell_others(|_| Order::News(news.clone()));
+                crew.tell_others(|_| Order::DiscoveryEvent(news.clone()));
             }
             self.listed(news);
         }
     }
 
-    fn listed(&mut self, news: News) {
+    fn listed(&mut self, news: DiscoveryEvent) {
         let event = match news {
-            News::List(list) => {
+            DiscoveryEvent::List(list) => {
                 let full = list.snapshot;
                 let entries = self.serving.take_list(list, WallClock::read(self.turn.now));
                 NetworkEvent::Listed { full, cached: false, entries }
             }
-            News::Failed => NetworkEvent::DiscoveryFailed,
+            DiscoveryEvent::Failed => NetworkEvent::DiscoveryFailed,
         };
         self.turn.emit(event);
     }
@@ -434,7 +434,7 @@
     pub fn order(&mut self, order: Order) {
         match order {
             Order::Client(stream, from) => self.serving.client_comes(&mut self.turn, stream, from),
-            Order::News(news) => self.listed(news),
+            Order::DiscoveryEvent(news) => self.listed(news),
             Order::Watch => self.watch(),
             Order::Probe(other, server) => self.check_on(server, Some(other)),
             Order::Changed(change) => self.changes(change),
@@ -562,7 +562,7 @@
             // Without the one that leads, the whole process is about to end.
             Some(crew) if !crew.leads() => drop(crew.tell(0, Order::Watch)),
             _ => {
-                let news = self.director.watch(&mut self.turn);
+                let news = self.discovery.watch(&mut self.turn);
                 self.news(news);
             }
         }
--- a/crates/balancer/src/net/keeping.rs
+++ b/crates/balancer/src/net/keeping.rs
@@ -159,7 +159,7 @@
         if self.at.is_none() && self.writer.is_idle() {
             self.began = net.turn.now;
             let (balancer, worker, workers) = (self.balancer.clone(), self.worker, self.workers);
-            let (taken, index) = (unix(), net.director.index());
+            let (taken, index) = (unix(), net.discovery.index());
             self.writer.begin(Head { snapshot: VERSION, balancer, worker, workers, taken, index });
             self.at = Some(At::Servers(None));
         }
--- a/crates/balancer/src/net/list/director.rs
+++ b/crates/balancer/src/net/list/discovery_client.rs
@@ -1,4 +1,4 @@
-//! The director: the list of servers, from a watch over HTTP/1.1.
+//! The discovery: the list of servers, from a watch over HTTP/1.1.
 
 use std::net::SocketAddr;
 
@@ -28,7 +28,7 @@
 
 /// What comes of a watch.
 #[derive(Clone, Debug, PartialEq)]
-pub enum News {
+pub enum DiscoveryEvent {
     /// Discovery tells a list, or changes to it.
     List(Incoming),
     /// A call failed or the watch ended.
@@ -37,7 +37,7 @@
 
 /// Discovery's side.
 #[derive(Debug)]
-pub struct Director {
+pub struct DiscoveryClient {
     at: SocketAddr,
     link: Option<Link>,
     asked: bool,
@@ -59,10 +59,10 @@
     alarm: Alarm,
 }
 
-impl Director {
-    /// A director that has not been asked yet.
+impl DiscoveryClient {
+    /// A discovery that has not been asked yet.
     pub fn new(at: SocketAddr) -> Self {
-        Director {
+        DiscoveryClient {
             at,
             link: None,
             asked: false,
@@ -92,7 +92,7 @@
     /// Discovery is at another address from now on. Guards against an old list: the watch at the address
     /// before may live on for seconds and tell nothing, so a new one starts at once. It goes on from the
     /// version that is held; the list stays in force meanwhile.
-    pub fn moves(&mut self, turn: &mut Turn, at: SocketAddr) -> Vec<News> {
+    pub fn moves(&mut self, turn: &mut Turn, at: SocketAddr) -> Vec<DiscoveryEvent> {
         if std::mem::replace(&mut self.at, at) == at {
             return Vec::new();
         }
@@ -101,7 +101,7 @@
     }
 
     /// Opens the watch, unless it is open.
-    pub fn watch(&mut self, turn: &mut Turn) -> Vec<News> {
+    pub fn watch(&mut self, turn: &mut Turn) -> Vec<DiscoveryEvent> {
         self.wanted = true;
         if self.link.is_some() {
             return Vec::new();
@@ -110,7 +110,7 @@
             Ok(link) => link,
             Err(e) => return self.failed(turn, Vec::new(), &e.to_string()),
         };
-        if !turn.poller.watch(&mut link, Owner::Director) {
+        if !turn.poller.watch(&mut link, Owner::DiscoveryClient) {
             return self.failed(turn, Vec::new(), "the loop takes no more connections");
         }
         (self.link, self.asked, self.answer, self.heard) = (Some(link), false, Answer::new(), turn.now);
@@ -127,7 +127,7 @@
     }
 
     /// The watch's connection is ready.
-    pub fn ready(&mut self, turn: &mut Turn, terms: &Terms, ready: Ready) -> Vec<News> {
+    pub fn ready(&mut self, turn: &mut Turn, terms: &Terms, ready: Ready) -> Vec<DiscoveryEvent> {
         let mut news = Vec::new();
         self.more = false;
         let Some(link) = self.link.as_mut() else { return news };
@@ -185,21 +185,21 @@
         }
     }
 
-    fn says(&mut self, list: Incoming) -> News {
+    fn says(&mut self, list: Incoming) -> DiscoveryEvent {
         if std::mem::replace(&mut self.failing, false) {
             info!(event = "discovery-back", index = list.index);
         }
         self.index = list.index;
-        News::List(list)
+        DiscoveryEvent::List(list)
     }
 
-    fn failed(&mut self, turn: &mut Turn, mut news: Vec<News>, why: &str) -> Vec<News> {
+    fn failed(&mut self, turn: &mut Turn, mut news: Vec<DiscoveryEvent>, why: &str) -> Vec<DiscoveryEvent> {
         self.link = None;
         self.alarm.off(turn);
         if !std::mem::replace(&mut self.failing, true) {
             warn!(event = "discovery-failed", why);
         }
-        news.push(News::Failed);
+        news.push(DiscoveryEvent::Failed);
         news
     }
 
@@ -211,11 +211,11 @@
 
     fn arm(&mut self, turn: &mut Turn) {
         let due = self.due(turn);
-        self.alarm.by(turn, due, Due::Director);
+        self.alarm.by(turn, due, Due::DiscoveryClient);
     }
 
     /// The timer has come: ends a watch that has been silent for too long.
-    pub fn alarmed(&mut self, turn: &mut Turn) -> Vec<News> {
+    pub fn alarmed(&mut self, turn: &mut Turn) -> Vec<DiscoveryEvent> {
         self.alarm.came();
         if self.due(turn).is_some_and(|due| turn.now >= due) {
             return self.failed(turn, Vec::new(), "silence");
--- a/crates/balancer/src/net/list/director/tests.rs
+++ b/crates/balancer/src/net/list/discovery_client/tests.rs
@@ -6,52 +6,52 @@
 use std::net::TcpListener;
 
 /// What comes of the timer, if it comes, so much later.
-fn alarmed(director: &mut Director, turn: &mut Turn, later: Micros) -> Option<Vec<News>> {
+fn alarmed(discovery: &mut DiscoveryClient, turn: &mut Turn, later: Micros) -> Option<Vec<DiscoveryEvent>> {
     turn.ends(turn.now + later);
     turn.begin(turn.now + later);
     turn.timers.due().map(|due| {
-        assert_eq!(due, Due::Director);
-        director.alarmed(turn)
+        assert_eq!(due, Due::DiscoveryClient);
+        discovery.alarmed(turn)
     })
 }
 
 #[test]
 fn a_silent_address_is_given_up_in_time_for_another_call() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let mut director = Director::new(listener.local_addr().expect("bound"));
+    let mut discovery = DiscoveryClient::new(listener.local_addr().expect("bound"));
     let (mut turn, terms) = (turn(1_000_000), Terms::few());
-    assert_eq!(director.watch(&mut turn), []);
-    assert_eq!(alarmed(&mut director, &mut turn, FIRST - 1), None);
-    assert_eq!(alarmed(&mut director, &mut turn, 1), Some(vec![News::Failed]));
-    assert_eq!(director.watch(&mut turn), []);
+    assert_eq!(discovery.watch(&mut turn), []);
+    assert_eq!(alarmed(&mut discovery, &mut turn, FIRST - 1), None);
+    assert_eq!(alarmed(&mut discovery, &mut turn, 1), Some(vec![DiscoveryEvent::Failed]));
+    assert_eq!(discovery.watch(&mut turn), []);
     let (_first, (mut second, _)) = (listener.accept(), listener.accept().expect("a second call"));
     second.write_all(b"HTTP/1.1 200 OK\r\n\r\n{\"index\":7}\n").expect("open");
     let mut news = Vec::new();
     until(|| {
-        news.extend(director.ready(&mut turn, &terms, READ));
+        news.extend(discovery.ready(&mut turn, &terms, READ));
         !news.is_empty()
     });
-    assert!(matches!(&news[..], [News::List(listing)] if listing.index == 7));
+    assert!(matches!(&news[..], [DiscoveryEvent::List(listing)] if listing.index == 7));
     // A timer that comes for what is no longer due finds the next one.
-    assert_eq!(alarmed(&mut director, &mut turn, SILENT - 1), Some(vec![]));
-    assert_eq!(alarmed(&mut director, &mut turn, 1), Some(vec![News::Failed]));
+    assert_eq!(alarmed(&mut discovery, &mut turn, SILENT - 1), Some(vec![]));
+    assert_eq!(alarmed(&mut discovery, &mut turn, 1), Some(vec![DiscoveryEvent::Failed]));
 }
 
 /// A call that is accepted, and perhaps answered with a head, and whose list never begins.
 #[test]
 fn a_call_whose_list_does_not_begin_is_given_up_as_soon_as_one_that_says_nothing() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let mut director = Director::new(listener.local_addr().expect("bound"));
+    let mut discovery = DiscoveryClient::new(listener.local_addr().expect("bound"));
     let (mut turn, terms) = (turn(1_000_000), Terms::few());
-    assert_eq!(director.watch(&mut turn), []);
+    assert_eq!(discovery.watch(&mut turn), []);
     let (mut call, _) = listener.accept().expect("a call");
     turn.ends(2_000_000);
     turn.begin(2_000_000);
     call.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4").expect("open");
     until(|| {
-        assert_eq!(director.ready(&mut turn, &terms, READ), []);
-        director.link.as_ref().is_some_and(|link| link.held() == b"4")
+        assert_eq!(discovery.ready(&mut turn, &terms, READ), []);
+        discovery.link.as_ref().is_some_and(|link| link.held() == b"4")
     });
-    assert_eq!(alarmed(&mut director, &mut turn, FIRST - 1_000_001), None, "it began 1 s ago");
-    assert_eq!(alarmed(&mut director, &mut turn, 1), Some(vec![News::Failed]));
+    assert_eq!(alarmed(&mut discovery, &mut turn, FIRST - 1_000_001), None, "it began 1 s ago");
+    assert_eq!(alarmed(&mut discovery, &mut turn, 1), Some(vec![DiscoveryEvent::Failed]));
 }
--- a/crates/balancer/src/net/complaints.rs
+++ b/crates/balancer/src/net/log_rate_limiter.rs
@@ -12,19 +12,19 @@
 
 /// The lines of the second that began then, and how many were left out of it.
 #[derive(Debug, Default)]
-pub struct Complaints {
+pub struct LogRateLimiter {
     began: Micros,
     written: u32,
     left_out: u32,
 }
 
-impl Complaints {
+impl LogRateLimiter {
     /// Whether what a client has done wrong may be logged now; else it is counted.
     pub fn may(&mut self, turn: &mut Turn) -> bool {
         self.due(turn.now);
-        let may = self.written < turn.pressure.log_lines(MOST);
+        let may = self.written < turn.overload.log_lines(MOST);
         if !may && self.left_out == 0 {
-            turn.timers.set(self.began + SECOND, Due::Complaints);
+            turn.timers.set(self.began + SECOND, Due::LogRateLimiter);
         }
         *if may { &mut self.written } else { &mut self.left_out } += 1;
         may
@@ -36,7 +36,7 @@
             return 0;
         }
         let left_out = self.left_out;
-        *self = Complaints { began: now, ..Complaints::default() };
+        *self = LogRateLimiter { began: now, ..LogRateLimiter::default() };
         if left_out > 0 {
             warn!(event = "bad-clients", "left-out" = left_out);
         }
--- a/crates/balancer/src/net/pressure.rs
+++ b/crates/balancer/src/net/overload_monitor.rs
@@ -46,7 +46,7 @@
 
 /// What the loop can take on.
 #[derive(Debug)]
-pub struct Pressure {
+pub struct OverloadMonitor {
     long: Micros,
     accepts: usize,
     /// The last turn's end.
@@ -59,12 +59,21 @@
     credit: f64,
 }
 
-impl Pressure {
-    /// No pressure yet.
+impl OverloadMonitor {
+    /// No overload yet.
     pub fn new(now: Micros) -> Self {
         let window = Window { began: now, ..Window::default() };
         let (accepts, against, admit) = (ACCEPTS, 0, 1.0);
-        Pressure { long: LONG_MOST, accepts, ended: now, window, against, overload: None, admit, credit: 0.0 }
+        OverloadMonitor {
+            long: LONG_MOST,
+            accepts,
+            ended: now,
+            window,
+            against,
+            overload: None,
+            admit,
+            credit: 0.0,
+        }
     }
 
     /// Lines are wanted within this time.
--- a/crates/balancer/src/net/pressure/tests.rs
+++ b/crates/balancer/src/net/overload_monitor/tests.rs
@@ -5,7 +5,7 @@
 /// Plays turns for so long: each takes `took` after a wait of `waited`, and leaves clients in the backlog or not.
 /// Tells how many of a hundred clients are taken at the end.
 fn play(
-    p: &mut Pressure,
+    p: &mut OverloadMonitor,
     now: &mut Micros,
     long: Micros,
     (waited, took, backlog): (Micros, Micros, bool),
@@ -21,7 +21,7 @@
 
 #[test]
 fn less_is_taken_on_while_the_loop_lags_and_everything_once_it_keeps_up() {
-    let (mut p, mut now) = (Pressure::new(0), 0);
+    let (mut p, mut now) = (OverloadMonitor::new(0), 0);
     p.set_aim(50_000);
     for (what, turns) in [
         ("busy with short turns", (0, 3_000, false)),
--- a/crates/balancer/src/net/poll.rs
+++ b/crates/balancer/src/net/poll.rs
@@ -26,8 +26,8 @@
     Attempt(RequestId),
     /// The probe of this number.
     Probe(u64),
-    /// The director's watch.
-    Director,
+    /// The discovery's watch.
+    DiscoveryClient,
     /// The listener: clients wait to be accepted.
     Listener,
     /// Signals of the system's.
@@ -65,7 +65,7 @@
             Owner::Session(id) => (0, u64::from(id.0)),
             Owner::Attempt(id) => (1, u64::from(id.0)),
             Owner::Probe(number) => (2, number),
-            Owner::Director => (3, 0),
+            Owner::DiscoveryClient => (3, 0),
             Owner::Listener => (4, 0),
             Owner::Signals => (5, 0),
             Owner::Orders => (6, 0),
@@ -86,7 +86,7 @@
             0 => Owner::Session(RequestId(number as u32)),
             1 => Owner::Attempt(RequestId(number as u32)),
             2 => Owner::Probe(number),
-            3 => Owner::Director,
+            3 => Owner::DiscoveryClient,
             4 => Owner::Listener,
             5 => Owner::Signals,
             6 => Owner::Orders,
--- a/crates/balancer/src/net/poll/tests.rs
+++ b/crates/balancer/src/net/poll/tests.rs
@@ -9,7 +9,7 @@
         Owner::Session(id),
         Owner::Attempt(id),
         Owner::Probe(1 << 40),
-        Owner::Director,
+        Owner::DiscoveryClient,
         Owner::Listener,
         Owner::Signals,
         Owner::Orders,
--- a/crates/balancer/src/net/reload.rs
+++ b/crates/balancer/src/net/reload.rs
@@ -30,8 +30,8 @@
 /// they are.
 pub fn apply(config: &Config, net: &mut Net, driver: &mut Driver) {
     net.take_terms(Terms::from(config), config.discovery);
-    if let (Some(tells), Some(mates)) = (&mut net.tells, &config.mates) {
-        tells.take_mates(mates);
+    if let (Some(tells), Some(peers)) = (&mut net.tells, &config.peers) {
+        tells.take_peers(peers);
     }
     driver.take_settings(net.now(), config.settings.clone(), &config.operator);
 }
--- a/crates/balancer/src/net/servers/server_table.rs
+++ b/crates/balancer/src/net/servers/server_table.rs
@@ -1,4 +1,4 @@
-//! ServerTable: the servers as the director listed them last.
+//! ServerTable: the servers as the discovery listed them last.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -17,7 +17,7 @@
 use super::delays::{Figure, Figures, Sight, typical};
 use super::taken_out::{Change, TakenOut};
 
-/// A server as the director listed it last.
+/// A server as the discovery listed it last.
 #[derive(Debug)]
 struct ServerEntry {
     name: Box<str>,
--- a/crates/balancer/src/net/serving/mod.rs
+++ b/crates/balancer/src/net/serving/mod.rs
@@ -21,9 +21,9 @@
 use crate::net::clients::open_ids::OpenIds;
 use crate::net::clients::session::{Asking, First, Patience, Session, Stage};
 use crate::net::clients::sessions::Sessions;
-use crate::net::complaints::Complaints;
 use crate::net::list::incoming::{Incoming, server_id};
 use crate::net::list::wall_clock::WallClock;
+use crate::net::log_rate_limiter::LogRateLimiter;
 use crate::net::operators::counts::{Counts, Reply};
 use crate::net::poll::Ready;
 use crate::net::servers::attempts::{self, Answer, Attempts};
@@ -44,7 +44,7 @@
 /// The same where the program can't keep up: what helps is that fewer come.
 const COME_BACK_LATER: Micros = 1_000_000;
 
-/// All peers but the director.
+/// All peers but the discovery.
 #[derive(Debug)]
 pub struct Serving {
     /// What the configuration says of them.
@@ -60,7 +60,7 @@
     /// What each request's attempts may have done, and so what may be done next.
     guard: RequestGuard,
     budget: Budget,
-    complaints: Complaints,
+    complaints: LogRateLimiter,
     /// Connections with more to carry or to read, which let the others have their turn.
     again: Vec<RequestId>,
     /// Those that have asked or been answered lately, each once: only they tell of message delays.
@@ -90,7 +90,7 @@
             attempts: Attempts::default(),
             pending_dials: BTreeMap::new(),
             guard: RequestGuard::default(),
-            complaints: Complaints::default(),
+            complaints: LogRateLimiter::default(),
             again: Vec::new(),
             sighted: Vec::new(),
             leaves: VecDeque::new(),
@@ -279,7 +279,7 @@
             let after = if self.has_successor { COME_BACK_SOON } else { LEAVE_AFTER };
             return self.answer_unserved(turn, id, after, Cause::Shutdown);
         }
-        if home.is_none() && !turn.pressure.admits() {
+        if home.is_none() && !turn.overload.admits() {
             // Guards those who stand: a refusal costs a tenth of a set-up.
             return self.answer_unserved(turn, id, COME_BACK_LATER, Cause::Overload);
         }
--- a/crates/balancer/src/net/turn.rs
+++ b/crates/balancer/src/net/turn.rs
@@ -7,9 +7,9 @@
 use shorewharf_driver::{Micros, NetworkEvent};
 use tracing::warn;
 
+use super::overload_monitor::OverloadMonitor;
 use super::poll::Poller;
 use super::pool::Pool;
-use super::pressure::Pressure;
 use super::timers::{Key, Timers};
 
 /// What a timer is for.
@@ -25,14 +25,14 @@
     Dial(RequestId),
     /// A probe should be over by now.
     Probe(u64),
-    /// The director may have been silent for too long.
-    Director,
+    /// The discovery may have been silent for too long.
+    DiscoveryClient,
     /// Clients that could not be accepted may be by now.
     Accept,
     /// Message delays are reported.
     Delays,
     /// Log lines were left out.
-    Complaints,
+    LogRateLimiter,
     /// The next step of a planned end.
     Leave,
     /// An operator that has not come further by now has to go.
@@ -98,7 +98,7 @@
     /// What is due when.
     pub timers: Timers<Due>,
     /// What the loop can take on.
-    pub pressure: Pressure,
+    pub overload: OverloadMonitor,
     events: VecDeque<NetworkEvent>,
     /// When the next turn is to begin at the latest.
     next: Micros,
@@ -114,7 +114,7 @@
             pool: Pool::default(),
             poller,
             timers: Timers::new(now),
-            pressure: Pressure::new(now),
+            overload: OverloadMonitor::new(now),
             events: VecDeque::new(),
             next: now,
             resumed: 0,
--- a/crates/balancer/src/net/workers.rs
+++ b/crates/balancer/src/net/workers.rs
@@ -192,8 +192,8 @@
         }
         let turn = Turn::new(poller, clock.read());
         let mut net = Net::new(turn, place, config.discovery, Terms::from(&config));
-        if let Some(mates) = &config.mates {
-            net.tells = Some(Tells::new(&mut net.turn, &config.name, address, mates, config.seed));
+        if let Some(peers) = &config.peers {
+            net.tells = Some(Tells::new(&mut net.turn, &config.name, address, peers, config.seed));
         }
         // Held once: by the tables from now on.
         let known = net.list_known(&self.known);
--- a/crates/balancer/src/mates.rs
+++ b/crates/balancer/src/peers.rs
@@ -5,14 +5,14 @@
 use shorewharf_gossip::{Key, Rules};
 use shorewharf_settings::operator::Gossip;
 
-use crate::config::ConfigError;
+use crate::config_error::ConfigError;
 
 /// More balancers than this are no fleet of one service.
 const MOST: usize = 4_096;
 
 /// What is needed to tell the others of a fleet.
 #[derive(Clone, Debug)]
-pub struct Mates {
+pub struct Peers {
     /// The others by name, with the address of each for datagrams.
     pub others: Vec<(String, SocketAddr)>,
     /// The key that all share.
@@ -25,12 +25,12 @@
     ConfigError::Form(key.to_owned(), why.to_string())
 }
 
-impl Mates {
+impl Peers {
     /// Reads the files that the operator's file names, for the balancer of this name; none where it names none.
     ///
     /// # Errors
     /// A file that can't be read or used; the text names the key, and the line at fault.
-    pub fn read(of: &Gossip, me: &str) -> Result<Option<Mates>, ConfigError> {
+    pub fn read(of: &Gossip, me: &str) -> Result<Option<Peers>, ConfigError> {
         let Some(peers) = &of.peers else { return Ok(None) };
         let path = peers.display();
         let text =
@@ -61,7 +61,7 @@
         let bytes = std::fs::read(key).map_err(|e| wrong("gossip.key", format!("{}: {e}", key.display())))?;
         let key = Key::new(bytes.trim_ascii()).map_err(|e| wrong("gossip.key", e))?;
         let rules = Rules { every: of.every_ms * 1_000, fanout: of.fanout, ..Rules::default() };
-        Ok(Some(Mates { others, key, rules }))
+        Ok(Some(Peers { others, key, rules }))
     }
 }
 
