--- a/crates/balancer/tests/sockets/final_answers.rs
+++ b/crates/balancer/tests/sockets/final_answers.rs
@@ -102,12 +102,17 @@
     assert_eq!(client.hear(), Heard::Fin);
 }
 
-#[test]
-fn a_request_at_a_server_that_hangs_through_the_shutdown_is_not_refused() {
+/// A program with one server, and one request of each effect that the server has read.
+fn start_and_send() -> (Node, Program, Vec<(Effect, Peer, Peer)>) {
     let server = Node::new();
-    let mut program = start(&config_of_effects(&[("s-1", server.address())]));
-    let mut requests = sent_requests(&program, &server);
-    program.terminate();
+    let program = start(&config_of_effects(&[("s-1", server.address())]));
+    let requests = sent_requests(&program, &server);
+    (server, program, requests)
+}
+
+/// Checks the final answers of requests that may have run, and that the program ends.
+#[track_caller]
+fn expect_answers_and_end(mut program: Program, mut requests: Vec<(Effect, Peer, Peer)>) {
     for (effect, client, _) in &mut requests {
         expect_answer_after_run(effect, client);
     }
@@ -115,11 +120,26 @@
     assert!(program.wait().success());
 }
 
+/// Has the program read a configuration that calls every class safe.
+fn call_all_safe(program: &Program, settings: &Value) {
+    let mut safe = settings.clone();
+    for class in safe["settings"]["classes"].as_array_mut().expect("classes") {
+        class["semantics"] = json!("read_like");
+    }
+    program.reconfigure(&safe.to_string());
+    program.logged("reloaded");
+}
+
+#[test]
+fn a_request_at_a_server_that_hangs_through_the_shutdown_is_not_refused() {
+    let (_server, program, requests) = start_and_send();
+    program.terminate();
+    expect_answers_and_end(program, requests);
+}
+
 #[test]
 fn a_request_whose_server_answers_after_the_planned_answers_is_served_or_failed() {
-    let server = Node::new();
-    let mut program = start(&config_of_effects(&[("s-1", server.address())]));
-    let mut requests = sent_requests(&program, &server);
+    let (_server, mut program, mut requests) = start_and_send();
     program.terminate();
     let leaving = Instant::now();
     std::thread::sleep((GIVE_UP - Duration::from_millis(300)).saturating_sub(leaving.elapsed()));
@@ -146,9 +166,7 @@
 
 #[test]
 fn an_error_from_the_server_during_the_shutdown_is_no_refusal() {
-    let server = Node::new();
-    let mut program = start(&config_of_effects(&[("s-1", server.address())]));
-    let mut requests = sent_requests(&program, &server);
+    let (server, mut program, mut requests) = start_and_send();
     program.terminate();
     program.logged("leaving");
     for (effect, client, attempt) in &mut requests {
@@ -217,9 +235,7 @@
 
 #[test]
 fn a_request_that_a_server_turned_away_before_the_shutdown_is_refused() {
-    let server = Node::new();
-    let mut program = start(&config_of_effects(&[("s-1", server.address())]));
-    let mut requests = sent_requests(&program, &server);
+    let (_server, mut program, mut requests) = start_and_send();
     program.terminate();
     program.logged("leaving");
     for (effect, client, attempt) in &mut requests {
@@ -247,23 +263,14 @@
 fn a_second_order_to_end_and_a_reload_change_no_final_answer() {
     let server = Node::new();
     let settings = config_of_effects(&[("s-1", server.address())]);
-    let mut program = start(&settings);
-    let mut requests = sent_requests(&program, &server);
+    let program = start(&settings);
+    let requests = sent_requests(&program, &server);
     // The reload calls every class safe: what was taken before it stays what it was.
-    let mut safe = settings.clone();
-    for class in safe["settings"]["classes"].as_array_mut().expect("classes") {
-        class["semantics"] = json!("read_like");
-    }
-    program.reconfigure(&safe.to_string());
-    program.logged("reloaded");
+    call_all_safe(&program, &settings);
     program.terminate();
     program.logged("leaving");
     program.terminate();
-    for (effect, client, _) in &mut requests {
-        expect_answer_after_run(effect, client);
-    }
-    drop(requests);
-    assert!(program.wait().success());
+    expect_answers_and_end(program, requests);
 }
 
 #[test]
@@ -276,12 +283,7 @@
     let mut client = request(&program, 0, write);
     let mut attempt = accept_at_any(&servers);
     attempt.line();
-    let mut safe = settings.clone();
-    for class in safe["settings"]["classes"].as_array_mut().expect("classes") {
-        class["semantics"] = json!("read_like");
-    }
-    program.reconfigure(&safe.to_string());
-    program.logged("reloaded");
+    call_all_safe(&program, &settings);
     attempt.reset();
     expect_answer_after_run(write, &mut client);
     assert!(!servers.iter().any(Node::is_called), "sent again");
@@ -291,36 +293,26 @@
 fn a_request_that_waits_here_while_a_successor_takes_over_is_not_refused_after_it_was_sent() {
     let server = Node::new();
     let settings = crate::operators::with_door(config_of_effects(&[("s-1", server.address())]));
-    let mut old = start(&settings);
-    let mut requests = sent_requests(&old, &server);
+    let old = start(&settings);
+    let requests = sent_requests(&old, &server);
     let mut same = settings.clone();
     same["listen"] = json!(old.address());
     let _new = old.start_beside(crate::BINARY, &same);
     old.terminate();
     assert!(old.logged("event=leaving").contains("successor=true"));
-    for (effect, client, _) in &mut requests {
-        expect_answer_after_run(effect, client);
-    }
-    drop(requests);
-    assert!(old.wait().success());
+    expect_answers_and_end(old, requests);
 }
 
 #[test]
 fn a_deadline_in_the_turn_of_the_planned_answers_is_no_refusal() {
-    let server = Node::new();
-    let mut program = start(&config_of_effects(&[("s-1", server.address())]));
-    let mut requests = sent_requests(&program, &server);
+    let (_server, program, requests) = start_and_send();
     program.terminate();
     program.logged("leaving");
     let over = Instant::now() + GIVE_UP + Duration::from_millis(50);
     program.pause();
     std::thread::sleep(over.saturating_duration_since(Instant::now()));
     program.resume();
-    for (effect, client, _) in &mut requests {
-        expect_answer_after_run(effect, client);
-    }
-    drop(requests);
-    assert!(program.wait().success());
+    expect_answers_and_end(program, requests);
 }
 
 #[test]
