Start no process again once a soak is over

Cause: a fault that was still under way when the run ended (fleet.rs, start_again) started its balancer anew after all had been ended, and nobody ended that one: some were left running. Now the end is marked before the processes are ended, and nothing starts after it.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -56,6 +56,8 @@
     lines: Sender<(usize, String)>,
     log: Mutex<Receiver<(usize, String)>>,
     discovery: SocketAddr,
+    /// The run is over: nothing is started again.
+    is_stopped: Flag,
 }
 
 impl Fleet {
@@ -69,6 +71,7 @@
             lines,
             log: Mutex::new(log),
             discovery: discovery.address(),
+            is_stopped: Flag::default(),
         };
         for number in 0..plan.balancers {
             let any = SocketAddr::from((crate::run::loopback(0), 0));
@@ -178,8 +181,9 @@
         self.log.lock().expect("no panic").try_iter().take(KEPT_LINES).collect()
     }
 
-    /// Ends all processes.
+    /// Ends all processes, for good: faults that are still under way start none again.
     pub fn stop(&self) {
+        self.is_stopped.set(true);
         for balancer in &self.balancers {
             let mut child = balancer.child.lock().expect("no panic");
             // Over already where it has ended by itself.
@@ -192,6 +196,9 @@
         // Over already where it has ended by itself.
         let _ = child.kill();
         child.wait()?;
+        if self.is_stopped.is_set() {
+            return Ok(());
+        }
         std::thread::sleep(Duration::from_millis(100));
         let balancer = &self.balancers[number];
         *child = self.spawn(number, balancer.address)?.0;
