Trace why a second safe request was refused, and hold the first one to its retry

The test let any safe request be refused after a reset. Traced: with both servers reset, repeats are closed (repeats=closed failing=2 of=2), so only the second one may be. The first one must be tried at the other server now.

--- a/crates/balancer/tests/sockets/final_answers.rs
+++ b/crates/balancer/tests/sockets/final_answers.rs
@@ -199,14 +199,18 @@
     for (effect, mut client, attempt) in requests {
         attempt.reset();
         if effect.is_refusable {
-            // It may be tried at the other server, or refused.
+            // The first one must be tried at the other server. Its own end then closes the repeats of all others, as both
+            // servers have failed ("repeats=closed failing=2 of=2"): the next one may be refused instead.
             match next_attempt_or_answer(&servers, &mut client) {
                 Ok(mut second) => {
                     second.line();
                     second.say("UP 2");
                     assert_eq!(client.line(), "UP 2");
                 }
-                Err(answer) => assert!(answer.starts_with("BUSY"), "{effect:?}: {answer}"),
+                Err(answer) => {
+                    assert!(effect.class != EFFECTS[0].class, "not tried again: {answer}");
+                    assert!(answer.starts_with("BUSY"), "{effect:?}: {answer}");
+                }
             }
             continue;
         }
