--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 # run, and that the build of the deploy file has left the balancer.
 set -eu
 cd "$(dirname "$0")/.."
-python3 - review/standins.py review/[123]/case.py <<'END'
+python3 - review/standins.py review/[0-9]/case.py <<'END'
 import sys
 assert sys.version_info >= (3, 8), sys.version
 for path in sys.argv[1:]:
