Log why a connection ends before its request is complete

Hypotheses, and what would tell them apart: 1. the steps of the shutdown end sessions whose first line is incomplete: cause=shutdown, bytes received, a low age; 2. the timeout of the first line: cause=idle, an age of 2.5 s; 3. eviction for want of descriptors: cause=descriptors; 4. the end of the process cuts them off: `stopped sessions=` above 0, and no line for them; 5. an answer is decided on but not sent: `answered` with words; 6. the rest of the line is not read: received_bytes as before, and no `answered`.

Change: `request-incomplete` (debug) with cause, received bytes and age of the connection wherever this process ends a connection without a complete request, and counts of these in `requests` at the end. The code that ends such sessions now has a module of its own; it does what it did.

--- a/crates/balancer/src/proxy/answers.rs
+++ b/crates/balancer/src/proxy/answers.rs
@@ -109,7 +109,8 @@
         }
     }
 
-    /// Logs the total numbers of attempts, of answers and of violations of each kind.
+    /// Logs the total numbers of attempts, of answers, of sessions without a complete request, and of violations
+    /// of each kind.
     pub fn log_totals(&self) {
         let stats = self.guard.stats();
         tracing::info!(
@@ -119,6 +120,7 @@
             withheld = stats.window_expired,
             attempts_ended = format_counts(&stats.attempts_ended),
             answers = format_counts(&stats.answers),
+            incomplete = format_counts(&self.incomplete_requests),
             violations = format_counts(&stats.violations),
         );
     }
--- a/crates/balancer/src/proxy/descriptors.rs
+++ b/crates/balancer/src/proxy/descriptors.rs
@@ -7,7 +7,6 @@
 use crate::clients::session::SessionStage;
 use crate::event_loop::context::LoopContext;
 use crate::overload::descriptor_budget::DescriptorsInUse;
-use crate::transport::readiness::Readiness;
 
 impl Proxy {
     /// Sets the number of descriptors that another process of this balancer holds, which is deducted from the
@@ -49,11 +48,10 @@
     /// destroy a final answer before the client reads it. Returns false if no session is idle.
     fn evict_idle(&mut self, context: &mut LoopContext) -> bool {
         let Some(id) = self.sessions.eviction_candidate() else { return false };
-        self.on_session_ready(context, id, Readiness::READ);
-        let is_idle = self.sessions.get(id).is_some_and(|session| {
-            matches!(session.stage(), SessionStage::AwaitingRequest | SessionStage::Closing)
-        });
-        if is_idle {
+        if self.read_incomplete_request(context, id) {
+            self.record_incomplete_request(context.now, id, Cause::Descriptors);
+            self.close_session(context, id, Cause::Descriptors);
+        } else if self.sessions.get(id).is_some_and(|session| session.stage() == SessionStage::Closing) {
             self.close_session(context, id, Cause::Descriptors);
         }
         true
--- a/crates/balancer/src/proxy/mod.rs
+++ b/crates/balancer/src/proxy/mod.rs
@@ -7,6 +7,7 @@
 //! - `requests`: accepts clients and reads their requests;
 //! - `attempts` and `dialing`: run attempts, up to the server's answer;
 //! - `established`, `relay` and `migration`: relay established connections and end them;
+//! - `incomplete`: ends sessions without a complete request;
 //! - `answers`: sends all final answers;
 //! - `timeouts`: handles deadlines and reports message delays;
 //! - `descriptors`: keeps the limit on descriptors;
@@ -17,6 +18,7 @@
 mod descriptors;
 mod dialing;
 mod established;
+mod incomplete;
 mod migration;
 pub mod relay;
 mod requests;
@@ -43,6 +45,7 @@
 use crate::servers::server_table::ServerTable;
 
 use dialing::PendingDial;
+use incomplete::IncompleteCounts;
 use migration::PendingMigrations;
 pub use shutdown::SessionCounts;
 
@@ -64,6 +67,7 @@
     pending_dials: BTreeMap<RequestId, PendingDial>,
     /// Tracks which requests may have run, and checks each step and each answer against that.
     guard: RequestGuard,
+    incomplete_requests: IncompleteCounts,
     descriptor_budget: DescriptorBudget,
     log_limiter: LogRateLimiter,
     /// Connections with more to forward or to read, to be resumed after other connections have been served.
@@ -93,6 +97,7 @@
             attempts: Attempts::default(),
             pending_dials: BTreeMap::new(),
             guard: RequestGuard::default(),
+            incomplete_requests: IncompleteCounts::new(),
             log_limiter: LogRateLimiter::default(),
             unfinished: Vec::new(),
             delay_reporters: Vec::new(),
--- a/crates/balancer/src/proxy/requests.rs
+++ b/crates/balancer/src/proxy/requests.rs
@@ -71,25 +71,6 @@
         }
     }
 
-    /// Ends the session of a client that has closed, or timed out, before its first line was complete. If the
-    /// client has not closed, its input is read a little longer, since a close with unread input would send a
-    /// reset.
-    pub(super) fn on_incomplete_request(&mut self, context: &mut LoopContext, id: RequestId) {
-        let Some(session) = self.sessions.get(id) else { return };
-        let has_closed = session.connection.peer_close.is_some();
-        if !session.connection.pending_input().is_empty() {
-            let client = session.client_address();
-            if self.log_limiter.acquire(context) {
-                warn!(event = "incomplete-line", client = %client);
-            }
-        }
-        if has_closed {
-            self.close_session(context, id, Cause::Idle);
-        } else {
-            self.answer(context, id, Answer::Closed, Cause::Idle);
-        }
-    }
-
     /// Answers a client that has violated the protocol with an error; `why` is logged.
     fn reject_malformed(&mut self, context: &mut LoopContext, id: RequestId, why: &str) {
         let Some(session) = self.sessions.get(id) else { return };
--- a/crates/balancer/src/proxy/shutdown.rs
+++ b/crates/balancer/src/proxy/shutdown.rs
@@ -1,14 +1,13 @@
 //! Ends client sessions during a graceful shutdown.
 
-use shorewharf_decisions::interface::{Outcome, RequestId};
+use shorewharf_decisions::interface::Outcome;
 use shorewharf_driver::NetworkEvent;
-use shorewharf_lifecycle::{Answer, Cause};
+use shorewharf_lifecycle::Cause;
 use shorewharf_units::Micros;
 
 use super::{Proxy, RETRY_AFTER};
 use crate::clients::session::{Session, SessionStage};
 use crate::event_loop::context::LoopContext;
-use crate::transport::readiness::Readiness;
 
 /// The numbers of sessions at the beginning of a shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -63,12 +62,4 @@
             self.answer_unserved(context, id, RETRY_AFTER, Cause::Shutdown);
         }
     }
-
-    /// Closes a session that has not sent a request, after checking for a first line that has just arrived.
-    fn close_without_request(&mut self, context: &mut LoopContext, id: RequestId) {
-        self.on_session_ready(context, id, Readiness::READ);
-        if self.sessions.get(id).is_some_and(|session| session.stage() == SessionStage::AwaitingRequest) {
-            self.answer(context, id, Answer::Closed, Cause::Shutdown);
-        }
-    }
 }
--- a/crates/balancer/src/proxy/timeouts.rs
+++ b/crates/balancer/src/proxy/timeouts.rs
@@ -14,7 +14,6 @@
 use crate::servers::attempt::AttemptStage;
 use crate::servers::delays::DelaySample;
 use crate::transport::connection::PeerClose;
-use crate::transport::readiness::Readiness;
 
 /// A server is slow if its messages take longer than the shortest message latency objective divided by this.
 const SLOW_SERVER_DIVISOR: Micros = 3;
@@ -72,17 +71,6 @@
         }
     }
 
-    fn on_first_line_overdue(&mut self, context: &mut LoopContext, id: RequestId) {
-        // The first line may have arrived in time without having been read.
-        self.on_session_ready(context, id, Readiness::READ);
-        let is_still_overdue = self.sessions.get(id).is_some_and(|session| {
-            session.stage() == SessionStage::AwaitingRequest && session.is_past_deadline(context.now)
-        });
-        if is_still_overdue {
-            self.on_incomplete_request(context, id);
-        }
-    }
-
     fn on_established_due(&mut self, context: &mut LoopContext, id: RequestId) {
         let Some(session) = self.sessions.get(id) else { return };
         if session.is_half_open_expired(context.now) {
