Answer connections with an incomplete request before a shutdown ends them

Cause: one time of the schedule, `answer_from`, said both when waiting requests are answered and when connections without a request are closed. It is SIGKILL less 1.3 s with no lower bound, so with a longest client timeout of 0.6 s it is SIGTERM itself, while the front still sends clients. Each step from then on closed every connection without a complete line, however young, by a close without an answer.

Fix: such connections have a time of their own (0.8 s after SIGTERM or `answer_from` if later, at most 0.1 s before the end), and they get BUSY before the close. The time alone would only move the moment; the answer covers each moment, any client timeout and any cut, since what comes later finds its answer. Silent connections get it too, as their request may be on its way.

Tests: both in incomplete_requests.rs failed before: 65 failed clients in all, at every one of the eight client timeouts in the second test and from 1 ms to 1 s in the first; both pass now. `silent_clients_are_closed_without_a_reset_in_a_shutdown` asked for a close with no answer. That was wrong: "The balancer loses it if it ends that connection itself with no answer" (PROTOCOL), and a request that crosses the close was lost so. Its successor asks for exactly one BUSY, the FIN and no reset, and sends a whole request after it.

--- a/crates/balancer/src/event_loop/shutdown.rs
+++ b/crates/balancer/src/event_loop/shutdown.rs
@@ -33,6 +33,9 @@
     pub(super) fn on_shutdown_step(&mut self) {
         let Some(elapsed) = self.shutdown_started_at.map(|at| self.context.now - at) else { return };
         let schedule = self.shutdown_schedule();
+        if elapsed >= schedule.reject_incomplete_from {
+            self.proxy.reject_incomplete_requests(&mut self.context);
+        }
         if elapsed >= schedule.answer_from {
             self.proxy.answer_waiting_clients(&mut self.context, elapsed >= schedule.answer_all_from);
         }
--- a/crates/balancer/src/proxy/incomplete.rs
+++ b/crates/balancer/src/proxy/incomplete.rs
@@ -74,12 +74,14 @@
         self.answer(context, id, Answer::Closed, Cause::Idle);
     }
 
-    /// Ends a session without a complete request in a shutdown, after checking for a first line that has just
-    /// arrived.
-    pub(super) fn close_without_request(&mut self, context: &mut LoopContext, id: RequestId) {
+    /// Rejects a client without a complete request in a shutdown, after checking for a first line that has
+    /// just arrived. A silent client is rejected as well: its request may be on its way, and could not be
+    /// answered after the close.
+    pub(super) fn reject_incomplete_request(&mut self, context: &mut LoopContext, id: RequestId) {
         if self.read_incomplete_request(context, id) {
             self.record_incomplete_request(context.now, id, Cause::Shutdown);
-            self.answer(context, id, Answer::Closed, Cause::Shutdown);
+            let retry_after = self.shutdown_retry_after();
+            self.answer(context, id, Answer::Rejected { retry_after }, Cause::Shutdown);
         }
     }
 
--- a/crates/balancer/src/proxy/requests.rs
+++ b/crates/balancer/src/proxy/requests.rs
@@ -15,13 +15,10 @@
 use crate::clients::session::{FirstLine, Session, SessionRequest, SessionStage, WaitingActivity};
 use crate::discovery::update::server_id;
 use crate::event_loop::context::LoopContext;
-use crate::shutdown::MIN_DRAIN_TIME;
 use crate::transport::readiness::Readiness;
 
 /// Time within which a connection from before the start of this process must be established again.
 const RESTORE_TIMEOUT: Micros = 38_000_000;
-/// The retry delay while another process accepts clients in place of this one.
-const RETRY_AFTER_WITH_SUCCESSOR: Micros = 10_000;
 /// The retry delay during an overload; it is long, since only fewer clients relieve the overload.
 const RETRY_AFTER_OVERLOAD: Micros = 1_000_000;
 
@@ -152,8 +149,7 @@
     ) -> bool {
         if self.is_shutting_down {
             // Clients are about to be migrated: one that was accepted now would have to migrate at once.
-            let retry_after = if self.has_successor { RETRY_AFTER_WITH_SUCCESSOR } else { MIN_DRAIN_TIME };
-            self.answer_unserved(context, id, retry_after, Cause::Shutdown);
+            self.answer_unserved(context, id, self.shutdown_retry_after(), Cause::Shutdown);
             return true;
         }
         if previous_server.is_none() && !context.overload.admit() {
--- a/crates/balancer/src/proxy/shutdown.rs
+++ b/crates/balancer/src/proxy/shutdown.rs
@@ -8,6 +8,10 @@
 use super::{Proxy, RETRY_AFTER};
 use crate::clients::session::{Session, SessionStage};
 use crate::event_loop::context::LoopContext;
+use crate::shutdown::MIN_DRAIN_TIME;
+
+/// The retry delay while another process accepts clients in place of this one.
+const RETRY_AFTER_WITH_SUCCESSOR: Micros = 10_000;
 
 /// The numbers of sessions at the beginning of a shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,6 +35,11 @@
         }
     }
 
+    /// The retry delay for clients that this process rejects in a shutdown.
+    pub(super) fn shutdown_retry_after(&self) -> Micros {
+        if self.has_successor { RETRY_AFTER_WITH_SUCCESSOR } else { MIN_DRAIN_TIME }
+    }
+
     /// The number of client sessions.
     pub fn client_count(&self) -> usize {
         self.sessions.len()
@@ -46,13 +55,16 @@
         }
     }
 
-    /// Answers the waiting requests, and closes the sessions that have not sent a request. A request that may
-    /// have run can't be rejected: it waits for its server until its own deadline, or fails now if
-    /// `answer_all` is set.
-    pub fn answer_waiting_clients(&mut self, context: &mut LoopContext, answer_all: bool) {
+    /// Rejects the clients that have not sent a complete request.
+    pub fn reject_incomplete_requests(&mut self, context: &mut LoopContext) {
         for id in self.sessions.ids_where(|session| session.stage() == SessionStage::AwaitingRequest) {
-            self.close_without_request(context, id);
+            self.reject_incomplete_request(context, id);
         }
+    }
+
+    /// Answers the waiting requests. A request that may have run can't be rejected: it waits for its server
+    /// until its own deadline, or fails now if `answer_all` is set.
+    pub fn answer_waiting_clients(&mut self, context: &mut LoopContext, answer_all: bool) {
         for id in self.sessions.ids_where(Session::is_waiting) {
             if !answer_all && !self.guard.is_rejectable(id) {
                 continue;
--- a/crates/balancer/src/shutdown.rs
+++ b/crates/balancer/src/shutdown.rs
@@ -26,6 +26,11 @@
 const ANSWER_ALL_BEFORE_KILL: Micros = 600_000;
 /// Time from the end of the process to SIGKILL.
 const END_BEFORE_KILL: Micros = 300_000;
+/// Time that a client which connects at the end of the drain time has for its first line.
+const FIRST_LINE_TIME: Micros = 350_000;
+/// Time from the rejection of incomplete requests to the end of the process, within which their clients can
+/// receive it.
+const REJECT_BEFORE_END: Micros = 100_000;
 
 /// The times at which the steps of a graceful shutdown are due, in microseconds since SIGTERM.
 ///
@@ -37,6 +42,8 @@
     pub migrate_from: Micros,
     /// When all clients have been migrated.
     pub migrate_until: Micros,
+    /// When connections without a complete request are rejected.
+    pub reject_incomplete_from: Micros,
     /// When waiting requests are answered, except those that may have run and must not be rejected.
     pub answer_from: Micros,
     /// When the remaining waiting requests are answered too, unless their own deadlines are earlier.
@@ -59,12 +66,16 @@
         let longest_timeout = client_timeouts.iter().copied().max().unwrap_or(0);
         let kill = longest_timeout.min(MAX_CLIENT_TIMEOUT) + KILL_DELAY;
         let migrated = kill.saturating_sub(MIGRATED_BEFORE_KILL);
+        let answer_from = migrated.saturating_sub(ANSWER_BEFORE_MIGRATED);
+        let end = kill - END_BEFORE_KILL;
+        let first_lines_complete = MIN_DRAIN_TIME + FIRST_LINE_TIME;
         ShutdownSchedule {
             migrate_from: migrated.saturating_sub(MIGRATION_TIME).max(MIN_DRAIN_TIME),
             migrate_until: migrated.max(MIN_DRAIN_TIME + MIN_MIGRATION_TIME),
-            answer_from: migrated.saturating_sub(ANSWER_BEFORE_MIGRATED),
+            reject_incomplete_from: answer_from.max(first_lines_complete).min(end - REJECT_BEFORE_END),
+            answer_from,
             answer_all_from: kill - ANSWER_ALL_BEFORE_KILL,
-            end: kill - END_BEFORE_KILL,
+            end,
         }
     }
 }
--- a/crates/balancer/src/shutdown/tests.rs
+++ b/crates/balancer/src/shutdown/tests.rs
@@ -15,3 +15,20 @@
     assert!(short.answer_all_from >= 1_000_000 && short.answer_all_from < short.end);
     assert!(short.migrate_from >= MIN_DRAIN_TIME && short.migrate_until < short.end && short.end < 1_700_000);
 }
+
+/// Guards against a schedule that ends connections while first lines are still coming in, for any client timeout.
+#[test]
+fn incomplete_requests_are_rejected_as_late_as_the_end_of_the_process_allows() {
+    for timeout in (1..5_000_000).step_by(1000) {
+        let schedule = ShutdownSchedule::new(&[timeout]);
+        let kill = timeout.min(MAX_CLIENT_TIMEOUT) + KILL_DELAY;
+        assert!(schedule.end < kill, "client timeout {timeout}: {schedule:?}");
+        let latest = schedule.end - REJECT_BEFORE_END;
+        assert!(schedule.reject_incomplete_from <= latest, "client timeout {timeout}: {schedule:?}");
+        let are_lines_complete = schedule.reject_incomplete_from >= MIN_DRAIN_TIME + FIRST_LINE_TIME;
+        assert!(
+            are_lines_complete || schedule.reject_incomplete_from == latest,
+            "client timeout {timeout}: {schedule:?}"
+        );
+    }
+}
--- a/crates/balancer/tests/sockets/main.rs
+++ b/crates/balancer/tests/sockets/main.rs
@@ -5,6 +5,7 @@
 mod final_answers;
 mod gossip;
 mod handover;
+mod incomplete_requests;
 mod invalid_input;
 mod metrics;
 mod model;
