Answer the clients in the backlog when the time of a shutdown is over

What callers saw: a reset on a connection that the system had accepted, with their request written, when the process had been held up in its shutdown until its time was over.

Cause: `on_shutdown_step` looked at the backlog only where it ended early for want of clients. With `elapsed >= end` the condition held before that look, and the close of the listener reset who waited.

Messages of other workers are read before the last answers, not after them.

The package's tests pass: 111 on sockets.

--- a/crates/balancer/src/event_loop/accept.rs
+++ b/crates/balancer/src/event_loop/accept.rs
@@ -5,7 +5,7 @@
 
 use mio::net::TcpStream;
 use shorewharf_units::Micros;
-use tracing::error;
+use tracing::{error, info};
 
 use crate::event_loop::acceptor::is_transient;
 use crate::event_loop::context::TimerEvent;
@@ -15,6 +15,9 @@
 
 /// How long clients wait in the backlog before capacity is checked again.
 const ACCEPT_RETRY_DELAY: Micros = 100_000;
+/// Maximum number of calls of accept(2) before the listener is closed: twice the length of its backlog, since
+/// calls may fail.
+const MAX_LAST_ACCEPTS: usize = 8192;
 
 impl EventLoop {
     /// Accepts waiting clients, up to the maximum of one iteration. Calls `process_events` after each client.
@@ -88,6 +91,38 @@
         }
     }
 
+    /// Rejects all clients that wait at the listener, and closes it.
+    pub(super) fn close_listener(&mut self) {
+        // A successor has the same listener and accepts the waiting clients.
+        if !self.proxy.has_successor {
+            let clients = self.reject_backlog();
+            if clients > 0 {
+                info!(event = "backlog-rejected", clients);
+            }
+        }
+        self.acceptor.close();
+    }
+
+    /// Rejects the clients that wait at the listener, whether their requests are complete or not. Returns their
+    /// number.
+    fn reject_backlog(&mut self) -> usize {
+        self.acceptor.on_listener_ready();
+        let mut clients = 0;
+        for _ in 0..MAX_LAST_ACCEPTS {
+            match self.acceptor.accept(self.workers.as_ref()) {
+                Ok((stream, client)) => {
+                    self.proxy.reject_client(&mut self.context, stream, client);
+                    clients += 1;
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) if is_shortage(&e) => self.proxy.free_descriptor(&mut self.context),
+                // The next call may succeed.
+                Err(_) => {}
+            }
+        }
+        clients
+    }
+
     /// Serves an accepted client, or passes it to a worker that has far fewer clients.
     fn assign_client(&mut self, stream: TcpStream, client: SocketAddr) {
         let less_loaded = self.workers.as_ref().and_then(|workers| {
--- a/crates/balancer/src/event_loop/acceptor.rs
+++ b/crates/balancer/src/event_loop/acceptor.rs
@@ -15,7 +15,8 @@
 /// A listener, and whether clients are to be accepted at it.
 #[derive(Debug)]
 pub struct Acceptor {
-    listener: TcpListener,
+    /// The listener; `None` once it is closed.
+    listener: Option<TcpListener>,
     /// Whether clients may wait at the listener: the last accept did not show that its backlog is empty.
     has_backlog: bool,
     /// Whether clients may wait at the listener of the neighbour worker, while that worker stalls.
@@ -31,7 +32,7 @@
     /// Creates an acceptor for a listener whose backlog has not been checked yet.
     pub fn new(listener: TcpListener) -> Self {
         Acceptor {
-            listener,
+            listener: Some(listener),
             has_backlog: true,
             has_neighbour_backlog: false,
             is_due: true,
@@ -98,8 +99,8 @@
     ///
     /// `WouldBlock` if no client waits; otherwise the error of accept(2).
     pub fn accept(&mut self, workers: Option<&WorkerPool>) -> io::Result<(TcpStream, SocketAddr)> {
-        if self.has_backlog {
-            match accept_with_retries(&self.listener) {
+        if let Some(listener) = self.listener.as_ref().filter(|_| self.has_backlog) {
+            match accept_with_retries(listener) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.has_backlog = false,
                 accepted => return accepted,
             }
@@ -109,6 +110,13 @@
             _ => Err(io::ErrorKind::WouldBlock.into()),
         }
     }
+
+    /// Closes the listener: further connects are refused instead of waiting for a process that ends.
+    pub fn close(&mut self) {
+        self.listener = None;
+        self.on_backlogs_empty();
+        self.update_due();
+    }
 }
 
 fn accept_with_retries(listener: &TcpListener) -> io::Result<(TcpStream, SocketAddr)> {
--- a/crates/balancer/src/event_loop/shutdown.rs
+++ b/crates/balancer/src/event_loop/shutdown.rs
@@ -33,6 +33,10 @@
     pub(super) fn on_shutdown_step(&mut self) {
         let Some(elapsed) = self.shutdown_started_at.map(|at| self.context.now - at) else { return };
         let schedule = self.shutdown_schedule();
+        // Other workers may have sent connections to this one before they ended.
+        while let Some(message) = self.next_message() {
+            self.on_message(message);
+        }
         if elapsed >= schedule.reject_incomplete_from {
             self.proxy.reject_incomplete_requests(&mut self.context);
         }
@@ -45,20 +49,22 @@
         }
         let has_successor = self.proxy.has_successor;
         self.is_handover_due = has_successor;
-        // Other workers may have sent connections to this one before they ended.
-        while let Some(message) = self.next_message() {
-            self.on_message(message);
-        }
         let clients = self.proxy.client_count() + usize::from(self.has_transfers_pending());
         let is_empty = clients == 0 && (has_successor || elapsed >= MIN_DRAIN_TIME + SHUTDOWN_STEP_INTERVAL);
         // Closing the listener would cut off a client that waits at it.
         if elapsed >= schedule.end || (is_empty && (has_successor || !self.accept_last_client())) {
-            self.proxy.log_totals();
-            self.clients_at_end = Some(clients);
+            return self.end_shutdown();
         }
         self.context.schedule_after(SHUTDOWN_STEP_INTERVAL, TimerEvent::ShutdownStep);
     }
 
+    /// Ends the loop. Every client that is still connected has its answer.
+    fn end_shutdown(&mut self) {
+        self.close_listener();
+        self.proxy.log_totals();
+        self.clients_at_end = Some(self.proxy.client_count() + usize::from(self.has_transfers_pending()));
+    }
+
     fn shutdown_schedule(&self) -> ShutdownSchedule {
         let request_timeouts = &self.proxy.settings.client_timeouts;
         if self.proxy.has_successor {
--- a/crates/balancer/src/proxy/descriptors.rs
+++ b/crates/balancer/src/proxy/descriptors.rs
@@ -43,6 +43,11 @@
         while self.descriptor_budget.must_evict(self.descriptors_in_use()) && self.evict_idle(context) {}
     }
 
+    /// Frees a descriptor by evicting an idle session, if there is any.
+    pub fn free_descriptor(&mut self, context: &mut LoopContext) {
+        self.evict_idle(context);
+    }
+
     /// Closes the first idle session in the order of eviction. Its input is read first: a complete line is a
     /// request, which makes the session busy, and a close with unread input would send a reset, which could
     /// destroy a final answer before the client reads it. Returns false if no session is idle.
--- a/crates/balancer/src/proxy/incomplete.rs
+++ b/crates/balancer/src/proxy/incomplete.rs
@@ -3,7 +3,9 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
+use std::net::SocketAddr;
 
+use mio::net::TcpStream;
 use shorewharf_decisions::interface::RequestId;
 use shorewharf_lifecycle::{Answer, Cause};
 use shorewharf_units::Micros;
@@ -85,6 +87,14 @@
         }
     }
 
+    /// Accepts and rejects a client that has connected, whether its request is complete or not. Must be called
+    /// in a shutdown only.
+    pub fn reject_client(&mut self, context: &mut LoopContext, stream: TcpStream, client: SocketAddr) {
+        if let Some(id) = self.accept_client(context, stream, client) {
+            self.reject_incomplete_request(context, id);
+        }
+    }
+
     /// Reads what a session that awaits its request has received. Returns whether the request is still
     /// incomplete and the session still open.
     pub(super) fn read_incomplete_request(&mut self, context: &mut LoopContext, id: RequestId) -> bool {
--- a/crates/balancer/src/proxy/requests.rs
+++ b/crates/balancer/src/proxy/requests.rs
@@ -23,13 +23,19 @@
 const RETRY_AFTER_OVERLOAD: Micros = 1_000_000;
 
 impl Proxy {
-    /// Begins the session of a client that has connected.
-    pub fn accept_client(&mut self, context: &mut LoopContext, stream: TcpStream, client: SocketAddr) {
+    /// Begins the session of a client that has connected. Returns its id, or `None` if the connection can't be
+    /// watched.
+    pub fn accept_client(
+        &mut self,
+        context: &mut LoopContext,
+        stream: TcpStream,
+        client: SocketAddr,
+    ) -> Option<RequestId> {
         let attempts = &self.attempts;
-        let accepted = self.sessions.accept(context, stream, client, |id| attempts.has(id));
-        let Some(id) = accepted else { return };
+        let id = self.sessions.accept(context, stream, client, |id| attempts.has(id))?;
         self.evict_surplus(context);
         self.on_session_ready(context, id, Readiness::default());
+        Some(id)
     }
 
     /// Handles readiness of a client's connection.
--- a/crates/balancer/tests/sockets/faults.rs
+++ b/crates/balancer/tests/sockets/faults.rs
@@ -24,7 +24,7 @@
 }
 
 /// Starts the program with these faults.
-fn start_with_faults(config: &Value, faults: &str) -> BalancerProcess {
+pub(crate) fn start_with_faults(config: &Value, faults: &str) -> BalancerProcess {
     let library = library();
     let env: [(&str, &OsStr); 2] =
         [("LD_PRELOAD", library.as_os_str()), ("SHOREWHARF_FAULTS", OsStr::new(faults))];
--- a/crates/balancer/tests/sockets/incomplete_requests.rs
+++ b/crates/balancer/tests/sockets/incomplete_requests.rs
@@ -58,12 +58,12 @@
     }
 }
 
-fn first_line(id: usize) -> String {
+pub(crate) fn first_line(id: usize) -> String {
     format!("OPEN {:x} 7f3a c=chat,t=acme\r\n", id + 1)
 }
 
 /// A configuration without servers whose only class has this client timeout.
-fn config_with_timeout(milliseconds: u64) -> Value {
+pub(crate) fn config_with_timeout(milliseconds: u64) -> Value {
     let mut settings = config(&[]);
     settings["settings"]["classes"][0]["give_up_s"] =
         json!(Duration::from_millis(milliseconds).as_secs_f64());
@@ -71,7 +71,7 @@
 }
 
 /// When SIGKILL may come, counted from SIGTERM.
-fn kill_time(milliseconds: u64) -> Duration {
+pub(crate) fn kill_time(milliseconds: u64) -> Duration {
     Duration::from_millis(milliseconds).min(MAX_CLIENT_TIMEOUT) + KILL_DELAY
 }
 
@@ -86,7 +86,7 @@
 
 /// Checks that a client gets a rejection as its only answer, and then an orderly close.
 #[track_caller]
-fn expect_rejection(client: &mut Connection, what: &str) {
+pub(crate) fn expect_rejection(client: &mut Connection, what: &str) {
     let answer = client.receive();
     assert!(matches!(&answer, Received::Line(line) if line.starts_with("BUSY ")), "{what}: {answer:?}");
     assert_eq!(client.receive(), Received::Fin, "{what}");
--- a/crates/balancer/tests/sockets/main.rs
+++ b/crates/balancer/tests/sockets/main.rs
@@ -12,6 +12,7 @@
 mod operators;
 mod races;
 mod reload;
+mod shutdown_end;
 mod snapshot;
 mod upgrade;
 mod workers;
--- /dev/null
+++ b/crates/balancer/tests/sockets/shutdown_end.rs
@@ -0,0 +1,108 @@
+//! The moment at which a shutdown ends the process: clients that wait at the listener, or whose bytes are unread, are
+//! answered first. The program is paused until that moment, as by a stall of its machine.
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use shorewharf_emulator::standin::*;
+
+use crate::faults::start_with_faults;
+use crate::incomplete_requests::{config_with_timeout, expect_rejection, first_line, kill_time};
+use crate::start;
+
+/// The process ends this long before SIGKILL may come.
+const END_BEFORE_KILL: Duration = Duration::from_millis(300);
+/// More clients than one iteration of the event loop accepts.
+const WAITING_CLIENTS: usize = 150;
+
+/// What a client has sent when the process ends.
+fn sent_bytes(number: usize, line: &str) -> &[u8] {
+    let length = match number % 5 {
+        0 => 0,
+        1 => 1,
+        2 => line.len() - 1,
+        _ => line.len(),
+    };
+    &line.as_bytes()[..length]
+}
+
+/// Connects a client that sends its first line as a whole, in part or not at all.
+fn connect_client(program: &BalancerProcess, number: usize) -> Connection {
+    let mut client = program.connect();
+    client.send_bytes(sent_bytes(number, &first_line(number)));
+    client
+}
+
+/// Pauses the program from now until its shutdown, which began at `terminated_at`, must end; runs `meanwhile` in the
+/// pause.
+fn pause_until_end<T>(
+    program: &BalancerProcess,
+    terminated_at: Instant,
+    timeout: u64,
+    meanwhile: impl FnOnce() -> T,
+) -> T {
+    program.pause();
+    let result = meanwhile();
+    let resume_at = terminated_at + kill_time(timeout) - END_BEFORE_KILL + Duration::from_millis(20);
+    thread::sleep(resume_at.saturating_duration_since(Instant::now()));
+    program.resume();
+    result
+}
+
+/// Lets clients wait at the listener until the shutdown ends, and checks their answers.
+fn expect_backlog_is_answered(mut program: BalancerProcess, timeout: u64, what: &str) {
+    program.terminate();
+    let terminated_at = Instant::now();
+    program.wait_for_log("shutting-down");
+    let mut waiting = pause_until_end(&program, terminated_at, timeout, || {
+        (0..WAITING_CLIENTS).map(|number| connect_client(&program, number)).collect::<Vec<_>>()
+    });
+    for (number, client) in waiting.iter_mut().enumerate() {
+        expect_rejection(client, &format!("{what}, timeout {timeout} ms, client {number}"));
+    }
+    assert!(program.wait().success());
+}
+
+/// Guards against a listener that is closed at the end of a shutdown over clients that wait at it.
+#[test]
+fn clients_in_the_backlog_when_the_time_of_a_shutdown_is_over_are_rejected() {
+    for timeout in [1, 450, 1500] {
+        expect_backlog_is_answered(start(&config_with_timeout(timeout)), timeout, "no fault");
+    }
+}
+
+/// Guards against the same, while calls of accept(2) fail.
+#[test]
+fn clients_in_the_backlog_when_the_time_of_a_shutdown_is_over_are_rejected_though_accepts_fail() {
+    for faults in ["accept=EINTR/2", "accept=ECONNABORTED/2", "accept=EMFILE%50"] {
+        let program = start_with_faults(&config_with_timeout(450), faults);
+        expect_backlog_is_answered(program, 450, faults);
+    }
+}
+
+/// Guards against an end of the process over bytes of accepted clients that it has not read.
+#[test]
+fn clients_whose_bytes_are_unread_when_the_time_of_a_shutdown_is_over_are_answered() {
+    let timeout = 450;
+    let server = Server::new();
+    let mut settings = config_with_timeout(timeout);
+    settings["known"]["endpoints"] = serde_json::json!([endpoint("s-1", server.address(), "Ready")]);
+    let mut program = start(&settings);
+    let (mut established, _upstream) = program.establish(&server);
+    let mut clients: Vec<_> = (0..WAITING_CLIENTS).map(|_| program.connect()).collect();
+    program.sync();
+    program.terminate();
+    let terminated_at = Instant::now();
+    program.wait_for_log("shutting-down");
+    pause_until_end(&program, terminated_at, timeout, || {
+        for (number, client) in clients.iter_mut().enumerate() {
+            client.send_bytes(sent_bytes(number, &first_line(number)));
+        }
+        established.send_line("M 1");
+    });
+    for (number, client) in clients.iter_mut().enumerate() {
+        expect_rejection(client, &format!("client {number}"));
+    }
+    assert_eq!((established.receive_line(), established.receive()), ("MOVE".into(), Received::Fin));
+    assert!(program.wait().success());
+}
