Answer a client whose first line is not complete in time with an error

What callers saw: a close without an answer 2.5 s after the first part of their line; where the rest of the line crossed that close, the request was read and never answered.

Cause: `on_incomplete_request` ended each session that was overdue by `Answer::Closed`, whatever of its line had been read.

Evidence: `request-incomplete cause=idle` with the bytes received, then `answered words=`; the test's clients got a FIN and no line.

Fix: a client that has sent a part of its line gets ERR before the close, as for all other invalid input; one that has sent nothing is closed as before. It works because what arrives later has its answer.

Tests: a_client_whose_first_line_is_not_complete_in_time_gets_an_error failed before (one byte, half the line, all but the last byte; new connections and after PING) and passes.

--- a/crates/balancer/src/proxy/incomplete.rs
+++ b/crates/balancer/src/proxy/incomplete.rs
@@ -57,23 +57,25 @@
         }
     }
 
-    /// Ends the session of a client that has closed, or timed out, before its first line was complete. If the
-    /// client has not closed, its input is read a little longer, since a close with unread input would send a
-    /// reset.
+    /// Ends the session of a client that has closed, or timed out, before its first line was complete. A client
+    /// that has not closed gets an error if it has sent a part of its line, since the rest may be on its way.
+    /// Its input is read a little longer, since a close with unread input would send a reset.
     pub(super) fn on_incomplete_request(&mut self, context: &mut LoopContext, id: RequestId) {
         let Some(session) = self.sessions.get(id) else { return };
+        let (client, progress) = (session.client_address(), progress_of(session));
         let has_closed = session.connection.peer_close.is_some();
-        if !session.connection.pending_input().is_empty() {
-            let client = session.client_address();
-            if self.log_limiter.acquire(context) {
-                warn!(event = "incomplete-line", client = %client);
-            }
+        if progress == RequestProgress::Partial && self.log_limiter.acquire(context) {
+            warn!(event = "incomplete-line", client = %client);
         }
         if has_closed {
             return self.close_session(context, id, Cause::Idle);
         }
         self.record_incomplete_request(context.now, id, Cause::Idle);
-        self.answer(context, id, Answer::Closed, Cause::Idle);
+        let answer = match progress {
+            RequestProgress::Nothing => Answer::Closed,
+            RequestProgress::Partial => Answer::Failed,
+        };
+        self.answer(context, id, answer, Cause::Idle);
     }
 
     /// Rejects a client without a complete request in a shutdown, after checking for a first line that has
--- a/crates/balancer/tests/sockets/incomplete_requests.rs
+++ b/crates/balancer/tests/sockets/incomplete_requests.rs
@@ -171,3 +171,39 @@
         expect_end_before_kill(program, terminated_at, timeout);
     });
 }
+
+/// How much of the first line a client has sent when its connection is ended: each of its cuts.
+fn partial_lengths(line: &str) -> [usize; 3] {
+    FIRST_LENGTHS.map(|length| length.of(line))
+}
+
+/// Guards against a timeout of the first line that closed without an answer while the rest of the line came in.
+#[test]
+fn a_client_whose_first_line_is_not_complete_in_time_gets_an_error() {
+    let program = start(&config(&[]));
+    let line = first_line(0);
+    let mut clients = Vec::new();
+    for has_pinged in [false, true] {
+        for length in partial_lengths(&line) {
+            let mut client = program.connect();
+            if has_pinged {
+                client.send_line("PING");
+                assert_eq!(client.receive_line(), "PONG");
+            }
+            client.send_bytes(&line.as_bytes()[..length]);
+            clients.push((client, length));
+        }
+    }
+    let sent_at = Instant::now();
+    for (client, length) in &mut clients {
+        assert_eq!(
+            (client.receive_line(), client.receive()),
+            ("ERR".into(), Received::Fin),
+            "{length} bytes"
+        );
+        // The rest of the line crosses the answer. The program still reads it, so the connection is not reset.
+        client.send_bytes(&line.as_bytes()[*length..]);
+        assert_eq!(client.receive(), Received::Fin, "{length} bytes");
+    }
+    assert!(sent_at.elapsed() < Duration::from_secs(3), "answered after {:?}", sent_at.elapsed());
+}
--- a/crates/balancer/tests/sockets/invalid_input.rs
+++ b/crates/balancer/tests/sockets/invalid_input.rs
@@ -1,6 +1,7 @@
 //! Invalid input from clients: what its senders receive, and that other clients are not affected.
 
 use std::io::Write;
+use std::time::{Duration, Instant};
 
 use serde_json::json;
 
@@ -75,11 +76,11 @@
     front_end.send_line("PING");
     assert_eq!(front_end.receive_line(), "PONG");
     incomplete.send_bytes(b"OPEN 1 2 c=ch");
-    assert_eq!(
-        (incomplete.receive(), silent.receive()),
-        (Received::Fin, Received::Fin),
-        "they must be closed within 3 s"
-    );
+    let sent_at = Instant::now();
+    // The rest of the incomplete line may be on its way, and gets its answer beforehand.
+    assert_eq!((incomplete.receive_line(), incomplete.receive()), ("ERR".into(), Received::Fin));
+    assert_eq!(silent.receive(), Received::Fin);
+    assert!(sent_at.elapsed() < Duration::from_secs(3), "they must be closed within 3 s");
     program.wait_for_log("incomplete-line");
     front_end.send_line("PING");
     assert_eq!(front_end.receive_line(), "PONG", "a front end that connected before them was closed");
