Answer a client that is evicted in the middle of its first line

What callers saw: when descriptors ran short, a close without an answer in the middle of their first line.

Cause: `evict_idle` reads the connection before it closes it, but treated a part of a line like none.

Fix: such a client gets BUSY before the close, as nothing of its request was sent to a server; what comes later has its answer.

Test: a_client_that_is_evicted_with_a_part_of_its_first_line_is_rejected failed before ("1 bytes: Fin") and passes.

--- a/crates/balancer/src/proxy/descriptors.rs
+++ b/crates/balancer/src/proxy/descriptors.rs
@@ -54,8 +54,7 @@
     fn evict_idle(&mut self, context: &mut LoopContext) -> bool {
         let Some(id) = self.sessions.eviction_candidate() else { return false };
         if self.read_incomplete_request(context, id) {
-            self.record_incomplete_request(context.now, id, Cause::Descriptors);
-            self.close_session(context, id, Cause::Descriptors);
+            self.evict_incomplete_request(context, id);
         } else if self.sessions.get(id).is_some_and(|session| session.stage() == SessionStage::Closing) {
             self.close_session(context, id, Cause::Descriptors);
         }
--- a/crates/balancer/src/proxy/incomplete.rs
+++ b/crates/balancer/src/proxy/incomplete.rs
@@ -11,7 +11,7 @@
 use shorewharf_units::Micros;
 use tracing::{debug, warn};
 
-use super::Proxy;
+use super::{Proxy, RETRY_AFTER};
 use crate::clients::session::{Session, SessionStage};
 use crate::event_loop::context::LoopContext;
 use crate::transport::readiness::Readiness;
@@ -89,6 +89,18 @@
         }
     }
 
+    /// Closes the connection of a client without a complete request to free its descriptor. A client that has
+    /// sent a part of its line is rejected first, since the rest may be on its way.
+    pub(super) fn evict_incomplete_request(&mut self, context: &mut LoopContext, id: RequestId) {
+        let Some(progress) = self.sessions.get(id).map(progress_of) else { return };
+        self.record_incomplete_request(context.now, id, Cause::Descriptors);
+        if progress == RequestProgress::Partial {
+            let answer = Answer::Rejected { retry_after: RETRY_AFTER };
+            self.answer(context, id, answer, Cause::Descriptors);
+        }
+        self.close_session(context, id, Cause::Descriptors);
+    }
+
     /// Accepts and rejects a client that has connected, whether its request is complete or not. Must be called
     /// in a shutdown only.
     pub fn reject_client(&mut self, context: &mut LoopContext, stream: TcpStream, client: SocketAddr) {
--- a/crates/balancer/tests/sockets/incomplete_requests.rs
+++ b/crates/balancer/tests/sockets/incomplete_requests.rs
@@ -207,3 +207,25 @@
     }
     assert!(sent_at.elapsed() < Duration::from_secs(3), "answered after {:?}", sent_at.elapsed());
 }
+
+/// Guards against an eviction that closed without an answer while the rest of the line came in.
+#[test]
+fn a_client_that_is_evicted_with_a_part_of_its_first_line_is_rejected() {
+    let server = Server::new();
+    let mut settings = config(&[("s-1", server.address())]);
+    settings["limits"]["sockets"] = json!(40);
+    let program = start(&settings);
+    let line = first_line(0);
+    let mut partial = Vec::new();
+    for length in partial_lengths(&line) {
+        let mut client = program.connect();
+        client.send_bytes(&line.as_bytes()[..length]);
+        partial.push((client, length));
+    }
+    program.sync();
+    // More idle clients than there are descriptors for: the oldest ones are evicted.
+    let _idle: Vec<_> = (0..40).map(|_| program.connect()).collect();
+    for (client, length) in &mut partial {
+        expect_rejection(client, &format!("{length} bytes"));
+    }
+}
