Migrate established clients before a shutdown ends, however short client timeouts are

What callers saw: with a longest client timeout of 1 ms, a planned restart cut off every established client without MOVE (6 of 6 in the test).

Cause: `migrate_from` has the drain time as its lower bound, `end` had none: SIGKILL less 0.3 s, 0.4 s after SIGTERM for the shortest timeouts. From 50 ms on, only the step after `end` saved who was left.

Evidence: `shutting-down sessions=6`, no `migrating`, `stopped sessions=6` after 0.405 s; the schedule of that timeout: end 400001, migrate_from 450000.

Fix: `end` is the end of the migrations at the earliest (0.55 s, at least 0.15 s before SIGKILL), and the last step of a shutdown comes at `end`, not at the next multiple of 0.1 s. It works because every client timeout that the settings allow now has its migrations inside the shutdown.

--- a/crates/balancer/src/event_loop/shutdown.rs
+++ b/crates/balancer/src/event_loop/shutdown.rs
@@ -55,7 +55,8 @@
         if elapsed >= schedule.end || (is_empty && (has_successor || !self.accept_last_client())) {
             return self.end_shutdown();
         }
-        self.context.schedule_after(SHUTDOWN_STEP_INTERVAL, TimerEvent::ShutdownStep);
+        let next_step = SHUTDOWN_STEP_INTERVAL.min(schedule.end - elapsed);
+        self.context.schedule_after(next_step, TimerEvent::ShutdownStep);
     }
 
     /// Ends the loop. Every client that is still connected has its answer.
--- a/crates/balancer/src/shutdown.rs
+++ b/crates/balancer/src/shutdown.rs
@@ -67,7 +67,8 @@
         let kill = longest_timeout.min(MAX_CLIENT_TIMEOUT) + KILL_DELAY;
         let migrated = kill.saturating_sub(MIGRATED_BEFORE_KILL);
         let answer_from = migrated.saturating_sub(ANSWER_BEFORE_MIGRATED);
-        let end = kill - END_BEFORE_KILL;
+        // With short client timeouts, the last migrations are closer to SIGKILL.
+        let end = (kill - END_BEFORE_KILL).max(MIN_DRAIN_TIME + MIN_MIGRATION_TIME);
         let first_lines_complete = MIN_DRAIN_TIME + FIRST_LINE_TIME;
         ShutdownSchedule {
             migrate_from: migrated.saturating_sub(MIGRATION_TIME).max(MIN_DRAIN_TIME),
--- a/crates/balancer/src/shutdown/tests.rs
+++ b/crates/balancer/src/shutdown/tests.rs
@@ -32,3 +32,16 @@
         );
     }
 }
+
+/// Guards against a process that ends before its established clients are migrated, for any client timeout.
+#[test]
+fn clients_are_migrated_after_the_drain_time_and_before_the_process_ends() {
+    for timeout in (1..5_000_000).step_by(1000) {
+        for schedule in [ShutdownSchedule::new(&[timeout]), ShutdownSchedule::with_successor(&[timeout])] {
+            let is_after_drain_time = schedule.migrate_from >= MIN_DRAIN_TIME;
+            let is_in_order =
+                schedule.migrate_from < schedule.migrate_until && schedule.migrate_until <= schedule.end;
+            assert!(is_after_drain_time && is_in_order, "client timeout {timeout}: {schedule:?}");
+        }
+    }
+}
