End the workers of a process together, so that none leaves clients at its listener

What callers saw, with several workers: no answer to a client that came late in a shutdown, and a reset when the process ended.

Cause: a worker without clients ended 0.55 s after SIGTERM, while the process went on for the clients of others. Duplicates of its listener stay open in the pool for its neighbour; of three listeners with two workers ended, one is served by nobody, and the system goes on to give it its share of the clients.

Evidence: the test keeps one client at one worker and opens 24 more 0.9 s after SIGTERM: `requests` of two workers at 0.6 s, `received` and `answered` for a part of the 24 only, then Reset.

Fix: a worker ends early only if no worker has clients (with a successor as before), the last look empties the listeners of all workers, and clients are not passed to another worker in a shutdown. It works because a listener is now looked at by whoever ends last.

--- a/crates/balancer/src/event_loop/accept.rs
+++ b/crates/balancer/src/event_loop/accept.rs
@@ -103,13 +103,12 @@
         self.acceptor.close();
     }
 
-    /// Rejects the clients that wait at the listener, whether their requests are complete or not. Returns their
-    /// number.
+    /// Rejects the clients that wait at the listeners of the process, whether their requests are complete or
+    /// not. Returns their number.
     fn reject_backlog(&mut self) -> usize {
-        self.acceptor.on_listener_ready();
         let mut clients = 0;
         for _ in 0..MAX_LAST_ACCEPTS {
-            match self.acceptor.accept(self.workers.as_ref()) {
+            match self.acceptor.accept_at_any(self.workers.as_ref()) {
                 Ok((stream, client)) => {
                     self.proxy.reject_client(&mut self.context, stream, client);
                     clients += 1;
@@ -123,9 +122,11 @@
         clients
     }
 
-    /// Serves an accepted client, or passes it to a worker that has far fewer clients.
+    /// Serves an accepted client, or passes it to a worker that has far fewer clients. In a shutdown no client is
+    /// passed on, since the other worker may end before it reads the message.
     fn assign_client(&mut self, stream: TcpStream, client: SocketAddr) {
-        let less_loaded = self.workers.as_ref().and_then(|workers| {
+        let workers = self.workers.as_ref().filter(|_| self.shutdown_started_at.is_none());
+        let less_loaded = workers.and_then(|workers| {
             Some((workers, workers.less_loaded_worker(self.context.now, self.proxy.client_count())?))
         });
         let kept = match less_loaded {
--- a/crates/balancer/src/event_loop/acceptor.rs
+++ b/crates/balancer/src/event_loop/acceptor.rs
@@ -111,6 +111,22 @@
         }
     }
 
+    /// Accepts the next client that waits at any listener of the process, whether its worker has ended or not.
+    ///
+    /// # Errors
+    ///
+    /// `WouldBlock` if no client waits; otherwise the error of accept(2).
+    pub fn accept_at_any(&self, workers: Option<&WorkerPool>) -> io::Result<(TcpStream, SocketAddr)> {
+        let of_workers = workers.into_iter().flat_map(WorkerPool::listeners);
+        for listener in self.listener.iter().chain(of_workers) {
+            match accept_with_retries(listener) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                accepted => return accepted,
+            }
+        }
+        Err(io::ErrorKind::WouldBlock.into())
+    }
+
     /// Closes the listener: further connects are refused instead of waiting for a process that ends.
     pub fn close(&mut self) {
         self.listener = None;
--- a/crates/balancer/src/event_loop/shutdown.rs
+++ b/crates/balancer/src/event_loop/shutdown.rs
@@ -47,23 +47,39 @@
             let steps_left = schedule.migrate_until.saturating_sub(elapsed) / SHUTDOWN_STEP_INTERVAL;
             self.proxy.migrate_batch(&mut self.context, steps_left);
         }
-        let has_successor = self.proxy.has_successor;
-        self.is_handover_due = has_successor;
-        let clients = self.proxy.client_count() + usize::from(self.has_transfers_pending());
-        let is_empty = clients == 0 && (has_successor || elapsed >= MIN_DRAIN_TIME + SHUTDOWN_STEP_INTERVAL);
-        // Closing the listener would cut off a client that waits at it.
-        if elapsed >= schedule.end || (is_empty && (has_successor || !self.accept_last_client())) {
+        self.is_handover_due = self.proxy.has_successor;
+        if elapsed >= schedule.end || self.may_end_early(elapsed) {
             return self.end_shutdown();
         }
         let next_step = SHUTDOWN_STEP_INTERVAL.min(schedule.end - elapsed);
         self.context.schedule_after(next_step, TimerEvent::ShutdownStep);
     }
 
+    /// Whether the loop may end before its time is over: no client is left, and none is to be expected.
+    fn may_end_early(&mut self, elapsed: Micros) -> bool {
+        if self.connected_clients() > 0 {
+            return false;
+        }
+        if self.proxy.has_successor {
+            return true;
+        }
+        // The process listens until its last worker ends, so clients may come until then, to any worker.
+        let are_others_done = self.workers.as_ref().is_none_or(WorkerPool::are_others_without_clients);
+        let is_drained = elapsed >= MIN_DRAIN_TIME + SHUTDOWN_STEP_INTERVAL;
+        // Closing the listener would cut off a client that waits at it.
+        is_drained && are_others_done && !self.accept_last_client()
+    }
+
+    /// The number of clients, including one if connections are still to be transferred to a successor.
+    fn connected_clients(&self) -> usize {
+        self.proxy.client_count() + usize::from(self.has_transfers_pending())
+    }
+
     /// Ends the loop. Every client that is still connected has its answer.
     fn end_shutdown(&mut self) {
         self.close_listener();
         self.proxy.log_totals();
-        self.clients_at_end = Some(self.proxy.client_count() + usize::from(self.has_transfers_pending()));
+        self.clients_at_end = Some(self.connected_clients());
     }
 
     fn shutdown_schedule(&self) -> ShutdownSchedule {
--- a/crates/balancer/src/workers/pool.rs
+++ b/crates/balancer/src/workers/pool.rs
@@ -181,6 +181,20 @@
         others.all(|(_, worker)| worker.next_iteration_by.load(Relaxed) == 0)
     }
 
+    /// Whether no other worker has clients, according to what each of them published last.
+    pub fn are_others_without_clients(&self) -> bool {
+        let mut others = self.workers.iter().enumerate().filter(|(index, _)| *index != self.index);
+        others.all(|(_, worker)| {
+            let has_ended = worker.next_iteration_by.load(Relaxed) == 0;
+            has_ended || worker.clients.load(Relaxed) == 0
+        })
+    }
+
+    /// The listeners of all workers, including those that have ended.
+    pub fn listeners(&self) -> impl Iterator<Item = &TcpListener> {
+        self.workers.iter().map(|worker| &worker.listener)
+    }
+
     /// Publishes at the end of an iteration the number of clients of this worker, and the latest time at
     /// which its next iteration is to begin.
     pub fn publish_state(&self, clients: usize, next_iteration_by: Micros) {
--- a/crates/balancer/tests/sockets/shutdown_end.rs
+++ b/crates/balancer/tests/sockets/shutdown_end.rs
@@ -8,7 +8,7 @@
 
 use crate::faults::start_with_faults;
 use crate::incomplete_requests::{DRAIN_TIME, config_with_timeout, expect_rejection, first_line, kill_time};
-use crate::start;
+use crate::{BINARY, start};
 
 /// The program is resumed this long before SIGKILL may come. By then its shutdown must end, for any client timeout.
 const RESUME_BEFORE_KILL: Duration = Duration::from_millis(100);
@@ -71,6 +71,15 @@
     }
 }
 
+/// Guards against the same at the listeners of several workers.
+#[test]
+fn clients_in_the_backlogs_of_several_workers_when_the_time_of_a_shutdown_is_over_are_rejected() {
+    let timeout = 450;
+    let settings = config_with_timeout(timeout);
+    let program = BalancerProcess::start_with_operator(BINARY, &settings, "workers = 3");
+    expect_backlog_is_answered(program, timeout, "three workers");
+}
+
 /// Guards against the same, while calls of accept(2) fail.
 #[test]
 fn clients_in_the_backlog_when_the_time_of_a_shutdown_is_over_are_rejected_though_accepts_fail() {
--- a/crates/balancer/tests/sockets/workers.rs
+++ b/crates/balancer/tests/sockets/workers.rs
@@ -1,5 +1,7 @@
 //! A program with several workers, which to the outside behaves like one with a single worker.
 
+use std::time::{Duration, Instant};
+
 use serde_json::json;
 use shorewharf_emulator::standin::*;
 
@@ -55,3 +57,28 @@
     program.wait_for_log("event=stopped sessions=0");
     assert!(program.wait().success());
 }
+
+/// Guards against a worker that ends early and leaves clients waiting at its listener until the process ends.
+#[test]
+fn clients_that_connect_while_some_workers_have_no_client_left_are_answered_in_a_shutdown() {
+    let server = Server::new();
+    let settings = config(&[("s-1", server.address())]);
+    let mut program = BalancerProcess::start_with_operator(BINARY, &settings, "workers = 3");
+    // One client keeps its worker from ending before the others.
+    let (mut established, _upstream) = program.establish_with_id(&server, "ff");
+    program.terminate();
+    program.wait_for_log("shutting-down");
+    std::thread::sleep(Duration::from_millis(900));
+    let mut clients: Vec<_> = (1..=24).map(|id| program.open_with_id(&format!("{id:x}"), "")).collect();
+    let sent_at = Instant::now();
+    for client in &mut clients {
+        let answer = client.receive();
+        assert!(matches!(&answer, Received::Line(line) if line.starts_with("BUSY ")), "{answer:?}");
+        assert_eq!(client.receive(), Received::Fin);
+    }
+    assert!(sent_at.elapsed() < Duration::from_secs(1), "answered after {:?}", sent_at.elapsed());
+    drop(clients);
+    assert_eq!(established.receive_line(), "MOVE");
+    drop(established);
+    assert!(program.wait().success());
+}
