Keep the times of a shutdown when a reload changes client timeouts

What callers saw: after SIGTERM and a reload with longer client timeouts, the process went on past the time of SIGKILL, which cuts off whoever is left.

Cause: each step of the shutdown computed the schedule from the settings in force; SIGKILL follows those at SIGTERM.

Evidence: with 0.45 s at SIGTERM and 3.2 s by SIGHUP after `shutting-down`, the process ended 2.94 s after SIGTERM; SIGKILL may come after 1.15 s. Nothing else that enters the schedule had changed.

Fix: the schedule is computed once, as the shutdown begins (type `Shutdown`), which also takes the begin out of the event loop's fields. Whether a successor serves is still looked at in each step.

--- a/crates/balancer/src/event_loop/accept.rs
+++ b/crates/balancer/src/event_loop/accept.rs
@@ -22,7 +22,7 @@
 impl EventLoop {
     /// Accepts waiting clients, up to the maximum of one iteration. Calls `process_events` after each client.
     pub(super) fn accept_clients(&mut self, mut process_events: impl FnMut(&mut Self)) {
-        if self.shutdown_started_at.is_some() && self.proxy.has_successor {
+        if self.is_shutting_down() && self.proxy.has_successor {
             // The successor has the same listener and accepts the waiting clients.
             return;
         }
@@ -125,7 +125,7 @@
     /// Serves an accepted client, or passes it to a worker that has far fewer clients. In a shutdown no client is
     /// passed on, since the other worker may end before it reads the message.
     fn assign_client(&mut self, stream: TcpStream, client: SocketAddr) {
-        let workers = self.workers.as_ref().filter(|_| self.shutdown_started_at.is_none());
+        let workers = self.workers.as_ref().filter(|_| !self.is_shutting_down());
         let less_loaded = workers.and_then(|workers| {
             Some((workers, workers.less_loaded_worker(self.context.now, self.proxy.client_count())?))
         });
--- a/crates/balancer/src/event_loop/admin.rs
+++ b/crates/balancer/src/event_loop/admin.rs
@@ -52,7 +52,7 @@
         avoided_servers: impl Fn() -> Vec<ServerId>,
     ) -> CommandReply {
         match command {
-            Command::Readiness if self.shutdown_started_at.is_none() => CommandReply::Done,
+            Command::Readiness if !self.is_shutting_down() => CommandReply::Done,
             Command::Readiness => CommandReply::Rejected(CommandError::NotReady(
                 "this process is about to end and takes no clients",
             )),
--- a/crates/balancer/src/event_loop/dispatch.rs
+++ b/crates/balancer/src/event_loop/dispatch.rs
@@ -27,6 +27,7 @@
 use crate::handover::siblings::SiblingProcesses;
 use crate::proxy::Proxy;
 use crate::servers::disabled::{AdminChange, DisabledServer};
+use crate::shutdown::Shutdown;
 use crate::transport::readiness::Readiness;
 use crate::workers::pool::{WorkerMessage, WorkerPool};
 
@@ -73,8 +74,8 @@
     pub(crate) is_handover_due: bool,
     /// Whether a snapshot is to be begun or continued in this iteration.
     pub(crate) is_snapshot_due: bool,
-    /// When the graceful shutdown began, if it has.
-    pub(crate) shutdown_started_at: Option<Micros>,
+    /// The graceful shutdown, if it has begun.
+    pub(super) shutdown: Option<Shutdown>,
     /// Set when the loop has ended: the number of clients that were still connected.
     pub(super) clients_at_end: Option<usize>,
 }
@@ -99,7 +100,7 @@
             gossip: None,
             is_handover_due: false,
             is_snapshot_due: false,
-            shutdown_started_at: None,
+            shutdown: None,
             clients_at_end: None,
         };
         event_loop
--- a/crates/balancer/src/event_loop/handover.rs
+++ b/crates/balancer/src/event_loop/handover.rs
@@ -34,7 +34,7 @@
                 successors.on_ready(&self.context.registry, self.context.now, number);
             }
             // The successor may have room for more connections now.
-            self.is_handover_due |= self.shutdown_started_at.is_some();
+            self.is_handover_due |= self.is_shutting_down();
         } else if !self.read_predecessor() {
             return;
         }
@@ -101,7 +101,7 @@
             self.notify_successors();
         }
         let wants_termination = self.siblings.successors.as_ref().is_some_and(Successors::wants_termination);
-        if self.shutdown_started_at.is_none() && wants_termination {
+        if !self.is_shutting_down() && wants_termination {
             self.broadcast(|_| WorkerMessage::Shutdown);
             self.begin_shutdown();
         }
@@ -118,7 +118,7 @@
 
     /// Returns whether two processes accept clients now, if that has changed since the last call.
     pub fn take_sharing_change(&mut self) -> Option<bool> {
-        self.siblings.take_sharing_change(self.shutdown_started_at.is_some())
+        self.siblings.take_sharing_change(self.is_shutting_down())
     }
 
     /// Whether there is more to read from the predecessor, or to send to a successor.
@@ -249,8 +249,9 @@
         let last_allowance = self.siblings.descriptor_allowance.unwrap_or(usize::MAX);
         let allowance = self.descriptor_allowance().min(last_allowance);
         self.siblings.descriptor_allowance = Some(allowance);
+        let is_shutting_down = self.is_shutting_down();
         if let Some(successors) = &mut self.siblings.successors {
-            if self.shutdown_started_at.is_some() {
+            if is_shutting_down {
                 successors.broadcast(&PredecessorMessage::Draining);
             }
             successors.broadcast(&PredecessorMessage::Descriptors(allowance));
@@ -273,7 +274,7 @@
         let in_use = RESERVED_FOR_PROCESS * self.worker_count()
             + sums.descriptors
             + 2 * self.connections_in_transfer();
-        let half = if self.shutdown_started_at.is_some() { 0 } else { limit / 2 };
+        let half = if self.is_shutting_down() { 0 } else { limit / 2 };
         in_use.max(half).min(limit)
     }
 
--- a/crates/balancer/src/event_loop/shutdown.rs
+++ b/crates/balancer/src/event_loop/shutdown.rs
@@ -6,7 +6,7 @@
 use crate::event_loop::context::TimerEvent;
 use crate::event_loop::dispatch::EventLoop;
 use crate::proxy::SessionCounts;
-use crate::shutdown::{MIN_DRAIN_TIME, ShutdownSchedule};
+use crate::shutdown::{MIN_DRAIN_TIME, Shutdown};
 use crate::workers::pool::WorkerPool;
 
 /// The time between two steps of a graceful shutdown.
@@ -15,10 +15,10 @@
 impl EventLoop {
     /// Begins the graceful shutdown; does nothing if it has begun before.
     pub fn begin_shutdown(&mut self) {
-        if self.shutdown_started_at.is_some() {
+        if self.is_shutting_down() {
             return;
         }
-        self.shutdown_started_at = Some(self.context.now);
+        self.shutdown = Some(Shutdown::begin(self.context.now, &self.proxy.settings.client_timeouts));
         self.poll_successors();
         let SessionCounts { established: sessions, waiting } = self.proxy.begin_shutdown();
         let worker = self.workers.as_ref().map(WorkerPool::index);
@@ -28,11 +28,17 @@
         self.is_handover_due = successor;
     }
 
+    /// Whether the graceful shutdown has begun.
+    pub(super) fn is_shutting_down(&self) -> bool {
+        self.shutdown.is_some()
+    }
+
     /// Performs one step of the shutdown: answers waiting requests and migrates clients as scheduled, and
     /// ends the loop once no client is left or the time is up.
     pub(super) fn on_shutdown_step(&mut self) {
-        let Some(elapsed) = self.shutdown_started_at.map(|at| self.context.now - at) else { return };
-        let schedule = self.shutdown_schedule();
+        let Some(shutdown) = self.shutdown else { return };
+        let elapsed = shutdown.elapsed(self.context.now);
+        let schedule = shutdown.schedule(self.proxy.has_successor);
         // Other workers may have sent connections to this one before they ended.
         while let Some(message) = self.next_message() {
             self.on_message(message);
@@ -82,15 +88,6 @@
         self.clients_at_end = Some(self.connected_clients());
     }
 
-    fn shutdown_schedule(&self) -> ShutdownSchedule {
-        let request_timeouts = &self.proxy.settings.client_timeouts;
-        if self.proxy.has_successor {
-            ShutdownSchedule::with_successor(request_timeouts)
-        } else {
-            ShutdownSchedule::new(request_timeouts)
-        }
-    }
-
     /// Whether connections are being transferred to a successor, or other workers may still send connections
     /// to be transferred.
     fn has_transfers_pending(&self) -> bool {
--- a/crates/balancer/src/shutdown.rs
+++ b/crates/balancer/src/shutdown.rs
@@ -52,13 +52,37 @@
     pub end: Micros,
 }
 
+/// A graceful shutdown that has begun. A reload does not change its schedule, as SIGKILL follows the settings
+/// at SIGTERM.
+#[derive(Clone, Copy, Debug)]
+pub struct Shutdown {
+    started_at: Micros,
+    schedule: ShutdownSchedule,
+}
+
+impl Shutdown {
+    /// Begins a shutdown at `now` with the client timeouts of all classes.
+    pub fn begin(now: Micros, client_timeouts: &[Micros]) -> Self {
+        Shutdown { started_at: now, schedule: ShutdownSchedule::new(client_timeouts) }
+    }
+
+    /// The time since the beginning.
+    pub fn elapsed(&self, now: Micros) -> Micros {
+        now - self.started_at
+    }
+
+    /// The schedule, depending on whether the process has a successor that serves.
+    pub fn schedule(&self, has_successor: bool) -> ShutdownSchedule {
+        if has_successor { self.schedule.with_successor() } else { self.schedule }
+    }
+}
+
 impl ShutdownSchedule {
-    /// Creates the schedule for a process with a successor that serves, so that migrated clients can
-    /// reconnect to that at once.
-    pub fn with_successor(client_timeouts: &[Micros]) -> Self {
-        let schedule = ShutdownSchedule::new(client_timeouts);
-        let migrate_from = schedule.migrate_from.min(MIGRATE_FROM_WITH_SUCCESSOR);
-        ShutdownSchedule { migrate_from, ..schedule }
+    /// Returns the schedule for a process with a successor that serves, so that migrated clients can reconnect
+    /// to that at once.
+    pub fn with_successor(self) -> Self {
+        let migrate_from = self.migrate_from.min(MIGRATE_FROM_WITH_SUCCESSOR);
+        ShutdownSchedule { migrate_from, ..self }
     }
 
     /// Creates the schedule for the client timeouts of all classes.
--- a/crates/balancer/src/shutdown/tests.rs
+++ b/crates/balancer/src/shutdown/tests.rs
@@ -7,7 +7,7 @@
     let usual = ShutdownSchedule::new(&[3_200_000]);
     assert_eq!((usual.migrate_from, usual.migrate_until, usual.end), (2_000_000, 2_900_000, 3_400_000));
     let short = ShutdownSchedule::new(&[1_000_000]);
-    let successor = ShutdownSchedule::with_successor(&[1_000_000]);
+    let successor = short.with_successor();
     assert!(
         successor.migrate_from < successor.migrate_until && successor.migrate_until == short.migrate_until
     );
@@ -37,7 +37,8 @@
 #[test]
 fn clients_are_migrated_after_the_drain_time_and_before_the_process_ends() {
     for timeout in (1..5_000_000).step_by(1000) {
-        for schedule in [ShutdownSchedule::new(&[timeout]), ShutdownSchedule::with_successor(&[timeout])] {
+        let usual = ShutdownSchedule::new(&[timeout]);
+        for schedule in [usual, usual.with_successor()] {
             let is_after_drain_time = schedule.migrate_from >= MIN_DRAIN_TIME;
             let is_in_order =
                 schedule.migrate_from < schedule.migrate_until && schedule.migrate_until <= schedule.end;
--- a/crates/balancer/tests/sockets/shutdown_end.rs
+++ b/crates/balancer/tests/sockets/shutdown_end.rs
@@ -138,3 +138,32 @@
         assert!(terminated_at.elapsed() < kill_time(timeout), "timeout {timeout} ms");
     }
 }
+
+/// Guards against a reload that moves the end of a shutdown past SIGKILL, which follows the settings at SIGTERM.
+#[test]
+fn a_reload_during_a_shutdown_does_not_move_its_end() {
+    let timeout = 450;
+    for reloaded_timeout in [1, 3200] {
+        let mut program = start(&config_with_timeout(timeout));
+        let mut half_written = program.connect();
+        half_written.send_bytes(b"OPEN 1 ");
+        program.sync();
+        program.terminate();
+        let terminated_at = Instant::now();
+        program.wait_for_log("shutting-down");
+        program.reconfigure(&config_with_timeout(reloaded_timeout).to_string());
+        program.wait_for_log("event=reloaded");
+        expect_rejection(&mut half_written, &format!("reloaded with {reloaded_timeout} ms"));
+        // The client does not close, so the process runs until the time of its shutdown is over.
+        assert!(program.wait().success());
+        let ended_after = terminated_at.elapsed();
+        assert!(
+            ended_after >= DRAIN_TIME,
+            "reloaded with {reloaded_timeout} ms: ended after {ended_after:?}"
+        );
+        assert!(
+            ended_after < kill_time(timeout),
+            "reloaded with {reloaded_timeout} ms: ended after {ended_after:?}"
+        );
+    }
+}
