Test that a client in the middle of its first line is answered in a hand-over

The old process of a hand-over keeps connections without a complete request; its shutdown answers them as any other does since.

--- a/crates/balancer/tests/sockets/incomplete_requests.rs
+++ b/crates/balancer/tests/sockets/incomplete_requests.rs
@@ -229,3 +229,38 @@
         expect_rejection(client, &format!("{length} bytes"));
     }
 }
+
+/// Guards against a hand-over in which the old process closes a connection in the middle of its first line.
+#[test]
+fn a_client_in_the_middle_of_its_first_line_is_answered_by_a_process_that_is_replaced() {
+    let settings = crate::operators::with_operator_address(config_with_timeout(600));
+    let old = start(&settings);
+    let line = first_line(0);
+    let mut stopped: Vec<_> = partial_lengths(&line)
+        .into_iter()
+        .map(|length| {
+            let mut client = old.connect();
+            client.send_bytes(&line.as_bytes()[..length]);
+            client
+        })
+        .collect();
+    let mut slow = old.connect();
+    slow.send_bytes(&line.as_bytes()[..1]);
+    old.sync();
+    let mut config = settings.clone();
+    config["listen"] = json!(old.address());
+    let new = old.start_sibling(crate::BINARY, &config);
+    old.terminate();
+    let terminated_at = Instant::now();
+    assert!(old.wait_for_log("event=shutting-down").contains("successor=true"));
+    thread::sleep(Duration::from_millis(300));
+    slow.send_bytes(&line.as_bytes()[1..]);
+    expect_rejection(&mut slow, "a line that is completed after SIGTERM");
+    for client in &mut stopped {
+        expect_rejection(client, "a line that is not completed");
+    }
+    drop((slow, stopped));
+    expect_end_before_kill(old, terminated_at, 600);
+    // The new process accepts clients at the same listener.
+    expect_rejection(&mut new.open(""), "a client of the new process, which has no servers");
+}
