Soak: write first lines in pieces, and draw short deadlines

Change: one in four requests is written in two pieces up to 0.2 s apart; three in ten plans have deadlines of 0.21 to 0.75 s.

A check was corrected: a kill excuses a request from the first byte of its line on, not from the last. In return an exit after SIGTERM excuses only requests whose first byte was sent around it or later, which is stricter: a line half read at the exit is owed its answer.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -29,6 +29,11 @@
 /// The fraction of established connections that the client half-closes at the end, to read the remaining lines.
 const HALF_CLOSE_RATIO: f64 = 0.5;
 
+/// The fraction of requests whose first line is written in two pieces.
+const PIECES_RATIO: f64 = 0.25;
+/// The longest time between the two pieces of a first line, in ms.
+const MAX_PIECE_GAP_MS: u64 = 200;
+
 /// Runs one client until the run accepts no new requests.
 pub fn run(recorder: &Recorder, fleet: &Fleet, plan: &Plan, number: u64) {
     let mut random = Pcg64Mcg::seed_from_u64(plan.seed << 16 | number);
@@ -76,12 +81,9 @@
         let deadline = self.plan.classes[class].deadline;
         let (name, id) = (&self.plan.classes[class].name, self.id);
         let line = format!("OPEN {id:x} {id:x} c={name},t=acme,d={}\r\n", deadline.as_millis());
-        let sent_at = self.recorder.now();
-        // These calls fail only on a closed connection. The balancer has not read the line in this case.
-        if self.stream.set_nodelay(true).is_err() || self.stream.write_all(line.as_bytes()).is_err() {
-            return;
-        }
-        let request = Request { class, balancer: self.balancer, sent_at, ..Request::default() };
+        let began_at = self.recorder.now();
+        let Some(sent_at) = self.write_first_line(line.as_bytes()) else { return };
+        let request = Request { class, balancer: self.balancer, began_at, sent_at, ..Request::default() };
         self.recorder.request_sent(id, request);
         if self.random.random_bool(DISCONNECT_RATIO) {
             std::thread::sleep(deadline.mul_f64(self.random.random_range(0.0..0.8)));
@@ -95,6 +97,22 @@
         }
     }
 
+    /// Writes the first line, sometimes in two pieces. Returns when its last byte was sent, or `None` if the
+    /// connection is closed, in which case the balancer has not read the whole line.
+    fn write_first_line(&mut self, line: &[u8]) -> Option<Duration> {
+        self.stream.set_nodelay(true).ok()?;
+        let mut rest = line;
+        if self.random.random_bool(PIECES_RATIO) {
+            let (first, second) = line.split_at(self.random.random_range(1..line.len()));
+            self.stream.write_all(first).ok()?;
+            self.sleep_up_to(MAX_PIECE_GAP_MS);
+            rest = second;
+        }
+        let sent_at = self.recorder.now();
+        self.stream.write_all(rest).ok()?;
+        Some(sent_at)
+    }
+
     fn sleep_up_to(&mut self, max_ms: u64) {
         std::thread::sleep(Duration::from_millis(self.random.random_range(0..max_ms)));
     }
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -50,7 +50,9 @@
     pub class: usize,
     /// The number of the balancer to which it was sent.
     pub balancer: usize,
-    /// When its line was sent.
+    /// When the first byte of its line was sent.
+    pub began_at: Duration,
+    /// When the last byte of its line was sent.
     pub sent_at: Duration,
     /// When its client disconnected without waiting for an answer, if it did.
     pub disconnected_at: Option<Duration>,
@@ -267,16 +269,18 @@
         self.processes[balancer].kills.iter().any(|at| *at >= from && *at <= to + SLACK)
     }
 
-    /// Whether the balancer was killed while the request was waiting for its answer, or just before it was sent.
+    /// Whether the balancer was killed while the request was being sent or waiting for its answer, or just before
+    /// that.
     fn is_killed(&self, request: &Request) -> bool {
         let until = request.answer.map_or(Duration::MAX - SLACK, |(_, at)| at);
-        self.was_killed_between(request.balancer, request.sent_at.saturating_sub(SLACK), until)
+        self.was_killed_between(request.balancer, request.began_at.saturating_sub(SLACK), until)
     }
 
-    /// Whether the request was sent during or after the exit of its balancer, so that the balancer never read it.
+    /// Whether the request was begun during or after the exit of its balancer, so that the balancer never read
+    /// any of it.
     fn is_after_exit(&self, request: &Request) -> bool {
         let until = request.answer.map_or(Duration::MAX, |(_, at)| at + SLACK);
         let exits = &self.processes[request.balancer].exits;
-        exits.iter().any(|exit| request.sent_at + SLACK + self.max_wake_delay > *exit && *exit <= until)
+        exits.iter().any(|exit| request.began_at + SLACK + self.max_wake_delay > *exit && *exit <= until)
     }
 }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -9,6 +9,10 @@
 /// The number of clients per balancer.
 const CLIENTS_PER_BALANCER: usize = 6;
 
+/// The fraction of plans with short deadlines, and how much shorter these are.
+const SHORT_DEADLINES_RATIO: f64 = 0.3;
+const SHORT_DEADLINE_SCALE: f64 = 0.3;
+
 /// The zones of the fleet.
 pub const ZONES: [&str; 3] = ["a", "b", "c"];
 
@@ -173,12 +177,17 @@
         let mut random = Pcg64Mcg::seed_from_u64(seed);
         let balancers = balancers.unwrap_or_else(|| random.random_range(10..=40));
         let servers = random.random_range(6..=15);
-        let classes = Semantics::ALL.map(|semantics| draw_class(&mut random, semantics)).to_vec();
+        let mut classes = Semantics::ALL.map(|semantics| draw_class(&mut random, semantics)).to_vec();
         let count = (length.as_secs_f64() * random.random_range(1.5..4.0)) as usize;
         let mut faults: Vec<ScheduledFault> =
             (0..count).map(|_| draw_fault(&mut random, length, balancers, servers)).collect();
         faults.sort_by_key(|scheduled| scheduled.at);
         let system_faults = (0..balancers).map(|_| draw_system_faults(&mut random)).collect();
+        if random.random_bool(SHORT_DEADLINES_RATIO) {
+            classes
+                .iter_mut()
+                .for_each(|class| class.deadline = class.deadline.mul_f64(SHORT_DEADLINE_SCALE));
+        }
         Plan {
             seed,
             length,
