Split the event loop's hand-over, and type the scope of a shutdown's answers

Cause: event_loop/handover.rs did three jobs; a step of the shutdown passed a bool and a count typed as time; session.rs held the state of restored connections; the pool walked over the other workers in four ways.

Change, with no change of behaviour: connection_transfer.rs and descriptor_sharing.rs beside handover.rs; `AnswerScope` in place of the bool; restored.rs beside session.rs; `others()` and `has_ended()` in the pool.

--- a/crates/balancer/src/clients/session.rs
+++ b/crates/balancer/src/clients/session.rs
@@ -5,6 +5,7 @@
 
 mod closing;
 mod opening;
+mod restored;
 
 use std::net::SocketAddr;
 
@@ -18,6 +19,7 @@
 
 pub use closing::CloseProgress;
 pub use opening::{FirstLine, WaitingActivity};
+use restored::RestoredConnection;
 
 /// Time within which a client that has connected must send its complete first line. The connection of a
 /// client that sends none must be closed within 3 s.
@@ -30,8 +32,6 @@
 const SILENT_SERVER_TIMEOUT: Micros = 1_500_000;
 /// Time after the deadline of a request at which the proxy answers it if the driver has not.
 const OVERDUE_ANSWER_GRACE: Micros = 15_000;
-/// The delay between two attempts to restore a connection from before the start of this process.
-const RESTORE_RETRY_DELAY: Micros = 500_000;
 
 /// The stage of a client session.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -79,18 +79,6 @@
     pub(crate) timer: TimerHandle,
 }
 
-/// A connection that was established before this process started.
-#[derive(Debug)]
-struct RestoredConnection {
-    /// The server that had accepted the client.
-    server: ServerId,
-    request: ReceivedRequest,
-    /// When to retry, once an attempt to restore the connection has failed.
-    retry_at: Option<Micros>,
-    /// Whether any attempt to restore the connection has failed.
-    has_failed: bool,
-}
-
 /// The request in a session's first line.
 #[derive(Debug)]
 pub struct SessionRequest<'a> {
@@ -163,7 +151,7 @@
             SessionStage::AwaitingRequest => Some(self.deadline.max(earliest_timeout)),
             SessionStage::Closing => Some(self.deadline),
             SessionStage::AwaitingAnswer => {
-                let retry_at = self.restored.as_ref().and_then(|restored| restored.retry_at);
+                let retry_at = self.restored.as_ref().and_then(|restored| restored.retry_at());
                 earlier(retry_at, Some(self.deadline + OVERDUE_ANSWER_GRACE))
             }
             SessionStage::Established | SessionStage::Migrating => {
@@ -209,16 +197,6 @@
         self.stage == SessionStage::AwaitingAnswer
     }
 
-    /// The server that had accepted the client before this process started, if any.
-    pub fn previous_server(&self) -> Option<ServerId> {
-        self.restored.as_ref().map(|restored| restored.server)
-    }
-
-    /// The request, if its connection was established before this process started.
-    pub fn restored_request(&self) -> Option<ReceivedRequest> {
-        self.restored.as_ref().map(|restored| restored.request)
-    }
-
     /// The first line, until a server has accepted the client.
     pub fn first_line(&self) -> Option<&[u8]> {
         self.first_line.as_ref().map(Buffer::contents)
@@ -261,14 +239,8 @@
         let mut first_line = pool.take();
         first_line.append(opened.line);
         self.first_line = Some(first_line);
-        self.restored = opened.previous_server.map(|server| {
-            Box::new(RestoredConnection {
-                server,
-                request: opened.request,
-                retry_at: None,
-                has_failed: false,
-            })
-        });
+        self.restored =
+            opened.previous_server.map(|server| Box::new(RestoredConnection::new(server, opened.request)));
         self.stage = SessionStage::AwaitingAnswer;
         self.stage_since = now;
         self.deadline = opened.deadline;
@@ -334,20 +306,6 @@
     pub fn is_half_open_expired(&self, now: Micros) -> bool {
         self.half_open_deadline.is_some_and(|deadline| now >= deadline)
     }
-
-    /// Schedules a retry after an attempt to restore the connection has failed. Returns whether this is the
-    /// first failure.
-    pub fn on_restore_failed(&mut self, now: Micros) -> bool {
-        let Some(restored) = &mut self.restored else { return false };
-        restored.retry_at = Some(now + RESTORE_RETRY_DELAY);
-        !std::mem::replace(&mut restored.has_failed, true)
-    }
-
-    /// Returns whether another attempt to restore the connection is due, and clears its time if so.
-    pub fn take_due_restore(&mut self, now: Micros) -> bool {
-        let Some(restored) = &mut self.restored else { return false };
-        restored.retry_at.take_if(|retry_at| now >= *retry_at).is_some()
-    }
 }
 
 fn earlier(one: Option<Micros>, other: Option<Micros>) -> Option<Micros> {
--- a/crates/balancer/src/event_loop/mod.rs
+++ b/crates/balancer/src/event_loop/mod.rs
@@ -7,7 +7,9 @@
 mod accept;
 mod acceptor;
 mod admin;
+mod connection_transfer;
 pub mod context;
+mod descriptor_sharing;
 pub mod dispatch;
 mod driver_effects;
 mod handover;
--- a/crates/balancer/src/event_loop/shutdown.rs
+++ b/crates/balancer/src/event_loop/shutdown.rs
@@ -5,7 +5,7 @@
 
 use crate::event_loop::context::TimerEvent;
 use crate::event_loop::dispatch::EventLoop;
-use crate::proxy::SessionCounts;
+use crate::proxy::{AnswerScope, SessionCounts};
 use crate::shutdown::{MIN_DRAIN_TIME, Shutdown};
 use crate::workers::pool::WorkerPool;
 
@@ -46,12 +46,14 @@
         if elapsed >= schedule.reject_incomplete_from {
             self.proxy.reject_incomplete_requests(&mut self.context);
         }
-        if elapsed >= schedule.answer_from {
-            self.proxy.answer_waiting_clients(&mut self.context, elapsed >= schedule.answer_all_from);
+        if elapsed >= schedule.answer_all_from {
+            self.proxy.answer_waiting_clients(&mut self.context, AnswerScope::All);
+        } else if elapsed >= schedule.answer_from {
+            self.proxy.answer_waiting_clients(&mut self.context, AnswerScope::Rejectable);
         }
         if elapsed >= schedule.migrate_from {
             let steps_left = schedule.migrate_until.saturating_sub(elapsed) / SHUTDOWN_STEP_INTERVAL;
-            self.proxy.migrate_batch(&mut self.context, steps_left);
+            self.proxy.migrate_batch(&mut self.context, steps_left as usize);
         }
         self.is_handover_due = self.proxy.has_successor;
         if elapsed >= schedule.end || self.may_end_early(elapsed) {
--- a/crates/balancer/src/proxy/mod.rs
+++ b/crates/balancer/src/proxy/mod.rs
@@ -47,7 +47,7 @@
 use dialing::PendingDial;
 use incomplete::IncompleteCounts;
 use migration::PendingMigrations;
-pub use shutdown::SessionCounts;
+pub use shutdown::{AnswerScope, SessionCounts};
 
 /// The retry delay that clients get when the proxy rejects them without asking the driver.
 const RETRY_AFTER: Micros = 300_000;
--- a/crates/balancer/src/proxy/shutdown.rs
+++ b/crates/balancer/src/proxy/shutdown.rs
@@ -22,6 +22,15 @@
     pub waiting: usize,
 }
 
+/// Which waiting requests a step of a shutdown answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerScope {
+    /// Those that may be rejected. The others wait for their servers until their own deadlines.
+    Rejectable,
+    /// All of them.
+    All,
+}
+
 impl Proxy {
     /// Begins to reject new requests. Returns the numbers of sessions that are to be ended.
     pub fn begin_shutdown(&mut self) -> SessionCounts {
@@ -45,11 +54,11 @@
         self.sessions.len()
     }
 
-    /// Asks an even share of the established clients to migrate, given that `batches_left` more batches
+    /// Asks an even share of the established clients to migrate, given that `later_batches` more batches
     /// follow.
-    pub fn migrate_batch(&mut self, context: &mut LoopContext, batches_left: Micros) {
+    pub fn migrate_batch(&mut self, context: &mut LoopContext, later_batches: usize) {
         let established = self.sessions.ids_where(|session| session.stage() == SessionStage::Established);
-        let batch = established.len().div_ceil(batches_left as usize + 1);
+        let batch = established.len().div_ceil(later_batches + 1);
         for id in established.into_iter().take(batch) {
             self.migrate(context, id);
         }
@@ -62,11 +71,10 @@
         }
     }
 
-    /// Answers the waiting requests. A request that may have run can't be rejected: it waits for its server
-    /// until its own deadline, or fails now if `answer_all` is set.
-    pub fn answer_waiting_clients(&mut self, context: &mut LoopContext, answer_all: bool) {
+    /// Answers the waiting requests in `scope`. A request that may have run can't be rejected: it fails.
+    pub fn answer_waiting_clients(&mut self, context: &mut LoopContext, scope: AnswerScope) {
         for id in self.sessions.ids_where(Session::is_waiting) {
-            if !answer_all && !self.guard.is_rejectable(id) {
+            if scope == AnswerScope::Rejectable && !self.guard.is_rejectable(id) {
                 continue;
             }
             context.emit(NetworkEvent::ClientLeft(id));
--- a/crates/balancer/src/workers/pool.rs
+++ b/crates/balancer/src/workers/pool.rs
@@ -73,6 +73,13 @@
     next_iteration_by: AtomicU64,
 }
 
+impl WorkerHandle {
+    /// Whether the worker has ended.
+    fn has_ended(&self) -> bool {
+        self.next_iteration_by.load(Relaxed) == 0
+    }
+}
+
 /// A worker that has not joined a pool yet.
 #[derive(Debug)]
 pub struct NewWorker {
@@ -154,7 +161,7 @@
 
     /// Sends a message to every other worker; `message` creates it from the worker's index.
     pub fn broadcast(&self, message: impl Fn(usize) -> WorkerMessage) {
-        for index in (0..self.workers.len()).filter(|index| *index != self.index) {
+        for (index, _) in self.others() {
             // A worker that has ended needs no messages.
             let _ = self.send(index, message(index));
         }
@@ -164,8 +171,8 @@
     /// stalled, if it has far fewer clients than this worker, which has `clients`. The new client is added to
     /// that worker's count at once.
     pub fn less_loaded_worker(&self, now: Micros, clients: usize) -> Option<usize> {
-        let others = self.workers.iter().enumerate().filter(|(index, _)| *index != self.index);
-        let running = others.filter(|(_, worker)| !has_stalled(worker.next_iteration_by.load(Relaxed), now));
+        let running =
+            self.others().filter(|(_, worker)| !has_stalled(worker.next_iteration_by.load(Relaxed), now));
         let (fewest, index) = running.map(|(index, worker)| (worker.clients.load(Relaxed), index)).min()?;
         let margin = (fewest / FORWARD_MARGIN_DIVISOR).max(MIN_FORWARD_MARGIN);
         if clients <= fewest + margin {
@@ -177,17 +184,17 @@
 
     /// Whether all other workers have ended.
     pub fn have_others_ended(&self) -> bool {
-        let mut others = self.workers.iter().enumerate().filter(|(index, _)| *index != self.index);
-        others.all(|(_, worker)| worker.next_iteration_by.load(Relaxed) == 0)
+        self.others().all(|(_, worker)| worker.has_ended())
     }
 
     /// Whether no other worker has clients, according to what each of them published last.
     pub fn are_others_without_clients(&self) -> bool {
-        let mut others = self.workers.iter().enumerate().filter(|(index, _)| *index != self.index);
-        others.all(|(_, worker)| {
-            let has_ended = worker.next_iteration_by.load(Relaxed) == 0;
-            has_ended || worker.clients.load(Relaxed) == 0
-        })
+        self.others().all(|(_, worker)| worker.has_ended() || worker.clients.load(Relaxed) == 0)
+    }
+
+    /// The other workers, each with its index.
+    fn others(&self) -> impl Iterator<Item = (usize, &WorkerHandle)> {
+        self.workers.iter().enumerate().filter(|(index, _)| *index != self.index)
     }
 
     /// The listeners of all workers, including those that have ended.
