--- a/crates/balancer/tests/sockets/incomplete_requests.rs
+++ b/crates/balancer/tests/sockets/incomplete_requests.rs
@@ -117,10 +117,10 @@
         let began = Instant::now();
         for number in 0.. {
             let connect_at = CONNECT_INTERVAL * u32::try_from(number).expect("few clients");
-            if connect_at >= DRAIN_TIME {
+            thread::sleep(connect_at.saturating_sub(began.elapsed()));
+            if began.elapsed() >= DRAIN_TIME {
                 break;
             }
-            thread::sleep(connect_at.saturating_sub(began.elapsed()));
             let mut client = Connection::connect(address);
             scope.spawn(move || {
                 let pieces = pieces(number);
