Answer a silent client on its timeout, so that a request that crosses the close has its answer

What callers saw: a close without an answer where their first line, sent 2.5 s after they connected, crossed the close of their connection; the line was read and discarded.

Cause: the timeout closed connections on which nothing had been read with `Answer::Closed`. A request that arrives after the last read and before the client sees the close can't be answered any more.

Evidence: `request-incomplete cause=idle received_bytes=0`, `answered words=`, and the test's client, which sends its line before it reads what has arrived, gets a FIN and no line.

Fix: such a client gets ERR before the close, within the 3 s for clients that send nothing ("their error or close"). A front end that is idle after PING is closed as before: it would take a line for the answer to its next PING. It works because the answer is on its way before the moment at which a request can cross.

--- a/crates/balancer/src/clients/session.rs
+++ b/crates/balancer/src/clients/session.rs
@@ -60,6 +60,8 @@
     deadline: Micros,
     /// The deadline for the complete first line.
     first_line_deadline: Micros,
+    /// Whether the client has sent a ping, as front ends do.
+    has_pinged: bool,
     /// The number of bytes that were received and discarded after the final answer.
     discarded_bytes: usize,
     /// The id that the client chose for its open request; `None` before the request and after the final answer.
@@ -115,6 +117,7 @@
             stage_since: now,
             deadline: now + FIRST_LINE_TIMEOUT,
             first_line_deadline: now + FIRST_LINE_TIMEOUT,
+            has_pinged: false,
             discarded_bytes: 0,
             open_id: None,
             half_open_deadline: None,
@@ -197,6 +200,11 @@
         self.stage == SessionStage::AwaitingAnswer
     }
 
+    /// Whether the client has sent a ping, as front ends do.
+    pub fn has_pinged(&self) -> bool {
+        self.has_pinged
+    }
+
     /// The first line, until a server has accepted the client.
     pub fn first_line(&self) -> Option<&[u8]> {
         self.first_line.as_ref().map(Buffer::contents)
--- a/crates/balancer/src/clients/session/opening.rs
+++ b/crates/balancer/src/clients/session/opening.rs
@@ -45,6 +45,7 @@
             self.connection.read_available(pool);
             match self.connection.take_line() {
                 Ok(Some(line)) if parse_message(&line) == Message::Ping => {
+                    self.has_pinged = true;
                     self.first_line_deadline = now + NEXT_PING_TIMEOUT;
                     self.deadline = self.first_line_deadline;
                     self.connection.send(pool, Message::Pong.to_string().as_bytes());
--- a/crates/balancer/src/proxy/incomplete.rs
+++ b/crates/balancer/src/proxy/incomplete.rs
@@ -58,11 +58,13 @@
     }
 
     /// Ends the session of a client that has closed, or timed out, before its first line was complete. A client
-    /// that has not closed gets an error if it has sent a part of its line, since the rest may be on its way.
-    /// Its input is read a little longer, since a close with unread input would send a reset.
+    /// that has not closed gets an error, since what is missing of its line may be on its way, except an idle
+    /// front end: it would take the error for the answer to its next ping. The input is read a little longer,
+    /// since a close with unread input would send a reset.
     pub(super) fn on_incomplete_request(&mut self, context: &mut LoopContext, id: RequestId) {
         let Some(session) = self.sessions.get(id) else { return };
         let (client, progress) = (session.client_address(), progress_of(session));
+        let is_idle_front_end = session.has_pinged() && progress == RequestProgress::Nothing;
         let has_closed = session.connection.peer_close.is_some();
         if progress == RequestProgress::Partial && self.log_limiter.acquire(context) {
             warn!(event = "incomplete-line", client = %client);
@@ -71,10 +73,7 @@
             return self.close_session(context, id, Cause::Idle);
         }
         self.record_incomplete_request(context.now, id, Cause::Idle);
-        let answer = match progress {
-            RequestProgress::Nothing => Answer::Closed,
-            RequestProgress::Partial => Answer::Failed,
-        };
+        let answer = if is_idle_front_end { Answer::Closed } else { Answer::Failed };
         self.answer(context, id, answer, Cause::Idle);
     }
 
--- a/crates/balancer/tests/sockets/incomplete_requests.rs
+++ b/crates/balancer/tests/sockets/incomplete_requests.rs
@@ -208,6 +208,21 @@
     assert!(sent_at.elapsed() < Duration::from_secs(3), "answered after {:?}", sent_at.elapsed());
 }
 
+/// Guards against a request that crosses the close of a connection on which nothing was received in time.
+#[test]
+fn a_request_that_crosses_the_timeout_of_a_silent_client_gets_an_error() {
+    let server = Server::new();
+    let program = start(&config(&[("s-1", server.address())]));
+    let mut silent = program.connect();
+    program.sync();
+    assert!(silent.has_input(Duration::from_secs(3)), "not closed in time");
+    // The client has not read what arrived, so its request crosses it.
+    silent.send_bytes(first_line(0).as_bytes());
+    assert_eq!((silent.receive_line(), silent.receive()), ("ERR".into(), Received::Fin));
+    program.sync();
+    assert!(!server.has_pending_connection(), "an attempt for a client that has its final answer");
+}
+
 /// Guards against an eviction that closed without an answer while the rest of the line came in.
 #[test]
 fn a_client_that_is_evicted_with_a_part_of_its_first_line_is_rejected() {
