--- a/review/standins2.py
+++ b/review/standins2.py
@@ -272,8 +272,6 @@
                    ROUTER_CONFIG=self.path, TMPDIR=self.tmpdir)
         if "operator" in config:
             env["ROUTER_OPERATOR"] = config["operator"]
-        if os.environ.get("CASE_LOG"):
-            env["SHOREWHARF_LOG"] = os.environ["CASE_LOG"]
         with open(self.log, "wb") as log:
             self.process = await asyncio.create_subprocess_exec(
                 "/bin/sh", "-c", run_command(), cwd=ROOT, env=env, stdin=asyncio.subprocess.DEVNULL, stdout=log,
@@ -463,13 +461,18 @@
     """Runs `body(case)`, which returns a list of breaches, and exits with the code of the verdict."""
     async def run():
         case = Case(file)
+        work = asyncio.ensure_future(body(case))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, work.cancel)
         try:
-            breaches = await asyncio.wait_for(body(case), limit)
+            breaches = await asyncio.wait_for(work, limit)
             code = BROKEN if breaches else HELD
         except CannotRun as error:
             breaches, code = [f"could not run: {error}"], NOT_RUN
         except asyncio.TimeoutError:
             breaches, code = ["could not run: out of time"], NOT_RUN
+        except asyncio.CancelledError:
+            breaches, code = ["could not run: told to end"], NOT_RUN
         except Exception as error:  # a fault of the case itself says nothing about the rule
             breaches, code = [f"could not run: {error!r}"], NOT_RUN
         finally:
