--- a/review/7/case.py
+++ b/review/7/case.py
@@ -14,7 +14,7 @@
 
 async def body(case):
     record = case.record
-    servers = [await Server(record, f"s-{number}").start() for number in range(3)]
+    servers = [await Server(record, f"s-{number}").start() for number in range(4)]
     discovery = await Discovery(record, servers).start()
     case.peers += [*servers, discovery]
     config = case.config(discovery, discovery.whole(), registry_mode="push")
@@ -36,6 +36,7 @@
         await asyncio.sleep(0.1)
         if TROUBLE and changed is None and record.now() >= started + DRAIN_AT_S:
             changed = discovery.change(drained, "Terminating")
+            await drained.send_away(0.0)
     if case.crashed():
         return ["the balancer exited"]
     if not drained.opens:
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -48,14 +48,15 @@
 
 
 class Server:
-    """A sound server: accepts each OPEN with `UP RECEIPT`, answers each later line at once, and answers probes."""
+    """A sound server: accepts each OPEN with `UP RECEIPT`, answers each later line at once, and answers probes. While it
+    drains it turns new requests away with `BUSY`."""
 
     def __init__(self, record, name, zone="a", group=0):
         self.record, self.name, self.zone, self.group = record, name, zone, group
         self.status, self.since_ms = "Ready", 0
         self.opens = []  # (time, id, line)
         self.ended = []  # (time, id, how)
-        self.writers = set()
+        self.writers, self.up = set(), set()
         self.listener = None
         self.port = None
 
@@ -70,9 +71,21 @@
 
     async def on_open(self, ident, line, reader, writer):
         """Answers a request; may be replaced by a case. Returns whether the connection is up."""
+        if self.status != "Ready":
+            writer.write(b"BUSY\r\n")
+            return False
         writer.write(f"UP {self.name}-{ident}\r\n".encode())
         return True
 
+    async def send_away(self, pause):
+        """Sends all clients away, as a draining server does, with a pause between two of them."""
+        for writer in list(self.up):
+            writer.write(b"MOVE\r\n")
+            writer.close()
+            self.up.discard(writer)
+            if pause:
+                await asyncio.sleep(pause)
+
     def on_line(self, ident, line):
         """The reply to a line of an open connection."""
         return b"OK " + line + b"\r\n"
@@ -98,12 +111,14 @@
                     self.record(f"server {self.name} got {line.decode()}")
                     if not await self.on_open(ident, line, reader, writer):
                         break
+                    self.up.add(writer)
                 else:
                     writer.write(self.on_line(ident, line))
         except (ConnectionError, asyncio.IncompleteReadError):
             how = "reset"
         finally:
             self.writers.discard(writer)
+            self.up.discard(writer)
             if ident is not None:
                 self.ended.append((self.record.now(), ident, how))
                 self.record(f"server {self.name} connection {ident} {how}")
