Keep a watch open where endpoint lists are pushed

Cause: opening a watch is an action of the decisions, taken only where the list has to be asked for. In the simulator a pushed list arrives on its own; on sockets it arrives only on a watch, and nobody else opened one.

The log had no line for a watch that is opened; watch-opened (debug) is new.

Change: DiscoveryClient keeps a watch open of its own accord where lists are pushed, at the primary worker, from the start on. The delay before a watch (WatchPacing, pure) is random and at most a third of the grace for drains, as a change counts as received whether or not a watch is open. Decisions and the simulator's wire are unchanged. Not taken: settings that tell the decisions to ask in either mode, whose first call and pauses come too late for a pushed list.

--- a/crates/balancer/src/config/file.rs
+++ b/crates/balancer/src/config/file.rs
@@ -4,12 +4,15 @@
 use serde_json::Value;
 use shorewharf_protocol::endpoint_list::EndpointList;
 use shorewharf_protocol::name_index::NameIndex;
+use shorewharf_units::{Micros, micros_from_seconds};
 
 use super::error::{ConfigError, InvalidValue};
 use super::limits::{Limits, MAX_DURATION_S};
 
 /// The client timeout of classes without `give_up_s`, in seconds.
 const DEFAULT_CLIENT_TIMEOUT_S: f64 = 3.0;
+/// The default of `settings.rules.drain_grace_s`.
+const DEFAULT_DRAIN_GRACE_S: f64 = 1.0;
 
 /// The keys of the file. Unknown keys are ignored.
 #[derive(Deserialize)]
@@ -56,6 +59,8 @@
     zones: Vec<String>,
     #[serde(default)]
     specifics: Specifics,
+    #[serde(default)]
+    rules: Rules,
 }
 
 #[derive(Deserialize, Default)]
@@ -64,6 +69,11 @@
     servers_report_delay: bool,
 }
 
+#[derive(Deserialize, Default)]
+struct Rules {
+    drain_grace_s: Option<f64>,
+}
+
 #[derive(Deserialize)]
 struct ClassEntry {
     name: String,
@@ -108,6 +118,11 @@
         self.specifics.servers_report_delay
     }
 
+    /// The time, in microseconds, for which requests may be sent to a server after its drain counts as received.
+    pub fn drain_grace(&self) -> Micros {
+        micros_from_seconds(self.rules.drain_grace_s.unwrap_or(DEFAULT_DRAIN_GRACE_S))
+    }
+
     /// The indices of classes, tenants and zones by name.
     pub fn into_names(self) -> NameIndex {
         let classes = self.classes.into_iter().map(|class| class.name);
--- a/crates/balancer/src/config/mod.rs
+++ b/crates/balancer/src/config/mod.rs
@@ -17,6 +17,7 @@
 use shorewharf_protocol::endpoint_list::EndpointList;
 use shorewharf_protocol::name_index::NameIndex;
 use shorewharf_settings::operator::OperatorSettings;
+use shorewharf_units::Micros;
 
 pub use self::error::{ConfigError, InvalidValue};
 use self::file::{ConfigFile, SettingsSection, check_duration, wrong_type};
@@ -62,6 +63,8 @@
     pub client_timeouts: Vec<u64>,
     /// Whether servers report message delays in their load reports.
     pub servers_report_delay: bool,
+    /// The time for which requests may be sent to a server after its drain counts as received.
+    pub drain_grace: Micros,
     /// The operator's own file.
     pub operator: OperatorSettings,
     /// Gossip with the other balancers of the fleet; `None` if the operator's file names no peers.
@@ -167,6 +170,7 @@
 
         let name = required(file.name, "name", "ROUTER_NAME", &env)?;
         let servers_report_delay = section.servers_report_delay();
+        let drain_grace = section.drain_grace();
         let names = section.into_names();
         let gossip = GossipConfig::read(&operator.gossip, &name)?;
         let budgets = BudgetConfig::read(&operator.budgets, &settings, &names, &name)?;
@@ -186,6 +190,7 @@
             names,
             client_timeouts,
             servers_report_delay,
+            drain_grace,
             operator,
             gossip,
             budgets,
--- a/crates/balancer/src/config/proxy_settings.rs
+++ b/crates/balancer/src/config/proxy_settings.rs
@@ -5,6 +5,7 @@
 use shorewharf_units::{Micros, micros_from_seconds};
 
 use crate::config::Config;
+use crate::discovery::watch_pacing::WatchPacing;
 
 /// The settings of sessions, attempts and discovery.
 #[derive(Clone, Debug)]
@@ -26,6 +27,8 @@
     /// The maximum number of servers of an endpoint list. Further ones are ignored, so that a list can't use the memory that
     /// clients need.
     pub max_servers: usize,
+    /// Set where the endpoint list is pushed: a watch is kept open without a request of the decisions.
+    pub watch_pacing: Option<WatchPacing>,
 }
 
 /// The share of the memory limit that endpoint lists may use.
@@ -48,6 +51,7 @@
             servers_report_delay: false,
             max_descriptors: 1000,
             max_servers: 1000,
+            watch_pacing: None,
         }
     }
 }
@@ -67,6 +71,7 @@
             servers_report_delay: config.servers_report_delay,
             max_descriptors: config.connection_sockets(),
             max_servers: (servers_in_memory as usize).max(MIN_MAX_SERVERS),
+            watch_pacing: (!config.settings.polls_discovery).then(|| WatchPacing::new(config.drain_grace)),
         }
     }
 }
--- a/crates/balancer/src/discovery/client.rs
+++ b/crates/balancer/src/discovery/client.rs
@@ -3,14 +3,17 @@
 use std::io;
 use std::net::SocketAddr;
 
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use shorewharf_driver::MAX_DISCOVERY_RETRY_DELAY;
 use shorewharf_units::Micros;
 use thiserror::Error;
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 use super::reader::{ListPart, ListReader};
 use super::response::{ResponseError, ResponseReader};
 use super::update::EndpointUpdate;
+use super::watch_pacing::WatchPacing;
 use crate::config::proxy_settings::ProxySettings;
 use crate::event_loop::context::{LoopContext, TimerEvent, TimerHandle};
 use crate::event_loop::poll::EventSource;
@@ -28,9 +31,10 @@
 const MAX_UPDATE_DELAY: Micros = 6_000_000;
 /// A list must be received within this time after a reload has changed the address of the discovery service.
 const MAX_RELOAD_DELAY: Micros = 4_000_000;
-// The driver determines the delay before the next watch.
+// The driver determines the delay before the next watch, or with a pushed list the pacing.
 const _: () = assert!(SILENCE_TIMEOUT + MAX_DISCOVERY_RETRY_DELAY + FIRST_BYTE_TIMEOUT < MAX_UPDATE_DELAY);
-const _: () = assert!(2 * FIRST_BYTE_TIMEOUT < MAX_RELOAD_DELAY);
+const _: () = assert!(SILENCE_TIMEOUT + WatchPacing::MAX_DELAY + FIRST_BYTE_TIMEOUT < MAX_UPDATE_DELAY);
+const _: () = assert!(2 * FIRST_BYTE_TIMEOUT + WatchPacing::MAX_DELAY < MAX_RELOAD_DELAY);
 /// Limits the reads in one iteration of the event loop, since a list of megabytes must not delay other connections.
 const MAX_READS_PER_ITERATION: usize = 8;
 
@@ -175,14 +179,19 @@
     index: u64,
     /// The last watch has failed, and that was logged.
     has_failed: bool,
-    /// The driver has requested a watch. This never happens on workers other than the primary one.
+    /// A watch has been requested, by the driver or by the pacing. This never happens on workers other than the primary one.
     is_watch_requested: bool,
+    /// Set where the list is pushed: the client keeps a watch open of its own accord.
+    pacing: Option<WatchPacing>,
+    /// When the client opens the next watch of its own accord.
+    open_at: Option<Micros>,
+    rng: Pcg64Mcg,
     timer: TimerHandle,
 }
 
 impl DiscoveryClient {
-    /// Creates a client of the service at this address, without a watch.
-    pub fn new(address: SocketAddr) -> Self {
+    /// Creates a client of the service at this address, without a watch. `seed` is that of the random delays before watches.
+    pub fn new(address: SocketAddr, seed: u64) -> Self {
         DiscoveryClient {
             address,
             watch: None,
@@ -190,6 +199,9 @@
             index: 0,
             has_failed: false,
             is_watch_requested: false,
+            pacing: None,
+            open_at: None,
+            rng: Pcg64Mcg::seed_from_u64(seed),
             timer: TimerHandle::default(),
         }
     }
@@ -204,6 +216,15 @@
         self.index
     }
 
+    /// Sets whether the client keeps a watch open of its own accord, which it does with a pacing. Without one, a watch that is
+    /// open stays open, and the driver requests the next.
+    pub fn set_pacing(&mut self, context: &mut LoopContext, pacing: Option<WatchPacing>) {
+        self.pacing = pacing;
+        let Some(pacing) = pacing.filter(|_| self.watch.is_none() && self.open_at.is_none()) else { return };
+        self.open_at = Some(context.now + pacing.first_delay(self.rng.random()));
+        self.schedule_timer(context);
+    }
+
     /// Changes the address of the service. If a watch was requested, a new one is opened immediately, since the one at the old
     /// address may stay open for seconds without reporting anything. The new watch continues from the current version.
     pub fn set_address(&mut self, context: &mut LoopContext, address: SocketAddr) -> Vec<DiscoveryEvent> {
@@ -217,13 +238,15 @@
     /// Opens a watch unless one is open already.
     pub fn open_watch(&mut self, context: &mut LoopContext) -> Vec<DiscoveryEvent> {
         self.is_watch_requested = true;
+        self.open_at = None;
         if self.watch.is_some() {
             return Vec::new();
         }
+        debug!(event = "watch-opened", discovery = %self.address, index = self.index);
         match self.connect(context) {
             Ok(connection) => {
                 self.watch = Some(Watch::new(connection, context.now));
-                self.schedule_timeout(context);
+                self.schedule_timer(context);
                 Vec::new()
             }
             Err(error) => vec![self.fail(context, &error)],
@@ -285,6 +308,10 @@
         if !std::mem::replace(&mut self.has_failed, true) {
             warn!(event = "discovery-failed", why = error.to_string());
         }
+        if let Some(pacing) = self.pacing {
+            self.open_at = Some(context.now + pacing.retry_delay(self.rng.random()));
+            self.schedule_timer(context);
+        }
         DiscoveryEvent::Failed
     }
 
@@ -294,18 +321,21 @@
         self.watch.as_ref().map(|watch| watch.deadline().max(context.earliest_timeout()))
     }
 
-    fn schedule_timeout(&mut self, context: &mut LoopContext) {
-        let deadline = self.deadline(context);
-        self.timer.schedule_by(context, deadline, TimerEvent::DiscoveryClient);
+    fn schedule_timer(&mut self, context: &mut LoopContext) {
+        let next = self.deadline(context).or(self.open_at);
+        self.timer.schedule_by(context, next, TimerEvent::DiscoveryClient);
     }
 
-    /// Handles the timer: ends a watch that is past its deadline.
+    /// Handles the timer: ends a watch that is past its deadline, or opens a watch that is due.
     pub fn on_timer(&mut self, context: &mut LoopContext) -> Vec<DiscoveryEvent> {
         self.timer.on_fired();
         if self.deadline(context).is_some_and(|deadline| context.now >= deadline) {
             return vec![self.fail(context, &WatchError::Silent)];
         }
-        self.schedule_timeout(context);
+        if self.open_at.is_some_and(|open_at| context.now >= open_at) {
+            return self.open_watch(context);
+        }
+        self.schedule_timer(context);
         Vec::new()
     }
 }
--- a/crates/balancer/src/discovery/client/tests.rs
+++ b/crates/balancer/src/discovery/client/tests.rs
@@ -22,7 +22,7 @@
 #[test]
 fn a_silent_address_fails_in_time_for_another_watch() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let mut discovery = DiscoveryClient::new(listener.local_addr().expect("bound"));
+    let mut discovery = DiscoveryClient::new(listener.local_addr().expect("bound"), 5);
     let (mut context, settings) = (context(1_000_000), ProxySettings::for_tests());
     assert_eq!(discovery.open_watch(&mut context), []);
     assert_eq!(fire_timer_after(&mut discovery, &mut context, FIRST_BYTE_TIMEOUT - 1), None);
@@ -45,7 +45,7 @@
 #[test]
 fn a_watch_without_a_list_fails_as_soon_as_a_silent_one() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let mut discovery = DiscoveryClient::new(listener.local_addr().expect("bound"));
+    let mut discovery = DiscoveryClient::new(listener.local_addr().expect("bound"), 5);
     let (mut context, settings) = (context(1_000_000), ProxySettings::for_tests());
     assert_eq!(discovery.open_watch(&mut context), []);
     let (mut connection, _) = listener.accept().expect("a connection");
--- a/crates/balancer/src/discovery/mod.rs
+++ b/crates/balancer/src/discovery/mod.rs
@@ -6,3 +6,4 @@
 mod response;
 pub mod update;
 pub mod wall_clock;
+pub mod watch_pacing;
--- a/crates/balancer/src/event_loop/dispatch.rs
+++ b/crates/balancer/src/event_loop/dispatch.rs
@@ -55,6 +55,15 @@
     pub siblings: SiblingProcesses,
 }
 
+/// How a worker reaches the discovery service.
+#[derive(Clone, Copy, Debug)]
+pub struct DiscoveryStart {
+    /// The address of the service.
+    pub address: SocketAddr,
+    /// The seed of the random delays before watches.
+    pub seed: u64,
+}
+
 /// The components of a worker.
 #[derive(Debug)]
 pub struct EventLoop {
@@ -86,7 +95,7 @@
     pub fn new(
         context: LoopContext,
         worker: WorkerContext,
-        discovery: SocketAddr,
+        discovery: DiscoveryStart,
         settings: ProxySettings,
     ) -> Self {
         let mut event_loop = EventLoop {
@@ -94,7 +103,7 @@
             acceptor: Acceptor::new(worker.listener),
             workers: worker.workers,
             proxy: Proxy::new(settings, worker.open_ids, worker.counters),
-            discovery: DiscoveryClient::new(discovery),
+            discovery: DiscoveryClient::new(discovery.address, discovery.seed),
             admin: worker.admin.map(AdminHandler::from),
             siblings: worker.siblings,
             gossip: None,
@@ -112,6 +121,7 @@
             // Applied before the first endpoint list, which is then reported with these servers draining.
             event_loop.proxy.servers.apply_admin_change(AdminChange::Disabled(server, disabled));
         }
+        event_loop.update_watch_pacing();
         event_loop.read_shared_folder();
         // The descriptors of a predecessor are deducted from the limit from the start.
         event_loop.on_sibling_ready(EventSource::Predecessor);
@@ -136,10 +146,18 @@
     pub fn update_settings(&mut self, settings: ProxySettings, discovery: SocketAddr) {
         self.context.overload.set_latency_objective(settings.message_latency_objective);
         self.proxy.update_settings(settings);
+        self.update_watch_pacing();
         let events = self.discovery.set_address(&mut self.context, discovery);
         self.on_discovery_events(events);
     }
 
+    /// Has the primary worker keep a watch open where the endpoint list is pushed. The other workers get its lists.
+    fn update_watch_pacing(&mut self) {
+        let is_primary = self.workers.as_ref().is_none_or(WorkerPool::is_primary);
+        let pacing = self.proxy.settings.watch_pacing.filter(|_| is_primary);
+        self.discovery.set_pacing(&mut self.context, pacing);
+    }
+
     /// Passes the readiness of a source to the component that owns the source.
     pub fn dispatch_readiness(&mut self, source: EventSource, readiness: Readiness) {
         let context = &mut self.context;
--- a/crates/balancer/src/workers/worker.rs
+++ b/crates/balancer/src/workers/worker.rs
@@ -18,7 +18,7 @@
 use crate::config::proxy_settings::ProxySettings;
 use crate::config::{Config, ConfigError};
 use crate::event_loop::context::{LoopContext, TimerEvent};
-use crate::event_loop::dispatch::{EventLoop, WorkerContext};
+use crate::event_loop::dispatch::{DiscoveryStart, EventLoop, WorkerContext};
 use crate::event_loop::poll::{EventPoller, EventSource};
 use crate::fleet::budgets::BudgetClient;
 use crate::fleet::gossip::{GossipTransport, LocalBalancer};
@@ -121,7 +121,8 @@
         let config = self.config;
         let context = LoopContext::new(self.poller.registry()?, self.clock.read());
         let settings = ProxySettings::from(&config);
-        let mut event_loop = EventLoop::new(context, self.context, config.discovery, settings);
+        let discovery = DiscoveryStart { address: config.discovery, seed: config.seed };
+        let mut event_loop = EventLoop::new(context, self.context, discovery, settings);
         if let Some(gossip) = &config.gossip {
             let balancer =
                 LocalBalancer { name: &config.name, address: addresses.clients, seed: config.seed };
--- a/crates/balancer/tests/sockets/main.rs
+++ b/crates/balancer/tests/sockets/main.rs
@@ -10,6 +10,7 @@
 mod metrics;
 mod model;
 mod operators;
+mod pushed_lists;
 mod races;
 mod reload;
 mod shutdown_end;
--- a/crates/emulator/src/standin/discovery_service.rs
+++ b/crates/emulator/src/standin/discovery_service.rs
@@ -16,6 +16,15 @@
         DiscoveryService::default()
     }
 
+    /// Starts listening at an address that another service has listened on before.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the address is in use.
+    pub fn at(address: SocketAddr) -> Self {
+        DiscoveryService(Server::at(address))
+    }
+
     /// The address that the discovery service listens on.
     pub fn address(&self) -> SocketAddr {
         self.0.address()
@@ -70,15 +79,16 @@
     pub fn send_list(&mut self, index: u64, snapshot: bool, endpoints: Vec<Endpoint>) {
         let list = serde_json::to_string(&EndpointList { index, snapshot, endpoints })
             .expect("the list should serialize");
-        self.send_chunk(&format!("{list}\n"));
+        self.send_text(&format!("{list}\n"));
     }
 
     /// Sends a blank line, which keeps the watch alive while nothing changes.
     pub fn send_blank_line(&mut self) {
-        self.send_chunk("\n");
+        self.send_text("\n");
     }
 
-    fn send_chunk(&mut self, text: &str) {
+    /// Sends text as a chunk of the response, whether it is a list or not.
+    pub fn send_text(&mut self, text: &str) {
         if !std::mem::replace(&mut self.sent_head, true) {
             self.connection.send_bytes(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
         }
@@ -90,6 +100,11 @@
         self.connection.send_bytes(format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n").as_bytes());
     }
 
+    /// Resets the connection of the call.
+    pub fn reset(self) {
+        self.connection.reset();
+    }
+
     /// Sends the last chunk, which ends the response properly.
     pub fn end(&mut self) {
         self.connection.send_bytes(b"0\r\n\r\n");
--- a/crates/emulator/src/standin/server.rs
+++ b/crates/emulator/src/standin/server.rs
@@ -36,6 +36,15 @@
         Server(socket.into())
     }
 
+    /// Starts listening at an address that another server has listened on before.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the address is in use.
+    pub fn at(address: SocketAddr) -> Self {
+        Server(TcpListener::bind(address).expect("the address should be free again"))
+    }
+
     /// A server whose accept queue is full, so that further connections are not established. Also returns the
     /// connections that fill the queue. Once they have been accepted, the server behaves like any other.
     ///
