Share open ids between the processes of a replacement, and cut off no sound client

Cause: OpenIds knew only its own process. The new process took the id of a connection that the old one still held as free, and when that connection was handed over, Sessions::adopt found the id taken and both ends were dropped.

Evidence: without the bad client no connection is cut off, which rules out the transfer and the servers; in the new tests the server gets a second OPEN with the id at the new process. transfer-failed had no reason, it has why= now.

Change: the state of a hand-over has the open ids, and both processes report changes (OPENED, CLOSED; ignored by earlier versions, so the version stays 1). A connection in transit stays claimed. A transferred connection keeps its id whatever else has it; the other request gets ERR, or MOVE once it is established. A connection that can't be adopted gets MOVE at a line boundary. Not taken: asking the other process before each request, which would hold requests for a process that may hang.

Open: an id that both processes open within one iteration of their loops still reaches a server twice.

--- a/crates/balancer/src/clients/open_ids.rs
+++ b/crates/balancer/src/clients/open_ids.rs
@@ -1,42 +1,182 @@
-//! Tracks the ids that clients choose for their open requests. An id belongs to at most one open request in
-//! the whole process, across all workers.
+//! Tracks the ids that clients choose for their open requests. An id belongs to at most one open request in the whole balancer:
+//! across all workers of this process, and across the other processes of the balancer while one replaces another.
+//!
+//! The other processes report the ids of their open requests a moment after they were claimed there, so two processes may claim
+//! the same id within that moment. Such an id has two claims until one of them is released.
 
-use std::collections::HashSet;
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// Number of locks over which the ids are spread, so that workers seldom contend for a lock.
 const SHARDS: usize = 16;
 
+/// A connection to another process of this balancer, over which that process reports its open ids.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SiblingLink {
+    /// The process that this one replaces.
+    Predecessor,
+    /// The process with this number that has connected to this one.
+    Successor(u64),
+}
+
+/// The holders of one id.
+#[derive(Debug, Default)]
+struct Holders {
+    /// The number of claims in this process.
+    claims: u32,
+    /// The links to the processes that hold the id.
+    siblings: Vec<SiblingLink>,
+}
+
+impl Holders {
+    fn is_empty(&self) -> bool {
+        self.claims == 0 && self.siblings.is_empty()
+    }
+
+    /// Whether the id is held, if the process behind `link` is left out of account.
+    fn is_held_apart_from(&self, link: SiblingLink) -> bool {
+        self.claims > 0 || self.siblings.iter().any(|holder| *holder != link)
+    }
+}
+
+type Shard = HashMap<u64, Holders>;
+
+#[derive(Debug)]
+struct Shared {
+    shards: [Mutex<Shard>; SHARDS],
+    /// The ids whose holders have changed since they were last taken; recorded only while there are siblings.
+    changed: Mutex<Vec<u64>>,
+    has_siblings: AtomicBool,
+}
+
 /// The ids of open requests, shared by all workers.
 #[derive(Clone, Debug)]
-pub struct OpenIds(Arc<[Mutex<HashSet<u64>>; SHARDS]>);
+pub struct OpenIds(Arc<Shared>);
 
 impl Default for OpenIds {
     fn default() -> Self {
-        OpenIds(Arc::new(std::array::from_fn(|_| Mutex::default())))
+        OpenIds(Arc::new(Shared {
+            shards: std::array::from_fn(|_| Mutex::default()),
+            changed: Mutex::default(),
+            has_siblings: AtomicBool::new(false),
+        }))
     }
 }
 
+/// Locks a mutex. No caller leaves the value partly changed, so it is valid even if a thread panicked while it held the lock.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 impl OpenIds {
-    fn shard(&self, id: u64) -> MutexGuard<'_, HashSet<u64>> {
-        // No call leaves a set partly changed, so the set is valid even if a thread panicked while it held
-        // the lock.
-        self.0[id as usize % SHARDS].lock().unwrap_or_else(PoisonError::into_inner)
+    fn shard(&self, id: u64) -> MutexGuard<'_, Shard> {
+        lock(&self.0.shards[id as usize % SHARDS])
     }
 
-    /// Claims an id for an open request. Returns false if another open request has claimed it.
+    /// Changes the holders of an id, and records that for the siblings.
+    fn change<T>(&self, id: u64, change: impl FnOnce(&mut Holders) -> T) -> T {
+        let mut shard = self.shard(id);
+        let holders = shard.entry(id).or_default();
+        let result = change(holders);
+        if holders.is_empty() {
+            shard.remove(&id);
+        }
+        drop(shard);
+        if self.0.has_siblings.load(Ordering::Relaxed) {
+            lock(&self.0.changed).push(id);
+        }
+        result
+    }
+
+    /// Claims an id for an open request. Returns false if another open request has it, in this process or in another one.
     pub fn claim(&self, id: u64) -> bool {
-        self.shard(id).insert(id)
+        if self.shard(id).contains_key(&id) {
+            return false;
+        }
+        self.change(id, |holders| {
+            let is_free = holders.is_empty();
+            holders.claims += u32::from(is_free);
+            is_free
+        })
+    }
+
+    /// Claims the id of a connection that another process has transferred, which keeps its id in any case. Returns whether
+    /// another open request of this process has it too.
+    pub fn claim_transferred(&self, id: u64) -> bool {
+        self.change(id, |holders| {
+            holders.claims += 1;
+            holders.claims > 1
+        })
     }
 
-    /// Releases an id that [`OpenIds::claim`] has claimed.
+    /// Releases one claim of an id.
     pub fn release(&self, id: u64) {
-        self.shard(id).remove(&id);
+        self.change(id, |holders| holders.claims = holders.claims.saturating_sub(1));
+    }
+
+    /// Records that the process behind `link` has an open request with this id.
+    pub fn hold_for_sibling(&self, id: u64, link: SiblingLink) {
+        self.change(id, |holders| {
+            if !holders.siblings.contains(&link) {
+                holders.siblings.push(link);
+            }
+        });
+    }
+
+    /// Records that the process behind `link` has no open request with this id any more.
+    pub fn release_for_sibling(&self, id: u64, link: SiblingLink) {
+        self.change(id, |holders| holders.siblings.retain(|holder| *holder != link));
+    }
+
+    /// Releases all ids of a process that has ended.
+    pub fn release_sibling(&self, link: SiblingLink) {
+        for id in self.ids_where(|holders| holders.siblings.contains(&link)) {
+            self.release_for_sibling(id, link);
+        }
+    }
+
+    /// Whether an id is held, if the process behind `link` is left out of account.
+    pub fn is_held_apart_from(&self, id: u64, link: SiblingLink) -> bool {
+        self.shard(id).get(&id).is_some_and(|holders| holders.is_held_apart_from(link))
+    }
+
+    /// All ids that are held by this process or by any of its siblings.
+    pub fn all(&self) -> Vec<u64> {
+        self.ids_where(|_| true)
+    }
+
+    fn ids_where(&self, condition: impl Fn(&Holders) -> bool) -> Vec<u64> {
+        let mut ids = Vec::new();
+        for shard in &self.0.shards {
+            let shard = lock(shard);
+            ids.extend(shard.iter().filter(|(_, holders)| condition(holders)).map(|(id, _)| *id));
+        }
+        ids.sort_unstable();
+        ids
+    }
+
+    /// Begins or ends recording changes for siblings.
+    pub fn set_has_siblings(&self, has_siblings: bool) {
+        self.0.has_siblings.store(has_siblings, Ordering::Relaxed);
+    }
+
+    /// Whether there are changes for siblings.
+    pub fn has_changed(&self) -> bool {
+        self.0.has_siblings.load(Ordering::Relaxed) && !lock(&self.0.changed).is_empty()
+    }
+
+    /// Takes the ids whose holders have changed since the last call, while there were siblings. An id may be repeated.
+    pub fn take_changed(&self) -> Vec<u64> {
+        std::mem::take(&mut *lock(&self.0.changed))
     }
 
     /// Whether an open request has this id.
     #[cfg(test)]
     pub fn contains(&self, id: u64) -> bool {
-        self.shard(id).contains(&id)
+        self.shard(id).contains_key(&id)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/balancer/src/clients/sessions.rs
+++ b/crates/balancer/src/clients/sessions.rs
@@ -52,27 +52,26 @@
         Some(id)
     }
 
-    /// Adds an established session that another process of this balancer has transferred. Returns `None` if
-    /// another open request has the same open id, or if the connection can't be registered with poll.
+    /// Adds an established session that another process of this balancer has transferred, and whose open id has been claimed
+    /// with it.
+    ///
+    /// # Errors
+    /// Returns the connection if it can't be registered with poll. Its open id stays claimed.
     pub fn adopt(
         &mut self,
         context: &mut LoopContext,
         mut connection: Connection,
         transferred: &TransferredSession,
         in_use: impl Fn(RequestId) -> bool,
-    ) -> Option<RequestId> {
+    ) -> Result<RequestId, Connection> {
         let id = self.allocate_id(in_use);
-        if !self.open_ids.claim(transferred.open_id) {
-            return None;
-        }
         if !context.registry.register(&mut connection, EventSource::Session(id)) {
-            self.open_ids.release(transferred.open_id);
-            return None;
+            return Err(connection);
         }
         let session = Session::adopted(connection, transferred, context.now);
         self.table.insert(id, Box::new(session));
         self.schedule_timer(context, id);
-        Some(id)
+        Ok(id)
     }
 
     /// Returns the next id that is not in use. Ids wrap around after 2³² clients.
@@ -149,15 +148,27 @@
 
     /// Removes a session from the table and releases its open id. Returns the session with its connection.
     pub fn take(&mut self, context: &mut LoopContext, id: RequestId) -> Option<Box<Session>> {
-        let mut session = self.table.remove(&id)?;
-        session.timer.cancel(context);
-        self.idle.remove(session.stage_since(), id);
+        let session = self.take_for_transfer(context, id)?;
         if let Some(open_id) = session.open_id() {
             self.open_ids.release(open_id);
         }
         Some(session)
     }
 
+    /// Removes a session from the table, for its transfer to another process. Its open id stays claimed until that process
+    /// has acknowledged the transfer, or until the session is adopted again.
+    pub fn take_for_transfer(&mut self, context: &mut LoopContext, id: RequestId) -> Option<Box<Session>> {
+        let mut session = self.table.remove(&id)?;
+        session.timer.cancel(context);
+        self.idle.remove(session.stage_since(), id);
+        Some(session)
+    }
+
+    /// Releases the open id of a transferred connection that could not be adopted.
+    pub fn release_transferred(&mut self, open_id: u64) {
+        self.open_ids.release(open_id);
+    }
+
     /// The number of sessions.
     pub fn len(&self) -> usize {
         self.table.len()
--- a/crates/balancer/src/event_loop/connection_transfer.rs
+++ b/crates/balancer/src/event_loop/connection_transfer.rs
@@ -6,7 +6,7 @@
 use crate::event_loop::dispatch::EventLoop;
 use crate::handover::messages::TransferredConnection;
 use crate::handover::successors::Successors;
-use crate::workers::pool::{WorkerMessage, WorkerPool};
+use crate::workers::pool::WorkerMessage;
 
 /// Maximum number of established connections transferred in one iteration, so that other connections are not
 /// delayed.
@@ -39,8 +39,8 @@
     /// Adopts a transferred connection at this worker.
     pub(super) fn adopt_transferred(&mut self, transferred: TransferredConnection) {
         let client = transferred.state.client;
-        if !self.proxy.adopt_transferred(&mut self.context, transferred) {
-            warn!(event = "transfer-failed", client = %client);
+        if let Err(error) = self.proxy.adopt_transferred(&mut self.context, transferred) {
+            warn!(event = "transfer-failed", client = %client, why = %error);
         }
     }
 
@@ -51,7 +51,7 @@
         if !std::mem::take(&mut self.is_handover_due) {
             return;
         }
-        let is_primary = self.workers.as_ref().is_none_or(WorkerPool::is_primary);
+        let is_primary = self.is_primary();
         if is_primary {
             // Only this worker checks the successors; it tells the others of changes.
             if let Some(successors) = &mut self.siblings.successors {
--- a/crates/balancer/src/event_loop/dispatch.rs
+++ b/crates/balancer/src/event_loop/dispatch.rs
@@ -69,6 +69,8 @@
 pub struct EventLoop {
     pub(crate) context: LoopContext,
     pub(super) acceptor: Acceptor,
+    /// The ids of open requests, shared by all workers.
+    pub(super) open_ids: OpenIds,
     /// The other workers; `None` if this is the only one.
     pub(crate) workers: Option<WorkerPool>,
     pub(crate) proxy: Proxy,
@@ -102,7 +104,8 @@
             context,
             acceptor: Acceptor::new(worker.listener),
             workers: worker.workers,
-            proxy: Proxy::new(settings, worker.open_ids, worker.counters),
+            proxy: Proxy::new(settings, worker.open_ids.clone(), worker.counters),
+            open_ids: worker.open_ids,
             discovery: DiscoveryClient::new(discovery.address, discovery.seed),
             admin: worker.admin.map(AdminHandler::from),
             siblings: worker.siblings,
@@ -153,8 +156,7 @@
 
     /// Has the primary worker keep a watch open where the endpoint list is pushed. The other workers get its lists.
     fn update_watch_pacing(&mut self) {
-        let is_primary = self.workers.as_ref().is_none_or(WorkerPool::is_primary);
-        let pacing = self.proxy.settings.watch_pacing.filter(|_| is_primary);
+        let pacing = self.proxy.settings.watch_pacing.filter(|_| self.is_primary());
         self.discovery.set_pacing(&mut self.context, pacing);
     }
 
--- a/crates/balancer/src/event_loop/handover.rs
+++ b/crates/balancer/src/event_loop/handover.rs
@@ -31,10 +31,13 @@
         let Some(predecessor) = &mut self.siblings.predecessor else { return false };
         let is_connected = predecessor.receive();
         for transferred in predecessor.take_connections(!is_connected) {
+            self.claim_transferred(&transferred);
             self.assign_transferred(transferred);
         }
+        self.apply_sibling_ids();
         if !is_connected {
             self.siblings.predecessor = None;
+            self.release_predecessor_ids();
         }
         self.set_sibling_descriptors(self.siblings.predecessor_descriptors());
         true
@@ -43,6 +46,8 @@
     /// Accepts new processes of this balancer and sends each the state to hand over. `export_state` returns
     /// the learned state of the decisions.
     pub fn on_successors_connecting(&mut self, export_state: impl FnOnce() -> Vec<SnapshotEntry>) {
+        // From here on, changes of the ids are recorded for the new process.
+        self.open_ids.set_has_siblings(true);
         let offer = HandoverState {
             version: VERSION,
             listener_count: 0,
@@ -50,6 +55,7 @@
             endpoints: self.endpoint_list(),
             learned: export_state(),
             exported_at: self.context.now,
+            open_ids: self.open_ids.all(),
         };
         if let Some(successors) = &mut self.siblings.successors {
             successors.accept(&self.context.registry, || offer.clone());
@@ -67,6 +73,9 @@
     }
 
     pub(super) fn on_successors_changed(&mut self) {
+        if self.is_primary() {
+            self.apply_sibling_ids();
+        }
         let returned = self.siblings.successors.as_mut().map(Successors::take_returned).unwrap_or_default();
         for transferred in returned {
             self.adopt_transferred(transferred);
--- a/crates/balancer/src/event_loop/mod.rs
+++ b/crates/balancer/src/event_loop/mod.rs
@@ -13,6 +13,7 @@
 pub mod dispatch;
 mod driver_effects;
 mod handover;
+mod open_id_sharing;
 pub mod poll;
 mod shutdown;
 pub mod timers;
--- /dev/null
+++ b/crates/balancer/src/event_loop/open_id_sharing.rs
@@ -0,0 +1,68 @@
+//! Shares the ids of open requests with the other processes of this balancer, so that no id has an open request in two of them.
+
+use tracing::{debug, warn};
+
+use crate::clients::open_ids::SiblingLink;
+use crate::event_loop::dispatch::EventLoop;
+use crate::handover::messages::TransferredConnection;
+use crate::workers::pool::{WorkerMessage, WorkerPool};
+
+/// The index of the worker that is connected to the other processes.
+const PRIMARY_WORKER: usize = 0;
+
+impl EventLoop {
+    /// Applies the changes that the other processes have reported of their open ids.
+    pub(super) fn apply_sibling_ids(&mut self) {
+        let successors = self.siblings.successors.as_mut();
+        let by_successors = successors.map_or(0, |successors| successors.apply_id_changes(&self.open_ids));
+        let predecessor = self.siblings.predecessor.as_mut();
+        let by_predecessor =
+            predecessor.map_or(0, |predecessor| predecessor.apply_id_changes(&self.open_ids));
+        if by_successors + by_predecessor > 0 {
+            debug!(event = "sibling-ids-changed", by_successors, by_predecessor);
+        }
+        self.open_ids.set_has_siblings(self.siblings.has_any());
+    }
+
+    /// Releases the ids of the predecessor, which has ended.
+    pub(super) fn release_predecessor_ids(&mut self) {
+        self.open_ids.release_sibling(SiblingLink::Predecessor);
+        self.open_ids.set_has_siblings(self.siblings.has_any());
+    }
+
+    /// Announces to the other processes which ids have been opened and closed in this iteration. Workers other than the
+    /// primary one have it do that.
+    pub fn announce_open_ids(&mut self) {
+        if !self.open_ids.has_changed() {
+            return;
+        }
+        if let Some(workers) = self.workers.as_ref().filter(|workers| !workers.is_primary()) {
+            // If the primary worker has ended, the whole process is about to end.
+            return drop(workers.send(PRIMARY_WORKER, WorkerMessage::OpenIdsChanged));
+        }
+        let ids = self.open_ids.take_changed();
+        if let Some(successors) = &mut self.siblings.successors {
+            successors.announce_ids(&ids, &self.open_ids);
+        }
+        if let Some(predecessor) = &mut self.siblings.predecessor {
+            predecessor.announce_ids(&ids, &self.open_ids);
+        }
+    }
+
+    /// Claims the id of a connection that the predecessor has transferred. If another request of this process has the same id,
+    /// the transferred connection, which is the older one, keeps it, and the other request ends.
+    pub(super) fn claim_transferred(&mut self, transferred: &TransferredConnection) {
+        let open_id = transferred.state.open_id;
+        if !self.open_ids.claim_transferred(open_id) {
+            return;
+        }
+        warn!(event = "open-id-conflict", id = %format_args!("{open_id:x}"), client = %transferred.state.client);
+        self.broadcast(|_| WorkerMessage::EndDuplicates(open_id));
+        self.proxy.end_duplicates(&mut self.context, open_id);
+    }
+
+    /// Whether this worker is the one that is connected to the other processes.
+    pub(super) fn is_primary(&self) -> bool {
+        self.workers.as_ref().is_none_or(WorkerPool::is_primary)
+    }
+}
--- a/crates/balancer/src/event_loop/worker_messages.rs
+++ b/crates/balancer/src/event_loop/worker_messages.rs
@@ -37,7 +37,9 @@
             WorkerMessage::Shutdown => self.begin_shutdown(),
             WorkerMessage::TransferToSuccessor(transferred) => self.queue_for_transfer(*transferred),
             WorkerMessage::AdoptConnection(transferred) => self.adopt_transferred(*transferred),
-            WorkerMessage::Config(_) => {}
+            WorkerMessage::EndDuplicates(open_id) => self.proxy.end_duplicates(&mut self.context, open_id),
+            // The primary worker announces the changes at the end of each iteration.
+            WorkerMessage::OpenIdsChanged | WorkerMessage::Config(_) => {}
         }
     }
 
--- a/crates/balancer/src/handover/messages.rs
+++ b/crates/balancer/src/handover/messages.rs
@@ -12,6 +12,8 @@
 use shorewharf_recovery::snapshot_state::SnapshotEntry;
 use shorewharf_units::Micros;
 
+use crate::clients::open_ids::{OpenIds, SiblingLink};
+
 /// The version of the messages. A process that receives another version starts without the hand-over.
 pub const VERSION: u32 = 1;
 /// The maximum number of listeners that are handed over, one for each worker.
@@ -40,6 +42,45 @@
     /// When the learned state was exported, in microseconds of Unix time.
     #[serde(default, rename = "taken")]
     pub exported_at: Micros,
+    /// The ids of the open requests of the old process and of its other siblings. Processes of earlier versions send none.
+    #[serde(default, rename = "open", skip_serializing_if = "Vec::is_empty")]
+    pub open_ids: Vec<u64>,
+}
+
+/// A change of the open requests of a process, which the process at the other end must know so that no id has two of them.
+/// Processes of earlier versions ignore it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OpenIdChange {
+    /// `OPENED ID`: a request with this id is open.
+    Opened(u64),
+    /// `CLOSED ID`: no request with this id is open any more.
+    Closed(u64),
+}
+
+impl OpenIdChange {
+    /// Applies the change, which the process behind `link` has reported.
+    pub fn apply(self, open_ids: &OpenIds, link: SiblingLink) {
+        match self {
+            Self::Opened(id) => open_ids.hold_for_sibling(id, link),
+            Self::Closed(id) => open_ids.release_for_sibling(id, link),
+        }
+    }
+
+    /// Parses a line without its line end. Returns `None` for another message.
+    fn parse(line: &[u8]) -> Option<Self> {
+        let opened = parse_number(line, b"OPENED ").map(Self::Opened);
+        opened.or_else(|| parse_number(line, b"CLOSED ").map(Self::Closed))
+    }
+}
+
+/// Writes the line with its line end.
+impl fmt::Display for OpenIdChange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Opened(id) => writeln!(f, "OPENED {id}"),
+            Self::Closed(id) => writeln!(f, "CLOSED {id}"),
+        }
+    }
 }
 
 /// The state of an established connection that is transferred to the new process. The descriptors of its
@@ -126,7 +167,8 @@
     }
 }
 
-/// An established connection that is being transferred between two processes, with its descriptors.
+/// An established connection that is being transferred between two processes, with its descriptors. The process that has this
+/// value has claimed the id of the connection.
 #[derive(Debug)]
 pub struct TransferredConnection {
     /// The state of the connection.
@@ -148,6 +190,8 @@
     Draining,
     /// `KEEPS`: the old process keeps every connection that has not been acknowledged.
     KeepsUnacknowledged,
+    /// `OPENED ID` or `CLOSED ID`.
+    OpenIdChange(OpenIdChange),
 }
 
 impl PredecessorMessage {
@@ -162,7 +206,9 @@
         Ok(match line {
             b"LEAVES" => Some(Self::Draining),
             b"KEEPS" => Some(Self::KeepsUnacknowledged),
-            _ => parse_number(line, b"HELD ").map(Self::Descriptors),
+            _ => parse_number(line, b"HELD ")
+                .map(Self::Descriptors)
+                .or_else(|| OpenIdChange::parse(line).map(Self::OpenIdChange)),
         })
     }
 }
@@ -175,6 +221,7 @@
             Self::Descriptors(count) => writeln!(f, "HELD {count}"),
             Self::Draining => writeln!(f, "LEAVES"),
             Self::KeepsUnacknowledged => writeln!(f, "KEEPS"),
+            Self::OpenIdChange(change) => change.fmt(f),
         }
     }
 }
@@ -190,6 +237,8 @@
     Terminate,
     /// `TOOK N`: the first N connections that were sent over this socket belong to the new process now.
     Acknowledged(u64),
+    /// `OPENED ID` or `CLOSED ID`.
+    OpenIdChange(OpenIdChange),
 }
 
 impl SuccessorMessage {
@@ -199,7 +248,9 @@
             b"TAKES 2" => Some(Self::AcceptsConnections),
             b"SERVES" => Some(Self::Serving),
             b"ENDS" => Some(Self::Terminate),
-            _ => parse_number(line, b"TOOK ").map(Self::Acknowledged),
+            _ => parse_number(line, b"TOOK ")
+                .map(Self::Acknowledged)
+                .or_else(|| OpenIdChange::parse(line).map(Self::OpenIdChange)),
         }
     }
 }
@@ -212,6 +263,7 @@
             Self::Serving => writeln!(f, "SERVES"),
             Self::Terminate => writeln!(f, "ENDS"),
             Self::Acknowledged(connections) => writeln!(f, "TOOK {connections}"),
+            Self::OpenIdChange(change) => change.fmt(f),
         }
     }
 }
--- a/crates/balancer/src/handover/messages/tests.rs
+++ b/crates/balancer/src/handover/messages/tests.rs
@@ -110,6 +110,7 @@
         endpoints: servers(),
         learned: learned(),
         exported_at: 1_764_747_000_000_000,
+        open_ids: Vec::new(),
     }
 }
 
@@ -121,6 +122,33 @@
     assert!(text.starts_with(r#"{"version":1,"#));
 }
 
+/// A process of the version before reads a state with ids as one without, and writes no ids.
+#[test]
+fn the_open_ids_of_a_hand_over_state_are_written_only_if_there_are_any() {
+    let state = HandoverState { open_ids: vec![5, u64::MAX], ..state() };
+    let text = serde_json::to_string(&state).expect("text");
+    assert!(text.ends_with(r#","open":[5,18446744073709551615]}"#), "{text}");
+    assert_eq!(serde_json::from_str::<HandoverState>(&text).expect("a state"), state);
+    let before = serde_json::from_str::<HandoverState>(fixture!("state.jsonl")).expect("a state");
+    assert!(before.open_ids.is_empty());
+}
+
+#[test]
+fn changes_of_open_ids_are_written_and_read_by_both_processes() {
+    for (change, line) in [
+        (OpenIdChange::Opened(u64::MAX), "OPENED 18446744073709551615\n"),
+        (OpenIdChange::Closed(7), "CLOSED 7\n"),
+    ] {
+        let (old, new) = (PredecessorMessage::OpenIdChange(change), SuccessorMessage::OpenIdChange(change));
+        assert_eq!([old.to_string(), new.to_string()], [line, line]);
+        assert_eq!(PredecessorMessage::parse(line.trim_end().as_bytes()).expect("no JSON"), Some(old));
+        assert_eq!(SuccessorMessage::parse(line.trim_end().as_bytes()), Some(new));
+    }
+    for line in [&b"OPENED"[..], b"OPENED x", b"CLOSED -1"] {
+        assert_eq!(SuccessorMessage::parse(line), None, "{line:?}");
+    }
+}
+
 #[test]
 fn a_hand_over_state_without_learned_state_is_read() {
     let read: HandoverState = serde_json::from_str(fixture!("state-without-learned.jsonl")).expect("a state");
--- a/crates/balancer/src/handover/mod.rs
+++ b/crates/balancer/src/handover/mod.rs
@@ -1,6 +1,7 @@
 //! Replacing a process of a balancer by a new one. The old process offers its listeners and its state; the
 //! new process takes them and serves. While both run, they keep to the limits of one balancer.
 
+pub mod id_announcements;
 pub mod messages;
 pub mod predecessor;
 pub mod siblings;
--- a/crates/balancer/src/handover/predecessor.rs
+++ b/crates/balancer/src/handover/predecessor.rs
@@ -16,10 +16,12 @@
 use tracing::warn;
 
 use super::check_same_user;
+use super::id_announcements::IdAnnouncements;
 use super::messages::{
-    EstablishedConnection, HandoverState, MAX_LISTENERS, MAX_STATE_BYTES, PredecessorMessage,
+    EstablishedConnection, HandoverState, MAX_LISTENERS, MAX_STATE_BYTES, OpenIdChange, PredecessorMessage,
     SuccessorMessage, TransferredConnection, VERSION, take_line,
 };
+use crate::clients::open_ids::{OpenIds, SiblingLink};
 use crate::event_loop::poll::{EventSource, SourceRegistry};
 
 /// Time within which the old process must send its state. Its event loop may be busy, and the new process
@@ -129,6 +131,10 @@
     is_unreachable: bool,
     /// Whether the socket may have more data than has been received.
     pub has_more: bool,
+    /// Changes of the old process's open ids that have been received and not been applied.
+    id_changes: Vec<OpenIdChange>,
+    /// The open ids that the old process knows from this one.
+    announced_ids: IdAnnouncements,
 }
 
 impl Predecessor {
@@ -160,6 +166,8 @@
             keeps_unacknowledged: false,
             is_unreachable: false,
             has_more: false,
+            id_changes: handover.state.open_ids.into_iter().map(OpenIdChange::Opened).collect(),
+            announced_ids: IdAnnouncements::default(),
         })
     }
 
@@ -195,6 +203,7 @@
             Ok(Some(PredecessorMessage::Descriptors(count))) => self.descriptors = count,
             Ok(Some(PredecessorMessage::Draining)) => self.is_draining = true,
             Ok(Some(PredecessorMessage::KeepsUnacknowledged)) => self.keeps_unacknowledged = true,
+            Ok(Some(PredecessorMessage::OpenIdChange(change))) => self.id_changes.push(change),
             Ok(None) => {}
             Err(e) => {
                 drop(self.take_descriptors());
@@ -227,6 +236,28 @@
         std::mem::take(&mut self.unacknowledged)
     }
 
+    /// Applies the changes of open ids that the old process has reported. Returns their number.
+    pub fn apply_id_changes(&mut self, open_ids: &OpenIds) -> usize {
+        let count = self.id_changes.len();
+        self.id_changes.drain(..).for_each(|change| change.apply(open_ids, SiblingLink::Predecessor));
+        count
+    }
+
+    /// Announces to the old process which of these ids this process, or a successor of it, holds. What the socket does not
+    /// accept is dropped: the old process does not run then, and accepts no requests either.
+    pub fn announce_ids(&mut self, ids: &[u64], open_ids: &OpenIds) {
+        let is_held = |id| open_ids.is_held_apart_from(id, SiblingLink::Predecessor);
+        for change in self.announced_ids.update(ids, is_held) {
+            if self.is_unreachable {
+                return;
+            }
+            // Like an acknowledgement, the line is written completely or not at all.
+            let line = SuccessorMessage::OpenIdChange(change).to_string();
+            let written = (&self.stream).write(line.as_bytes());
+            self.is_unreachable = written.is_ok_and(|written| written < line.len());
+        }
+    }
+
     /// Assigns the descriptors that were received with a connection to it.
     fn on_connection(&mut self, state: EstablishedConnection) {
         let Some([client, server]) = self.take_descriptors() else {
--- a/crates/balancer/src/handover/siblings.rs
+++ b/crates/balancer/src/handover/siblings.rs
@@ -34,6 +34,11 @@
         SiblingProcesses { successors, predecessor, ..SiblingProcesses::default() }
     }
 
+    /// Whether another process of this balancer is connected.
+    pub fn has_any(&self) -> bool {
+        self.predecessor.is_some() || self.successors.as_ref().is_some_and(Successors::is_any_connected)
+    }
+
     /// Whether another process serves in place of this one.
     pub fn has_successor(&self) -> bool {
         self.successors.as_ref().is_some_and(Successors::is_any_serving)
--- a/crates/balancer/src/handover/successors.rs
+++ b/crates/balancer/src/handover/successors.rs
@@ -16,9 +16,12 @@
 use tracing::warn;
 
 use super::check_same_user;
+use super::id_announcements::IdAnnouncements;
 use super::messages::{
-    HandoverState, MAX_LISTENERS, PredecessorMessage, SuccessorMessage, TransferredConnection, take_line,
+    HandoverState, MAX_LISTENERS, OpenIdChange, PredecessorMessage, SuccessorMessage, TransferredConnection,
+    take_line,
 };
+use crate::clients::open_ids::{OpenIds, SiblingLink};
 use crate::event_loop::poll::{EventSource, SourceRegistry};
 
 /// Maximum number of connected processes: one that serves, another one that is starting, and some that hang.
@@ -27,6 +30,8 @@
 const MAX_LINE_BYTES: usize = 64;
 /// A successor has stalled if it acknowledges nothing for this long while connections are in transit to it.
 const STALL_TIMEOUT: Micros = 500_000;
+/// A successor that leaves more bytes than this unread gets no further changes of open ids.
+const MAX_UNREAD_ID_BYTES: usize = 64 << 10;
 
 /// Sends bytes together with descriptors. Returns the number of bytes that were sent.
 fn send_with_descriptors(
@@ -62,11 +67,18 @@
     /// When the last acknowledgement was received, or the first connection in transit was sent if that was
     /// later.
     last_progress: Micros,
+    /// The open ids that the process knows from this one.
+    announced_ids: IdAnnouncements,
+    /// Changes of the process's open ids that have been received and not been taken.
+    id_changes: Vec<OpenIdChange>,
+    /// The ids of connections that have been acknowledged, which this process still claims.
+    acknowledged_ids: Vec<u64>,
 }
 
 impl Successor {
-    /// Creates the state of a connected process. `outbox` holds the bytes that are sent first.
-    fn new(stream: UnixStream, outbox: Vec<u8>) -> Self {
+    /// Creates the state of a connected process. `outbox` holds the bytes that are sent first, which contain
+    /// `announced_ids`.
+    fn new(stream: UnixStream, outbox: Vec<u8>, announced_ids: IdAnnouncements) -> Self {
         Successor {
             stream,
             inbox: Vec::new(),
@@ -79,6 +91,9 @@
             in_transit: VecDeque::new(),
             acknowledged: 0,
             last_progress: 0,
+            announced_ids,
+            id_changes: Vec::new(),
+            acknowledged_ids: Vec::new(),
         }
     }
 
@@ -134,13 +149,26 @@
                 let newly = all.saturating_sub(self.acknowledged).min(self.in_transit.len() as u64);
                 // The connections belong to the successor now, so this process closes its descriptors of
                 // them.
-                self.in_transit.drain(..newly as usize);
+                let ended = self.in_transit.drain(..newly as usize);
+                self.acknowledged_ids.extend(ended.map(|connection| connection.state.open_id));
                 self.acknowledged += newly;
                 self.last_progress = now;
             }
+            SuccessorMessage::OpenIdChange(change) => self.id_changes.push(change),
         }
     }
 
+    /// Sends the changes of `ids` that the process does not know.
+    fn announce_ids(&mut self, listeners: &[TcpListener], ids: &[u64], is_held: impl Fn(u64) -> bool) {
+        if self.is_stalled || self.outbox.len() > MAX_UNREAD_ID_BYTES {
+            return;
+        }
+        for change in self.announced_ids.update(ids, is_held) {
+            self.outbox.extend_from_slice(change.to_string().as_bytes());
+        }
+        self.flush(listeners);
+    }
+
     /// Sends a connection together with its descriptors.
     fn send(&mut self, connection: &TransferredConnection) -> io::Result<()> {
         let line = connection.state.to_line();
@@ -175,6 +203,9 @@
     last_number: u64,
     /// Connections that belong to this process again, since they can't be acknowledged any more.
     returned: Vec<TransferredConnection>,
+    /// The successors that have ended and whose ids have not been released, each with the ids of the connections that it
+    /// had acknowledged.
+    ended: Vec<(u64, Vec<u64>)>,
 }
 
 /// Listens at `path`, and replaces the socket of any process that listens there.
@@ -202,7 +233,7 @@
         let mut socket = listen(&path)?;
         registry.register_readable(&mut socket, EventSource::HandoverListener)?;
         let (by_number, returned) = (BTreeMap::new(), Vec::new());
-        Ok(Successors { path, socket, listeners, by_number, last_number: 0, returned })
+        Ok(Successors { path, socket, listeners, by_number, last_number: 0, returned, ended: Vec::new() })
     }
 
     /// Accepts processes that have connected, and sends the state to each.
@@ -223,7 +254,8 @@
             // Serializing can't fail: the state is text and numbers.
             let Ok(mut outbox) = serde_json::to_vec(&state) else { continue };
             outbox.push(b'\n');
-            self.by_number.insert(number, Successor::new(stream, outbox));
+            let announced_ids = IdAnnouncements::new(&state.open_ids);
+            self.by_number.insert(number, Successor::new(stream, outbox, announced_ids));
             self.on_ready(registry, 0, number);
         }
     }
@@ -238,7 +270,8 @@
         let mut successors = self.by_number.iter();
         let idle = successors.find(|(_, successor)| !successor.is_serving && !successor.is_stalled);
         let Some(number) = idle.map(|(number, _)| *number) else { return false };
-        self.by_number.remove(&number).is_some()
+        self.ended.extend(self.by_number.remove(&number).map(|idle| (number, idle.acknowledged_ids)));
+        true
     }
 
     /// Handles readiness of a successor's socket.
@@ -252,6 +285,7 @@
         let was_serving = successor.is_serving;
         if let Some(successor) = self.by_number.remove(&number) {
             self.returned.extend(successor.in_transit);
+            self.ended.push((number, successor.acknowledged_ids));
         }
         // A serving successor has replaced the socket at the path by its own. Once the last one has ended,
         // this process replaces it again, so that the next process connects here.
@@ -308,6 +342,36 @@
         })
     }
 
+    /// Whether a process has connected and not ended.
+    pub fn is_any_connected(&self) -> bool {
+        !self.by_number.is_empty()
+    }
+
+    /// Applies the changes of open ids that the successors have reported, and releases the ids of connections that
+    /// belong to a successor now. Returns the number of reported changes.
+    pub fn apply_id_changes(&mut self, open_ids: &OpenIds) -> usize {
+        let mut count = 0;
+        for (number, successor) in &mut self.by_number {
+            let link = SiblingLink::Successor(*number);
+            count += successor.id_changes.len();
+            successor.id_changes.drain(..).for_each(|change| change.apply(open_ids, link));
+            successor.acknowledged_ids.drain(..).for_each(|id| open_ids.release(id));
+        }
+        for (number, acknowledged_ids) in self.ended.drain(..) {
+            open_ids.release_sibling(SiblingLink::Successor(number));
+            acknowledged_ids.into_iter().for_each(|id| open_ids.release(id));
+        }
+        count
+    }
+
+    /// Announces to each successor which of these ids other processes, or this one, hold.
+    pub fn announce_ids(&mut self, ids: &[u64], open_ids: &OpenIds) {
+        for (number, successor) in &mut self.by_number {
+            let link = SiblingLink::Successor(*number);
+            successor.announce_ids(&self.listeners, ids, |id| open_ids.is_held_apart_from(id, link));
+        }
+    }
+
     /// Whether a successor serves.
     pub fn is_any_serving(&self) -> bool {
         self.by_number.values().any(|successor| successor.is_serving)
--- a/crates/balancer/src/proxy/requests.rs
+++ b/crates/balancer/src/proxy/requests.rs
@@ -75,7 +75,7 @@
     }
 
     /// Answers a client that has violated the protocol with an error; `why` is logged.
-    fn reject_malformed(&mut self, context: &mut LoopContext, id: RequestId, why: &str) {
+    pub(super) fn reject_malformed(&mut self, context: &mut LoopContext, id: RequestId, why: &str) {
         let Some(session) = self.sessions.get(id) else { return };
         let (client, is_waiting) = (session.client_address(), session.is_waiting());
         if self.log_limiter.acquire(context) {
--- a/crates/balancer/src/proxy/transfer.rs
+++ b/crates/balancer/src/proxy/transfer.rs
@@ -5,14 +5,30 @@
 use shorewharf_decisions::interface::{Outcome, Request, RequestId, ServerId};
 use shorewharf_driver::{NetworkEvent, ReceivedRequest};
 use shorewharf_lifecycle::{Answer, Cause};
+use shorewharf_protocol::message::Message;
+use thiserror::Error;
 
-use crate::clients::session::{Session, TransferredSession};
+use crate::clients::session::{Session, SessionStage, TransferredSession};
 use crate::event_loop::context::LoopContext;
 use crate::handover::messages::{EstablishedConnection, TransferredConnection};
 use crate::proxy::Proxy;
 use crate::servers::attempt::Attempt;
 use crate::transport::connection::Connection;
 
+/// The reason why a transferred connection can't be adopted.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum TransferError {
+    /// The buffered bytes don't fit the buffers, or are inconsistent.
+    #[error("its buffered bytes don't fit the buffers or are inconsistent")]
+    InvalidBuffers,
+    /// The configuration has no class of this name.
+    #[error("its class is not in the configuration")]
+    UnknownClass,
+    /// One of its two ends can't be registered with poll.
+    #[error("one of its ends can't be registered with the poller")]
+    NotRegistered,
+}
+
 /// Returns the name with this index, or an empty string if there is none.
 fn name_of(names: &HashMap<String, usize>, index: usize) -> String {
     names.iter().find(|(_, at)| **at == index).map_or_else(String::new, |(name, _)| name.clone())
@@ -56,39 +72,48 @@
         if let Err(violation) = self.guard.close(id) {
             self.report_violation(&violation, Cause::Handover);
         }
-        let (session, attempt) = (self.sessions.take(context, id)?, self.attempts.take(context, id)?);
+        let (session, attempt) =
+            (self.sessions.take_for_transfer(context, id)?, self.attempts.take(context, id)?);
         context.emit(NetworkEvent::AttemptEnded(id, Outcome::Cancelled));
         let (client, server) = (session.connection.into_stream(), attempt.connection.into_stream());
         Some(TransferredConnection { state, client, server })
     }
 
-    /// Adopts a connection that another process has transferred, or one whose own transfer has failed.
-    /// Returns false if it can't be adopted.
+    /// Adopts a connection that another process has transferred, or one whose own transfer has failed. Its open id has been
+    /// claimed.
+    ///
+    /// # Errors
+    /// Returns the reason if the connection can't be adopted. Its client is then told to migrate, unless a line is only partly
+    /// forwarded to it, and its open id is released.
     pub fn adopt_transferred(
         &mut self,
         context: &mut LoopContext,
         connection: TransferredConnection,
-    ) -> bool {
+    ) -> Result<(), TransferError> {
         let TransferredConnection { state, client, server } = connection;
-        let client = Connection::resume(client, &context.buffers, &state.client_buffers);
-        let server = Connection::resume(server, &context.buffers, &state.server_buffers);
-        let (Some(client), Some(server)) = (client, server) else { return false };
+        let (client, are_client_bytes_lost) =
+            into_connection(Connection::resume(client, &context.buffers, &state.client_buffers));
+        let (server, are_server_bytes_lost) =
+            into_connection(Connection::resume(server, &context.buffers, &state.server_buffers));
         let is_at_line_boundary = client.is_at_line_boundary();
-        let transferred = TransferredSession {
-            client_address: state.client,
-            open_id: state.open_id,
-            unanswered_since: state.unanswered_since,
-        };
-        let attempts = &self.attempts;
-        let adopted = self.sessions.adopt(context, client, &transferred, |id| attempts.has(id));
-        let Some(id) = adopted else { return false };
+        let id = self.adopt_session(context, client, &state)?;
         let server_id = ServerId(state.server);
         let class = self.settings.names.classes.get(&state.class).copied();
-        // If possible, the client is asked to migrate instead of having its connection cut.
-        let Some(class) = class.filter(|_| self.attempts.adopt(context, id, server_id, server)) else {
-            let answer = if is_at_line_boundary { Answer::Migrated } else { Answer::Closed };
-            self.answer(context, id, answer, Cause::Handover);
-            return false;
+        let result = match class {
+            _ if are_client_bytes_lost || are_server_bytes_lost => Err(TransferError::InvalidBuffers),
+            None => Err(TransferError::UnknownClass),
+            Some(_) if !self.attempts.adopt(context, id, server_id, server) => {
+                Err(TransferError::NotRegistered)
+            }
+            Some(class) => Ok(class),
+        };
+        let class = match result {
+            Ok(class) => class,
+            Err(error) => {
+                let answer = if is_at_line_boundary { Answer::Migrated } else { Answer::Closed };
+                self.answer(context, id, answer, Cause::Handover);
+                return Err(error);
+            }
         };
         let request = ReceivedRequest {
             id,
@@ -105,6 +130,53 @@
             context.emit(NetworkEvent::LoadReported(id, load));
         }
         self.relay(context, id);
-        true
+        Ok(())
+    }
+
+    /// Adds the session of a transferred connection.
+    fn adopt_session(
+        &mut self,
+        context: &mut LoopContext,
+        client: Connection,
+        state: &EstablishedConnection,
+    ) -> Result<RequestId, TransferError> {
+        let transferred = TransferredSession {
+            client_address: state.client,
+            open_id: state.open_id,
+            unanswered_since: state.unanswered_since,
+        };
+        let attempts = &self.attempts;
+        let adopted = self.sessions.adopt(context, client, &transferred, |id| attempts.has(id));
+        adopted.map_err(|mut client| {
+            self.sessions.release_transferred(state.open_id);
+            // The connection can't be watched, so nothing but this one attempt to write is possible.
+            if client.is_at_line_boundary() {
+                client.send(&context.buffers, Message::Migrate.to_string().as_bytes());
+                client.shutdown_write();
+            }
+            TransferError::NotRegistered
+        })
+    }
+
+    /// Ends this process's own requests with an id that a transferred connection has. Established ones are asked to migrate,
+    /// since they must not be cut off.
+    pub fn end_duplicates(&mut self, context: &mut LoopContext, open_id: u64) {
+        for id in self.sessions.ids_where(|session| session.open_id() == Some(open_id)) {
+            match self.sessions.get(id).map(Session::stage) {
+                Some(SessionStage::AwaitingAnswer) => {
+                    self.reject_malformed(context, id, "the id belongs to another open request");
+                }
+                Some(SessionStage::Established) => self.migrate(context, id),
+                _ => {}
+            }
+        }
+    }
+}
+
+/// Returns the connection, and whether its buffered bytes are lost.
+fn into_connection(resumed: Result<Connection, Box<Connection>>) -> (Connection, bool) {
+    match resumed {
+        Ok(connection) => (connection, false),
+        Err(connection) => (*connection, true),
     }
 }
--- a/crates/balancer/src/transport/connection.rs
+++ b/crates/balancer/src/transport/connection.rs
@@ -111,9 +111,11 @@
         self.stream
     }
 
-    /// Creates a connection that another process has transferred with these buffered bytes. Returns `None` if
-    /// the bytes don't fit the buffers or are inconsistent.
-    pub fn resume(stream: TcpStream, pool: &BufferPool, buffered: &BufferedBytes) -> Option<Self> {
+    /// Creates a connection that another process has transferred with these buffered bytes.
+    ///
+    /// # Errors
+    /// Returns a connection without any buffered bytes if they don't fit the buffers or are inconsistent.
+    pub fn resume(stream: TcpStream, pool: &BufferPool, buffered: &BufferedBytes) -> Result<Self, Box<Self>> {
         let mut connection = Connection {
             inspected: buffered.examined,
             is_mid_line: buffered.mid_line,
@@ -122,7 +124,11 @@
         let is_consistent = buffered.examined <= buffered.received.len();
         let fits = fill(&mut connection.input, pool, &buffered.received)
             && fill(&mut connection.output, pool, &buffered.unsent);
-        (is_consistent && fits).then_some(connection)
+        if is_consistent && fits {
+            return Ok(connection);
+        }
+        let is_mid_line = buffered.mid_line || !buffered.unsent.is_empty();
+        Err(Box::new(Connection { is_mid_line, ..Connection::new(connection.stream) }))
     }
 
     /// The stream, to be registered with poll.
--- a/crates/balancer/src/workers/pool.rs
+++ b/crates/balancer/src/workers/pool.rs
@@ -58,6 +58,10 @@
     TransferToSuccessor(Box<TransferredConnection>),
     /// Adopt an established connection that another process has transferred.
     AdoptConnection(Box<TransferredConnection>),
+    /// To the primary worker: announce the changes of open ids to the other processes.
+    OpenIdsChanged,
+    /// End the requests with this id: a transferred connection has it.
+    EndDuplicates(u64),
 }
 
 /// The part of a worker's state that the other workers access.
--- a/crates/balancer/src/workers/startup.rs
+++ b/crates/balancer/src/workers/startup.rs
@@ -230,6 +230,11 @@
         let pools = connect_workers(pollers, &self.listeners)?;
         let counters: Vec<_> = pollers.iter().map(|_| WorkerCounters::default()).collect();
         let open_ids = OpenIds::default();
+        let mut siblings = siblings;
+        if let Some(predecessor) = &mut siblings.predecessor {
+            // Before any worker accepts a client.
+            predecessor.apply_id_changes(&open_ids);
+        }
         let folder = self.shared_folder.as_mut();
         let disabled_servers = folder.and_then(|f| f.read(&BTreeMap::new()).ok()).unwrap_or_default();
         let mut siblings = Some(siblings);
--- a/crates/balancer/src/workers/worker.rs
+++ b/crates/balancer/src/workers/worker.rs
@@ -187,6 +187,7 @@
         if self.event_loop.take_sharing_change().is_some() {
             self.apply_config();
         }
+        self.event_loop.announce_open_ids();
         self.send_gossip();
         if let Some(task) = &mut self.snapshot_task {
             task.on_iteration(&mut self.event_loop, &mut self.driver);
--- /dev/null
+++ b/crates/balancer/tests/sockets/open_ids.rs
@@ -0,0 +1,219 @@
+//! Ids that a bad client repeats while one process replaces another: each id has one open request in the balancer, and no sound
+//! connection is cut off because of them.
+
+use serde_json::{Value, json};
+use shorewharf_emulator::standin::*;
+
+use crate::operators::{wait_for_metric, with_operator_address};
+use crate::predecessor_stub::{EstablishedPair, PredecessorStub};
+use crate::{BINARY, start};
+
+const WORKERS: &str = "workers = 3";
+
+/// The id that is repeated, as in first lines.
+const ID: &str = "9b1f";
+const ID_NUMBER: u64 = 0x9b1f;
+
+fn settings(server: &Server) -> Value {
+    with_operator_address(config(&[("s-1", server.address())]))
+}
+
+/// Starts a process that replaces `old`.
+fn start_successor(old: &BalancerProcess, settings: &Value) -> BalancerProcess {
+    let mut settings = settings.clone();
+    settings["listen"] = json!(old.address());
+    old.start_sibling(BINARY, &settings)
+}
+
+/// Checks that lines are relayed both ways.
+#[track_caller]
+fn assert_relays(client: &mut Connection, server: &mut Connection) {
+    client.send_line("M 1");
+    assert_eq!(server.receive_line(), "M 1");
+    server.send_line("M 1");
+    assert_eq!(client.receive_line(), "M 1");
+}
+
+/// Checks that a request with the id gets an error, and that no server gets it.
+#[track_caller]
+fn assert_id_is_rejected(at: &BalancerProcess, server: &Server) {
+    let mut duplicate = at.open_with_id(ID, "");
+    match server.accept_or_receive(&mut duplicate) {
+        Ok(_) => panic!("a server got a second request with the id"),
+        Err(answer) => assert_eq!(answer, Received::Line("ERR".into())),
+    }
+}
+
+/// Guards against a sound client that is cut off without `MOVE`, as the new process has accepted a request with the same id
+/// before the connection was transferred.
+#[test]
+fn an_id_that_is_repeated_in_a_replacement_does_not_cut_off_its_client() {
+    let server = Server::new();
+    let settings = settings(&server);
+    let mut old = start(&settings);
+    let (mut client, mut upstream) = old.establish_with_id(&server, ID);
+    let new = start_successor(&old, &settings);
+    // Only the new process accepts clients.
+    old.pause();
+    assert_id_is_rejected(&new, &server);
+    old.resume();
+    old.terminate();
+    assert!(old.wait().success());
+    assert_relays(&mut client, &mut upstream);
+    assert_id_is_rejected(&new, &server);
+    drop((client, upstream));
+    wait_for_metric(&new, "concurrent", 0);
+    new.establish_with_id(&server, ID);
+}
+
+/// Guards against a second attempt with an id whose request still waits for its server at the old process.
+#[test]
+fn the_id_of_a_request_that_waits_at_the_old_process_is_rejected_by_the_new_one() {
+    let server = Server::new();
+    let settings = settings(&server);
+    let old = start(&settings);
+    let mut waiting = old.open_with_id(ID, "");
+    let mut upstream = server.accept();
+    upstream.receive_line();
+    let new = start_successor(&old, &settings);
+    old.pause();
+    assert_id_is_rejected(&new, &server);
+    old.resume();
+    upstream.send_line("UP 77");
+    assert_eq!(waiting.receive_line(), "UP 77");
+}
+
+/// Guards against ids that a process does not learn of, as they are opened or closed after the other one has started.
+#[test]
+fn ids_that_are_opened_and_closed_beside_another_process_are_known_to_both() {
+    let server = Server::new();
+    let settings = settings(&server);
+    let old = start(&settings);
+    let new = start_successor(&old, &settings);
+    for (holder, other) in [(&old, &new), (&new, &old)] {
+        other.pause();
+        let (client, upstream) = holder.establish_with_id(&server, ID);
+        other.resume();
+        other.wait_for_log("sibling-ids-changed");
+        holder.pause();
+        assert_id_is_rejected(other, &server);
+        holder.resume();
+        drop((client, upstream));
+        other.wait_for_log("sibling-ids-changed");
+        holder.pause();
+        let _again = other.establish_with_id(&server, ID);
+        holder.resume();
+        holder.wait_for_log("sibling-ids-changed");
+        drop(_again);
+        holder.wait_for_log("sibling-ids-changed");
+    }
+}
+
+/// Guards against a third process that knows the ids of the second only.
+#[test]
+fn an_id_is_known_to_a_process_two_replacements_later() {
+    let server = Server::new();
+    let settings = settings(&server);
+    let mut first = start(&settings);
+    let (mut client, mut upstream) = first.establish_with_id(&server, ID);
+    let mut second = start_successor(&first, &settings);
+    let third = start_successor(&second, &settings);
+    first.pause();
+    second.pause();
+    assert_id_is_rejected(&third, &server);
+    second.resume();
+    first.resume();
+    first.terminate();
+    assert!(first.wait().success());
+    second.terminate();
+    assert!(second.wait().success());
+    assert_relays(&mut client, &mut upstream);
+    assert_id_is_rejected(&third, &server);
+}
+
+/// Guards against workers that do not know the ids of another process, or do not report theirs.
+#[test]
+fn ids_are_known_to_all_workers_of_two_processes() {
+    let server = Server::new();
+    let settings = settings(&server);
+    let mut old = BalancerProcess::start_with_operator(BINARY, &settings, WORKERS);
+    let mut connections: Vec<_> =
+        (1..=30).map(|id| old.establish_with_id(&server, &format!("{id:x}"))).collect();
+    let mut successor_settings = settings.clone();
+    successor_settings["listen"] = json!(old.address());
+    let new = old.start_sibling_with_operator(BINARY, &successor_settings, WORKERS);
+    for id in 1..=30 {
+        let mut duplicate = new.open_with_id(&format!("{id:x}"), "");
+        assert_eq!(duplicate.receive_line(), "ERR", "id {id}");
+    }
+    assert!(!server.has_pending_connection(), "a server got a second request with an id");
+    old.terminate();
+    assert!(old.wait().success());
+    for (client, upstream) in &mut connections {
+        assert_relays(client, upstream);
+    }
+}
+
+/// Returns a process that has ended, whose place a [`PredecessorStub`] takes.
+fn ended_process(settings: &Value) -> BalancerProcess {
+    let mut ended = start(settings);
+    ended.terminate();
+    assert!(ended.wait().success());
+    ended
+}
+
+/// A predecessor of an earlier version does not report its ids, and two processes may open an id at the same moment. Guards
+/// against a sound client that is cut off then, and against one of two claims that releases the other.
+#[test]
+fn a_transferred_connection_keeps_its_id_and_the_request_with_the_same_id_ends() {
+    let server = Server::new();
+    let settings = settings(&server);
+    let ended = ended_process(&settings);
+    let mut stub = PredecessorStub::start(&ended, &settings, &json!({}));
+    // One duplicate is established, the other one waits for its server.
+    let (mut duplicate, _upstream) = stub.successor.establish_with_id(&server, ID);
+    let mut waiting = stub.successor.open_with_id("aa", "");
+    let mut waiting_upstream = server.accept();
+    waiting_upstream.receive_line();
+    let mut pairs = [EstablishedPair::new(), EstablishedPair::new()];
+    stub.transfer(&pairs[0], ID_NUMBER, &json!({}));
+    stub.transfer(&pairs[1], 0xaa, &json!({}));
+    stub.await_line("TOOK 2");
+    assert_eq!(duplicate.receive_until_fin(), ["MOVE"]);
+    assert_eq!(waiting.receive_until_fin(), ["ERR"]);
+    for pair in &mut pairs {
+        assert_relays(&mut pair.client, &mut pair.server);
+    }
+    assert_id_is_rejected(&stub.successor, &server);
+}
+
+/// Guards against a sound client that is cut off without `MOVE`, as its connection can't be adopted.
+#[test]
+fn a_client_whose_connection_cannot_be_adopted_is_migrated_unless_it_has_half_a_line() {
+    let server = Server::new();
+    let settings = settings(&server);
+    let ended = ended_process(&settings);
+    let mut stub = PredecessorStub::start(&ended, &settings, &json!({"open": [ID_NUMBER]}));
+    let invalid = json!({"came": "TQ", "seen": 5});
+    let mid_line = json!({"came": "TQ", "seen": 5, "mid_line": true});
+    for (state, expected) in [
+        (json!({"at_client": invalid}), vec!["MOVE"]),
+        (json!({"at_server": invalid}), vec!["MOVE"]),
+        (json!({"class": "feed"}), vec!["MOVE"]),
+        (json!({"at_client": mid_line}), vec![]),
+    ] {
+        let mut pair = EstablishedPair::new();
+        stub.transfer(&pair, ID_NUMBER, &state);
+        assert!(stub.successor.wait_for_log("transfer-failed").contains("why="));
+        drop(pair.server);
+        let lines = std::iter::from_fn(|| match pair.client.receive() {
+            Received::Line(line) => Some(line),
+            Received::Fin | Received::Reset => None,
+        });
+        assert_eq!(lines.collect::<Vec<_>>(), expected, "{state}");
+    }
+    // The id is released with the connection, and free once the old process has closed it as well.
+    stub.send(&format!("CLOSED {ID_NUMBER}"));
+    stub.successor.wait_for_log("sibling-ids-changed");
+    stub.successor.establish_with_id(&server, ID);
+}
