Give each connection one turn in an iteration of the event loop

Cause: a connection with more to forward was added to the list of unfinished connections whether it was there or not. Events of its two ends gave it further turns and added it again, so the list grew in each iteration. The long iterations looked like an overload, and new clients were rejected.

Change: UnfinishedConnections has each connection at most once, and an event of a connection that waits there only records its readiness.

Result: the test fails without the change (2 turns due after the first iteration) and passes with it.

--- a/crates/balancer/src/proxy/answers.rs
+++ b/crates/balancer/src/proxy/answers.rs
@@ -104,7 +104,7 @@
     pub(super) fn continue_close(&mut self, context: &mut LoopContext, id: RequestId) {
         match self.sessions.get_mut(id).map(|session| session.continue_close(&context.buffers)) {
             Some(CloseProgress::Done) => self.close_session(context, id, Cause::Server),
-            Some(CloseProgress::MoreToRead) => self.unfinished.push(id),
+            Some(CloseProgress::MoreToRead) => self.unfinished.add(id),
             Some(CloseProgress::AwaitingPeer) | None => {}
         }
     }
--- a/crates/balancer/src/proxy/attempts.rs
+++ b/crates/balancer/src/proxy/attempts.rs
@@ -107,6 +107,10 @@
     pub fn on_attempt_ready(&mut self, context: &mut LoopContext, id: RequestId, readiness: Readiness) {
         let Some(attempt) = self.attempts.get_mut(id) else { return };
         attempt.connection.on_ready(readiness);
+        if self.unfinished.contains(id) {
+            // Its next turn comes later in this iteration.
+            return;
+        }
         match attempt.stage() {
             AttemptStage::Established => self.relay(context, id),
             AttemptStage::Connecting | AttemptStage::Sent => self.advance_attempt(context, id),
--- a/crates/balancer/src/proxy/established.rs
+++ b/crates/balancer/src/proxy/established.rs
@@ -29,7 +29,7 @@
 
     /// Takes the list of connections with unfinished work, to be passed to [`Proxy::resume`].
     pub fn take_unfinished(&mut self) -> Vec<RequestId> {
-        std::mem::take(&mut self.unfinished)
+        self.unfinished.take()
     }
 
     /// Whether any connection has more to forward or to read.
@@ -45,7 +45,7 @@
         let outcome = forward_lines(context, id, session, attempt);
         let server = attempt.server();
         if outcome.has_more {
-            self.unfinished.push(id);
+            self.unfinished.add(id);
         }
         if session.begin_reporting_delay() {
             self.delay_reporters.push(id);
@@ -146,3 +146,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/balancer/src/proxy/mod.rs
+++ b/crates/balancer/src/proxy/mod.rs
@@ -7,6 +7,7 @@
 //! - `requests`: accepts clients and reads their requests;
 //! - `attempts` and `dialing`: run attempts, up to the server's answer;
 //! - `established`, `relay` and `migration`: relay established connections and end them;
+//! - `unfinished`: the connections that wait for their next turn;
 //! - `incomplete`: ends sessions without a complete request;
 //! - `answers`: sends all final answers;
 //! - `timeouts`: handles deadlines and reports message delays;
@@ -25,6 +26,7 @@
 mod shutdown;
 mod timeouts;
 mod transfer;
+mod unfinished;
 
 use std::collections::BTreeMap;
 
@@ -48,6 +50,7 @@
 use incomplete::IncompleteCounts;
 use migration::PendingMigrations;
 pub use shutdown::{AnswerScope, SessionCounts};
+use unfinished::UnfinishedConnections;
 
 /// The retry delay that clients get when the proxy rejects them without asking the driver.
 const RETRY_AFTER: Micros = 300_000;
@@ -71,7 +74,7 @@
     descriptor_budget: DescriptorBudget,
     log_limiter: LogRateLimiter,
     /// Connections with more to forward or to read, to be resumed after other connections have been served.
-    unfinished: Vec<RequestId>,
+    unfinished: UnfinishedConnections,
     /// Sessions with a message delay to report, without duplicates.
     delay_reporters: Vec<RequestId>,
     pending_migrations: PendingMigrations,
@@ -99,7 +102,7 @@
             guard: RequestGuard::default(),
             incomplete_requests: IncompleteCounts::new(),
             log_limiter: LogRateLimiter::default(),
-            unfinished: Vec::new(),
+            unfinished: UnfinishedConnections::default(),
             delay_reporters: Vec::new(),
             pending_migrations: PendingMigrations::default(),
             counters,
--- a/crates/balancer/src/proxy/requests.rs
+++ b/crates/balancer/src/proxy/requests.rs
@@ -42,6 +42,10 @@
     pub fn on_session_ready(&mut self, context: &mut LoopContext, id: RequestId, readiness: Readiness) {
         let Some(session) = self.sessions.get_mut(id) else { return };
         session.connection.on_ready(readiness);
+        if self.unfinished.contains(id) {
+            // Its next turn comes later in this iteration.
+            return;
+        }
         match session.stage() {
             SessionStage::AwaitingRequest => self.read_first_line(context, id),
             SessionStage::AwaitingAnswer => match session.poll_while_waiting(&context.buffers) {
