Bound a connection's turn by lines, since short lines made it take 12 ms

Cause: a turn was bounded by rounds of a buffer, that is by bytes. The work for a line hardly depends on its length, and a buffer holds 2,730 lines of three bytes.

Change: a turn inspects 64 lines of each direction at most (LineBudget); the rest waits in the buffer and the socket. A close counts once the lines before it have been inspected.

--- a/crates/balancer/src/clients/session.rs
+++ b/crates/balancer/src/clients/session.rs
@@ -16,6 +16,7 @@
 use crate::event_loop::context::{LoopContext, TimerHandle};
 use crate::transport::buffer_pool::{Buffer, BufferPool};
 use crate::transport::connection::{Connection, LineTooLong, PeerClose};
+use crate::transport::line_budget::LineBudget;
 
 pub use closing::CloseProgress;
 pub use opening::{FirstLine, WaitingActivity};
@@ -283,22 +284,29 @@
         is_established
     }
 
-    /// Reads lines of an established session that are to be forwarded. Returns whether anything was read.
+    /// Reads lines of an established session that are to be forwarded, as far as the budget goes. Returns whether anything was
+    /// read.
     ///
     /// # Errors
     ///
     /// Returns an error if a line is over the protocol's limit.
-    pub fn read_lines(&mut self, now: Micros, pool: &BufferPool) -> Result<bool, LineTooLong> {
+    pub fn read_lines(
+        &mut self,
+        now: Micros,
+        pool: &BufferPool,
+        budget: &mut LineBudget,
+    ) -> Result<bool, LineTooLong> {
         let has_read = self.half_open_deadline.is_none() && self.connection.read_available(pool);
-        let inspected = self.inspect_lines(now);
-        if self.connection.peer_close == Some(PeerClose::Fin) {
+        let inspected = self.inspect_lines(now, budget);
+        if self.connection.peer_close == Some(PeerClose::Fin) && !budget.is_exhausted() {
             self.connection.inspect_rest();
         }
         inspected.map(|()| has_read)
     }
 
-    fn inspect_lines(&mut self, now: Micros) -> Result<(), LineTooLong> {
-        while self.connection.inspect_line()?.is_some() {
+    fn inspect_lines(&mut self, now: Micros, budget: &mut LineBudget) -> Result<(), LineTooLong> {
+        while !budget.is_exhausted() && self.connection.inspect_line()?.is_some() {
+            budget.take();
             self.unanswered_since.get_or_insert(now);
         }
         Ok(())
--- a/crates/balancer/src/proxy/established.rs
+++ b/crates/balancer/src/proxy/established.rs
@@ -9,7 +9,7 @@
 use super::Proxy;
 use crate::clients::session::{Session, SessionStage};
 use crate::event_loop::context::LoopContext;
-use crate::proxy::relay::{RelayDecision, Side, check_closes, forward_lines};
+use crate::proxy::relay::{RelayDecision, RelayOutcome, Side, check_closes, forward_lines};
 use crate::servers::delays::LoadFigure;
 use crate::transport::connection::PeerClose;
 
@@ -50,13 +50,13 @@
         if session.begin_reporting_delay() {
             self.delay_reporters.push(id);
         }
-        for figure in outcome.load_figures {
-            self.on_load_figure(context, id, server, figure);
+        for figure in &outcome.load_figures {
+            self.on_load_figure(context, id, server, *figure);
         }
         if let Some(side) = outcome.too_long {
             return self.on_line_too_long(context, id, side);
         }
-        self.apply_closes(context, id);
+        self.apply_closes(context, id, &outcome);
     }
 
     /// Ends a connection on which one side has sent a line over the protocol's limit. It counts against the
@@ -75,11 +75,11 @@
     }
 
     /// Ends the connection, or sets the deadline for its end, as required by the closes of its two sides.
-    fn apply_closes(&mut self, context: &mut LoopContext, id: RequestId) {
+    fn apply_closes(&mut self, context: &mut LoopContext, id: RequestId, outcome: &RelayOutcome) {
         let (Some(session), Some(attempt)) = (self.sessions.get_mut(id), self.attempts.get_mut(id)) else {
             return;
         };
-        match check_closes(context.now, session, attempt) {
+        match check_closes(context.now, session, attempt, outcome) {
             RelayDecision::Continue => self.sessions.schedule_timer(context, id),
             RelayDecision::CloseAsServer(close, outcome) => self.close_both(context, id, close, outcome),
             RelayDecision::ClientReset => {
--- a/crates/balancer/src/proxy/relay.rs
+++ b/crates/balancer/src/proxy/relay.rs
@@ -8,6 +8,7 @@
 use crate::event_loop::context::LoopContext;
 use crate::servers::attempt::Attempt;
 use crate::transport::connection::{LineTooLong, PeerClose};
+use crate::transport::line_budget::LineBudget;
 
 /// Maximum number of forwarding rounds for one connection before other connections are served.
 const MAX_ROUNDS: usize = 8;
@@ -40,10 +41,14 @@
     pub has_more: bool,
     /// The side that has sent a line over the protocol's limit, if any.
     pub too_long: Option<Side>,
+    /// Whether the client may have sent complete lines that have not been inspected.
+    pub has_client_lines: bool,
+    /// Whether the server may have sent complete lines that have not been inspected.
+    pub has_server_lines: bool,
 }
 
 /// Forwards lines in both directions until nothing more can be read or written without blocking, or until the
-/// maximum number of rounds is reached.
+/// maximum number of rounds, or of lines in one direction, is reached.
 pub fn forward_lines(
     context: &LoopContext,
     id: RequestId,
@@ -51,15 +56,17 @@
     attempt: &mut Attempt,
 ) -> RelayOutcome {
     let mut outcome = RelayOutcome::default();
+    let (mut client_budget, mut server_budget) = (LineBudget::new(), LineBudget::new());
     for round in 0.. {
         let mut has_progress = false;
-        match session.read_lines(context.now, &context.buffers) {
+        match session.read_lines(context.now, &context.buffers, &mut client_budget) {
             Ok(has_read) => has_progress |= has_read,
             Err(LineTooLong) => outcome.too_long = Some(Side::Client),
         }
         has_progress |= session.connection.forward_to(&mut attempt.connection, false);
         let unanswered_since = session.unanswered_since_mut();
-        match attempt.read_lines(context, id, unanswered_since, &mut outcome.load_figures) {
+        match attempt.read_lines(context, id, unanswered_since, &mut outcome.load_figures, &mut server_budget)
+        {
             Ok(has_read) => has_progress |= has_read,
             Err(LineTooLong) => outcome.too_long = Some(Side::Server),
         }
@@ -73,6 +80,11 @@
             break;
         }
     }
+    outcome.has_client_lines = client_budget.is_exhausted();
+    outcome.has_server_lines = server_budget.is_exhausted();
+    // Lines that can't be forwarded now wait until the other end accepts more, which poll reports.
+    outcome.has_more |= outcome.has_client_lines && !session.connection.has_inspected_lines();
+    outcome.has_more |= outcome.has_server_lines && !attempt.connection.has_inspected_lines();
     outcome
 }
 
@@ -91,13 +103,18 @@
 
 /// Passes a close of one side on to the other once the lines before the close have been forwarded, and
 /// returns the next step.
-pub fn check_closes(now: Micros, session: &mut Session, attempt: &mut Attempt) -> RelayDecision {
+pub fn check_closes(
+    now: Micros,
+    session: &mut Session,
+    attempt: &mut Attempt,
+    outcome: &RelayOutcome,
+) -> RelayDecision {
     match (attempt.connection.peer_close, session.connection.peer_close) {
         (Some(PeerClose::Reset), _) => {
             RelayDecision::CloseAsServer(PeerClose::Reset, outcome_of_close(session, attempt))
         }
         (_, Some(PeerClose::Reset)) => RelayDecision::ClientReset,
-        (Some(PeerClose::Fin), _) if attempt.connection.is_drained() => {
+        (Some(PeerClose::Fin), _) if attempt.connection.is_drained() && !outcome.has_server_lines => {
             RelayDecision::CloseAsServer(PeerClose::Fin, outcome_of_close(session, attempt))
         }
         (Some(PeerClose::Fin), _) => {
@@ -110,7 +127,7 @@
             RelayDecision::Migrate
         }
         (None, Some(PeerClose::Fin)) => {
-            if session.connection.is_drained() {
+            if session.connection.is_drained() && !outcome.has_client_lines {
                 attempt.connection.shutdown_write();
             }
             session.begin_half_open(now);
--- a/crates/balancer/src/servers/attempt.rs
+++ b/crates/balancer/src/servers/attempt.rs
@@ -15,6 +15,7 @@
 use crate::servers::server_activity::ServerActivity;
 use crate::transport::buffer_pool::BufferPool;
 use crate::transport::connection::{Connection, LineTooLong, PeerClose, is_local_failure, is_shortage};
+use crate::transport::line_budget::LineBudget;
 
 /// The number of bytes of an unexpected answer that are kept for the log.
 const MAX_LOGGED_ANSWER_BYTES: usize = 80;
@@ -242,7 +243,8 @@
         }
     }
 
-    /// Reads lines from the server of an established connection, which are to be forwarded to the client. The values of
+    /// Reads lines from the server of an established connection, as far as the budget goes, which are to be forwarded to the
+    /// client. The values of
     /// `LOAD` lines are appended to `load_figures`. Any other line except `BYE` and `MOVE` counts as the answer to the line
     /// that the client sent at `unanswered_since`, which is reset. Returns whether anything was read.
     ///
@@ -255,10 +257,11 @@
         id: RequestId,
         unanswered_since: &mut Option<Micros>,
         load_figures: &mut Vec<f64>,
+        budget: &mut LineBudget,
     ) -> Result<bool, LineTooLong> {
         let has_read = self.connection.read_available(&context.buffers);
-        let inspected = self.inspect_lines(context, id, unanswered_since, load_figures);
-        if self.connection.peer_close == Some(PeerClose::Fin) {
+        let inspected = self.inspect_lines(context, id, unanswered_since, load_figures, budget);
+        if self.connection.peer_close == Some(PeerClose::Fin) && !budget.is_exhausted() {
             self.connection.inspect_rest();
         }
         inspected.map(|()| has_read)
@@ -270,9 +273,13 @@
         id: RequestId,
         unanswered_since: &mut Option<Micros>,
         load_figures: &mut Vec<f64>,
+        budget: &mut LineBudget,
     ) -> Result<(), LineTooLong> {
         let now = context.now;
-        while let Some(line) = self.connection.inspect_line()? {
+        while !budget.is_exhausted()
+            && let Some(line) = self.connection.inspect_line()?
+        {
+            budget.take();
             self.activity.record(now, id);
             self.last_reply = FinalReply::Other;
             match parse_message(line) {
--- a/crates/balancer/src/servers/attempts/tests.rs
+++ b/crates/balancer/src/servers/attempts/tests.rs
@@ -4,6 +4,7 @@
 use crate::event_loop::context::tests::{ALL_READY, context, until};
 use crate::servers::attempt::ServerAnswer;
 use crate::servers::delays::AnsweredLine;
+use crate::transport::line_budget::LineBudget;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 
@@ -74,7 +75,11 @@
     attempt.establish(1600, ID);
     until(|| {
         attempt.connection.on_ready(ALL_READY);
-        assert!(attempt.read_lines(&context, ID, &mut unanswered_since, &mut load_figures).is_ok());
+        assert!(
+            attempt
+                .read_lines(&context, ID, &mut unanswered_since, &mut load_figures, &mut LineBudget::new())
+                .is_ok()
+        );
         attempt.outcome() == Outcome::Ok // The outcome changes once the last message, BYE, has been read.
     });
     assert_eq!(
--- a/crates/balancer/src/transport/connection.rs
+++ b/crates/balancer/src/transport/connection.rs
@@ -222,6 +222,11 @@
         Ok(line)
     }
 
+    /// Whether lines have been inspected and neither forwarded nor discarded.
+    pub fn has_inspected_lines(&self) -> bool {
+        self.inspected > 0
+    }
+
     /// Discards the lines that have been inspected.
     pub fn discard_inspected(&mut self) {
         let inspected = std::mem::take(&mut self.inspected);
--- a/crates/balancer/src/transport/mod.rs
+++ b/crates/balancer/src/transport/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod buffer_pool;
 pub mod connection;
+pub mod line_budget;
 pub mod readiness;
--- a/crates/balancer/tests/sockets/main.rs
+++ b/crates/balancer/tests/sockets/main.rs
@@ -3,6 +3,7 @@
 mod cli;
 mod faults;
 mod final_answers;
+mod flooding;
 mod gossip;
 mod handover;
 mod incomplete_requests;
