Tests: let the client leave first where a server is used again

Cause: two tests of open_ids.rs dropped both ends of a connection at once. If the balancer read the server's end first, that counted as a reset by the server, which was not used for a moment, and the next client got BUSY (seen once, beside load: 'BUSY 225' for 'UP 77').

Change: the client leaves first and its end is awaited at the server; nothing else is checked less.

--- a/crates/balancer/tests/sockets/open_ids.rs
+++ b/crates/balancer/tests/sockets/open_ids.rs
@@ -34,6 +34,13 @@
     assert_eq!(client.receive_line(), "M 1");
 }
 
+/// Ends an established connection. The client leaves first, since an end by the server counts as a failure of the server.
+#[track_caller]
+fn end_connection(client: Connection, mut upstream: Connection) {
+    drop(client);
+    assert_eq!(upstream.receive(), Received::Fin);
+}
+
 /// Checks that a request with the id gets an error, and that no server gets it.
 #[track_caller]
 fn assert_id_is_rejected(at: &BalancerProcess, server: &Server) {
@@ -61,7 +68,7 @@
     assert!(old.wait().success());
     assert_relays(&mut client, &mut upstream);
     assert_id_is_rejected(&new, &server);
-    drop((client, upstream));
+    end_connection(client, upstream);
     wait_for_metric(&new, "concurrent", 0);
     new.establish_with_id(&server, ID);
 }
@@ -98,13 +105,13 @@
         holder.pause();
         assert_id_is_rejected(other, &server);
         holder.resume();
-        drop((client, upstream));
+        end_connection(client, upstream);
         other.wait_for_log("sibling-ids-changed");
         holder.pause();
-        let _again = other.establish_with_id(&server, ID);
+        let (client, upstream) = other.establish_with_id(&server, ID);
         holder.resume();
         holder.wait_for_log("sibling-ids-changed");
-        drop(_again);
+        end_connection(client, upstream);
         holder.wait_for_log("sibling-ids-changed");
     }
 }
