Do not run a request again whose id comes again after its client has left

Cause: the guard knows a request only as long as its connection, and the id was free from its end on.

Evidence: the new test, run before the change: with a class of non_idempotent requests the server gets a second OPEN with the id after the first client has left.

Change: the id of a request that may have run, and whose repeat is not harmless, stays taken after its end (8,192 at most) and gets ERR, at the other process of a replacement too. Idempotent classes are as before; at= is excepted.

--- a/crates/balancer/src/clients/open_ids.rs
+++ b/crates/balancer/src/clients/open_ids.rs
@@ -3,13 +3,18 @@
 //!
 //! The other processes report the ids of their open requests a moment after they were claimed there, so two processes may claim
 //! the same id within that moment. Such an id has two claims until one of them is released.
+//!
+//! The id of a request that may have run, and must not run again, stays taken after its end, since no id returns. The number of
+//! such ids is limited; the oldest are forgotten first.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// Number of locks over which the ids are spread, so that workers seldom contend for a lock.
 const SHARDS: usize = 16;
+/// The number of ids of ended requests that stay taken. Each takes about 60 bytes.
+const MAX_RETAINED_IDS: usize = 8192;
 
 /// A connection to another process of this balancer, over which that process reports its open ids.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -27,16 +32,23 @@
     claims: u32,
     /// The links to the processes that hold the id.
     siblings: Vec<SiblingLink>,
+    /// A request with the id has ended that must not run again.
+    is_retained: bool,
 }
 
 impl Holders {
     fn is_empty(&self) -> bool {
-        self.claims == 0 && self.siblings.is_empty()
+        !self.is_open() && !self.is_retained
+    }
+
+    /// Whether a request with the id is open, in this process or in another one.
+    fn is_open(&self) -> bool {
+        self.claims > 0 || !self.siblings.is_empty()
     }
 
     /// Whether the id is held, if the process behind `link` is left out of account.
     fn is_held_apart_from(&self, link: SiblingLink) -> bool {
-        self.claims > 0 || self.siblings.iter().any(|holder| *holder != link)
+        self.claims > 0 || self.is_retained || self.siblings.iter().any(|holder| *holder != link)
     }
 }
 
@@ -47,6 +59,8 @@
     shards: [Mutex<Shard>; SHARDS],
     /// The ids whose holders have changed since they were last taken; recorded only while there are siblings.
     changed: Mutex<Vec<u64>>,
+    /// The ids that are retained, the oldest first.
+    retained: Mutex<VecDeque<u64>>,
     has_siblings: AtomicBool,
 }
 
@@ -59,6 +73,7 @@
         OpenIds(Arc::new(Shared {
             shards: std::array::from_fn(|_| Mutex::default()),
             changed: Mutex::default(),
+            retained: Mutex::default(),
             has_siblings: AtomicBool::new(false),
         }))
     }
@@ -89,13 +104,24 @@
         result
     }
 
-    /// Claims an id for an open request. Returns false if another open request has it, in this process or in another one.
+    /// Claims an id for an open request. Returns false if another open request has it, in this process or in another one, or if
+    /// it is retained.
     pub fn claim(&self, id: u64) -> bool {
-        if self.shard(id).contains_key(&id) {
+        self.claim_if(id, Holders::is_empty)
+    }
+
+    /// Claims the id of a connection from before the start of this process, which comes again until it is established.
+    /// Returns false if another open request has it, in this process or in another one.
+    pub fn claim_restored(&self, id: u64) -> bool {
+        self.claim_if(id, |holders| !holders.is_open())
+    }
+
+    fn claim_if(&self, id: u64, is_free: impl Fn(&Holders) -> bool) -> bool {
+        if self.shard(id).get(&id).is_some_and(|holders| !is_free(holders)) {
             return false;
         }
         self.change(id, |holders| {
-            let is_free = holders.is_empty();
+            let is_free = is_free(holders);
             holders.claims += u32::from(is_free);
             is_free
         })
@@ -115,6 +141,24 @@
         self.change(id, |holders| holders.claims = holders.claims.saturating_sub(1));
     }
 
+    /// Releases one claim of an id, and retains the id: the request may have run and must not run again.
+    pub fn release_retained(&self, id: u64) {
+        let is_new = self.change(id, |holders| {
+            holders.claims = holders.claims.saturating_sub(1);
+            !std::mem::replace(&mut holders.is_retained, true)
+        });
+        if !is_new {
+            return;
+        }
+        let mut retained = lock(&self.0.retained);
+        retained.push_back(id);
+        let oldest = if retained.len() > MAX_RETAINED_IDS { retained.pop_front() } else { None };
+        drop(retained);
+        if let Some(oldest) = oldest {
+            self.change(oldest, |holders| holders.is_retained = false);
+        }
+    }
+
     /// Records that the process behind `link` has an open request with this id.
     pub fn hold_for_sibling(&self, id: u64, link: SiblingLink) {
         self.change(id, |holders| {
--- a/crates/balancer/src/clients/open_ids/tests.rs
+++ b/crates/balancer/src/clients/open_ids/tests.rs
@@ -60,3 +60,21 @@
     ids.release(5);
     assert_eq!((ids.take_changed(), ids.all()), (vec![5], vec![6]));
 }
+
+/// Guards against a request that runs again under the same id, and against ids that use ever more memory.
+#[test]
+fn the_id_of_a_request_that_must_not_run_again_stays_taken_until_many_others_have_ended() {
+    let ids = OpenIds::default();
+    assert!(ids.claim(5));
+    ids.release_retained(5);
+    assert!(!ids.claim(5));
+    assert!(ids.claim_restored(5), "a connection from before the start could not come again");
+    ids.release_retained(5);
+    assert!(ids.is_held_apart_from(5, SUCCESSOR), "the other process would accept the id");
+    for id in 0..MAX_RETAINED_IDS as u64 {
+        ids.claim_restored(100 + id);
+        ids.release_retained(100 + id);
+    }
+    assert!(ids.claim(5));
+    assert_eq!(ids.all().len(), MAX_RETAINED_IDS + 1);
+}
--- a/crates/balancer/src/clients/session.rs
+++ b/crates/balancer/src/clients/session.rs
@@ -67,6 +67,8 @@
     discarded_bytes: usize,
     /// The id that the client chose for its open request; `None` before the request and after the final answer.
     open_id: Option<u64>,
+    /// Whether the open id stays taken after the end of the request, which must not run again.
+    is_id_retained: bool,
     /// The deadline for the other side to close, once one side has closed.
     half_open_deadline: Option<Micros>,
     /// The first line, until a server has accepted the client.
@@ -121,6 +123,7 @@
             has_pinged: false,
             discarded_bytes: 0,
             open_id: None,
+            is_id_retained: false,
             half_open_deadline: None,
             first_line: None,
             restored: None,
@@ -216,6 +219,16 @@
         self.open_id
     }
 
+    /// Has the open id stay taken after the end of the request.
+    pub fn retain_id(&mut self) {
+        self.is_id_retained = true;
+    }
+
+    /// Whether the open id stays taken after the end of the request.
+    pub fn is_id_retained(&self) -> bool {
+        self.is_id_retained
+    }
+
     /// A mutable reference to the time of the oldest unanswered line, which an answer of the server clears.
     pub fn unanswered_since_mut(&mut self) -> &mut Option<Micros> {
         &mut self.unanswered_since
--- a/crates/balancer/src/clients/sessions.rs
+++ b/crates/balancer/src/clients/sessions.rs
@@ -115,10 +115,14 @@
     }
 
     /// Stores the request of a session and claims its open id. Returns false, and changes nothing, if another
-    /// open request has the same open id.
+    /// open request has the same open id, or an ended one that must not run again.
     pub fn open_request(&mut self, context: &mut LoopContext, id: RequestId, opened: SessionRequest) -> bool {
         let Some(session) = self.table.get_mut(&id) else { return false };
-        if !self.open_ids.claim(opened.open_id) {
+        let is_claimed = match opened.previous_server {
+            Some(_) => self.open_ids.claim_restored(opened.open_id),
+            None => self.open_ids.claim(opened.open_id),
+        };
+        if !is_claimed {
             return false;
         }
         self.idle.remove(session.stage_since(), id);
@@ -134,7 +138,7 @@
         let Some(session) = session else { return false };
         self.idle.remove(session.stage_since(), id);
         if let Some(open_id) = session.begin_close(context.now, &context.buffers, answer) {
-            self.open_ids.release(open_id);
+            release(&self.open_ids, open_id, session.is_id_retained());
         }
         self.idle.add_closing(context.now, id);
         self.schedule_timer(context, id);
@@ -150,7 +154,7 @@
     pub fn take(&mut self, context: &mut LoopContext, id: RequestId) -> Option<Box<Session>> {
         let session = self.take_for_transfer(context, id)?;
         if let Some(open_id) = session.open_id() {
-            self.open_ids.release(open_id);
+            release(&self.open_ids, open_id, session.is_id_retained());
         }
         Some(session)
     }
@@ -193,5 +197,14 @@
     }
 }
 
+/// Releases the open id of a session.
+fn release(open_ids: &OpenIds, open_id: u64, is_retained: bool) {
+    if is_retained {
+        open_ids.release_retained(open_id);
+    } else {
+        open_ids.release(open_id);
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/balancer/src/proxy/answers.rs
+++ b/crates/balancer/src/proxy/answers.rs
@@ -61,6 +61,7 @@
             self.count_reply(id, reply);
         }
         self.log_answer(context, id, answer, cause);
+        self.retain_id_after_run(id);
         if self.sessions.begin_close(context, id, answer_line(answer).as_bytes()) {
             self.continue_close(context, id);
         }
@@ -94,12 +95,22 @@
 
     /// Closes a client's connection at once and drops its unsent output.
     pub(super) fn close_session(&mut self, context: &mut LoopContext, id: RequestId, cause: Cause) {
+        self.retain_id_after_run(id);
         if let Err(violation) = self.guard.close(id) {
             self.report_violation(&violation, cause);
         }
         self.sessions.remove(context, id);
     }
 
+    /// Has the id of a request stay taken after its end if the request may have run and must not run again.
+    fn retain_id_after_run(&mut self, id: RequestId) {
+        if self.guard.is_repeat_harmful(id)
+            && let Some(session) = self.sessions.get_mut(id)
+        {
+            session.retain_id();
+        }
+    }
+
     /// Continues closing a client's connection as far as possible without blocking.
     pub(super) fn continue_close(&mut self, context: &mut LoopContext, id: RequestId) {
         match self.sessions.get_mut(id).map(|session| session.continue_close(&context.buffers)) {
--- a/crates/balancer/src/proxy/requests.rs
+++ b/crates/balancer/src/proxy/requests.rs
@@ -113,9 +113,9 @@
             if previous_server.is_some() { context.now + RESTORE_TIMEOUT } else { request.deadline };
         let opened = SessionRequest { line, open_id: open.id, request, previous_server, deadline };
         if !self.sessions.open_request(context, id, opened) {
-            // This is no valid retry: clients use a new id when they retry or migrate, and an id is released
-            // when its request is answered.
-            return self.reject_malformed(context, id, "the id belongs to another open request");
+            // This is no valid retry: clients use a new id when they retry or migrate. An id is released when its
+            // request is answered, unless that request may have run and must not run again.
+            return self.reject_malformed(context, id, "the id belongs to another request");
         }
         self.guard.receive(id, self.settings.idempotency_of(open.class));
         debug!(event = "received", req = id.0, id = %format_args!("{:x}", open.id), class = open.class);
--- a/crates/balancer/src/proxy/transfer.rs
+++ b/crates/balancer/src/proxy/transfer.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use shorewharf_decisions::interface::{Outcome, Request, RequestId, ServerId};
+use shorewharf_decisions::interface::{Idempotency, Outcome, Request, RequestId, ServerId};
 use shorewharf_driver::{NetworkEvent, ReceivedRequest};
 use shorewharf_lifecycle::{Answer, Cause};
 use shorewharf_protocol::message::Message;
@@ -115,6 +115,12 @@
                 return Err(error);
             }
         };
+        if self.settings.idempotency_of(class) != Idempotency::Idempotent
+            && let Some(session) = self.sessions.get_mut(id)
+        {
+            // The request has run in the other process.
+            session.retain_id();
+        }
         let request = ReceivedRequest {
             id,
             class,
@@ -164,7 +170,7 @@
         for id in self.sessions.ids_where(|session| session.open_id() == Some(open_id)) {
             match self.sessions.get(id).map(Session::stage) {
                 Some(SessionStage::AwaitingAnswer) => {
-                    self.reject_malformed(context, id, "the id belongs to another open request");
+                    self.reject_malformed(context, id, "the id belongs to another request");
                 }
                 Some(SessionStage::Established) => self.migrate(context, id),
                 _ => {}
--- a/crates/balancer/tests/sockets/open_ids.rs
+++ b/crates/balancer/tests/sockets/open_ids.rs
@@ -224,3 +224,68 @@
     stub.successor.wait_for_log("sibling-ids-changed");
     stub.successor.establish_with_id(&server, ID);
 }
+
+/// A configuration whose only class must not run twice.
+fn settings_without_repeats(server: &Server) -> Value {
+    let mut settings = settings(server);
+    settings["settings"]["classes"][0]["semantics"] = json!("non_idempotent");
+    settings
+}
+
+/// Guards against a request that runs twice, as its id comes again after its client has left or its connection has ended.
+#[test]
+fn an_id_that_comes_again_after_its_client_has_left_does_not_run_twice() {
+    let server = Server::new();
+    let settings = settings_without_repeats(&server);
+    let old = start(&settings);
+    let waiting = old.open_with_id(ID, "");
+    let mut upstream = server.accept();
+    upstream.receive_line();
+    end_connection(waiting, upstream);
+    assert_id_is_rejected(&old, &server);
+    let (client, upstream) = old.establish_with_id(&server, "aa");
+    end_connection(client, upstream);
+    assert_eq!(old.open_with_id("aa", "").receive_line(), "ERR");
+    // Nor at the other process of a replacement, whether that has started before or after.
+    let new = start_successor(&old, &settings);
+    old.pause();
+    assert_id_is_rejected(&new, &server);
+    old.resume();
+    new.pause();
+    let (client, upstream) = old.establish_with_id(&server, "bb");
+    end_connection(client, upstream);
+    new.resume();
+    new.wait_for_log("sibling-ids-changed");
+    old.pause();
+    assert_eq!(new.open_with_id("bb", "").receive_line(), "ERR");
+    old.resume();
+    assert!(!server.has_pending_connection(), "a server got a request again");
+}
+
+/// The id of a request that cannot have run may come again.
+#[test]
+fn an_id_whose_request_was_turned_away_by_its_server_is_accepted_again() {
+    let server = Server::new();
+    let mut settings = settings_without_repeats(&server);
+    settings["settings"]["limits"]["max_attempts"] = json!(1);
+    let program = start(&settings);
+    let mut client = program.open_with_id(ID, "");
+    let mut upstream = server.accept();
+    upstream.receive_line();
+    upstream.send_line("BUSY");
+    assert!(client.receive_line().starts_with("BUSY"));
+    let mut again = program.open_with_id(ID, "");
+    if let Err(answer) = server.accept_or_receive(&mut again) {
+        assert_ne!(answer, Received::Line("ERR".into()), "the id stayed taken");
+    }
+}
+
+/// The id of a request may come again if a repeat is harmless.
+#[test]
+fn an_id_whose_request_may_run_again_is_accepted_again() {
+    let server = Server::new();
+    let program = start(&settings(&server));
+    let (client, upstream) = program.establish_with_id(&server, ID);
+    end_connection(client, upstream);
+    program.establish_with_id(&server, ID);
+}
--- a/crates/lifecycle/src/guard.rs
+++ b/crates/lifecycle/src/guard.rs
@@ -126,6 +126,11 @@
         self.requests.get(&id).is_some_and(Request::may_have_run)
     }
 
+    /// Whether a server may have run a request, and a repeat of it is not harmless.
+    pub fn is_repeat_harmful(&self, id: RequestId) -> bool {
+        self.requests.get(&id).is_some_and(Request::is_repeat_harmful)
+    }
+
     /// Number of attempts of a request that were begun.
     pub fn attempts(&self, id: RequestId) -> u32 {
         self.requests.get(&id).map_or(0, Request::attempts)
--- a/crates/lifecycle/src/request.rs
+++ b/crates/lifecycle/src/request.rs
@@ -100,6 +100,11 @@
         self.possible_run.is_some()
     }
 
+    /// Whether a server may have run the request, or may still run it, and a repeat of it is not harmless.
+    pub fn is_repeat_harmful(&self) -> bool {
+        self.may_have_run() && self.idempotency != Idempotency::Idempotent
+    }
+
     /// Whether the client still waits for a server's acceptance or a final answer.
     pub fn is_waiting(&self) -> bool {
         match self.state {
