--- a/crates/balancer/src/event_loop/connection_transfer.rs
+++ b/crates/balancer/src/event_loop/connection_transfer.rs
@@ -6,13 +6,11 @@
 use crate::event_loop::dispatch::EventLoop;
 use crate::handover::messages::TransferredConnection;
 use crate::handover::successors::Successors;
-use crate::workers::pool::WorkerMessage;
+use crate::workers::pool::{PRIMARY_WORKER, WorkerMessage};
 
 /// Maximum number of established connections transferred in one iteration, so that other connections are not
 /// delayed.
 const MAX_TRANSFERS_PER_ITERATION: usize = 64;
-/// The index of the worker that is connected to the other processes.
-const PRIMARY_WORKER: usize = 0;
 
 impl EventLoop {
     /// Adopts a transferred connection at this worker, or passes it to a worker that has far fewer clients.
--- a/crates/balancer/src/event_loop/driver_effects.rs
+++ b/crates/balancer/src/event_loop/driver_effects.rs
@@ -9,10 +9,7 @@
 use crate::event_loop::context::TimerEvent;
 use crate::event_loop::dispatch::EventLoop;
 use crate::servers::probes::Requester;
-use crate::workers::pool::WorkerMessage;
-
-/// The index of the worker that watches discovery and probes servers on behalf of all workers.
-const PRIMARY_WORKER: usize = 0;
+use crate::workers::pool::{PRIMARY_WORKER, WorkerMessage};
 
 impl Effects for EventLoop {
     fn now(&self) -> Micros {
--- a/crates/balancer/src/event_loop/open_id_sharing.rs
+++ b/crates/balancer/src/event_loop/open_id_sharing.rs
@@ -5,10 +5,7 @@
 use crate::clients::open_ids::SiblingLink;
 use crate::event_loop::dispatch::EventLoop;
 use crate::handover::messages::TransferredConnection;
-use crate::workers::pool::{WorkerMessage, WorkerPool};
-
-/// The index of the worker that is connected to the other processes.
-const PRIMARY_WORKER: usize = 0;
+use crate::workers::pool::{PRIMARY_WORKER, WorkerMessage, WorkerPool};
 
 impl EventLoop {
     /// Applies the changes that the other processes have reported of their open ids.
--- a/crates/balancer/src/handover/mod.rs
+++ b/crates/balancer/src/handover/mod.rs
@@ -5,6 +5,7 @@
 pub mod messages;
 pub mod predecessor;
 pub mod siblings;
+mod successor;
 pub mod successors;
 
 use std::io;
--- a/crates/balancer/src/proxy/transfer.rs
+++ b/crates/balancer/src/proxy/transfer.rs
@@ -97,24 +97,34 @@
             into_connection(Connection::resume(server, &context.buffers, &state.server_buffers));
         let is_at_line_boundary = client.is_at_line_boundary();
         let id = self.adopt_session(context, client, &state)?;
-        let server_id = ServerId(state.server);
-        let class = self.settings.names.classes.get(&state.class).copied();
-        let result = match class {
-            _ if are_client_bytes_lost || are_server_bytes_lost => Err(TransferError::InvalidBuffers),
-            None => Err(TransferError::UnknownClass),
-            Some(_) if !self.attempts.adopt(context, id, server_id, server) => {
-                Err(TransferError::NotRegistered)
-            }
-            Some(class) => Ok(class),
-        };
-        let class = match result {
-            Ok(class) => class,
-            Err(error) => {
-                let answer = if is_at_line_boundary { Answer::Migrated } else { Answer::Closed };
-                self.answer(context, id, answer, Cause::Handover);
-                return Err(error);
-            }
+        let adopted = if are_client_bytes_lost || are_server_bytes_lost {
+            Err(TransferError::InvalidBuffers)
+        } else {
+            self.adopt_attempt(context, id, server, &state)
         };
+        if let Err(error) = adopted {
+            let answer = if is_at_line_boundary { Answer::Migrated } else { Answer::Closed };
+            self.answer(context, id, answer, Cause::Handover);
+            return Err(error);
+        }
+        self.relay(context, id);
+        Ok(())
+    }
+
+    /// Adds the attempt of a transferred connection, and reports the connection to the driver.
+    fn adopt_attempt(
+        &mut self,
+        context: &mut LoopContext,
+        id: RequestId,
+        server: Connection,
+        state: &EstablishedConnection,
+    ) -> Result<(), TransferError> {
+        let class =
+            self.settings.names.classes.get(&state.class).copied().ok_or(TransferError::UnknownClass)?;
+        let server_id = ServerId(state.server);
+        if !self.attempts.adopt(context, id, server_id, server) {
+            return Err(TransferError::NotRegistered);
+        }
         if self.settings.idempotency_of(class) != Idempotency::Idempotent
             && let Some(session) = self.sessions.get_mut(id)
         {
@@ -135,7 +145,6 @@
         if let Some(load) = state.load.filter(|load| load.is_finite() && *load > 0.0) {
             context.emit(NetworkEvent::LoadReported(id, load));
         }
-        self.relay(context, id);
         Ok(())
     }
 
--- a/crates/balancer/src/workers/pool.rs
+++ b/crates/balancer/src/workers/pool.rs
@@ -22,6 +22,9 @@
 use crate::handover::messages::TransferredConnection;
 use crate::servers::disabled::AdminChange;
 
+/// The index of the primary worker, which watches discovery, probes servers, and is connected to operators and to other
+/// processes on behalf of all workers.
+pub const PRIMARY_WORKER: usize = 0;
 /// A worker has stalled if its next iteration is overdue by this much.
 const STALL_TIMEOUT: Micros = 1_000_000;
 /// A worker forwards new clients if it has more clients than the least loaded worker by more than a margin.
@@ -132,7 +135,7 @@
 
     /// Whether this is the primary worker, which watches discovery and probes servers for all.
     pub fn is_primary(&self) -> bool {
-        self.index == 0
+        self.index == PRIMARY_WORKER
     }
 
     /// The number of workers.
--- a/crates/balancer/tests/sockets/handover.rs
+++ b/crates/balancer/tests/sockets/handover.rs
@@ -15,6 +15,7 @@
 use shorewharf_emulator::standin::*;
 
 use crate::operators::{wait_for_metric, with_operator_address};
+use crate::upgrade::config_for_successor;
 use crate::{BINARY, start};
 
 /// Established connections in each round.
@@ -120,13 +121,6 @@
     settings
 }
 
-/// Returns these settings for a process that replaces the old one: it listens on the same address.
-fn config_for_successor(settings: &Value, old: &BalancerProcess) -> Value {
-    let mut config = settings.clone();
-    config["listen"] = json!(old.address());
-    config
-}
-
 /// One hand-over with a fault. The fault, and the step at which it occurs, are drawn from the seed.
 #[expect(
     clippy::cognitive_complexity,
--- a/crates/balancer/tests/sockets/open_ids.rs
+++ b/crates/balancer/tests/sockets/open_ids.rs
@@ -6,6 +6,7 @@
 
 use crate::operators::{wait_for_metric, with_operator_address};
 use crate::predecessor_stub::{EstablishedPair, PredecessorStub};
+use crate::upgrade::config_for_successor;
 use crate::{BINARY, start};
 
 const WORKERS: &str = "workers = 3";
@@ -20,9 +21,7 @@
 
 /// Starts a process that replaces `old`.
 fn start_successor(old: &BalancerProcess, settings: &Value) -> BalancerProcess {
-    let mut settings = settings.clone();
-    settings["listen"] = json!(old.address());
-    old.start_sibling(BINARY, &settings)
+    old.start_sibling(BINARY, &config_for_successor(settings, old))
 }
 
 /// Checks that lines are relayed both ways.
@@ -146,9 +145,7 @@
     let mut old = BalancerProcess::start_with_operator(BINARY, &settings, WORKERS);
     let mut connections: Vec<_> =
         (1..=30).map(|id| old.establish_with_id(&server, &format!("{id:x}"))).collect();
-    let mut successor_settings = settings.clone();
-    successor_settings["listen"] = json!(old.address());
-    let new = old.start_sibling_with_operator(BINARY, &successor_settings, WORKERS);
+    let new = old.start_sibling_with_operator(BINARY, &config_for_successor(&settings, &old), WORKERS);
     for id in 1..=30 {
         let mut duplicate = new.open_with_id(&format!("{id:x}"), "");
         assert_eq!(duplicate.receive_line(), "ERR", "id {id}");
--- a/crates/balancer/tests/sockets/predecessor_stub.rs
+++ b/crates/balancer/tests/sockets/predecessor_stub.rs
@@ -11,6 +11,7 @@
 use shorewharf_emulator::standin::*;
 
 use crate::BINARY;
+use crate::upgrade::config_for_successor;
 
 /// An established connection: the ends of its client and its server, and the balancer's ends.
 pub struct EstablishedPair {
@@ -78,9 +79,7 @@
             send_with_descriptors(&stream, &format!("{text}\n"), &[listener.as_fd()]);
             stream
         });
-        let mut config = config.clone();
-        config["listen"] = json!(address);
-        let successor = ended.start_sibling(BINARY, &config);
+        let successor = ended.start_sibling(BINARY, &config_for_successor(config, ended));
         let stream = accepting.join().expect("no panic");
         PredecessorStub { successor, stream: BufReader::new(stream) }
     }
--- a/crates/balancer/tests/sockets/upgrade.rs
+++ b/crates/balancer/tests/sockets/upgrade.rs
@@ -119,7 +119,7 @@
 }
 
 /// Returns the configuration for a process that replaces this one: it listens on the same address.
-fn config_for_successor(config: &Value, program: &BalancerProcess) -> Value {
+pub fn config_for_successor(config: &Value, program: &BalancerProcess) -> Value {
     let mut config = config.clone();
     config["listen"] = json!(program.address());
     config
