Tests: await the end of a connection before its id is used again

Cause: an_id_whose_request_may_run_again_is_accepted_again used the id again as soon as the server had seen the client's end.

Change: two tests wait until the balancer has no open connection left. The one that expects ERR checks more than before, as the id is no longer open.

--- a/crates/balancer/tests/sockets/open_ids.rs
+++ b/crates/balancer/tests/sockets/open_ids.rs
@@ -33,7 +33,8 @@
     assert_eq!(client.receive_line(), "M 1");
 }
 
-/// Ends an established connection. The client leaves first, since an end by the server counts as a failure of the server.
+/// Ends an established connection. The client leaves first, since an end by the server counts as a failure of the server. The
+/// balancer closes the connection, and releases its id, once it has read the server's end as well.
 #[track_caller]
 fn end_connection(client: Connection, mut upstream: Connection) {
     drop(client);
@@ -242,6 +243,7 @@
     assert_id_is_rejected(&old, &server);
     let (client, upstream) = old.establish_with_id(&server, "aa");
     end_connection(client, upstream);
+    wait_for_metric(&old, "concurrent", 0);
     assert_eq!(old.open_with_id("aa", "").receive_line(), "ERR");
     // Nor at the other process of a replacement, whether that has started before or after.
     let new = start_successor(&old, &settings);
@@ -284,5 +286,6 @@
     let program = start(&settings(&server));
     let (client, upstream) = program.establish_with_id(&server, ID);
     end_connection(client, upstream);
+    wait_for_metric(&program, "concurrent", 0);
     program.establish_with_id(&server, ID);
 }
