Log which connection sends at full speed, and which discovery service failed

What the person on call saw: with turns bounded, a client or a server at full speed left no trace at all, and discovery-failed did not say at which address, which matters after a reload.

Change: connection-saturated (client, id, server, which end) once a connection has used up each turn for a second, once until it pauses, through the limiter of client log lines; discovery= in discovery-failed and discovery-recovered. The socket test of floods waits for the line, and serves sound clients without a pause between them.

--- a/crates/balancer/src/clients/session.rs
+++ b/crates/balancer/src/clients/session.rs
@@ -31,6 +31,8 @@
 /// A connection to a server is considered dead if a line of the client goes unanswered for this long. Clients
 /// send a line every 2 s, and must leave a dead connection within 7 s.
 const SILENT_SERVER_TIMEOUT: Micros = 1_500_000;
+/// A connection that has used up each of its turns for this long is logged.
+const SATURATION_TIME: Micros = 1_000_000;
 /// Time after the deadline of a request at which the proxy answers it if the driver has not.
 const OVERDUE_ANSWER_GRACE: Micros = 15_000;
 
@@ -79,6 +81,10 @@
     unanswered_since: Option<Micros>,
     /// The class of the request, until the outcome of the request has been counted.
     uncounted_class: Option<u16>,
+    /// Since when the connection has used up each of its turns; `None` if it has not.
+    saturated_since: Option<Micros>,
+    /// Whether that has been logged.
+    has_logged_saturation: bool,
     /// Whether the session is in the proxy's list of sessions with a message delay to report.
     reports_delay: bool,
     pub(crate) timer: TimerHandle,
@@ -129,6 +135,8 @@
             restored: None,
             unanswered_since: None,
             uncounted_class: None,
+            saturated_since: None,
+            has_logged_saturation: false,
             reports_delay: false,
             timer: TimerHandle::default(),
         }
@@ -250,6 +258,20 @@
         self.reports_delay = reports_delay;
     }
 
+    /// Records whether the connection has used up its turn in this iteration. Returns how long it has done so without a
+    /// pause, once that is long enough to be logged and has not been logged.
+    pub fn record_turn(&mut self, now: Micros, is_used_up: bool) -> Option<Micros> {
+        if !is_used_up {
+            self.saturated_since = None;
+            self.has_logged_saturation = false;
+            return None;
+        }
+        let duration = now - *self.saturated_since.get_or_insert(now);
+        let is_due = duration >= SATURATION_TIME && !self.has_logged_saturation;
+        self.has_logged_saturation |= is_due;
+        is_due.then_some(duration)
+    }
+
     /// When the oldest unanswered line was received, if that is so long ago that the connection to the server
     /// is considered dead.
     pub fn server_silent_since(&self, context: &LoopContext) -> Option<Micros> {
--- a/crates/balancer/src/discovery/client.rs
+++ b/crates/balancer/src/discovery/client.rs
@@ -296,7 +296,7 @@
 
     fn on_list(&mut self, list: EndpointUpdate) -> DiscoveryEvent {
         if std::mem::replace(&mut self.has_failed, false) {
-            info!(event = "discovery-recovered", index = list.index);
+            info!(event = "discovery-recovered", discovery = %self.address, index = list.index);
         }
         self.index = list.index;
         DiscoveryEvent::List(list)
@@ -306,7 +306,7 @@
         self.watch = None;
         self.timer.cancel(context);
         if !std::mem::replace(&mut self.has_failed, true) {
-            warn!(event = "discovery-failed", why = error.to_string());
+            warn!(event = "discovery-failed", discovery = %self.address, why = error.to_string());
         }
         if let Some(pacing) = self.pacing {
             self.open_at = Some(context.now + pacing.retry_delay(self.rng.random()));
--- a/crates/balancer/src/proxy/established.rs
+++ b/crates/balancer/src/proxy/established.rs
@@ -3,7 +3,7 @@
 use shorewharf_decisions::interface::{Outcome, RequestId, ServerId};
 use shorewharf_driver::NetworkEvent;
 use shorewharf_lifecycle::{Answer, Cause};
-use shorewharf_units::Micros;
+use shorewharf_units::{MICROS_PER_MILLISECOND, Micros};
 use tracing::{debug, warn};
 
 use super::Proxy;
@@ -16,7 +16,7 @@
 /// One unit of load of the decisions in the unit of `LOAD` lines, which is microseconds of work per second.
 const LOAD_MICROS_PER_UNIT: f64 = 1e6;
 /// Converts the delays in `LOAD` lines, which are in milliseconds, to microseconds.
-const MICROS_PER_MILLISECOND: f64 = 1e3;
+const LOAD_MICROS_PER_MILLISECOND: f64 = 1e3;
 
 impl Proxy {
     /// Continues relaying or closing a connection that was interrupted to serve other connections.
@@ -47,9 +47,13 @@
         if outcome.has_more {
             self.unfinished.add(id);
         }
+        let saturated_for = session.record_turn(context.now, outcome.has_more);
         if session.begin_reporting_delay() {
             self.delay_reporters.push(id);
         }
+        if let Some(duration) = saturated_for {
+            self.log_saturation(context, id, &outcome, duration);
+        }
         for figure in &outcome.load_figures {
             self.on_load_figure(context, id, server, *figure);
         }
@@ -59,6 +63,23 @@
         self.apply_closes(context, id, &outcome);
     }
 
+    /// Logs a connection at full speed. Other connections are served beside it, so nothing else is done about it.
+    fn log_saturation(
+        &mut self,
+        context: &mut LoopContext,
+        id: RequestId,
+        outcome: &RelayOutcome,
+        duration: Micros,
+    ) {
+        let Some(session) = self.sessions.get(id) else { return };
+        let (client, open_id) = (session.client_address(), session.open_id().unwrap_or(0));
+        if self.log_limiter.acquire(context) {
+            let (server, ms) = (self.server_name(id), duration / MICROS_PER_MILLISECOND);
+            let (client_lines, server_lines) = (outcome.has_client_lines, outcome.has_server_lines);
+            warn!(event = "connection-saturated", client = %client, id = %format_args!("{open_id:x}"), server, client_lines, server_lines, ms);
+        }
+    }
+
     /// Ends a connection on which one side has sent a line over the protocol's limit. It counts against the
     /// server only if the server sent that line.
     fn on_line_too_long(&mut self, context: &mut LoopContext, id: RequestId, side: Side) {
@@ -106,7 +127,7 @@
         match kind {
             LoadFigure::Load => context.emit(NetworkEvent::LoadReported(id, figure / LOAD_MICROS_PER_UNIT)),
             LoadFigure::Delay => {
-                let delay = (figure * MICROS_PER_MILLISECOND) as Micros;
+                let delay = (figure * LOAD_MICROS_PER_MILLISECOND) as Micros;
                 context.emit(NetworkEvent::MessageDelayReported(server, delay));
             }
             LoadFigure::Ambiguous => {}
--- a/crates/balancer/tests/sockets/flooding.rs
+++ b/crates/balancer/tests/sockets/flooding.rs
@@ -50,8 +50,12 @@
         // The client leaves first: an end by the server would count as a failure of the server.
         drop(sound);
         assert_eq!(sound_upstream.receive(), Received::Fin);
-        std::thread::sleep(Duration::from_millis(20));
     }
+    // The person on call finds out which connection it is.
+    let flooding_client = client.stream().local_addr().expect("connected");
+    assert!(
+        program.wait_for_log("connection-saturated").contains(&format!("client={flooding_client} id=9b1f"))
+    );
     for connection in [&client, &upstream] {
         // Fails if the other end has ended the connection first.
         let _ = connection.stream().shutdown(Shutdown::Both);
