Keep the ids that must not come again when the process that had them ends

What callers saw: an id whose request must not run twice was refused by both processes of a replacement, but accepted again by the new one once the old one had ended.

Cause: the new process held such ids only for its link to the old one, which it dropped with the link. Beside it, an id was free between the acknowledgement of its connection and the report of the process that took it.

Result: the extended test passes. All tests of the package pass.

--- a/crates/balancer/src/clients/open_ids.rs
+++ b/crates/balancer/src/clients/open_ids.rs
@@ -8,6 +8,7 @@
 //! such ids is limited; the oldest are forgotten first.
 
 use std::collections::{HashMap, VecDeque};
+use std::fmt;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -25,6 +26,47 @@
     Successor(u64),
 }
 
+impl fmt::Display for SiblingLink {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            SiblingLink::Predecessor => write!(f, "the predecessor process"),
+            SiblingLink::Successor(number) => write!(f, "successor process {number}"),
+        }
+    }
+}
+
+/// What holds an id that can't be claimed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IdHolder {
+    /// An open request of this process.
+    OpenRequest,
+    /// An open request of another process.
+    Sibling(SiblingLink),
+    /// A request that has ended and must not run again.
+    EndedRequest,
+}
+
+impl fmt::Display for IdHolder {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            IdHolder::OpenRequest => write!(f, "another open request"),
+            IdHolder::Sibling(link) => write!(f, "another open request of {link}"),
+            IdHolder::EndedRequest => write!(f, "a request that has ended and must not run again"),
+        }
+    }
+}
+
+/// The state of an id as another process has to know it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IdState {
+    /// A request may use the id.
+    Free,
+    /// A request with the id is open.
+    Open,
+    /// A request with the id has ended that must not run again.
+    Retained,
+}
+
 /// The holders of one id.
 #[derive(Debug, Default)]
 struct Holders {
@@ -46,9 +88,21 @@
         self.claims > 0 || !self.siblings.is_empty()
     }
 
-    /// Whether the id is held, if the process behind `link` is left out of account.
-    fn is_held_apart_from(&self, link: SiblingLink) -> bool {
-        self.claims > 0 || self.is_retained || self.siblings.iter().any(|holder| *holder != link)
+    fn add_sibling(&mut self, link: SiblingLink) {
+        if !self.siblings.contains(&link) {
+            self.siblings.push(link);
+        }
+    }
+
+    /// The state of the id, if the process behind `link` is left out of account.
+    fn state_apart_from(&self, link: SiblingLink) -> IdState {
+        if self.claims > 0 || self.siblings.iter().any(|holder| *holder != link) {
+            IdState::Open
+        } else if self.is_retained {
+            IdState::Retained
+        } else {
+            IdState::Free
+        }
     }
 }
 
@@ -143,8 +197,18 @@
 
     /// Releases one claim of an id, and retains the id: the request may have run and must not run again.
     pub fn release_retained(&self, id: u64) {
+        self.retain_and(id, |holders| holders.claims = holders.claims.saturating_sub(1));
+    }
+
+    /// Retains an id, as another process does.
+    pub fn retain(&self, id: u64) {
+        self.retain_and(id, |_| ());
+    }
+
+    /// Retains an id, and changes its holders in the same step.
+    fn retain_and(&self, id: u64, change: impl FnOnce(&mut Holders)) {
         let is_new = self.change(id, |holders| {
-            holders.claims = holders.claims.saturating_sub(1);
+            change(holders);
             !std::mem::replace(&mut holders.is_retained, true)
         });
         if !is_new {
@@ -159,15 +223,19 @@
         }
     }
 
-    /// Records that the process behind `link` has an open request with this id.
-    pub fn hold_for_sibling(&self, id: u64, link: SiblingLink) {
+    /// Releases the claim of a connection that now belongs to the process behind `link`, which holds the id from then on.
+    pub fn transfer_to_sibling(&self, id: u64, link: SiblingLink) {
         self.change(id, |holders| {
-            if !holders.siblings.contains(&link) {
-                holders.siblings.push(link);
-            }
+            holders.claims = holders.claims.saturating_sub(1);
+            holders.add_sibling(link);
         });
     }
 
+    /// Records that the process behind `link` has an open request with this id.
+    pub fn hold_for_sibling(&self, id: u64, link: SiblingLink) {
+        self.change(id, |holders| holders.add_sibling(link));
+    }
+
     /// Records that the process behind `link` has no open request with this id any more.
     pub fn release_for_sibling(&self, id: u64, link: SiblingLink) {
         self.change(id, |holders| holders.siblings.retain(|holder| *holder != link));
@@ -180,14 +248,29 @@
         }
     }
 
-    /// Whether an id is held, if the process behind `link` is left out of account.
-    pub fn is_held_apart_from(&self, id: u64, link: SiblingLink) -> bool {
-        self.shard(id).get(&id).is_some_and(|holders| holders.is_held_apart_from(link))
+    /// The state of an id, if the process behind `link` is left out of account.
+    pub fn state_apart_from(&self, id: u64, link: SiblingLink) -> IdState {
+        self.shard(id).get(&id).map_or(IdState::Free, |holders| holders.state_apart_from(link))
+    }
+
+    /// The holder because of which an id can't be claimed, for the log; `None` if it can.
+    pub fn holder(&self, id: u64) -> Option<IdHolder> {
+        let shard = self.shard(id);
+        let holders = shard.get(&id)?;
+        if holders.claims > 0 {
+            return Some(IdHolder::OpenRequest);
+        }
+        Some(holders.siblings.first().map_or(IdHolder::EndedRequest, |link| IdHolder::Sibling(*link)))
+    }
+
+    /// The ids of all open requests of this process and of its siblings.
+    pub fn open(&self) -> Vec<u64> {
+        self.ids_where(Holders::is_open)
     }
 
-    /// All ids that are held by this process or by any of its siblings.
-    pub fn all(&self) -> Vec<u64> {
-        self.ids_where(|_| true)
+    /// The ids that are retained.
+    pub fn retained(&self) -> Vec<u64> {
+        self.ids_where(|holders| holders.is_retained)
     }
 
     fn ids_where(&self, condition: impl Fn(&Holders) -> bool) -> Vec<u64> {
--- a/crates/balancer/src/clients/open_ids/tests.rs
+++ b/crates/balancer/src/clients/open_ids/tests.rs
@@ -30,7 +30,7 @@
     assert!(ids.claim(6));
     ids.release(5);
     ids.release(6);
-    assert_eq!(ids.all(), Vec::<u64>::new(), "released ids use memory");
+    assert!(ids.open().is_empty() && !ids.contains(5), "released ids use memory");
 }
 
 #[test]
@@ -55,10 +55,11 @@
     assert!(ids.has_changed());
     assert_eq!(ids.take_changed(), [5, 6]);
     assert!(!ids.has_changed());
-    assert_eq!([5, 6].map(|id| ids.is_held_apart_from(id, SUCCESSOR)), [true, false]);
-    assert_eq!([5, 6].map(|id| ids.is_held_apart_from(id, SiblingLink::Predecessor)), [true, true]);
+    let states = |link| [5, 6].map(|id| ids.state_apart_from(id, link));
+    assert_eq!(states(SUCCESSOR), [IdState::Open, IdState::Free]);
+    assert_eq!(states(SiblingLink::Predecessor), [IdState::Open, IdState::Open]);
     ids.release(5);
-    assert_eq!((ids.take_changed(), ids.all()), (vec![5], vec![6]));
+    assert_eq!((ids.take_changed(), ids.open()), (vec![5], vec![6]));
 }
 
 /// Guards against a request that runs again under the same id, and against ids that use ever more memory.
@@ -70,11 +71,28 @@
     assert!(!ids.claim(5));
     assert!(ids.claim_restored(5), "a connection from before the start could not come again");
     ids.release_retained(5);
-    assert!(ids.is_held_apart_from(5, SUCCESSOR), "the other process would accept the id");
+    assert_eq!(
+        ids.state_apart_from(5, SUCCESSOR),
+        IdState::Retained,
+        "the other process would accept the id"
+    );
+    assert_eq!(ids.holder(5), Some(IdHolder::EndedRequest));
     for id in 0..MAX_RETAINED_IDS as u64 {
         ids.claim_restored(100 + id);
         ids.release_retained(100 + id);
     }
     assert!(ids.claim(5));
-    assert_eq!(ids.all().len(), MAX_RETAINED_IDS + 1);
+    assert_eq!((ids.retained().len(), ids.open()), (MAX_RETAINED_IDS, vec![5]));
+}
+
+/// Guards against a moment at which nobody holds the id of a connection that another process has taken.
+#[test]
+fn an_id_stays_held_when_its_connection_goes_to_another_process() {
+    let ids = OpenIds::default();
+    assert!(ids.claim(5));
+    ids.transfer_to_sibling(5, SUCCESSOR);
+    assert!(!ids.claim(5));
+    assert_eq!(ids.holder(5), Some(IdHolder::Sibling(SUCCESSOR)));
+    ids.release_for_sibling(5, SUCCESSOR);
+    assert_eq!(ids.holder(5), None);
 }
--- a/crates/balancer/src/clients/sessions.rs
+++ b/crates/balancer/src/clients/sessions.rs
@@ -7,7 +7,7 @@
 use shorewharf_decisions::interface::RequestId;
 
 use crate::clients::idle_connections::IdleConnections;
-use crate::clients::open_ids::OpenIds;
+use crate::clients::open_ids::{IdHolder, OpenIds};
 use crate::clients::session::{Session, SessionRequest, SessionStage, TransferredSession};
 use crate::event_loop::context::{LoopContext, TimerEvent};
 use crate::event_loop::poll::EventSource;
@@ -168,6 +168,11 @@
         Some(session)
     }
 
+    /// What holds an open id that can't be claimed.
+    pub fn id_holder(&self, open_id: u64) -> Option<IdHolder> {
+        self.open_ids.holder(open_id)
+    }
+
     /// Releases the open id of a transferred connection that could not be adopted.
     pub fn release_transferred(&mut self, open_id: u64) {
         self.open_ids.release(open_id);
--- a/crates/balancer/src/event_loop/handover.rs
+++ b/crates/balancer/src/event_loop/handover.rs
@@ -55,7 +55,8 @@
             endpoints: self.endpoint_list(),
             learned: export_state(),
             exported_at: self.context.now,
-            open_ids: self.open_ids.all(),
+            open_ids: self.open_ids.open(),
+            retained_ids: self.open_ids.retained(),
         };
         if let Some(successors) = &mut self.siblings.successors {
             successors.accept(&self.context.registry, || offer.clone());
--- a/crates/balancer/src/handover/id_announcements.rs
+++ b/crates/balancer/src/handover/id_announcements.rs
@@ -1,32 +1,39 @@
-//! Tracks which open ids another process of this balancer knows from this one.
+//! Tracks which ids another process of this balancer knows from this one.
 
-use std::collections::HashSet;
+use std::collections::HashMap;
 
 use super::messages::OpenIdChange;
+use crate::clients::open_ids::IdState;
 
-/// The open ids that have been announced to a process and not withdrawn.
+/// The ids that have been announced to a process as open or retained, and not been withdrawn.
 #[derive(Debug, Default)]
-pub struct IdAnnouncements(HashSet<u64>);
+pub struct IdAnnouncements(HashMap<u64, IdState>);
 
 impl IdAnnouncements {
     /// Creates the state of a process that knows these ids.
-    pub fn new(announced: &[u64]) -> Self {
-        IdAnnouncements(announced.iter().copied().collect())
+    pub fn new(open: &[u64], retained: &[u64]) -> Self {
+        let retained = retained.iter().map(|id| (*id, IdState::Retained));
+        IdAnnouncements(retained.chain(open.iter().map(|id| (*id, IdState::Open))).collect())
     }
 
-    /// Updates the state of these ids. `is_held` tells whether the process must know an id. Returns the changes to send.
-    pub fn update(&mut self, ids: &[u64], is_held: impl Fn(u64) -> bool) -> Vec<OpenIdChange> {
-        let mut changes = Vec::new();
-        for id in ids.iter().copied() {
-            if is_held(id) {
-                let is_new = self.0.insert(id);
-                changes.extend(is_new.then_some(OpenIdChange::Opened(id)));
-            } else {
-                let was_announced = self.0.remove(&id);
-                changes.extend(was_announced.then_some(OpenIdChange::Closed(id)));
-            }
+    /// Updates the state of these ids to what `state_of` returns. Returns the changes to send.
+    pub fn update(&mut self, ids: &[u64], state_of: impl Fn(u64) -> IdState) -> Vec<OpenIdChange> {
+        ids.iter().filter_map(|id| self.update_one(*id, state_of(*id))).collect()
+    }
+
+    fn update_one(&mut self, id: u64, state: IdState) -> Option<OpenIdChange> {
+        let previous = match state {
+            IdState::Free => self.0.remove(&id),
+            state => self.0.insert(id, state),
+        };
+        match (previous, state) {
+            (previous, state) if previous == Some(state) => None,
+            (_, IdState::Open) => Some(OpenIdChange::Opened(id)),
+            (_, IdState::Retained) => Some(OpenIdChange::Retained(id)),
+            (Some(IdState::Open), IdState::Free) => Some(OpenIdChange::Closed(id)),
+            // The other process retains the id by itself.
+            (_, IdState::Free) => None,
         }
-        changes
     }
 }
 
--- a/crates/balancer/src/handover/messages.rs
+++ b/crates/balancer/src/handover/messages.rs
@@ -45,6 +45,9 @@
     /// The ids of the open requests of the old process and of its other siblings. Processes of earlier versions send none.
     #[serde(default, rename = "open", skip_serializing_if = "Vec::is_empty")]
     pub open_ids: Vec<u64>,
+    /// The ids of ended requests that must not run again.
+    #[serde(default, rename = "retained", skip_serializing_if = "Vec::is_empty")]
+    pub retained_ids: Vec<u64>,
 }
 
 /// A change of the open requests of a process, which the process at the other end must know so that no id has two of them.
@@ -55,6 +58,8 @@
     Opened(u64),
     /// `CLOSED ID`: no request with this id is open any more.
     Closed(u64),
+    /// `RETAINED ID`: a request with this id has ended and must not run again.
+    Retained(u64),
 }
 
 impl OpenIdChange {
@@ -63,13 +68,19 @@
         match self {
             Self::Opened(id) => open_ids.hold_for_sibling(id, link),
             Self::Closed(id) => open_ids.release_for_sibling(id, link),
+            Self::Retained(id) => {
+                open_ids.retain(id);
+                open_ids.release_for_sibling(id, link);
+            }
         }
     }
 
     /// Parses a line without its line end. Returns `None` for another message.
     fn parse(line: &[u8]) -> Option<Self> {
         let opened = parse_number(line, b"OPENED ").map(Self::Opened);
-        opened.or_else(|| parse_number(line, b"CLOSED ").map(Self::Closed))
+        opened
+            .or_else(|| parse_number(line, b"CLOSED ").map(Self::Closed))
+            .or_else(|| parse_number(line, b"RETAINED ").map(Self::Retained))
     }
 }
 
@@ -79,6 +90,7 @@
         match self {
             Self::Opened(id) => writeln!(f, "OPENED {id}"),
             Self::Closed(id) => writeln!(f, "CLOSED {id}"),
+            Self::Retained(id) => writeln!(f, "RETAINED {id}"),
         }
     }
 }
@@ -190,7 +202,7 @@
     Draining,
     /// `KEEPS`: the old process keeps every connection that has not been acknowledged.
     KeepsUnacknowledged,
-    /// `OPENED ID` or `CLOSED ID`.
+    /// `OPENED ID`, `CLOSED ID` or `RETAINED ID`.
     OpenIdChange(OpenIdChange),
 }
 
@@ -237,7 +249,7 @@
     Terminate,
     /// `TOOK N`: the first N connections that were sent over this socket belong to the new process now.
     Acknowledged(u64),
-    /// `OPENED ID` or `CLOSED ID`.
+    /// `OPENED ID`, `CLOSED ID` or `RETAINED ID`.
     OpenIdChange(OpenIdChange),
 }
 
--- a/crates/balancer/src/handover/predecessor.rs
+++ b/crates/balancer/src/handover/predecessor.rs
@@ -110,6 +110,12 @@
     Ok(ReceivedHandover { listeners, state, stream })
 }
 
+/// The ids in the state of the old process, as changes to apply.
+fn id_changes(state: HandoverState) -> Vec<OpenIdChange> {
+    let retained = state.retained_ids.into_iter().map(OpenIdChange::Retained);
+    retained.chain(state.open_ids.into_iter().map(OpenIdChange::Opened)).collect()
+}
+
 /// The connection to the old process, while that runs.
 #[derive(Debug)]
 pub struct Predecessor {
@@ -166,8 +172,8 @@
             keeps_unacknowledged: false,
             is_unreachable: false,
             has_more: false,
-            id_changes: handover.state.open_ids.into_iter().map(OpenIdChange::Opened).collect(),
-            announced_ids: IdAnnouncements::default(),
+            announced_ids: IdAnnouncements::new(&[], &handover.state.retained_ids),
+            id_changes: id_changes(handover.state),
         })
     }
 
@@ -246,8 +252,8 @@
     /// Announces to the old process which of these ids this process, or a successor of it, holds. What the socket does not
     /// accept is dropped: the old process does not run then, and accepts no requests either.
     pub fn announce_ids(&mut self, ids: &[u64], open_ids: &OpenIds) {
-        let is_held = |id| open_ids.is_held_apart_from(id, SiblingLink::Predecessor);
-        for change in self.announced_ids.update(ids, is_held) {
+        let state_of = |id| open_ids.state_apart_from(id, SiblingLink::Predecessor);
+        for change in self.announced_ids.update(ids, state_of) {
             if self.is_unreachable {
                 return;
             }
--- a/crates/balancer/src/handover/successor.rs
+++ b/crates/balancer/src/handover/successor.rs
@@ -12,6 +12,7 @@
 
 use super::id_announcements::IdAnnouncements;
 use super::messages::{MAX_LISTENERS, OpenIdChange, SuccessorMessage, TransferredConnection, take_line};
+use crate::clients::open_ids::IdState;
 
 /// Maximum length of a line from a successor, in bytes.
 const MAX_LINE_BYTES: usize = 64;
@@ -150,12 +151,12 @@
         &mut self,
         listeners: &[TcpListener],
         ids: &[u64],
-        is_held: impl Fn(u64) -> bool,
+        state_of: impl Fn(u64) -> IdState,
     ) {
         if self.is_stalled || self.outbox.len() > MAX_UNREAD_ID_BYTES {
             return;
         }
-        for change in self.announced_ids.update(ids, is_held) {
+        for change in self.announced_ids.update(ids, state_of) {
             self.outbox.extend_from_slice(change.to_string().as_bytes());
         }
         self.flush(listeners);
--- a/crates/balancer/src/handover/successors.rs
+++ b/crates/balancer/src/handover/successors.rs
@@ -85,7 +85,7 @@
             // Serializing can't fail: the state is text and numbers.
             let Ok(mut outbox) = serde_json::to_vec(&state) else { continue };
             outbox.push(b'\n');
-            let announced_ids = IdAnnouncements::new(&state.open_ids);
+            let announced_ids = IdAnnouncements::new(&state.open_ids, &state.retained_ids);
             self.by_number.insert(number, Successor::new(stream, outbox, announced_ids));
             self.on_ready(registry, 0, number);
         }
@@ -178,15 +178,16 @@
         !self.by_number.is_empty()
     }
 
-    /// Applies the changes of open ids that the successors have reported, and releases the ids of connections that
-    /// belong to a successor now. Returns the number of reported changes.
+    /// Applies the changes of open ids that the successors have reported, and has them hold the ids of connections that
+    /// belong to them now. Returns the number of reported changes.
     pub fn apply_id_changes(&mut self, open_ids: &OpenIds) -> usize {
         let mut count = 0;
         for (number, successor) in &mut self.by_number {
             let link = SiblingLink::Successor(*number);
             count += successor.id_changes.len();
+            // The process reports changes of these ids only after it has acknowledged the connections.
+            successor.acknowledged_ids.drain(..).for_each(|id| open_ids.transfer_to_sibling(id, link));
             successor.id_changes.drain(..).for_each(|change| change.apply(open_ids, link));
-            successor.acknowledged_ids.drain(..).for_each(|id| open_ids.release(id));
         }
         for (number, acknowledged_ids) in self.ended.drain(..) {
             open_ids.release_sibling(SiblingLink::Successor(number));
@@ -199,7 +200,7 @@
     pub fn announce_ids(&mut self, ids: &[u64], open_ids: &OpenIds) {
         for (number, successor) in &mut self.by_number {
             let link = SiblingLink::Successor(*number);
-            successor.announce_ids(&self.listeners, ids, |id| open_ids.is_held_apart_from(id, link));
+            successor.announce_ids(&self.listeners, ids, |id| open_ids.state_apart_from(id, link));
         }
     }
 
--- a/crates/balancer/src/proxy/requests.rs
+++ b/crates/balancer/src/proxy/requests.rs
@@ -115,7 +115,7 @@
         if !self.sessions.open_request(context, id, opened) {
             // This is no valid retry: clients use a new id when they retry or migrate. An id is released when its
             // request is answered, unless that request may have run and must not run again.
-            return self.reject_malformed(context, id, "the id belongs to another request");
+            return self.reject_duplicate(context, id, open.id);
         }
         self.guard.receive(id, self.settings.idempotency_of(open.class));
         debug!(event = "received", req = id.0, id = %format_args!("{:x}", open.id), class = open.class);
@@ -129,6 +129,15 @@
         }
     }
 
+    /// Answers a client whose request has the id of another one with an error.
+    pub(super) fn reject_duplicate(&mut self, context: &mut LoopContext, id: RequestId, open_id: u64) {
+        let why = match self.sessions.id_holder(open_id) {
+            Some(holder) => format!("the id belongs to {holder}: {open_id:x}"),
+            None => format!("the id belonged to another open request a moment ago: {open_id:x}"),
+        };
+        self.reject_malformed(context, id, &why);
+    }
+
     fn set_class(&mut self, id: RequestId, class: usize) {
         if let Some(session) = self.sessions.get_mut(id) {
             session.set_class(class);
--- a/crates/balancer/src/proxy/transfer.rs
+++ b/crates/balancer/src/proxy/transfer.rs
@@ -179,7 +179,7 @@
         for id in self.sessions.ids_where(|session| session.open_id() == Some(open_id)) {
             match self.sessions.get(id).map(Session::stage) {
                 Some(SessionStage::AwaitingAnswer) => {
-                    self.reject_malformed(context, id, "the id belongs to another request");
+                    self.reject_duplicate(context, id, open_id);
                 }
                 Some(SessionStage::Established) => self.migrate(context, id),
                 _ => {}
--- a/crates/balancer/tests/sockets/handover.rs
+++ b/crates/balancer/tests/sockets/handover.rs
@@ -57,7 +57,7 @@
 }
 
 /// A stub of a successor: it connects to the old process, reports that it serves, and is then controlled by the test.
-struct SuccessorStub {
+pub struct SuccessorStub {
     stream: UnixStream,
     /// All descriptors received.
     descriptors: Vec<OwnedFd>,
@@ -67,7 +67,7 @@
 
 impl SuccessorStub {
     /// Connects to the old process and reads its state, the first line.
-    fn connect(old: &BalancerProcess) -> Self {
+    pub fn connect(old: &BalancerProcess) -> Self {
         let folder = format!("shorewharf-{}", old.address().to_string().replace(':', "-"));
         let socket = old.shared_folder().join(folder).join("process");
         let stream = UnixStream::connect(socket).expect("the old process listens");
@@ -78,7 +78,7 @@
     }
 
     /// Sends bytes; false if the old process has closed the connection.
-    fn send(&mut self, bytes: &str) -> bool {
+    pub fn send(&mut self, bytes: &str) -> bool {
         self.stream.write_all(bytes.as_bytes()).is_ok()
     }
 
@@ -106,7 +106,7 @@
     }
 
     /// Reads lines until this many connections have been transferred.
-    fn read_connections(&mut self, count: usize) {
+    pub fn read_connections(&mut self, count: usize) {
         let mut transferred = 0;
         while transferred < count {
             transferred += usize::from(self.read_line().starts_with("STANDS "));
--- a/crates/balancer/tests/sockets/open_ids.rs
+++ b/crates/balancer/tests/sockets/open_ids.rs
@@ -4,6 +4,7 @@
 use serde_json::{Value, json};
 use shorewharf_emulator::standin::*;
 
+use crate::handover::SuccessorStub;
 use crate::operators::{wait_for_metric, with_operator_address};
 use crate::predecessor_stub::{EstablishedPair, PredecessorStub};
 use crate::upgrade::config_for_successor;
@@ -192,6 +193,34 @@
     assert_id_is_rejected(&stub.successor, &server);
 }
 
+/// Guards against an id that is free while its connection is in transit, and against a connection that can't come back because of
+/// that: the transfer fails, and the client is to be migrated. The successor is one of an earlier version, which ignores ids.
+#[test]
+fn an_id_stays_taken_while_its_connection_is_in_transit_and_after_the_transfer_has_failed() {
+    let server = Server::new();
+    let mut old = start(&settings(&server));
+    let (mut client, _upstream) = old.establish_with_id(&server, ID);
+    // Accepted before the shutdown, in which the old process accepts no more clients.
+    let mut duplicates = [old.connect(), old.connect()];
+    for duplicate in &mut duplicates {
+        duplicate.send_line("PING");
+        assert_eq!(duplicate.receive_line(), "PONG");
+    }
+    let mut successor = SuccessorStub::connect(&old);
+    assert!(successor.send("TAKES 2\nSERVES\n"));
+    old.sync();
+    old.terminate();
+    successor.read_connections(1);
+    let duplicate_line = format!("OPEN {ID} 7f3a c=chat,t=acme,d=20000");
+    duplicates[0].send_line(&duplicate_line);
+    assert_eq!(duplicates[0].receive_line(), "ERR");
+    drop(successor);
+    duplicates[1].send_line(&duplicate_line);
+    assert_eq!(duplicates[1].receive_line(), "ERR");
+    assert_eq!(client.receive_line(), "MOVE");
+    assert!(old.wait().success());
+}
+
 /// Guards against a sound client that is cut off without `MOVE`, as its connection can't be adopted.
 #[test]
 fn a_client_whose_connection_cannot_be_adopted_is_migrated_unless_it_has_half_a_line() {
@@ -235,7 +264,7 @@
 fn an_id_that_comes_again_after_its_client_has_left_does_not_run_twice() {
     let server = Server::new();
     let settings = settings_without_repeats(&server);
-    let old = start(&settings);
+    let mut old = start(&settings);
     let waiting = old.open_with_id(ID, "");
     let mut upstream = server.accept();
     upstream.receive_line();
@@ -259,6 +288,12 @@
     assert_eq!(new.open_with_id("bb", "").receive_line(), "ERR");
     old.resume();
     assert!(!server.has_pending_connection(), "a server got a request again");
+    // Nor once the process that had it has ended.
+    old.terminate();
+    assert!(old.wait().success());
+    for id in [ID, "aa", "bb"] {
+        assert_eq!(new.open_with_id(id, "").receive_line(), "ERR", "id {id}");
+    }
 }
 
 /// The id of a request that cannot have run may come again.
