Place a request only once the other process of a replacement knows its id

Cause: each process reports its open ids to the other, but placed a request at once, without knowing whether a report of the other process was on its way.

Change: a process sends SYNC after its changes and places a request once SYNCED has come. Each process sends its own changes before that answer, so a claim of the other one is known by then; if both have the id, the older process keeps it and the other request gets ERR. A request waits 0.5 s and a quarter of its timeout at most; when one has waited 0.5 s (log open-ids-unconfirmed), nothing waits until the other process answers again. Processes of earlier versions are not waited for.

--- a/crates/balancer/src/clients/open_ids.rs
+++ b/crates/balancer/src/clients/open_ids.rs
@@ -9,9 +9,10 @@
 
 use std::collections::{HashMap, VecDeque};
 use std::fmt;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use super::id_changes::IdChanges;
+
 /// Number of locks over which the ids are spread, so that workers seldom contend for a lock.
 const SHARDS: usize = 16;
 /// The number of ids of ended requests that stay taken. Each takes about 60 bytes.
@@ -111,11 +112,9 @@
 #[derive(Debug)]
 struct Shared {
     shards: [Mutex<Shard>; SHARDS],
-    /// The ids whose holders have changed since they were last taken; recorded only while there are siblings.
-    changed: Mutex<Vec<u64>>,
+    changes: IdChanges,
     /// The ids that are retained, the oldest first.
     retained: Mutex<VecDeque<u64>>,
-    has_siblings: AtomicBool,
 }
 
 /// The ids of open requests, shared by all workers.
@@ -126,9 +125,8 @@
     fn default() -> Self {
         OpenIds(Arc::new(Shared {
             shards: std::array::from_fn(|_| Mutex::default()),
-            changed: Mutex::default(),
+            changes: IdChanges::default(),
             retained: Mutex::default(),
-            has_siblings: AtomicBool::new(false),
         }))
     }
 }
@@ -143,8 +141,13 @@
         lock(&self.0.shards[id as usize % SHARDS])
     }
 
-    /// Changes the holders of an id, and records that for the siblings.
+    /// Changes the holders of an id, and records that for the siblings. Returns the result of `change`.
     fn change<T>(&self, id: u64, change: impl FnOnce(&mut Holders) -> T) -> T {
+        self.change_numbered(id, change).0
+    }
+
+    /// Does the same as [`OpenIds::change`], and returns the number of the change too; 0 without siblings.
+    fn change_numbered<T>(&self, id: u64, change: impl FnOnce(&mut Holders) -> T) -> (T, u64) {
         let mut shard = self.shard(id);
         let holders = shard.entry(id).or_default();
         let result = change(holders);
@@ -152,33 +155,42 @@
             shard.remove(&id);
         }
         drop(shard);
-        if self.0.has_siblings.load(Ordering::Relaxed) {
-            lock(&self.0.changed).push(id);
-        }
-        result
+        (result, self.0.changes.record(id))
     }
 
-    /// Claims an id for an open request. Returns false if another open request has it, in this process or in another one, or if
-    /// it is retained.
-    pub fn claim(&self, id: u64) -> bool {
+    /// Claims an id for an open request. Returns `None` if another open request has it, in this process or in another one, or if
+    /// it is retained; otherwise the number of the change, which [`IdChanges::is_confirmed`] takes.
+    pub fn claim(&self, id: u64) -> Option<u64> {
         self.claim_if(id, Holders::is_empty)
     }
 
     /// Claims the id of a connection from before the start of this process, which comes again until it is established.
-    /// Returns false if another open request has it, in this process or in another one.
-    pub fn claim_restored(&self, id: u64) -> bool {
+    /// Returns `None` if another open request has it, in this process or in another one.
+    pub fn claim_restored(&self, id: u64) -> Option<u64> {
         self.claim_if(id, |holders| !holders.is_open())
     }
 
-    fn claim_if(&self, id: u64, is_free: impl Fn(&Holders) -> bool) -> bool {
+    fn claim_if(&self, id: u64, is_free: impl Fn(&Holders) -> bool) -> Option<u64> {
         if self.shard(id).get(&id).is_some_and(|holders| !is_free(holders)) {
-            return false;
+            return None;
         }
-        self.change(id, |holders| {
+        let (is_claimed, number) = self.change_numbered(id, |holders| {
             let is_free = is_free(holders);
             holders.claims += u32::from(is_free);
             is_free
-        })
+        });
+        is_claimed.then_some(number)
+    }
+
+    /// The changes of holders for the other processes.
+    pub fn changes(&self) -> &IdChanges {
+        &self.0.changes
+    }
+
+    /// Whether an id that this process has claimed belongs to the process that it replaces, which has claimed it at the same
+    /// moment.
+    pub fn is_predecessors(&self, id: u64) -> bool {
+        self.shard(id).get(&id).is_some_and(|holders| holders.siblings.contains(&SiblingLink::Predecessor))
     }
 
     /// Claims the id of a connection that another process has transferred, which keeps its id in any case. Returns whether
@@ -257,10 +269,10 @@
     pub fn holder(&self, id: u64) -> Option<IdHolder> {
         let shard = self.shard(id);
         let holders = shard.get(&id)?;
-        if holders.claims > 0 {
-            return Some(IdHolder::OpenRequest);
+        if let Some(link) = holders.siblings.first() {
+            return Some(IdHolder::Sibling(*link));
         }
-        Some(holders.siblings.first().map_or(IdHolder::EndedRequest, |link| IdHolder::Sibling(*link)))
+        Some(if holders.claims > 0 { IdHolder::OpenRequest } else { IdHolder::EndedRequest })
     }
 
     /// The ids of all open requests of this process and of its siblings.
@@ -283,21 +295,6 @@
         ids
     }
 
-    /// Begins or ends recording changes for siblings.
-    pub fn set_has_siblings(&self, has_siblings: bool) {
-        self.0.has_siblings.store(has_siblings, Ordering::Relaxed);
-    }
-
-    /// Whether there are changes for siblings.
-    pub fn has_changed(&self) -> bool {
-        self.0.has_siblings.load(Ordering::Relaxed) && !lock(&self.0.changed).is_empty()
-    }
-
-    /// Takes the ids whose holders have changed since the last call, while there were siblings. An id may be repeated.
-    pub fn take_changed(&self) -> Vec<u64> {
-        std::mem::take(&mut *lock(&self.0.changed))
-    }
-
     /// Whether an open request has this id.
     #[cfg(test)]
     pub fn contains(&self, id: u64) -> bool {
--- a/crates/balancer/src/clients/sessions.rs
+++ b/crates/balancer/src/clients/sessions.rs
@@ -114,21 +114,39 @@
         is_due
     }
 
-    /// Stores the request of a session and claims its open id. Returns false, and changes nothing, if another
-    /// open request has the same open id, or an ended one that must not run again.
-    pub fn open_request(&mut self, context: &mut LoopContext, id: RequestId, opened: SessionRequest) -> bool {
-        let Some(session) = self.table.get_mut(&id) else { return false };
-        let is_claimed = match opened.previous_server {
+    /// Stores the request of a session and claims its open id. Returns the number of the claim, which
+    /// [`Sessions::is_confirmed`] takes, or `None`, and changes nothing, if another open request has the same open id, or an
+    /// ended one that must not run again.
+    pub fn open_request(
+        &mut self,
+        context: &mut LoopContext,
+        id: RequestId,
+        opened: SessionRequest,
+    ) -> Option<u64> {
+        let session = self.table.get_mut(&id)?;
+        let claim = match opened.previous_server {
             Some(_) => self.open_ids.claim_restored(opened.open_id),
             None => self.open_ids.claim(opened.open_id),
-        };
-        if !is_claimed {
-            return false;
-        }
+        }?;
         self.idle.remove(session.stage_since(), id);
         session.begin_request(context.now, &context.buffers, opened);
         self.schedule_timer(context, id);
-        true
+        Some(claim)
+    }
+
+    /// Whether no other process of this balancer can have claimed the same id unnoticed before this claim.
+    pub fn is_confirmed(&self, claim: u64) -> bool {
+        self.open_ids.changes().is_confirmed(claim)
+    }
+
+    /// Has requests no longer wait for other processes until one of them replies.
+    pub fn give_up_confirmation(&self) {
+        self.open_ids.changes().give_up_confirmation();
+    }
+
+    /// Whether the process that this one replaces has claimed the same id.
+    pub fn is_predecessors_id(&self, open_id: u64) -> bool {
+        self.open_ids.is_predecessors(open_id)
     }
 
     /// Sends a session's final answer, after which the client's close is awaited. Returns false if the
--- a/crates/balancer/src/clients/sessions/tests.rs
+++ b/crates/balancer/src/clients/sessions/tests.rs
@@ -33,12 +33,12 @@
     let (mut context, mut sessions) = (context(100), Sessions::default());
     let (id, _client) = connect(&mut sessions, &mut context, u32::MAX);
     assert_eq!((sessions.open_ids.contains(5), sessions.idle_count()), (false, 1));
-    assert!(sessions.open_request(&mut context, id, opening_request(id)));
+    assert!(sessions.open_request(&mut context, id, opening_request(id)).is_some());
     assert_eq!((sessions.open_ids.contains(5), sessions.idle_count()), (true, 0));
     assert_eq!(sessions.eviction_candidate(), None, "a client with an open request would be evicted");
     let (duplicate, _duplicate) = connect(&mut sessions, &mut context, u32::MAX);
     assert!(
-        !sessions.open_request(&mut context, duplicate, opening_request(duplicate)),
+        sessions.open_request(&mut context, duplicate, opening_request(duplicate)).is_none(),
         "two open requests have the same id"
     );
     sessions.remove(&mut context, duplicate);
@@ -48,7 +48,7 @@
     assert_eq!((sessions.open_ids.contains(5), sessions.idle_count()), (false, 1));
     // Another request has the open id now: the close of the first session must not release it.
     let (other, _other) = connect(&mut sessions, &mut context, u32::MAX);
-    assert!(sessions.open_request(&mut context, other, opening_request(other)));
+    assert!(sessions.open_request(&mut context, other, opening_request(other)).is_some());
     sessions.remove(&mut context, id);
     assert_eq!((sessions.open_ids.contains(5), sessions.idle_count(), sessions.len()), (true, 0, 1));
     sessions.remove(&mut context, other);
@@ -80,7 +80,7 @@
         session.connection.on_ready(ALL_READY);
         session.read_first_line(100, &context.buffers) == FirstLine::Line(b"OPEN 5 6 c=chat".to_vec())
     });
-    assert!(sessions.open_request(&mut context, id, opening_request(id)));
+    assert!(sessions.open_request(&mut context, id, opening_request(id)).is_some());
     let session = sessions.get_mut(id).expect("waiting");
     assert_eq!(session.poll_while_waiting(&context.buffers), WaitingActivity::Silent);
     client.write_all(b"early").expect("open");
--- a/crates/balancer/src/event_loop/context.rs
+++ b/crates/balancer/src/event_loop/context.rs
@@ -40,6 +40,8 @@
     AdminConnection(u64),
     /// The shared folder is read for changes of other processes.
     ReadSharedFolder,
+    /// A request has waited long enough for other processes to know its id.
+    UnconfirmedId,
     /// The next batch of clients migrates away from disabled servers.
     MigrationBatch,
     /// Successors are told how many descriptors this process holds.
--- a/crates/balancer/src/event_loop/dispatch.rs
+++ b/crates/balancer/src/event_loop/dispatch.rs
@@ -207,6 +207,9 @@
             self.on_sibling_ready(EventSource::Predecessor);
             process_events(self);
         }
+        while self.proxy.place_confirmed(&mut self.context) {
+            process_events(self);
+        }
         if self.gossip.as_ref().is_some_and(GossipTransport::has_unread) {
             self.dispatch_readiness(EventSource::Gossip, Readiness::default());
         }
@@ -232,6 +235,8 @@
             TimerEvent::Attempt(id) => self.proxy.on_attempt_timer(context, id),
             TimerEvent::RetryDial(id) => self.proxy.retry_dial(context, id),
             TimerEvent::Probe(number) => self.proxy.probes.on_timer(context, number),
+            // Requests whose wait is over are placed in each iteration.
+            TimerEvent::UnconfirmedId => {}
             TimerEvent::MigrationBatch => self.proxy.run_migration_batch(context),
             TimerEvent::LogRateLimiter => self.proxy.flush_log_limiter(context.now),
             TimerEvent::ReportDelays => self.report_delays(),
--- a/crates/balancer/src/event_loop/handover.rs
+++ b/crates/balancer/src/event_loop/handover.rs
@@ -47,7 +47,8 @@
     /// the learned state of the decisions.
     pub fn on_successors_connecting(&mut self, export_state: impl FnOnce() -> Vec<SnapshotEntry>) {
         // From here on, changes of the ids are recorded for the new process.
-        self.open_ids.set_has_siblings(true);
+        self.open_ids.changes().set_has_siblings(true);
+        let change_count = self.open_ids.changes().count();
         let offer = HandoverState {
             version: VERSION,
             listener_count: 0,
@@ -57,9 +58,10 @@
             exported_at: self.context.now,
             open_ids: self.open_ids.open(),
             retained_ids: self.open_ids.retained(),
+            syncs_ids: true,
         };
         if let Some(successors) = &mut self.siblings.successors {
-            successors.accept(&self.context.registry, || offer.clone());
+            successors.accept(&self.context.registry, change_count, || offer.clone());
         }
         self.on_successors_changed();
     }
--- a/crates/balancer/src/event_loop/open_id_sharing.rs
+++ b/crates/balancer/src/event_loop/open_id_sharing.rs
@@ -11,38 +11,46 @@
     /// Applies the changes that the other processes have reported of their open ids.
     pub(super) fn apply_sibling_ids(&mut self) {
         let successors = self.siblings.successors.as_mut();
-        let by_successors = successors.map_or(0, |successors| successors.apply_id_changes(&self.open_ids));
+        let by_successors = successors.map_or(0, |successors| successors.apply_id_messages(&self.open_ids));
         let predecessor = self.siblings.predecessor.as_mut();
         let by_predecessor =
-            predecessor.map_or(0, |predecessor| predecessor.apply_id_changes(&self.open_ids));
+            predecessor.map_or(0, |predecessor| predecessor.apply_id_messages(&self.open_ids));
         if by_successors + by_predecessor > 0 {
             debug!(event = "sibling-ids-changed", by_successors, by_predecessor);
         }
-        self.open_ids.set_has_siblings(self.siblings.has_any());
+        self.update_confirmed_ids();
+    }
+
+    /// Updates which ids all other processes know, and has the other workers place their requests with these ids.
+    fn update_confirmed_ids(&mut self) {
+        self.open_ids.changes().set_has_siblings(self.siblings.has_any());
+        if self.open_ids.changes().set_confirmed(self.siblings.confirmed_ids()) {
+            self.broadcast(|_| WorkerMessage::OpenIdsConfirmed);
+        }
     }
 
     /// Releases the ids of the predecessor, which has ended.
     pub(super) fn release_predecessor_ids(&mut self) {
         self.open_ids.release_sibling(SiblingLink::Predecessor);
-        self.open_ids.set_has_siblings(self.siblings.has_any());
+        self.update_confirmed_ids();
     }
 
-    /// Announces to the other processes which ids have been opened and closed in this iteration. Workers other than the
-    /// primary one have it do that.
+    /// Announces to the other processes which ids have been opened and closed in this iteration, and answers their sync requests
+    /// after that. Workers other than the primary one have it do that.
     pub fn announce_open_ids(&mut self) {
-        if !self.open_ids.has_changed() {
+        if !self.open_ids.changes().is_any_recorded() && !self.siblings.is_sync_reply_due() {
             return;
         }
         if let Some(workers) = self.workers.as_ref().filter(|workers| !workers.is_primary()) {
             // If the primary worker has ended, the whole process is about to end.
             return drop(workers.send(PRIMARY_WORKER, WorkerMessage::OpenIdsChanged));
         }
-        let ids = self.open_ids.take_changed();
+        let changes = self.open_ids.changes().take();
         if let Some(successors) = &mut self.siblings.successors {
-            successors.announce_ids(&ids, &self.open_ids);
+            successors.announce_ids(&changes, &self.open_ids);
         }
         if let Some(predecessor) = &mut self.siblings.predecessor {
-            predecessor.announce_ids(&ids, &self.open_ids);
+            predecessor.announce_ids(&changes, &self.open_ids);
         }
     }
 
--- a/crates/balancer/src/event_loop/worker_messages.rs
+++ b/crates/balancer/src/event_loop/worker_messages.rs
@@ -38,8 +38,8 @@
             WorkerMessage::TransferToSuccessor(transferred) => self.queue_for_transfer(*transferred),
             WorkerMessage::AdoptConnection(transferred) => self.adopt_transferred(*transferred),
             WorkerMessage::EndDuplicates(open_id) => self.proxy.end_duplicates(&mut self.context, open_id),
-            // The primary worker announces the changes at the end of each iteration.
-            WorkerMessage::OpenIdsChanged | WorkerMessage::Config(_) => {}
+            // Announcing changes, and placing requests with confirmed ids, is done in each iteration.
+            WorkerMessage::OpenIdsChanged | WorkerMessage::OpenIdsConfirmed | WorkerMessage::Config(_) => {}
         }
     }
 
--- a/crates/balancer/src/handover/messages.rs
+++ b/crates/balancer/src/handover/messages.rs
@@ -12,6 +12,7 @@
 use shorewharf_recovery::snapshot_state::SnapshotEntry;
 use shorewharf_units::Micros;
 
+use super::id_sync::LinkSync;
 use crate::clients::open_ids::{OpenIds, SiblingLink};
 
 /// The version of the messages. A process that receives another version starts without the hand-over.
@@ -48,23 +49,30 @@
     /// The ids of ended requests that must not run again.
     #[serde(default, rename = "retained", skip_serializing_if = "Vec::is_empty")]
     pub retained_ids: Vec<u64>,
+    /// Whether the old process answers `SYNC`.
+    #[serde(default, rename = "syncs", skip_serializing_if = "std::ops::Not::not")]
+    pub syncs_ids: bool,
 }
 
-/// A change of the open requests of a process, which the process at the other end must know so that no id has two of them.
+/// A message about the open requests of a process, which the process at the other end must know so that no id has two of them.
 /// Processes of earlier versions ignore it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OpenIdChange {
+pub enum OpenIdMessage {
     /// `OPENED ID`: a request with this id is open.
     Opened(u64),
     /// `CLOSED ID`: no request with this id is open any more.
     Closed(u64),
     /// `RETAINED ID`: a request with this id has ended and must not run again.
     Retained(u64),
+    /// `SYNC N`: all changes up to the N-th one have been sent; asks for `SYNCED N`.
+    SyncRequest(u64),
+    /// `SYNCED N`: the changes up to the N-th one are known, and all that were made here before have been sent.
+    SyncReply(u64),
 }
 
-impl OpenIdChange {
-    /// Applies the change, which the process behind `link` has reported.
-    pub fn apply(self, open_ids: &OpenIds, link: SiblingLink) {
+impl OpenIdMessage {
+    /// Applies a message of the process behind `link`. `sync` is the state of that link.
+    pub fn apply(self, open_ids: &OpenIds, link: SiblingLink, sync: &mut LinkSync) {
         match self {
             Self::Opened(id) => open_ids.hold_for_sibling(id, link),
             Self::Closed(id) => open_ids.release_for_sibling(id, link),
@@ -72,6 +80,8 @@
                 open_ids.retain(id);
                 open_ids.release_for_sibling(id, link);
             }
+            Self::SyncRequest(number) => sync.on_request(number),
+            Self::SyncReply(number) => sync.on_reply(number),
         }
     }
 
@@ -81,16 +91,20 @@
         opened
             .or_else(|| parse_number(line, b"CLOSED ").map(Self::Closed))
             .or_else(|| parse_number(line, b"RETAINED ").map(Self::Retained))
+            .or_else(|| parse_number(line, b"SYNC ").map(Self::SyncRequest))
+            .or_else(|| parse_number(line, b"SYNCED ").map(Self::SyncReply))
     }
 }
 
 /// Writes the line with its line end.
-impl fmt::Display for OpenIdChange {
+impl fmt::Display for OpenIdMessage {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Opened(id) => writeln!(f, "OPENED {id}"),
             Self::Closed(id) => writeln!(f, "CLOSED {id}"),
             Self::Retained(id) => writeln!(f, "RETAINED {id}"),
+            Self::SyncRequest(number) => writeln!(f, "SYNC {number}"),
+            Self::SyncReply(number) => writeln!(f, "SYNCED {number}"),
         }
     }
 }
@@ -202,8 +216,8 @@
     Draining,
     /// `KEEPS`: the old process keeps every connection that has not been acknowledged.
     KeepsUnacknowledged,
-    /// `OPENED ID`, `CLOSED ID` or `RETAINED ID`.
-    OpenIdChange(OpenIdChange),
+    /// A message about open ids.
+    OpenIdMessage(OpenIdMessage),
 }
 
 impl PredecessorMessage {
@@ -220,7 +234,7 @@
             b"KEEPS" => Some(Self::KeepsUnacknowledged),
             _ => parse_number(line, b"HELD ")
                 .map(Self::Descriptors)
-                .or_else(|| OpenIdChange::parse(line).map(Self::OpenIdChange)),
+                .or_else(|| OpenIdMessage::parse(line).map(Self::OpenIdMessage)),
         })
     }
 }
@@ -233,7 +247,7 @@
             Self::Descriptors(count) => writeln!(f, "HELD {count}"),
             Self::Draining => writeln!(f, "LEAVES"),
             Self::KeepsUnacknowledged => writeln!(f, "KEEPS"),
-            Self::OpenIdChange(change) => change.fmt(f),
+            Self::OpenIdMessage(change) => change.fmt(f),
         }
     }
 }
@@ -243,14 +257,16 @@
 pub enum SuccessorMessage {
     /// `TAKES 2`: the new process accepts established connections with buffered bytes, and acknowledges each.
     AcceptsConnections,
+    /// `SYNCS`: the new process answers `SYNC`.
+    SyncsIds,
     /// `SERVES`: the new process accepts clients.
     Serving,
     /// `ENDS`: the old process is to terminate.
     Terminate,
     /// `TOOK N`: the first N connections that were sent over this socket belong to the new process now.
     Acknowledged(u64),
-    /// `OPENED ID`, `CLOSED ID` or `RETAINED ID`.
-    OpenIdChange(OpenIdChange),
+    /// A message about open ids.
+    OpenIdMessage(OpenIdMessage),
 }
 
 impl SuccessorMessage {
@@ -258,11 +274,12 @@
     pub fn parse(line: &[u8]) -> Option<Self> {
         match line {
             b"TAKES 2" => Some(Self::AcceptsConnections),
+            b"SYNCS" => Some(Self::SyncsIds),
             b"SERVES" => Some(Self::Serving),
             b"ENDS" => Some(Self::Terminate),
             _ => parse_number(line, b"TOOK ")
                 .map(Self::Acknowledged)
-                .or_else(|| OpenIdChange::parse(line).map(Self::OpenIdChange)),
+                .or_else(|| OpenIdMessage::parse(line).map(Self::OpenIdMessage)),
         }
     }
 }
@@ -272,10 +289,11 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::AcceptsConnections => writeln!(f, "TAKES 2"),
+            Self::SyncsIds => writeln!(f, "SYNCS"),
             Self::Serving => writeln!(f, "SERVES"),
             Self::Terminate => writeln!(f, "ENDS"),
             Self::Acknowledged(connections) => writeln!(f, "TOOK {connections}"),
-            Self::OpenIdChange(change) => change.fmt(f),
+            Self::OpenIdMessage(change) => change.fmt(f),
         }
     }
 }
--- a/crates/balancer/src/handover/messages/tests.rs
+++ b/crates/balancer/src/handover/messages/tests.rs
@@ -112,6 +112,7 @@
         exported_at: 1_764_747_000_000_000,
         open_ids: Vec::new(),
         retained_ids: Vec::new(),
+        syncs_ids: false,
     }
 }
 
@@ -126,22 +127,25 @@
 /// A process of the version before reads a state with ids as one without, and writes no ids.
 #[test]
 fn the_open_ids_of_a_hand_over_state_are_written_only_if_there_are_any() {
-    let state = HandoverState { open_ids: vec![5, u64::MAX], retained_ids: vec![7], ..state() };
+    let state =
+        HandoverState { open_ids: vec![5, u64::MAX], retained_ids: vec![7], syncs_ids: true, ..state() };
     let text = serde_json::to_string(&state).expect("text");
-    assert!(text.ends_with(r#","open":[5,18446744073709551615],"retained":[7]}"#), "{text}");
+    assert!(text.ends_with(r#","open":[5,18446744073709551615],"retained":[7],"syncs":true}"#), "{text}");
     assert_eq!(serde_json::from_str::<HandoverState>(&text).expect("a state"), state);
     let before = serde_json::from_str::<HandoverState>(fixture!("state.jsonl")).expect("a state");
-    assert!(before.open_ids.is_empty() && before.retained_ids.is_empty());
+    assert!(before.open_ids.is_empty() && before.retained_ids.is_empty() && !before.syncs_ids);
 }
 
 #[test]
 fn changes_of_open_ids_are_written_and_read_by_both_processes() {
     for (change, line) in [
-        (OpenIdChange::Opened(u64::MAX), "OPENED 18446744073709551615\n"),
-        (OpenIdChange::Closed(7), "CLOSED 7\n"),
-        (OpenIdChange::Retained(8), "RETAINED 8\n"),
+        (OpenIdMessage::Opened(u64::MAX), "OPENED 18446744073709551615\n"),
+        (OpenIdMessage::Closed(7), "CLOSED 7\n"),
+        (OpenIdMessage::Retained(8), "RETAINED 8\n"),
+        (OpenIdMessage::SyncRequest(9), "SYNC 9\n"),
+        (OpenIdMessage::SyncReply(9), "SYNCED 9\n"),
     ] {
-        let (old, new) = (PredecessorMessage::OpenIdChange(change), SuccessorMessage::OpenIdChange(change));
+        let (old, new) = (PredecessorMessage::OpenIdMessage(change), SuccessorMessage::OpenIdMessage(change));
         assert_eq!([old.to_string(), new.to_string()], [line, line]);
         assert_eq!(PredecessorMessage::parse(line.trim_end().as_bytes()).expect("no JSON"), Some(old));
         assert_eq!(SuccessorMessage::parse(line.trim_end().as_bytes()), Some(new));
--- a/crates/balancer/src/handover/mod.rs
+++ b/crates/balancer/src/handover/mod.rs
@@ -2,6 +2,7 @@
 //! new process takes them and serves. While both run, they keep to the limits of one balancer.
 
 pub mod id_announcements;
+pub mod id_sync;
 pub mod messages;
 pub mod predecessor;
 pub mod siblings;
--- a/crates/balancer/src/handover/predecessor.rs
+++ b/crates/balancer/src/handover/predecessor.rs
@@ -17,10 +17,12 @@
 
 use super::check_same_user;
 use super::id_announcements::IdAnnouncements;
+use super::id_sync::LinkSync;
 use super::messages::{
-    EstablishedConnection, HandoverState, MAX_LISTENERS, MAX_STATE_BYTES, OpenIdChange, PredecessorMessage,
+    EstablishedConnection, HandoverState, MAX_LISTENERS, MAX_STATE_BYTES, OpenIdMessage, PredecessorMessage,
     SuccessorMessage, TransferredConnection, VERSION, take_line,
 };
+use crate::clients::id_changes::TakenChanges;
 use crate::clients::open_ids::{OpenIds, SiblingLink};
 use crate::event_loop::poll::{EventSource, SourceRegistry};
 
@@ -110,10 +112,10 @@
     Ok(ReceivedHandover { listeners, state, stream })
 }
 
-/// The ids in the state of the old process, as changes to apply.
-fn id_changes(state: HandoverState) -> Vec<OpenIdChange> {
-    let retained = state.retained_ids.into_iter().map(OpenIdChange::Retained);
-    retained.chain(state.open_ids.into_iter().map(OpenIdChange::Opened)).collect()
+/// The ids in the state of the old process, as messages to apply.
+fn id_messages(state: HandoverState) -> Vec<OpenIdMessage> {
+    let retained = state.retained_ids.into_iter().map(OpenIdMessage::Retained);
+    retained.chain(state.open_ids.into_iter().map(OpenIdMessage::Opened)).collect()
 }
 
 /// The connection to the old process, while that runs.
@@ -138,7 +140,9 @@
     /// Whether the socket may have more data than has been received.
     pub has_more: bool,
     /// Changes of the old process's open ids that have been received and not been applied.
-    id_changes: Vec<OpenIdChange>,
+    id_messages: Vec<OpenIdMessage>,
+    /// Whether the old process knows the open ids of this one.
+    sync: LinkSync,
     /// The open ids that the old process knows from this one.
     announced_ids: IdAnnouncements,
 }
@@ -156,7 +160,9 @@
         handover.stream.set_nonblocking(true)?;
         let mut stream = UnixStream::from_std(handover.stream);
         registry.register_source(&mut stream, EventSource::Predecessor)?;
-        let ready = format!("{}{}", SuccessorMessage::AcceptsConnections, SuccessorMessage::Serving);
+        let ready =
+            [SuccessorMessage::AcceptsConnections, SuccessorMessage::SyncsIds, SuccessorMessage::Serving];
+        let ready = ready.map(|message| message.to_string()).concat();
         stream.write_all(ready.as_bytes())?;
         if terminate {
             stream.write_all(SuccessorMessage::Terminate.to_string().as_bytes())?;
@@ -173,7 +179,8 @@
             is_unreachable: false,
             has_more: false,
             announced_ids: IdAnnouncements::new(&[], &handover.state.retained_ids),
-            id_changes: id_changes(handover.state),
+            sync: LinkSync::new(handover.state.syncs_ids, 0),
+            id_messages: id_messages(handover.state),
         })
     }
 
@@ -209,7 +216,7 @@
             Ok(Some(PredecessorMessage::Descriptors(count))) => self.descriptors = count,
             Ok(Some(PredecessorMessage::Draining)) => self.is_draining = true,
             Ok(Some(PredecessorMessage::KeepsUnacknowledged)) => self.keeps_unacknowledged = true,
-            Ok(Some(PredecessorMessage::OpenIdChange(change))) => self.id_changes.push(change),
+            Ok(Some(PredecessorMessage::OpenIdMessage(message))) => self.id_messages.push(message),
             Ok(None) => {}
             Err(e) => {
                 drop(self.take_descriptors());
@@ -243,27 +250,45 @@
     }
 
     /// Applies the changes of open ids that the old process has reported. Returns their number.
-    pub fn apply_id_changes(&mut self, open_ids: &OpenIds) -> usize {
-        let count = self.id_changes.len();
-        self.id_changes.drain(..).for_each(|change| change.apply(open_ids, SiblingLink::Predecessor));
+    pub fn apply_id_messages(&mut self, open_ids: &OpenIds) -> usize {
+        let count = self.id_messages.len();
+        for message in self.id_messages.drain(..) {
+            message.apply(open_ids, SiblingLink::Predecessor, &mut self.sync);
+        }
         count
     }
 
-    /// Announces to the old process which of these ids this process, or a successor of it, holds. What the socket does not
-    /// accept is dropped: the old process does not run then, and accepts no requests either.
-    pub fn announce_ids(&mut self, ids: &[u64], open_ids: &OpenIds) {
+    /// Announces to the old process the ids that this process, or a successor of it, holds, asks it to confirm them, and answers
+    /// its sync request. What the socket does not accept is dropped: the old process does not run then, and accepts no requests
+    /// either.
+    pub fn announce_ids(&mut self, changes: &TakenChanges, open_ids: &OpenIds) {
         let state_of = |id| open_ids.state_apart_from(id, SiblingLink::Predecessor);
-        for change in self.announced_ids.update(ids, state_of) {
+        let mut messages = self.announced_ids.update(&changes.ids, state_of);
+        if self.sync.is_supported && !changes.ids.is_empty() {
+            messages.push(OpenIdMessage::SyncRequest(changes.last));
+        }
+        messages.extend(self.sync.take_reply().map(OpenIdMessage::SyncReply));
+        for message in messages {
             if self.is_unreachable {
                 return;
             }
             // Like an acknowledgement, the line is written completely or not at all.
-            let line = SuccessorMessage::OpenIdChange(change).to_string();
+            let line = SuccessorMessage::OpenIdMessage(message).to_string();
             let written = (&self.stream).write(line.as_bytes());
             self.is_unreachable = written.is_ok_and(|written| written < line.len());
         }
     }
 
+    /// The number of the last change of open ids that the old process has not to be waited for.
+    pub fn confirmed_ids(&self) -> u64 {
+        if self.is_unreachable { u64::MAX } else { self.sync.confirmed() }
+    }
+
+    /// Whether the old process waits for the answer to its sync request.
+    pub fn is_sync_reply_due(&self) -> bool {
+        self.sync.is_reply_due()
+    }
+
     /// Assigns the descriptors that were received with a connection to it.
     fn on_connection(&mut self, state: EstablishedConnection) {
         let Some([client, server]) = self.take_descriptors() else {
--- a/crates/balancer/src/handover/predecessor/tests.rs
+++ b/crates/balancer/src/handover/predecessor/tests.rs
@@ -23,7 +23,7 @@
     std::thread::scope(|scope| {
         let request = scope.spawn(|| request_state(path));
         until(|| {
-            successors.accept(&registry(), || state.clone());
+            successors.accept(&registry(), 0, || state.clone());
             successors.receive_all(&registry(), 0);
             request.is_finished()
         });
--- a/crates/balancer/src/handover/siblings.rs
+++ b/crates/balancer/src/handover/siblings.rs
@@ -39,6 +39,18 @@
         self.predecessor.is_some() || self.successors.as_ref().is_some_and(Successors::is_any_connected)
     }
 
+    /// The number of the last change of open ids that all other processes know, as far as they have to be waited for.
+    pub fn confirmed_ids(&self) -> u64 {
+        let by_successors = self.successors.as_ref().map_or(u64::MAX, Successors::confirmed_ids);
+        by_successors.min(self.predecessor.as_ref().map_or(u64::MAX, Predecessor::confirmed_ids))
+    }
+
+    /// Whether another process waits for the answer to its sync request.
+    pub fn is_sync_reply_due(&self) -> bool {
+        self.successors.as_ref().is_some_and(Successors::is_sync_reply_due)
+            || self.predecessor.as_ref().is_some_and(Predecessor::is_sync_reply_due)
+    }
+
     /// Whether another process serves in place of this one.
     pub fn has_successor(&self) -> bool {
         self.successors.as_ref().is_some_and(Successors::is_any_serving)
--- a/crates/balancer/src/handover/successor.rs
+++ b/crates/balancer/src/handover/successor.rs
@@ -11,7 +11,9 @@
 use shorewharf_units::Micros;
 
 use super::id_announcements::IdAnnouncements;
-use super::messages::{MAX_LISTENERS, OpenIdChange, SuccessorMessage, TransferredConnection, take_line};
+use super::id_sync::LinkSync;
+use super::messages::{MAX_LISTENERS, OpenIdMessage, SuccessorMessage, TransferredConnection, take_line};
+use crate::clients::id_changes::TakenChanges;
 use crate::clients::open_ids::IdState;
 
 /// Maximum length of a line from a successor, in bytes.
@@ -58,7 +60,9 @@
     /// The open ids that the process knows from this one.
     announced_ids: IdAnnouncements,
     /// Changes of the process's open ids that have been received and not been taken.
-    pub(super) id_changes: Vec<OpenIdChange>,
+    pub(super) id_messages: Vec<OpenIdMessage>,
+    /// Whether the process knows the open ids of this one.
+    pub(super) sync: LinkSync,
     /// The ids of connections that have been acknowledged, which this process still claims.
     pub(super) acknowledged_ids: Vec<u64>,
 }
@@ -66,7 +70,12 @@
 impl Successor {
     /// Creates the state of a connected process. `outbox` holds the bytes that are sent first, which contain
     /// `announced_ids`.
-    pub(super) fn new(stream: UnixStream, outbox: Vec<u8>, announced_ids: IdAnnouncements) -> Self {
+    pub(super) fn new(
+        stream: UnixStream,
+        outbox: Vec<u8>,
+        announced_ids: IdAnnouncements,
+        sync: LinkSync,
+    ) -> Self {
         Successor {
             stream,
             inbox: Vec::new(),
@@ -80,7 +89,8 @@
             acknowledged: 0,
             last_progress: 0,
             announced_ids,
-            id_changes: Vec::new(),
+            id_messages: Vec::new(),
+            sync,
             acknowledged_ids: Vec::new(),
         }
     }
@@ -142,26 +152,42 @@
                 self.acknowledged += newly;
                 self.last_progress = now;
             }
-            SuccessorMessage::OpenIdChange(change) => self.id_changes.push(change),
+            SuccessorMessage::SyncsIds => self.sync.is_supported = true,
+            SuccessorMessage::OpenIdMessage(message) => self.id_messages.push(message),
         }
     }
 
-    /// Sends the changes of `ids` that the process does not know.
+    /// Sends the changes that the process does not know, asks it to confirm them, and answers its own sync request.
     pub(super) fn announce_ids(
         &mut self,
         listeners: &[TcpListener],
-        ids: &[u64],
+        changes: &TakenChanges,
         state_of: impl Fn(u64) -> IdState,
     ) {
-        if self.is_stalled || self.outbox.len() > MAX_UNREAD_ID_BYTES {
+        if !self.takes_id_messages() {
             return;
         }
-        for change in self.announced_ids.update(ids, state_of) {
-            self.outbox.extend_from_slice(change.to_string().as_bytes());
+        let mut messages = self.announced_ids.update(&changes.ids, state_of);
+        if self.sync.is_supported && !changes.ids.is_empty() {
+            messages.push(OpenIdMessage::SyncRequest(changes.last));
+        }
+        messages.extend(self.sync.take_reply().map(OpenIdMessage::SyncReply));
+        for message in messages {
+            self.outbox.extend_from_slice(message.to_string().as_bytes());
         }
         self.flush(listeners);
     }
 
+    /// Whether the process reads what it is sent.
+    fn takes_id_messages(&self) -> bool {
+        !self.is_stalled && self.outbox.len() <= MAX_UNREAD_ID_BYTES
+    }
+
+    /// The number of the last change that need not be waited for.
+    pub(super) fn confirmed_ids(&self) -> u64 {
+        if self.takes_id_messages() { self.sync.confirmed() } else { u64::MAX }
+    }
+
     /// Sends a connection together with its descriptors.
     pub(super) fn send(&mut self, connection: &TransferredConnection) -> io::Result<()> {
         let line = connection.state.to_line();
--- a/crates/balancer/src/handover/successors.rs
+++ b/crates/balancer/src/handover/successors.rs
@@ -14,8 +14,10 @@
 
 use super::check_same_user;
 use super::id_announcements::IdAnnouncements;
+use super::id_sync::LinkSync;
 use super::messages::{HandoverState, MAX_LISTENERS, PredecessorMessage, TransferredConnection};
 use super::successor::Successor;
+use crate::clients::id_changes::TakenChanges;
 use crate::clients::open_ids::{OpenIds, SiblingLink};
 use crate::event_loop::poll::{EventSource, SourceRegistry};
 
@@ -67,8 +69,14 @@
         Ok(Successors { path, socket, listeners, by_number, last_number: 0, returned, ended: Vec::new() })
     }
 
-    /// Accepts processes that have connected, and sends the state to each.
-    pub fn accept(&mut self, registry: &SourceRegistry, state: impl Fn() -> HandoverState) {
+    /// Accepts processes that have connected, and sends the state to each, which contains the open ids up to the change with the
+    /// number `change_count`.
+    pub fn accept(
+        &mut self,
+        registry: &SourceRegistry,
+        change_count: u64,
+        state: impl Fn() -> HandoverState,
+    ) {
         while let Ok((mut stream, _)) = self.socket.accept() {
             if let Err(e) = check_same_user(&stream) {
                 warn!(event = "successor-rejected", why = %e);
@@ -86,7 +94,8 @@
             let Ok(mut outbox) = serde_json::to_vec(&state) else { continue };
             outbox.push(b'\n');
             let announced_ids = IdAnnouncements::new(&state.open_ids, &state.retained_ids);
-            self.by_number.insert(number, Successor::new(stream, outbox, announced_ids));
+            let sync = LinkSync::new(false, change_count);
+            self.by_number.insert(number, Successor::new(stream, outbox, announced_ids, sync));
             self.on_ready(registry, 0, number);
         }
     }
@@ -180,14 +189,16 @@
 
     /// Applies the changes of open ids that the successors have reported, and has them hold the ids of connections that
     /// belong to them now. Returns the number of reported changes.
-    pub fn apply_id_changes(&mut self, open_ids: &OpenIds) -> usize {
+    pub fn apply_id_messages(&mut self, open_ids: &OpenIds) -> usize {
         let mut count = 0;
         for (number, successor) in &mut self.by_number {
             let link = SiblingLink::Successor(*number);
-            count += successor.id_changes.len();
+            count += successor.id_messages.len();
             // The process reports changes of these ids only after it has acknowledged the connections.
             successor.acknowledged_ids.drain(..).for_each(|id| open_ids.transfer_to_sibling(id, link));
-            successor.id_changes.drain(..).for_each(|change| change.apply(open_ids, link));
+            for message in successor.id_messages.drain(..) {
+                message.apply(open_ids, link, &mut successor.sync);
+            }
         }
         for (number, acknowledged_ids) in self.ended.drain(..) {
             open_ids.release_sibling(SiblingLink::Successor(number));
@@ -196,14 +207,24 @@
         count
     }
 
-    /// Announces to each successor which of these ids other processes, or this one, hold.
-    pub fn announce_ids(&mut self, ids: &[u64], open_ids: &OpenIds) {
+    /// Announces to each successor the ids that other processes, or this one, hold, and answers its sync request.
+    pub fn announce_ids(&mut self, changes: &TakenChanges, open_ids: &OpenIds) {
         for (number, successor) in &mut self.by_number {
             let link = SiblingLink::Successor(*number);
-            successor.announce_ids(&self.listeners, ids, |id| open_ids.state_apart_from(id, link));
+            successor.announce_ids(&self.listeners, changes, |id| open_ids.state_apart_from(id, link));
         }
     }
 
+    /// The number of the last change of open ids that no successor has to be waited for.
+    pub fn confirmed_ids(&self) -> u64 {
+        self.by_number.values().map(Successor::confirmed_ids).min().unwrap_or(u64::MAX)
+    }
+
+    /// Whether a successor waits for the answer to its sync request.
+    pub fn is_sync_reply_due(&self) -> bool {
+        self.by_number.values().any(|successor| successor.sync.is_reply_due())
+    }
+
     /// Whether a successor serves.
     pub fn is_any_serving(&self) -> bool {
         self.by_number.values().any(|successor| successor.is_serving)
--- a/crates/balancer/src/proxy/mod.rs
+++ b/crates/balancer/src/proxy/mod.rs
@@ -7,6 +7,7 @@
 //! - `requests`: accepts clients and reads their requests;
 //! - `attempts` and `dialing`: run attempts, up to the server's answer;
 //! - `established`, `relay` and `migration`: relay established connections and end them;
+//! - `unconfirmed`: the requests that wait until other processes know their ids;
 //! - `unfinished`: the connections that wait for their next turn;
 //! - `incomplete`: ends sessions without a complete request;
 //! - `answers`: sends all final answers;
@@ -26,9 +27,10 @@
 mod shutdown;
 mod timeouts;
 mod transfer;
+mod unconfirmed;
 mod unfinished;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use shorewharf_decisions::interface::{RequestId, ServerEntry};
 use shorewharf_lifecycle::RequestGuard;
@@ -50,6 +52,7 @@
 use incomplete::IncompleteCounts;
 use migration::PendingMigrations;
 pub use shutdown::{AnswerScope, SessionCounts};
+use unconfirmed::UnconfirmedRequest;
 use unfinished::UnfinishedConnections;
 
 /// The retry delay that clients get when the proxy rejects them without asking the driver.
@@ -75,6 +78,8 @@
     log_limiter: LogRateLimiter,
     /// Connections with more to forward or to read, to be resumed after other connections have been served.
     unfinished: UnfinishedConnections,
+    /// Requests that wait until other processes know their ids.
+    unconfirmed: VecDeque<UnconfirmedRequest>,
     /// Sessions with a message delay to report, without duplicates.
     delay_reporters: Vec<RequestId>,
     pending_migrations: PendingMigrations,
@@ -103,6 +108,7 @@
             incomplete_requests: IncompleteCounts::new(),
             log_limiter: LogRateLimiter::default(),
             unfinished: UnfinishedConnections::default(),
+            unconfirmed: VecDeque::new(),
             delay_reporters: Vec::new(),
             pending_migrations: PendingMigrations::default(),
             counters,
--- a/crates/balancer/src/proxy/requests.rs
+++ b/crates/balancer/src/proxy/requests.rs
@@ -10,6 +10,7 @@
 use shorewharf_units::Micros;
 use tracing::{debug, warn};
 
+use super::unconfirmed::UnconfirmedRequest;
 use super::{Proxy, RETRY_AFTER};
 use crate::admin::counters::Reply;
 use crate::clients::session::{FirstLine, Session, SessionRequest, SessionStage, WaitingActivity};
@@ -112,11 +113,11 @@
         let deadline =
             if previous_server.is_some() { context.now + RESTORE_TIMEOUT } else { request.deadline };
         let opened = SessionRequest { line, open_id: open.id, request, previous_server, deadline };
-        if !self.sessions.open_request(context, id, opened) {
+        let Some(claim) = self.sessions.open_request(context, id, opened) else {
             // This is no valid retry: clients use a new id when they retry or migrate. An id is released when its
             // request is answered, unless that request may have run and must not run again.
             return self.reject_duplicate(context, id, open.id);
-        }
+        };
         self.guard.receive(id, self.settings.idempotency_of(open.class));
         debug!(event = "received", req = id.0, id = %format_args!("{:x}", open.id), class = open.class);
         if self.reject_if_unserviceable(context, id, previous_server) {
@@ -125,7 +126,8 @@
         // The client may have closed already, or sent data after its request.
         self.on_session_ready(context, id, Readiness::default());
         if self.sessions.get(id).is_some_and(Session::is_waiting) {
-            self.place_request(context, request, previous_server);
+            let request = UnconfirmedRequest::new(context.now, claim, open.id, request, previous_server);
+            self.place_once_confirmed(context, request);
         }
     }
 
@@ -186,7 +188,7 @@
 
     /// Passes a request to the driver for placement, or begins an attempt at the server that had accepted it
     /// before this process started.
-    fn place_request(
+    pub(super) fn place_request(
         &mut self,
         context: &mut LoopContext,
         request: ReceivedRequest,
--- a/crates/balancer/src/workers/pool.rs
+++ b/crates/balancer/src/workers/pool.rs
@@ -63,6 +63,8 @@
     AdoptConnection(Box<TransferredConnection>),
     /// To the primary worker: announce the changes of open ids to the other processes.
     OpenIdsChanged,
+    /// The other processes know more of the open ids of this one: place the requests that wait for that.
+    OpenIdsConfirmed,
     /// End the requests with this id: a transferred connection has it.
     EndDuplicates(u64),
 }
--- a/crates/balancer/src/workers/startup.rs
+++ b/crates/balancer/src/workers/startup.rs
@@ -233,7 +233,9 @@
         let mut siblings = siblings;
         if let Some(predecessor) = &mut siblings.predecessor {
             // Before any worker accepts a client.
-            predecessor.apply_id_changes(&open_ids);
+            predecessor.apply_id_messages(&open_ids);
+            open_ids.changes().set_has_siblings(true);
+            open_ids.changes().set_confirmed(predecessor.confirmed_ids());
         }
         let folder = self.shared_folder.as_mut();
         let disabled_servers = folder.and_then(|f| f.read(&BTreeMap::new()).ok()).unwrap_or_default();
--- a/crates/balancer/tests/sockets/handover.rs
+++ b/crates/balancer/tests/sockets/handover.rs
@@ -83,7 +83,7 @@
     }
 
     /// Reads the next line, and the descriptors that come with it.
-    fn read_line(&mut self) -> String {
+    pub fn read_line(&mut self) -> String {
         loop {
             if let Some(end) = self.input.iter().position(|b| *b == b'\n') {
                 let line: Vec<u8> = self.input.drain(..=end).collect();
--- a/crates/balancer/tests/sockets/open_ids.rs
+++ b/crates/balancer/tests/sockets/open_ids.rs
@@ -324,3 +324,86 @@
     wait_for_metric(&program, "concurrent", 0);
     program.establish_with_id(&server, ID);
 }
+
+/// Starts a process that replaces a stub which answers sync requests, and sends it a request. Returns both once the process has
+/// asked the stub to confirm the id.
+fn request_beside_stub(settings: &Value) -> (PredecessorStub, Connection, String) {
+    let ended = ended_process(settings);
+    let mut stub = PredecessorStub::start(&ended, settings, &json!({"syncs": true}));
+    let client = stub.successor.open_with_id(ID, "");
+    stub.await_line(&format!("OPENED {ID_NUMBER}"));
+    let request = stub.read_line();
+    let number = request.strip_prefix("SYNC ").expect("a sync request").to_owned();
+    (stub, client, number)
+}
+
+/// Guards against a request that runs twice, as both processes of a replacement have accepted its id before either knew of the
+/// other's request: the new process waits for the old one, and yields to it.
+#[test]
+fn an_id_that_both_processes_accept_at_once_reaches_a_server_once() {
+    let server = Server::new();
+    let (mut stub, mut client, number) = request_beside_stub(&settings(&server));
+    // The old process has accepted the id too, before it knew of the new one's request.
+    stub.send(&format!("OPENED {ID_NUMBER}"));
+    stub.send(&format!("SYNCED {number}"));
+    match server.accept_or_receive(&mut client) {
+        Ok(_) => panic!("the request of the new process reached a server"),
+        Err(answer) => assert_eq!(answer, Received::Line("ERR".into())),
+    }
+    assert!(stub.successor.wait_for_log("malformed").contains("the predecessor process: 9b1f"));
+    // The old process keeps it in the same case.
+    let old = start(&settings(&server));
+    let mut successor = SuccessorStub::connect(&old);
+    assert!(successor.send("TAKES 2\nSYNCS\nSERVES\n"));
+    old.sync();
+    let _client = old.open_with_id(ID, "");
+    while successor.read_line() != format!("OPENED {ID_NUMBER}") {}
+    let request = successor.read_line();
+    let number = request.strip_prefix("SYNC ").expect("a sync request");
+    assert!(!server.has_pending_connection(), "the request was sent before the new process knew its id");
+    assert!(successor.send(&format!("OPENED {ID_NUMBER}\nSYNCED {number}\n")));
+    assert!(server.accept().receive_line().starts_with(&format!("OPEN {ID} ")));
+}
+
+/// Guards against requests that are lost or late beside a process that has stalled, or is of an earlier version.
+#[test]
+fn a_request_is_placed_though_the_other_process_does_not_confirm_its_id() {
+    let server = Server::new();
+    let settings = settings(&server);
+    let (stub, _client, _) = request_beside_stub(&settings);
+    assert!(server.accept().receive_line().starts_with(&format!("OPEN {ID} ")));
+    assert!(stub.successor.wait_for_log("open-ids-unconfirmed").contains("ms=500"));
+    let ended = ended_process(&settings);
+    let stub = PredecessorStub::start(&ended, &settings, &json!({}));
+    let _connections = stub.successor.establish_with_id(&server, ID);
+}
+
+/// Guards against a request that is sent after its client has left, which it did while other processes had not confirmed its id.
+#[test]
+fn a_request_whose_client_leaves_before_its_id_is_confirmed_reaches_no_server() {
+    let server = Server::new();
+    let (mut stub, client, number) = request_beside_stub(&settings(&server));
+    drop(client);
+    stub.await_line(&format!("CLOSED {ID_NUMBER}"));
+    stub.send(&format!("SYNCED {number}"));
+    let mut other = stub.successor.open_with_id("9b20", "");
+    stub.await_line(&format!("OPENED {}", 0x9b20));
+    let request = stub.read_line();
+    stub.send(&request.replace("SYNC", "SYNCED"));
+    let mut first_at_server =
+        server.accept_or_receive(&mut other).expect("a connection of the second client");
+    assert!(first_at_server.receive_line().starts_with("OPEN 9b20 "));
+}
+
+/// Guards against a process that answers a sync request before it has sent its own changes.
+#[test]
+fn a_sync_request_is_answered_after_the_changes_before_it() {
+    let server = Server::new();
+    let settings = settings(&server);
+    let ended = ended_process(&settings);
+    let mut stub = PredecessorStub::start(&ended, &settings, &json!({}));
+    let _connections = stub.successor.establish_with_id(&server, ID);
+    stub.send("SYNC 7");
+    stub.await_line(&format!("OPENED {ID_NUMBER}"));
+    stub.await_line("SYNCED 7");
+}
--- a/crates/balancer/tests/sockets/predecessor_stub.rs
+++ b/crates/balancer/tests/sockets/predecessor_stub.rs
@@ -76,6 +76,7 @@
         }
         let accepting = std::thread::spawn(move || {
             let (stream, _) = socket.accept().expect("the new process connects");
+            stream.set_read_timeout(Some(LIMIT)).expect("a socket");
             send_with_descriptors(&stream, &format!("{text}\n"), &[listener.as_fd()]);
             stream
         });
@@ -101,6 +102,13 @@
         send_with_descriptors(self.stream.get_ref(), &format!("STANDS {text}\n"), &descriptors);
     }
 
+    /// Reads the next line of the new process.
+    pub fn read_line(&mut self) -> String {
+        let mut line = String::new();
+        self.stream.read_line(&mut line).expect("the new process runs");
+        line.trim_end().to_owned()
+    }
+
     /// Waits for a line of the new process; other lines are skipped.
     pub fn await_line(&mut self, expected: &str) {
         for line in (&mut self.stream).lines() {
