Emulator and lab: split the longest handlers, and give a trial a typed outcome

Cause: readable code. Two handlers of connections had over 90 lines each, which read, classified and answered lines in one loop; the command `trial` had 71 lines, and its outcome was a string that was compared in two places.

Change: a link and a client classify each line (LinkInput, ClientInput) and handle it in functions of their own; TrialOutcome and TrialResult. No behaviour changes.

--- a/crates/emulator/src/sockets/clients.rs
+++ b/crates/emulator/src/sockets/clients.rs
@@ -13,8 +13,8 @@
 
 use super::clock::Distribution;
 use super::connection_log::ConnectionLog;
-use super::harness::{ConnectionObservation, Observations};
-use super::lines::LineConnection;
+use super::harness::{BalancerObservation, ConnectionObservation, Observations};
+use super::lines::{LineConnection, TooLong};
 use super::net::{Net, Ready, Role};
 use crate::edge::{Answer, BalancerId, ConnId, End, FromBalancer, LinkId, RequestLine};
 
@@ -61,6 +61,112 @@
     request: Option<(RequestLine, Micros)>,
 }
 
+/// A line from a balancer, by its meaning at the stage of the client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ClientInput {
+    /// The answer to the first line.
+    Answer(Answer),
+    /// The client is to migrate.
+    Migrate,
+    /// The node has completed the connection.
+    Completed,
+    /// A load report of the node.
+    LoadReport,
+    /// The oldest outstanding line, unmodified, and when it was sent.
+    Returned(Micros),
+    /// A line that the node had not sent on this connection.
+    Foreign {
+        /// The line ends like the message to migrate.
+        ends_with_move: bool,
+    },
+    /// A line after the connection has ended for the client.
+    Ignored,
+}
+
+/// The answer in a message to a client that waits for one.
+fn answer_in(message: &Message<'_>, conn: ConnId, connection_log: &ConnectionLog) -> Answer {
+    match message {
+        Message::Accepted(receipt) => {
+            connection_log.link_of_receipt(conn, receipt).map_or(Answer::Forged, Answer::Up)
+        }
+        Message::Rejected(ms) => Answer::Busy(ms.unwrap_or(0).saturating_mul(1000)),
+        Message::Failed => Answer::Err,
+        Message::Migrate => Answer::Move,
+        _ => Answer::Other,
+    }
+}
+
+impl Client {
+    /// Removes the next received line and classifies it.
+    fn next_input(
+        &mut self,
+        conn: ConnId,
+        connection_log: &ConnectionLog,
+    ) -> Result<Option<ClientInput>, TooLong> {
+        let Some(line) = self.connection.next_line()? else { return Ok(None) };
+        Ok(Some(match (self.stage, parse_message(line)) {
+            (Stage::AwaitingAnswer, message) => {
+                ClientInput::Answer(answer_in(&message, conn, connection_log))
+            }
+            (Stage::Established(_), Message::Migrate) => ClientInput::Migrate,
+            (Stage::Established(_), Message::Completed) => ClientInput::Completed,
+            (Stage::Established(_), Message::LoadReport(_)) => ClientInput::LoadReport,
+            (Stage::Established(_), _) => match self.outstanding_lines.front() {
+                Some((sent, number)) if line == line_text(conn, *number).as_bytes() => {
+                    ClientInput::Returned(*sent)
+                }
+                _ => ClientInput::Foreign { ends_with_move: line.ends_with(b"MOVE") },
+            },
+            (Stage::Over | Stage::Closing, _) => ClientInput::Ignored,
+        }))
+    }
+
+    /// Handles a line. Returns what is observed.
+    fn on_input(
+        &mut self,
+        now: Micros,
+        conn: ConnId,
+        input: ClientInput,
+        statistics: &mut ClientStatistics,
+    ) -> Option<(BalancerId, BalancerObservation)> {
+        let observation = match input {
+            ClientInput::Answer(answer) => {
+                self.stage = match answer {
+                    Answer::Up(link) => Stage::Established(link),
+                    _ => Stage::Over,
+                };
+                statistics.forged += u64::from(answer == Answer::Forged);
+                FromBalancer::Answer(conn, answer).into()
+            }
+            ClientInput::Migrate => {
+                self.stage = Stage::Over;
+                FromBalancer::Answer(conn, Answer::Move).into()
+            }
+            ClientInput::Completed => {
+                self.stage = Stage::Over;
+                return None;
+            }
+            ClientInput::LoadReport => ConnectionObservation::LineAtClient(conn).into(),
+            ClientInput::Returned(sent) => {
+                self.outstanding_lines.pop_front();
+                statistics.returned += 1;
+                statistics.round.record(now - sent);
+                ConnectionObservation::LineAtClient(conn).into()
+            }
+            ClientInput::Foreign { ends_with_move } => {
+                statistics.foreign += 1;
+                if ends_with_move {
+                    ConnectionObservation::MoveInLine(conn).into()
+                } else {
+                    ConnectionObservation::Changed(conn).into()
+                }
+            }
+            ClientInput::Ignored => return None,
+        };
+        Some((self.balancer, observation))
+    }
+}
+
 /// All well-behaved clients of a run.
 #[derive(Debug)]
 pub struct Clients {
@@ -153,8 +259,13 @@
             }));
         }
         loop {
-            let line = match client.connection.next_line() {
-                Ok(Some(line)) => line,
+            match client.next_input(conn, connection_log) {
+                Ok(Some(input)) => {
+                    observations.extend(client.on_input(now, conn, input, &mut self.statistics));
+                    if matches!(input, ClientInput::Answer(Answer::Up(_))) {
+                        self.due_lines.push_back((now + self.line_interval, conn));
+                    }
+                }
                 Ok(None) => break,
                 // Nodes send no line that is longer than the protocol allows.
                 Err(_) => {
@@ -163,55 +274,6 @@
                     client.connection.consume(held);
                     break;
                 }
-            };
-            match (client.stage, parse_message(line)) {
-                (Stage::AwaitingAnswer, found) => {
-                    let answer = match found {
-                        Message::Accepted(receipt) => match connection_log.link_of_receipt(conn, receipt) {
-                            Some(link) => Answer::Up(link),
-                            None => Answer::Forged,
-                        },
-                        Message::Rejected(ms) => Answer::Busy(ms.unwrap_or(0).saturating_mul(1000)),
-                        Message::Failed => Answer::Err,
-                        Message::Migrate => Answer::Move,
-                        _ => Answer::Other,
-                    };
-                    client.stage = match answer {
-                        Answer::Up(link) => {
-                            self.due_lines.push_back((now + self.line_interval, conn));
-                            Stage::Established(link)
-                        }
-                        _ => Stage::Over,
-                    };
-                    self.statistics.forged += u64::from(answer == Answer::Forged);
-                    observations.push((balancer, FromBalancer::Answer(conn, answer).into()));
-                }
-                (Stage::Established(_), Message::Migrate) => {
-                    client.stage = Stage::Over;
-                    observations.push((balancer, FromBalancer::Answer(conn, Answer::Move).into()));
-                }
-                (Stage::Established(_), Message::Completed) => client.stage = Stage::Over,
-                (Stage::Established(_), Message::LoadReport(_)) => {
-                    observations.push((balancer, ConnectionObservation::LineAtClient(conn).into()));
-                }
-                (Stage::Established(_), _) => match client.outstanding_lines.front().copied() {
-                    Some((sent, number)) if line == line_text(conn, number).as_bytes() => {
-                        client.outstanding_lines.pop_front();
-                        self.statistics.returned += 1;
-                        self.statistics.round.record(now - sent);
-                        observations.push((balancer, ConnectionObservation::LineAtClient(conn).into()));
-                    }
-                    _ => {
-                        self.statistics.foreign += 1;
-                        let observation = if line.ends_with(b"MOVE") {
-                            ConnectionObservation::MoveInLine
-                        } else {
-                            ConnectionObservation::Changed
-                        };
-                        observations.push((balancer, observation(conn).into()));
-                    }
-                },
-                _ => {}
             }
         }
         client.connection.compact(net);
--- a/crates/emulator/src/sockets/mod.rs
+++ b/crates/emulator/src/sockets/mod.rs
@@ -14,6 +14,7 @@
 pub mod fleet;
 pub mod harness;
 pub mod lines;
+mod link;
 pub mod load;
 pub mod misbehaving_clients;
 pub mod net;
--- a/crates/emulator/src/sockets/nodes.rs
+++ b/crates/emulator/src/sockets/nodes.rs
@@ -11,46 +11,15 @@
 use shorewharf_protocol::message::Message;
 
 use super::addresses::Addresses;
-use super::connection_log::{ConnectionLog, FirstLine};
+use super::connection_log::ConnectionLog;
 use super::harness::{ConnectionObservation, Observations};
-use super::lines::LineConnection;
+use super::link::{Link, LinkContext, LinkInput, Stage};
 use super::net::{Listener, Net, Ready, Role};
 use super::network_faults::most_restrictive;
 use crate::edge::{
     BalancerId, ConnId, End, FromBalancer, LinkId, NodeId, NodeMessage, Reachability, ToBalancer,
 };
 
-/// The largest number of bytes of a connection that a hung node keeps to return later. Clients are migrated or give up
-/// before they have sent as many.
-const MAX_UNSENT_REPLY_BYTES: usize = 64 << 10;
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Stage {
-    /// The first line has not been received.
-    FirstLine,
-    /// The link carries probes.
-    Probes,
-    /// A request has been received; the node has not accepted it.
-    AwaitingAnswer,
-    /// The node has accepted the request.
-    Established,
-    /// The node has closed the link, or rejected its first line.
-    Over,
-}
-
-#[derive(Debug)]
-struct Link {
-    connection: LineConnection,
-    balancer: BalancerId,
-    node: NodeId,
-    conn: Option<ConnId>,
-    stage: Stage,
-    /// Returned lines that a hung node has not sent.
-    unsent_replies: Vec<u8>,
-    /// Messages of the node that a fault of the link blocks.
-    withheld: Vec<ToBalancer>,
-}
-
 #[derive(Debug)]
 struct NodeEndpoint {
     /// How the node's machine responds.
@@ -335,73 +304,12 @@
             return;
         }
         link.connection.on_ready(net, ready);
+        let is_before_day = self.is_before_day;
+        let mut context = LinkContext { net, id, reachability, is_before_day, connection_log, observations };
         loop {
-            match link.connection.next_line() {
-                Ok(Some(line)) => match (link.stage, line) {
-                    (Stage::FirstLine | Stage::Probes, b"PING" | b"STATS") => {
-                        if link.stage == Stage::FirstLine {
-                            let (balancer, node) = (link.balancer, link.node);
-                            observations
-                                .push((balancer, FromBalancer::Link { link: id, node, conn: None }.into()));
-                            observations.push((balancer, FromBalancer::Probe(id).into()));
-                        } else if reachability == Reachability::Open {
-                            // The world models one probe per link; further ones are answered here.
-                            link.connection.send(net, Message::Pong.to_string().as_bytes());
-                        }
-                        link.stage = Stage::Probes;
-                    }
-                    (Stage::FirstLine, line) => match connection_log.classify_first_line(link.balancer, line)
-                    {
-                        FirstLine::Sent(conn, timeout) => {
-                            (link.conn, link.stage) = (Some(conn), Stage::AwaitingAnswer);
-                            if self.is_before_day {
-                                let up =
-                                    Message::Accepted(connection_log.accept(conn, id).as_bytes()).to_string();
-                                link.stage = Stage::Established;
-                                link.connection.send(net, up.as_bytes());
-                            }
-                            let node = link.node;
-                            observations.push((
-                                link.balancer,
-                                FromBalancer::Link { link: id, node, conn: Some(conn) }.into(),
-                            ));
-                            observations
-                                .push((link.balancer, FromBalancer::Forward { link: id, timeout }.into()));
-                        }
-                        FirstLine::Unusable => {
-                            link.stage = Stage::Over;
-                            link.connection.send(net, Message::Failed.to_string().as_bytes());
-                            link.connection.finish(net);
-                        }
-                        FirstLine::Unknown => {
-                            link.stage = Stage::Over;
-                            link.connection.send(net, Message::Malformed.to_string().as_bytes());
-                            link.connection.finish(net);
-                            observations
-                                .push((link.balancer, FromBalancer::MalformedRequest(link.node).into()));
-                        }
-                    },
-                    (Stage::Established, line) => {
-                        let answer = [line, b"\r\n"].concat();
-                        if let Some(conn) = link.conn.filter(|_| !self.is_before_day) {
-                            observations
-                                .push((link.balancer, ConnectionObservation::LineAtNode(conn).into()));
-                        }
-                        if reachability == Reachability::Mute {
-                            if link.unsent_replies.len() < MAX_UNSENT_REPLY_BYTES {
-                                link.unsent_replies.extend(answer);
-                            }
-                        } else {
-                            link.connection.send(net, &answer);
-                            if !self.is_before_day {
-                                observations
-                                    .push((link.balancer, ConnectionObservation::LineReturned(id).into()));
-                            }
-                        }
-                    }
-                    (Stage::AwaitingAnswer | Stage::Probes, _) => self.early_lines += 1,
-                    (Stage::Over, _) => {}
-                },
+            match link.next_input(&mut context) {
+                Ok(Some(LinkInput::Early)) => self.early_lines += 1,
+                Ok(Some(input)) => link.on_input(&mut context, input),
                 Ok(None) => break,
                 // Well-behaved clients send no line of this length, so the balancer must not forward one.
                 Err(_) => {
--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -23,6 +23,53 @@
 use crate::tables;
 use shorewharf_units::{Micros, seconds_from_micros};
 
+/// The outcome of a trial.
+enum TrialOutcome {
+    /// All expectations are met.
+    Kept,
+    /// An expectation is not met.
+    Broken,
+    /// The run says nothing about the program, so its expectations are neither met nor broken.
+    Void(String),
+}
+
+impl TrialOutcome {
+    fn new(run: &SocketsRun, verdicts: &[Verdict]) -> Self {
+        match &run.report.void {
+            Some(why) => Self::Void(why.clone()),
+            None if verdicts.iter().all(|v| v.is_met) => Self::Kept,
+            None => Self::Broken,
+        }
+    }
+
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Kept => "kept",
+            Self::Broken => "broken",
+            Self::Void(_) => "void",
+        }
+    }
+
+    fn into_command_outcome(self) -> Result<CommandOutcome, CommandError> {
+        match self {
+            Self::Kept => Ok(CommandOutcome::Success),
+            Self::Broken => Ok(CommandOutcome::Failure),
+            Self::Void(why) => Err(CommandError::External(format!("the trial is void: {why}"))),
+        }
+    }
+}
+
+/// What a trial has shown.
+struct TrialResult<'a> {
+    trial: &'a Scenario,
+    day: &'a Day,
+    outcome: TrialOutcome,
+    verdicts: Vec<Verdict>,
+    record: Record,
+    /// The number of calls to the shared store, if there is one.
+    store_calls: Option<u64>,
+}
+
 /// `trial`: runs the scenario and evaluates its expectations.
 ///
 /// # Errors
@@ -39,63 +86,104 @@
     let network_faults = trial.network_faults(day).map_err(|e| input_error(&e))?;
     let program = balancer::find(args.balancer.as_deref())?;
     if let Some(shortage) = sockets::descriptor_shortage(day) {
-        return Err(CommandError::Input(format!("{}: {shortage}", path.display())));
+        return Err(input_error(&shortage));
     }
-    let mut shared = match &trial.budgets {
-        Some(_) if args.operator.is_some() => {
-            return Err(CommandError::Input(
-                "--operator: not allowed for a trial with [budgets]; the lab writes an operator's file per balancer"
-                    .to_owned(),
-            ));
-        }
-        Some(terms) => {
-            Some(SharedStore::start(day, terms, trial.store_faults(day).map_err(|e| input_error(&e))?)?)
-        }
-        None => None,
-    };
+    let mut store = start_store(args, &trial, day)?;
     let run = sockets::play_with_faults(
         day,
         &program,
         args.operator.as_deref(),
         (&network_faults, trial.gossip),
-        shared.as_mut(),
+        store.as_mut(),
         args.logs.as_deref(),
     )?;
-    let verdicts = evaluate_expectations(&trial, day, &run, &network_faults);
-    let kept = verdicts.iter().all(|v| v.is_met);
-    let void = run.report.void.clone();
-    let outcome_name = match (&void, kept) {
-        (Some(_), _) => "void",
-        (None, true) => "kept",
-        (None, false) => "broken",
-    };
 
+    let verdicts = evaluate_expectations(&trial, day, &run, &network_faults);
     let name = program.file_name().unwrap_or_default().to_string_lossy();
     let mut record = runner::record(day, &name, "sockets", &run.result);
     record.sockets = Some(sockets::measurements(&run.report));
     record.about.clone_from(&trial.about);
     record.faults.extend(fault_intervals(&trial, day, &network_faults));
-    if args.json.as_deref() == Some(Path::new("-")) {
-        say(&json_text(&trial, day.seed, outcome_name, &verdicts, &record));
-    } else {
-        say(&table(&trial, day, outcome_name, &verdicts, style));
-        if let Some(measurements) = &record.sockets {
-            say(&style.dim(&sockets::short_summary(measurements)));
-        }
-        if let Some(shared) = &shared {
-            say(&style.dim(&format!("{} calls to the store\n", tables::count(shared.calls()))));
+    let result = TrialResult {
+        trial: &trial,
+        day,
+        outcome: TrialOutcome::new(&run, &verdicts),
+        verdicts,
+        record,
+        store_calls: store.map(|store| store.calls()),
+    };
+    result.write(args, style)?;
+    result.outcome.into_command_outcome()
+}
+
+/// Starts the store that the balancers share, if the scenario has one.
+fn start_store(args: &cli::Trial, trial: &Scenario, day: &Day) -> Result<Option<SharedStore>, CommandError> {
+    let Some(terms) = &trial.budgets else { return Ok(None) };
+    if args.operator.is_some() {
+        return Err(CommandError::Input(
+            "--operator: not allowed for a trial with [budgets]; the lab writes an operator's file per balancer"
+                .to_owned(),
+        ));
+    }
+    let faults = trial.store_faults(day);
+    let faults = faults.map_err(|e| CommandError::Input(format!("{}: {e}", args.trial.display())))?;
+    SharedStore::start(day, terms, faults).map(Some)
+}
+
+impl TrialResult<'_> {
+    /// Prints the result, and writes the files that are asked for.
+    fn write(&self, args: &cli::Trial, style: &Style) -> Result<(), CommandError> {
+        if args.json.as_deref() == Some(Path::new("-")) {
+            say(&self.to_json());
+        } else {
+            say(&self.table(style));
+            if let Some(measurements) = &self.record.sockets {
+                say(&style.dim(&sockets::short_summary(measurements)));
+            }
+            if let Some(calls) = self.store_calls {
+                say(&style.dim(&format!("{} calls to the store\n", tables::count(calls))));
+            }
+            if let Some(path) = &args.json {
+                files::write(path, &self.to_json())?;
+            }
         }
-        if let Some(path) = &args.json {
-            files::write(path, &json_text(&trial, day.seed, outcome_name, &verdicts, &record))?;
+        if let Some(path) = &args.report {
+            page::write(path, &self.record)?;
         }
+        Ok(())
     }
-    if let Some(path) = &args.report {
-        page::write(path, &record)?;
+
+    fn table(&self, style: &Style) -> String {
+        let outcome_name = self.outcome.name();
+        let mut text = format!(
+            "{}\n{} balancers, {} nodes, {} s, seed {}: {}\n\n",
+            self.trial.about,
+            self.day.balancers.len(),
+            self.day.nodes.len(),
+            seconds_from_micros(self.day.length),
+            self.day.seed,
+            match self.outcome {
+                TrialOutcome::Kept => outcome_name.to_owned(),
+                _ => style.bad(outcome_name),
+            },
+        );
+        let mut table = tables::table(&["promise", "", "seen", "promised"], false, style);
+        for v in &self.verdicts {
+            let how = if v.is_met { "kept".to_owned() } else { style.bad("BROKEN") };
+            table.add_row([v.expectation.clone(), how, v.observed.clone(), v.expected.clone()]);
+        }
+        text += &format!("{table}\n");
+        text
     }
-    match void {
-        // A void run says nothing about the program, so its promises are neither kept nor broken.
-        Some(why) => Err(CommandError::External(format!("the trial is void: {why}"))),
-        None => Ok(if kept { CommandOutcome::Success } else { CommandOutcome::Failure }),
+
+    fn to_json(&self) -> String {
+        let promise = |v: &Verdict| json!({"promise": v.expectation, "kept": v.is_met, "seen": v.observed, "wanted": v.expected});
+        let promises: Vec<_> = self.verdicts.iter().map(promise).collect();
+        let value = json!({
+            "about": self.trial.about, "seed": self.day.seed, "ended": self.outcome.name(), "promises": promises,
+            "served": round(self.record.whole, 6), "run": self.record,
+        });
+        serde_json::to_string_pretty(&value).expect("keys are text") + "\n"
     }
 }
 
@@ -147,42 +235,3 @@
         },
     )
 }
-
-fn table(trial: &Scenario, day: &Day, outcome_name: &str, verdicts: &[Verdict], style: &Style) -> String {
-    let mut text = format!(
-        "{}\n{} balancers, {} nodes, {} s, seed {}: {}\n\n",
-        trial.about,
-        day.balancers.len(),
-        day.nodes.len(),
-        seconds_from_micros(day.length),
-        day.seed,
-        if outcome_name == "kept" { outcome_name.to_owned() } else { style.bad(outcome_name) },
-    );
-    let mut table = tables::table(&["promise", "", "seen", "promised"], false, style);
-    for v in verdicts {
-        let how = if v.is_met { "kept".to_owned() } else { style.bad("BROKEN") };
-        table.add_row([v.expectation.clone(), how, v.observed.clone(), v.expected.clone()]);
-    }
-    text += &format!("{table}\n");
-    text
-}
-
-fn json_text(
-    trial: &Scenario,
-    seed: u64,
-    outcome_name: &str,
-    verdicts: &[Verdict],
-    record: &Record,
-) -> String {
-    let promises: Vec<_> = verdicts
-        .iter()
-        .map(
-            |v| json!({"promise": v.expectation, "kept": v.is_met, "seen": v.observed, "wanted": v.expected}),
-        )
-        .collect();
-    let value = json!({
-        "about": trial.about, "seed": seed, "ended": outcome_name, "promises": promises,
-        "served": round(record.whole, 6), "run": record,
-    });
-    serde_json::to_string_pretty(&value).expect("keys are text") + "\n"
-}
