Hand-over: name the batch of id changes, and what accepts and requests messages

Cause: names that need explaining (TakenChanges, takes_id_messages, wants_termination). Change: names only.

--- a/crates/balancer/src/clients/id_changes.rs
+++ b/crates/balancer/src/clients/id_changes.rs
@@ -12,9 +12,9 @@
     count: u64,
 }
 
-/// Changes that were taken to be announced.
+/// Changes that are to be announced together.
 #[derive(Debug, Default)]
-pub struct TakenChanges {
+pub struct ChangeBatch {
     /// The ids whose holders have changed. An id may be repeated.
     pub ids: Vec<u64>,
     /// The number of the last change.
@@ -77,9 +77,9 @@
     }
 
     /// Takes the changes since the last call.
-    pub fn take(&self) -> TakenChanges {
+    pub fn take(&self) -> ChangeBatch {
         let mut recorded = self.lock();
-        TakenChanges { ids: std::mem::take(&mut recorded.ids), last: recorded.count }
+        ChangeBatch { ids: std::mem::take(&mut recorded.ids), last: recorded.count }
     }
 
     /// Whether all other processes know the change with this number, and this process knows what they had changed before. Also
--- a/crates/balancer/src/event_loop/handover.rs
+++ b/crates/balancer/src/event_loop/handover.rs
@@ -96,8 +96,9 @@
         if has_successor && self.siblings.descriptor_allowance.is_none() {
             self.notify_successors();
         }
-        let wants_termination = self.siblings.successors.as_ref().is_some_and(Successors::wants_termination);
-        if !self.is_shutting_down() && wants_termination {
+        let requests_termination =
+            self.siblings.successors.as_ref().is_some_and(Successors::requests_termination);
+        if !self.is_shutting_down() && requests_termination {
             self.broadcast(|_| WorkerMessage::Shutdown);
             self.begin_shutdown();
         }
--- a/crates/balancer/src/handover/predecessor.rs
+++ b/crates/balancer/src/handover/predecessor.rs
@@ -22,7 +22,7 @@
     EstablishedConnection, HandoverState, MAX_LISTENERS, MAX_STATE_BYTES, OpenIdMessage, PredecessorMessage,
     SuccessorMessage, TransferredConnection, VERSION, take_line,
 };
-use crate::clients::id_changes::TakenChanges;
+use crate::clients::id_changes::ChangeBatch;
 use crate::clients::open_ids::{OpenIds, SiblingLink};
 use crate::event_loop::poll::{EventSource, SourceRegistry};
 
@@ -261,7 +261,7 @@
     /// Announces to the old process the ids that this process, or a successor of it, holds, asks it to confirm them, and answers
     /// its sync request. What the socket does not accept is dropped: the old process does not run then, and accepts no requests
     /// either.
-    pub fn announce_ids(&mut self, changes: &TakenChanges, open_ids: &OpenIds) {
+    pub fn announce_ids(&mut self, changes: &ChangeBatch, open_ids: &OpenIds) {
         let state_of = |id| open_ids.state_apart_from(id, SiblingLink::Predecessor);
         let mut messages = self.announced_ids.update(&changes.ids, state_of);
         if self.sync.is_supported && !changes.ids.is_empty() {
--- a/crates/balancer/src/handover/successor.rs
+++ b/crates/balancer/src/handover/successor.rs
@@ -13,7 +13,7 @@
 use super::id_announcements::IdAnnouncements;
 use super::id_sync::LinkSync;
 use super::messages::{MAX_LISTENERS, OpenIdMessage, SuccessorMessage, TransferredConnection, take_line};
-use crate::clients::id_changes::TakenChanges;
+use crate::clients::id_changes::ChangeBatch;
 use crate::clients::open_ids::IdState;
 
 /// Maximum length of a line from a successor, in bytes.
@@ -49,7 +49,7 @@
     /// Whether the process has been found stalled; see [`STALL_TIMEOUT`].
     pub(super) is_stalled: bool,
     /// Whether the process requests that this one terminates.
-    pub(super) wants_termination: bool,
+    pub(super) requests_termination: bool,
     /// Connections that were sent and not acknowledged, in the order of sending.
     pub(super) in_transit: VecDeque<TransferredConnection>,
     /// The number of connections that have been acknowledged.
@@ -84,7 +84,7 @@
             is_serving: false,
             accepts_connections: false,
             is_stalled: false,
-            wants_termination: false,
+            requests_termination: false,
             in_transit: VecDeque::new(),
             acknowledged: 0,
             last_progress: 0,
@@ -142,7 +142,7 @@
         match message {
             SuccessorMessage::Serving => self.is_serving = true,
             SuccessorMessage::AcceptsConnections => self.accepts_connections = true,
-            SuccessorMessage::Terminate => self.wants_termination = true,
+            SuccessorMessage::Terminate => self.requests_termination = true,
             SuccessorMessage::Acknowledged(all) => {
                 let newly = all.saturating_sub(self.acknowledged).min(self.in_transit.len() as u64);
                 // The connections belong to the successor now, so this process closes its descriptors of
@@ -161,10 +161,10 @@
     pub(super) fn announce_ids(
         &mut self,
         listeners: &[TcpListener],
-        changes: &TakenChanges,
+        changes: &ChangeBatch,
         state_of: impl Fn(u64) -> IdState,
     ) {
-        if !self.takes_id_messages() {
+        if !self.accepts_id_messages() {
             return;
         }
         let mut messages = self.announced_ids.update(&changes.ids, state_of);
@@ -179,13 +179,13 @@
     }
 
     /// Whether the process reads what it is sent.
-    fn takes_id_messages(&self) -> bool {
+    fn accepts_id_messages(&self) -> bool {
         !self.is_stalled && self.outbox.len() <= MAX_UNREAD_ID_BYTES
     }
 
     /// The number of the last change that need not be waited for.
     pub(super) fn confirmed_ids(&self) -> u64 {
-        if self.takes_id_messages() { self.sync.confirmed() } else { u64::MAX }
+        if self.accepts_id_messages() { self.sync.confirmed() } else { u64::MAX }
     }
 
     /// Sends a connection together with its descriptors.
--- a/crates/balancer/src/handover/successors.rs
+++ b/crates/balancer/src/handover/successors.rs
@@ -17,7 +17,7 @@
 use super::id_sync::LinkSync;
 use super::messages::{HandoverState, MAX_LISTENERS, PredecessorMessage, TransferredConnection};
 use super::successor::Successor;
-use crate::clients::id_changes::TakenChanges;
+use crate::clients::id_changes::ChangeBatch;
 use crate::clients::open_ids::{OpenIds, SiblingLink};
 use crate::event_loop::poll::{EventSource, SourceRegistry};
 
@@ -208,7 +208,7 @@
     }
 
     /// Announces to each successor the ids that other processes, or this one, hold, and answers its sync request.
-    pub fn announce_ids(&mut self, changes: &TakenChanges, open_ids: &OpenIds) {
+    pub fn announce_ids(&mut self, changes: &ChangeBatch, open_ids: &OpenIds) {
         for (number, successor) in &mut self.by_number {
             let link = SiblingLink::Successor(*number);
             successor.announce_ids(&self.listeners, changes, |id| open_ids.state_apart_from(id, link));
@@ -231,8 +231,8 @@
     }
 
     /// Whether a successor that serves requests that this process terminates.
-    pub fn wants_termination(&self) -> bool {
-        self.by_number.values().any(|successor| successor.is_serving && successor.wants_termination)
+    pub fn requests_termination(&self) -> bool {
+        self.by_number.values().any(|successor| successor.is_serving && successor.requests_termination)
     }
 
     /// Sends a connection to the newest successor that serves and accepts connections. Returns false if it
