Tests: keep the port of a listener that ends and comes again out of others' reach

Trace: the first test drops its discovery service, whose port the system then gave to the server of the second test (both listen on one IP address). The balancer of the first test logs watch-opened without discovery-failed from then on: it was connected to the other test's server, which took that call for the balancer's request.

Change: stable_address gives out ports of an IP address on which the system chooses none. The outage test, which no longer listens before, and the stubs of a replaced process use it; the stubs' other connections left the IP address of the restart test. No check or bound has changed.

--- a/crates/balancer/tests/sockets/open_ids.rs
+++ b/crates/balancer/tests/sockets/open_ids.rs
@@ -162,7 +162,9 @@
 
 /// Returns a process that has ended, whose place a [`PredecessorStub`] takes.
 fn ended_process(settings: &Value) -> BalancerProcess {
-    let mut ended = start(settings);
+    let mut settings = settings.clone();
+    settings["listen"] = json!(stable_address());
+    let mut ended = start(&settings);
     ended.terminate();
     assert!(ended.wait().success());
     ended
--- a/crates/balancer/tests/sockets/predecessor_stub.rs
+++ b/crates/balancer/tests/sockets/predecessor_stub.rs
@@ -25,7 +25,7 @@
 
 /// Connects two sockets. Returns the end that connected and the one that accepted.
 fn connect() -> (TcpStream, TcpStream) {
-    let listener = TcpListener::bind((loopback_address(1), 0)).expect("a port");
+    let listener = TcpListener::bind((loopback_address(2), 0)).expect("a port");
     let near = TcpStream::connect(listener.local_addr().expect("bound")).expect("a connection");
     (near, listener.accept().expect("a connection").0)
 }
--- a/crates/balancer/tests/sockets/pushed_lists.rs
+++ b/crates/balancer/tests/sockets/pushed_lists.rs
@@ -82,9 +82,9 @@
 /// Guards against a process that gives up on a discovery service that is down for longer than at its start.
 #[test]
 fn a_pushed_list_is_watched_again_once_the_service_returns_from_an_outage() {
-    let (server, discovery) = (Server::new(), DiscoveryService::new());
-    let (settings, address) = (pushed_config(&[&server], &discovery), discovery.address());
-    drop(discovery);
+    let (server, address) = (Server::new(), stable_address());
+    let mut settings = pushed_config(&[&server], &DiscoveryService::new());
+    settings["discovery"] = json!(address);
     let program = start(&settings);
     program.wait_for_log("discovery-failed");
     for _ in 0..8 {
--- a/crates/emulator/src/standin/discovery_service.rs
+++ b/crates/emulator/src/standin/discovery_service.rs
@@ -16,7 +16,8 @@
         DiscoveryService::default()
     }
 
-    /// Starts listening at an address that another service has listened on before.
+    /// Starts listening at an address that [`stable_address`](super::stable_address) has returned, at which another service may
+    /// have listened before.
     ///
     /// # Panics
     ///
--- a/crates/emulator/src/standin/mod.rs
+++ b/crates/emulator/src/standin/mod.rs
@@ -31,7 +31,7 @@
 };
 pub use connection::{Connection, Received};
 pub use discovery_service::{DiscoveryService, Watch};
-pub use server::{Server, loopback_address, refusing_address};
+pub use server::{Server, loopback_address, refusing_address, stable_address};
 
 use std::time::Duration;
 
--- a/crates/emulator/src/standin/server.rs
+++ b/crates/emulator/src/standin/server.rs
@@ -2,12 +2,17 @@
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::OnceLock;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
 use socket2::{Domain, SockRef, Socket, Type};
 
 use super::{Connection, LIMIT, Received};
 
+/// The index of the loopback address on which [`stable_address`] gives out ports.
+const STABLE_IP_INDEX: u8 = 3;
+const FIRST_STABLE_PORT: u16 = 20_000;
+
 fn bind_socket() -> Socket {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("the socket should be created");
     socket.bind(&SocketAddr::from((loopback_address(0), 0)).into()).expect("a loopback port should be free");
@@ -36,7 +41,7 @@
         Server(socket.into())
     }
 
-    /// Starts listening at an address that another server has listened on before.
+    /// Starts listening at an address that [`stable_address`] has returned, at which another server may have listened before.
     ///
     /// # Panics
     ///
@@ -171,6 +176,13 @@
         .expect("the socket should have an address")
 }
 
+/// An address at which nothing listens yet. Its port is given out once, and none on its IP address is chosen by the system, so
+/// that it stays free between two listeners.
+pub fn stable_address() -> SocketAddr {
+    static NEXT_PORT: AtomicU16 = AtomicU16::new(FIRST_STABLE_PORT);
+    SocketAddr::from((loopback_address(STABLE_IP_INDEX), NEXT_PORT.fetch_add(1, Ordering::Relaxed)))
+}
+
 /// One of four loopback addresses derived from this process's id. Other processes on the machine, such as a second run
 /// of the same tests, take no ports on them.
 pub fn loopback_address(index: u8) -> Ipv4Addr {
